--- /dev/null
+++ b/src/core/peer_message.h
@@ -0,0 +1,92 @@
+/*
+ * peer_message.h - messages between instances.
+ *
+ * They may be lost, late, doubled or crossed; no message moves state that
+ * a second copy of it would move again.
+ */
+#ifndef CORE_PEER_MESSAGE_H
+#define CORE_PEER_MESSAGE_H
+
+#include "core/position.h"
+#include "core/record.h"
+#include "core/sizes.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Version of the message layout; others are dropped. */
+enum { PEER_MESSAGE_VERSION = 1 };
+
+enum peer_message_type {
+	PEER_PING, /* asks for PEER_PONG */
+	PEER_PONG,
+	PEER_LOAN_ASK, /* asks for a part of a workspace's limit */
+	PEER_LOAN_GRANT,
+	PEER_VIEW_ASK, /* asks whether a primary answers */
+	PEER_VIEW,
+	PEER_RECORD, /* a configuration record or its deletion */
+	PEER_MESSAGE_TYPE_COUNT,
+};
+
+struct peer_ping {
+	uint64_t sequence;
+};
+
+struct peer_pong {
+	uint64_t sequence; /* of the ping */
+	int64_t config_revision; /* highest revision applied */
+	int64_t sync_age_us; /* since the platform last confirmed it */
+	bool draining;
+};
+
+struct peer_loan_ask {
+	uint64_t loan_id; /* unique for the asking instance's process */
+	char workspace[NAME_BYTES];
+	uint32_t rate_milli_per_s; /* wanted */
+	uint32_t burst_milli;
+	int64_t duration_us; /* counted by the lender from receipt */
+};
+
+struct peer_loan_grant {
+	uint64_t loan_id; /* of the ask */
+	char workspace[NAME_BYTES];
+	uint32_t rate_milli_per_s; /* granted */
+	uint32_t burst_milli; /* capacity granted */
+	uint32_t tokens_milli; /* moved with it */
+	int64_t duration_us; /* counted by the borrower from the ask */
+};
+
+struct peer_view_ask {
+	uint64_t sequence;
+	char group[NAME_BYTES];
+	uint64_t term; /* of the primary in question */
+};
+
+struct peer_view {
+	uint64_t sequence;
+	char group[NAME_BYTES];
+	uint64_t term;
+	bool silent; /* the sender gets no answer from that primary */
+};
+
+struct peer_record {
+	bool deleted;
+	struct record record;
+};
+
+struct peer_message {
+	char peer[NAME_BYTES]; /* sender on receipt, receiver on sending */
+	uint64_t incarnation; /* sender's process; new at each start */
+	enum peer_message_type type;
+	union {
+		struct peer_ping ping;
+		struct peer_pong pong;
+		struct peer_loan_ask loan_ask;
+		struct peer_loan_grant loan_grant;
+		struct peer_view_ask view_ask;
+		struct peer_view view;
+		struct peer_record record;
+	};
+};
+
+#endif
