--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,86 @@
+/* settings.h - the YAML settings of one instance. */
+#ifndef SETTINGS_SETTINGS_H
+#define SETTINGS_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct settings_instance {
+	char *name;
+	char *zone; /* availability zone */
+};
+
+struct settings_listen {
+	char *callers; /* "ip:port" */
+	char *operators;
+	char *peers;
+};
+
+struct settings_platform {
+	char **addresses;
+	unsigned addresses_count;
+	char *prefix;
+	char *instances_prefix;
+	uint32_t call_timeout_ms;
+	uint32_t lease_s; /* of this instance's shares */
+};
+
+struct settings_endpoints {
+	char *driver;
+	char *user;
+	char *password;
+	char *dbname;
+	uint32_t connect_timeout_ms;
+	uint32_t probe_interval_ms;
+	uint32_t silence_ms;
+	uint32_t suspect_ms;
+};
+
+struct settings_callers {
+	uint32_t body_max_bytes;
+	uint32_t header_max_bytes;
+	uint32_t statement_max_bytes;
+	uint32_t result_max_bytes;
+	uint32_t connections_max;
+	uint32_t requests_max;
+	uint32_t deadline_default_ms;
+	uint32_t deadline_max_ms;
+	uint32_t idle_timeout_ms;
+	uint32_t transaction_idle_ms;
+	char *token_key_hex; /* 64 hex digits, the same on every instance */
+};
+
+struct settings_security {
+	char *operator_key; /* bearer token of operators */
+	char *curve_public; /* Z85, the same on every instance */
+	char *curve_secret;
+	uint32_t key_grace_ms; /* keys hold without confirmation so long */
+};
+
+struct settings_log {
+	char *format; /* text or json */
+	char *level; /* debug, info, warning or error */
+};
+
+struct settings {
+	struct settings_instance instance;
+	struct settings_listen listen;
+	struct settings_platform platform;
+	struct settings_endpoints endpoints;
+	struct settings_callers callers;
+	struct settings_security security;
+	struct settings_log log;
+	uint32_t share_cells;
+	uint32_t drain_timeout_ms; /* a graceful shutdown takes no longer */
+};
+
+/*
+ * Reads and checks a file; absent optional fields get their defaults.
+ * Returns 0, or a negative errno with one line "file:line: field: reason"
+ * in `why`. Freed with settings_free().
+ */
+int settings_load(const char *path, struct settings **out, char *why,
+		  size_t why_size);
+void settings_free(struct settings *s);
+
+#endif
