--- /dev/null
+++ b/src/core/amount.c
@@ -0,0 +1,66 @@
+#include "core/amount.h"
+
+#include "core/record.h"
+
+#include <glib.h>
+
+static uint32_t add(uint32_t a, uint32_t b)
+{
+	return b > UINT32_MAX - a ? UINT32_MAX : a + b;
+}
+
+static uint32_t minus(uint32_t a, uint32_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+static uint32_t part(uint32_t whole, uint32_t ppm)
+{
+	return (uint32_t)((uint64_t)whole * ppm / SHARE_WHOLE_PPM);
+}
+
+struct amount amount_add(struct amount a, struct amount b)
+{
+	a.rate_milli_per_s = add(a.rate_milli_per_s, b.rate_milli_per_s);
+	a.burst_milli = add(a.burst_milli, b.burst_milli);
+	return a;
+}
+
+struct amount amount_minus(struct amount a, struct amount b)
+{
+	a.rate_milli_per_s = minus(a.rate_milli_per_s, b.rate_milli_per_s);
+	a.burst_milli = minus(a.burst_milli, b.burst_milli);
+	return a;
+}
+
+struct amount amount_max(struct amount a, struct amount b)
+{
+	a.rate_milli_per_s = MAX(a.rate_milli_per_s, b.rate_milli_per_s);
+	a.burst_milli = MAX(a.burst_milli, b.burst_milli);
+	return a;
+}
+
+struct amount amount_min(struct amount a, struct amount b)
+{
+	a.rate_milli_per_s = MIN(a.rate_milli_per_s, b.rate_milli_per_s);
+	a.burst_milli = MIN(a.burst_milli, b.burst_milli);
+	return a;
+}
+
+struct amount amount_part(struct amount whole, uint32_t ppm)
+{
+	whole.rate_milli_per_s = part(whole.rate_milli_per_s, ppm);
+	whole.burst_milli = part(whole.burst_milli, ppm);
+	return whole;
+}
+
+bool amount_covers(struct amount a, struct amount b)
+{
+	return a.rate_milli_per_s >= b.rate_milli_per_s &&
+	       a.burst_milli >= b.burst_milli;
+}
+
+bool amount_is_zero(struct amount a)
+{
+	return !a.rate_milli_per_s && !a.burst_milli;
+}
--- /dev/null
+++ b/src/core/amount.h
@@ -0,0 +1,26 @@
+/* amount.h - rate and capacity of a workspace's limit, or of a part. */
+#ifndef CORE_AMOUNT_H
+#define CORE_AMOUNT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct amount {
+	uint32_t rate_milli_per_s;
+	uint32_t burst_milli;
+};
+
+/* Both stay within 0 and UINT32_MAX, field by field. */
+struct amount amount_add(struct amount a, struct amount b);
+struct amount amount_minus(struct amount a, struct amount b);
+struct amount amount_max(struct amount a, struct amount b);
+struct amount amount_min(struct amount a, struct amount b);
+
+/* Returns the part of `whole`, rounded down. */
+struct amount amount_part(struct amount whole, uint32_t ppm);
+
+/* Returns true when neither field of b exceeds the one of a. */
+bool amount_covers(struct amount a, struct amount b);
+bool amount_is_zero(struct amount a);
+
+#endif
--- /dev/null
+++ b/src/core/borrow.c
@@ -0,0 +1,163 @@
+#include "core/borrow.h"
+
+#include <string.h>
+
+static const int64_t LOAN_DURATION_US = US_PER_S;
+
+/* A loan is renewed once half of it has passed. */
+static const int64_t RENEW_BEFORE_US = 500 * US_PER_MS;
+
+/* A peer that did not grant is asked again after so long. */
+static const int64_t ASK_AGAIN_US = 150 * US_PER_MS;
+
+/* The level must last so long at the present demand. */
+static const int64_t LOOKAHEAD_US = 100 * US_PER_MS;
+
+struct asking {
+	struct limit_row *row;
+	const struct borrow_env *env;
+	int64_t now_us;
+	struct amount want; /* still to be asked for */
+	uint32_t sent;
+};
+
+static void send_ask(struct asking *k, const char *peer, struct amount amount,
+		     uint64_t renews)
+{
+	struct peer_message m = { .type = PEER_LOAN_ASK };
+	struct action a = { .type = ACTION_PEER_SEND, .peer = &m };
+	struct peer_loan_ask *ask = &m.loan_ask;
+
+	g_strlcpy(m.peer, peer, sizeof(m.peer));
+	m.incarnation = k->env->incarnation;
+	ask->loan_id = ++*k->env->last_loan_id;
+	ask->renews = renews;
+	g_strlcpy(ask->workspace, k->row->record.name, sizeof(ask->workspace));
+	ask->rate_milli_per_s = amount.rate_milli_per_s;
+	ask->burst_milli = amount.burst_milli;
+	ask->duration_us = LOAN_DURATION_US;
+	loan_note_ask(k->row->loans, peer, ask, k->now_us);
+	action_queue_push(k->env->out, &a);
+	k->sent++;
+}
+
+/* Returns what the demand needs beyond what is there. */
+static struct amount wanted(const struct limit_row *w, struct amount have)
+{
+	uint64_t need = (uint64_t)w->demand_milli_per_s * 5 / 4;
+	struct amount want = {
+		.rate_milli_per_s =
+			(uint32_t)MIN(need, w->record.rate_milli_per_s),
+	};
+	uint64_t burst = 0;
+
+	if (w->record.rate_milli_per_s)
+		burst = (uint64_t)w->record.burst_milli *
+			want.rate_milli_per_s / w->record.rate_milli_per_s;
+	burst = MAX(burst, w->cost_max_milli);
+	want.burst_milli = (uint32_t)MIN(burst, w->record.burst_milli);
+	return amount_minus(want, have);
+}
+
+static struct amount available(const struct asking *k)
+{
+	return amount_add(limit_row_own(k->row, k->env->share, k->now_us),
+			  loan_borrowed(k->row->loans, k->now_us));
+}
+
+static bool is_needed(const struct asking *k, const struct loan *l,
+		      struct amount have)
+{
+	if (!k->row->demand_milli_per_s)
+		return false;
+	return !amount_is_zero(wanted(k->row, amount_minus(have, l->amount)));
+}
+
+static void renew_due(struct asking *k)
+{
+	struct amount have = available(k);
+	const struct loan *l;
+
+	for (uint32_t i = 0; k->sent < BORROW_ASKS_MAX; i++) {
+		l = loan_borrowed_at(k->row->loans, i);
+		if (!l)
+			break;
+		if (l->expires_us - k->now_us < RENEW_BEFORE_US &&
+		    !loan_is_asked(k->row->loans, l->peer,
+				   k->now_us - ASK_AGAIN_US) &&
+		    is_needed(k, l, have))
+			send_ask(k, l->peer, l->amount, l->first_id);
+	}
+}
+
+static bool may_lend(const struct asking *k, const struct share_holder *h)
+{
+	const struct member *m = member_find(k->env->members, h->instance);
+
+	return h->ppm && m && m->alive && m->incarnation == h->incarnation &&
+	       !m->report.draining &&
+	       !loan_is_asked(k->row->loans, h->instance,
+			      k->now_us - ASK_AGAIN_US);
+}
+
+/* Asks one holder for as much of the rest as its own part can give. */
+static void ask_holder(struct asking *k, const struct share_holder *h,
+		       const struct loan *l)
+{
+	struct amount whole = { k->row->record.rate_milli_per_s,
+				k->row->record.burst_milli };
+	struct amount amount = amount_min(k->want, amount_part(whole, h->ppm));
+
+	if (amount_is_zero(amount))
+		return;
+	k->want = amount_minus(k->want, amount);
+	if (l)
+		amount = amount_add(amount, l->amount);
+	send_ask(k, h->instance, amount, l ? l->first_id : 0);
+}
+
+/* Those that lend already come first. */
+static void ask_holders(struct asking *k, bool lending)
+{
+	const struct share_record *r =
+		share_record_of(k->env->share, k->row->cell);
+	uint32_t start = r->holder_count ? g_rand_int(k->env->rand) : 0;
+
+	for (uint32_t i = 0; i < r->holder_count; i++) {
+		const struct share_holder *h =
+			&r->holders[(start + i) % r->holder_count];
+		const struct loan *l = loan_from(k->row->loans, h->instance);
+
+		if (k->sent == BORROW_ASKS_MAX)
+			return;
+		if (!strcmp(h->instance, k->env->instance) ||
+		    (l != NULL) != lending || !may_lend(k, h))
+			continue;
+		ask_holder(k, h, l);
+	}
+}
+
+static bool is_short(const struct limit_row *w)
+{
+	uint64_t need = (uint64_t)w->demand_milli_per_s *
+			(uint64_t)LOOKAHEAD_US / (uint64_t)US_PER_S;
+
+	return w->short_of_tokens ||
+	       w->bucket.level_milli < need + w->cost_max_milli;
+}
+
+void borrow_run(struct limit_row *w, const struct borrow_env *env,
+		int64_t now_us)
+{
+	struct asking k = { .row = w, .env = env, .now_us = now_us };
+
+	if (w->deleted || !w->cost_max_milli)
+		return;
+	renew_due(&k);
+	if (!is_short(w))
+		return;
+	w->short_of_tokens = false;
+	k.want = wanted(w, available(&k));
+	ask_holders(&k, true);
+	ask_holders(&k, false);
+}
--- /dev/null
+++ b/src/core/borrow.h
@@ -0,0 +1,30 @@
+/* borrow.h - whom to ask for a loan, and how much. */
+#ifndef CORE_BORROW_H
+#define CORE_BORROW_H
+
+#include "core/action_queue.h"
+#include "core/limit_row.h"
+#include "core/member.h"
+
+#include <glib.h>
+
+/* What asking needs beside the row; all pointers are borrowed. */
+struct borrow_env {
+	const struct share *share;
+	const struct member_table *members;
+	const char *instance;
+	uint64_t incarnation;
+	uint64_t *last_loan_id;
+	GRand *rand;
+	struct action_queue *out;
+};
+
+/*
+ * Asks for renewals that are due, and for more when the level does not
+ * last for the expected demand. At most BORROW_ASKS_MAX asks are sent.
+ */
+enum { BORROW_ASKS_MAX = 8 };
+void borrow_run(struct limit_row *w, const struct borrow_env *env,
+		int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/core/key_guard.c
@@ -0,0 +1,149 @@
+#include "core/key_guard.h"
+
+#include "core/error.h"
+
+#include <glib.h>
+
+static const int64_t ACCEPT_MARGIN_US = US_PER_S;
+static const int64_t RETRY_AFTER_US = 500 * US_PER_MS;
+
+struct key_guard {
+	int64_t grace_us;
+	int64_t accept_after_us;
+	int64_t outage_max_us;
+	const struct member_table *members; /* borrowed */
+	int64_t applied_revision;
+	int64_t reported_revision; /* also of changes accepted here */
+	int64_t synced_us; /* asked time of the last sync; -1: never */
+	int64_t synced_since_us; /* start of the syncs without a gap */
+};
+
+struct key_guard *key_guard_new(const struct key_guard_opts *opts,
+				const struct member_table *members)
+{
+	struct key_guard *g = g_new0(struct key_guard, 1);
+
+	g->grace_us = opts->key_grace_us;
+	g->accept_after_us = opts->accept_after_us ?
+				     opts->accept_after_us :
+				     2 * g->grace_us + ACCEPT_MARGIN_US;
+	g->outage_max_us = opts->outage_max_us;
+	g->members = members;
+	g->synced_us = -1;
+	return g;
+}
+
+void key_guard_free(struct key_guard *g)
+{
+	g_free(g);
+}
+
+void key_guard_note_synced(struct key_guard *g, int64_t revision,
+			   int64_t asked_us, int64_t now_us)
+{
+	if (asked_us <= g->synced_us)
+		return;
+	/* By the time of receipt: members were told of the age until now. */
+	if (g->synced_us < 0 || now_us - g->synced_us > g->grace_us)
+		g->synced_since_us = now_us;
+	g->synced_us = asked_us;
+	key_guard_note_applied(g, revision);
+}
+
+void key_guard_note_applied(struct key_guard *g, int64_t revision)
+{
+	g->applied_revision = MAX(g->applied_revision, revision);
+	g->reported_revision = MAX(g->reported_revision, revision);
+}
+
+void key_guard_note_accepted(struct key_guard *g, int64_t revision)
+{
+	g->reported_revision = MAX(g->reported_revision, revision);
+}
+
+static bool is_synced(const struct key_guard *g, int64_t now_us)
+{
+	return g->synced_us >= 0 && now_us - g->synced_us < g->grace_us;
+}
+
+static bool is_confirmed_by(const struct key_guard *g, const struct member *m,
+			    int64_t now_us)
+{
+	const struct member_report *r = &m->report;
+
+	return r->asked_us >= 0 && r->was_synced &&
+	       now_us - r->synced_us < g->grace_us &&
+	       r->config_revision <= g->applied_revision;
+}
+
+/*
+ * Returns true when no earlier process of the member can have accepted a
+ * change that the present one does not report.
+ */
+static bool is_continuous(const struct key_guard *g, const struct member *m)
+{
+	const struct member_report *p = &m->previous;
+
+	if (m->report.was_synced)
+		return true;
+	return p->asked_us >= 0 && p->sync_age_us > g->grace_us &&
+	       p->config_revision <= g->applied_revision &&
+	       m->first_asked_us - p->asked_us <
+		       g->accept_after_us - g->grace_us;
+}
+
+static bool is_in_outage(const struct key_guard *g, const struct member *m,
+			 int64_t now_us)
+{
+	const struct member_report *r = &m->report;
+
+	return r->asked_us >= 0 && now_us - r->asked_us < g->grace_us &&
+	       r->sync_age_us > g->grace_us &&
+	       r->config_revision <= g->applied_revision && is_continuous(g, m);
+}
+
+static bool is_outage(const struct key_guard *g, int64_t now_us)
+{
+	if (g->synced_us < 0 || g->reported_revision > g->applied_revision)
+		return false;
+	if (g->outage_max_us && now_us - g->synced_us > g->outage_max_us)
+		return false;
+	for (uint32_t i = 0; i < member_count(g->members); i++) {
+		if (!is_in_outage(g, member_at(g->members, i), now_us))
+			return false;
+	}
+	return true;
+}
+
+enum key_rule key_guard_rule(const struct key_guard *g, int64_t now_us)
+{
+	if (is_synced(g, now_us))
+		return KEY_RULE_SYNCED;
+	for (uint32_t i = 0; i < member_count(g->members); i++) {
+		if (is_confirmed_by(g, member_at(g->members, i), now_us))
+			return KEY_RULE_MEMBER;
+	}
+	return is_outage(g, now_us) ? KEY_RULE_OUTAGE : KEY_RULE_NONE;
+}
+
+int32_t key_guard_check(const struct key_guard *g, int64_t now_us,
+			int64_t *retry_after_us)
+{
+	if (key_guard_rule(g, now_us) != KEY_RULE_NONE)
+		return ERR_NONE;
+	*retry_after_us = RETRY_AFTER_US;
+	return ERR_KEY_UNCONFIRMED;
+}
+
+bool key_guard_may_accept(const struct key_guard *g, int64_t now_us)
+{
+	return is_synced(g, now_us) &&
+	       now_us - g->synced_since_us >= g->accept_after_us;
+}
+
+struct member_self key_guard_self(const struct key_guard *g, bool draining)
+{
+	return (struct member_self){ .config_revision = g->reported_revision,
+				     .synced_us = g->synced_us,
+				     .draining = draining };
+}
--- /dev/null
+++ b/src/core/limit_row.c
@@ -0,0 +1,157 @@
+#include "core/limit_row.h"
+
+#include <glib.h>
+
+static const int64_t DEMAND_INTERVAL_US = 100 * US_PER_MS;
+
+/* A lender keeps this part of its own, and this much for one request. */
+enum { KEPT_PPM = SHARE_WHOLE_PPM / 16, KEPT_BURST_MILLI = 1000 };
+
+struct limit_row *limit_row_new(const char *workspace, uint32_t cell,
+				int64_t now_us)
+{
+	struct limit_row *w = g_new0(struct limit_row, 1);
+
+	g_strlcpy(w->record.name, workspace, sizeof(w->record.name));
+	w->cell = cell;
+	w->bucket.updated_us = now_us;
+	w->demand_since_us = now_us;
+	w->loans = loan_book_new();
+	return w;
+}
+
+void limit_row_free(struct limit_row *w)
+{
+	loan_book_free(w->loans);
+	g_free(w);
+}
+
+static struct amount part_of(const struct limit_row *w, const struct share *s,
+			     int64_t at_us)
+{
+	struct amount whole = { w->record.rate_milli_per_s,
+				w->record.burst_milli };
+
+	return amount_part(whole, share_ppm(s, w->cell, at_us));
+}
+
+struct amount limit_row_own(const struct limit_row *w, const struct share *s,
+			    int64_t now_us)
+{
+	return amount_minus(part_of(w, s, now_us), loan_lent(w->loans, now_us));
+}
+
+static void resize(struct limit_row *w, const struct share *s, int64_t at_us)
+{
+	struct amount all = amount_add(limit_row_own(w, s, at_us),
+				       loan_borrowed(w->loans, at_us));
+
+	bucket_resize(&w->bucket, all.rate_milli_per_s, all.burst_milli);
+}
+
+/*
+ * Time is credited at the old rate only up to the next loss of a part,
+ * also when this instance was paused across it.
+ */
+static void advance(struct limit_row *w, const struct share *s, int64_t now_us)
+{
+	int64_t lease_end = share_valid_until_us(s);
+
+	for (;;) {
+		int64_t from = w->bucket.updated_us;
+		int64_t to = loan_next_end_us(w->loans, from);
+
+		if (lease_end > from)
+			to = MIN(to, lease_end);
+		if (to > now_us)
+			break;
+		bucket_advance(&w->bucket, to);
+		resize(w, s, to);
+	}
+	bucket_advance(&w->bucket, now_us);
+}
+
+void limit_row_refresh(struct limit_row *w, const struct share *s,
+		       int64_t now_us)
+{
+	if (w->epoch != share_epoch(s)) {
+		bucket_clear(&w->bucket, now_us);
+		w->epoch = share_epoch(s);
+	} else {
+		advance(w, s, now_us);
+	}
+	loan_expire(w->loans, now_us);
+	resize(w, s, now_us);
+}
+
+/* Returns what is kept out of the own part for the recent demand. */
+static struct amount kept(const struct limit_row *w, struct amount whole)
+{
+	uint64_t need = (uint64_t)w->demand_milli_per_s * 5 / 4;
+	struct amount keep = amount_part(whole, KEPT_PPM);
+
+	keep.rate_milli_per_s =
+		MAX(keep.rate_milli_per_s,
+		    (uint32_t)MIN(need, whole.rate_milli_per_s));
+	if (whole.rate_milli_per_s)
+		keep.burst_milli = (uint32_t)((uint64_t)whole.burst_milli *
+					      keep.rate_milli_per_s /
+					      whole.rate_milli_per_s);
+	if (whole.burst_milli >= KEPT_BURST_MILLI)
+		keep.burst_milli = MAX(keep.burst_milli, KEPT_BURST_MILLI);
+	return keep;
+}
+
+bool limit_row_spare(const struct limit_row *w, const struct share *s,
+		     int64_t now_us, struct amount *out)
+{
+	struct amount whole = part_of(w, s, now_us);
+	struct amount used =
+		amount_add(loan_lent(w->loans, now_us), kept(w, whole));
+
+	*out = amount_minus(whole, used);
+	return amount_covers(whole, used);
+}
+
+static uint32_t ppm_for(uint32_t amount, uint32_t whole)
+{
+	uint64_t ppm = ((uint64_t)amount * SHARE_WHOLE_PPM + whole - 1) / whole;
+
+	return (uint32_t)MIN(ppm, SHARE_WHOLE_PPM);
+}
+
+uint32_t limit_row_reserved_ppm(const struct limit_row *w, int64_t now_us)
+{
+	struct amount lent = loan_lent(w->loans, now_us);
+	uint32_t ppm = 0;
+
+	if (lent.rate_milli_per_s)
+		ppm = w->record.rate_milli_per_s ?
+			      ppm_for(lent.rate_milli_per_s,
+				      w->record.rate_milli_per_s) :
+			      SHARE_WHOLE_PPM;
+	if (lent.burst_milli)
+		ppm = MAX(ppm, w->record.burst_milli ?
+				       ppm_for(lent.burst_milli,
+					       w->record.burst_milli) :
+				       SHARE_WHOLE_PPM);
+	return ppm;
+}
+
+void limit_row_measure(struct limit_row *w, int64_t now_us)
+{
+	int64_t elapsed = now_us - w->demand_since_us;
+	uint64_t recent;
+
+	if (elapsed < DEMAND_INTERVAL_US)
+		return;
+	recent = w->arrived_milli * (uint64_t)US_PER_S / (uint64_t)elapsed;
+	/* Rises at once to half, falls slowly: a lender must not be caught. */
+	if (recent > w->demand_milli_per_s)
+		recent = (recent + w->demand_milli_per_s) / 2;
+	else
+		recent = (recent + 7 * (uint64_t)w->demand_milli_per_s) / 8;
+	w->demand_milli_per_s = (uint32_t)MIN(recent, UINT32_MAX);
+	w->arrived_milli = 0;
+	w->demand_since_us = now_us;
+}
--- /dev/null
+++ b/src/core/limit_row.h
@@ -0,0 +1,55 @@
+/* limit_row.h - one workspace's bucket at this instance and its sources. */
+#ifndef CORE_LIMIT_ROW_H
+#define CORE_LIMIT_ROW_H
+
+#include "core/bucket.h"
+#include "core/loan.h"
+#include "core/record.h"
+#include "core/share.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct limit_row {
+	struct workspace_record record; /* rate and burst 0 once deleted */
+	int64_t revision;
+	bool deleted;
+	uint32_t cell;
+	uint64_t epoch; /* of the share that the tokens belong to */
+	struct bucket bucket;
+	struct loan_book *loans;
+	/* Demand, including what was refused. */
+	uint64_t arrived_milli; /* since demand_since_us */
+	int64_t demand_since_us;
+	uint32_t demand_milli_per_s;
+	uint32_t cost_max_milli; /* of one request so far */
+	bool short_of_tokens; /* a request was refused since the last run */
+};
+
+/* Freed by its owner with limit_row_free(). */
+struct limit_row *limit_row_new(const char *workspace, uint32_t cell,
+				int64_t now_us);
+void limit_row_free(struct limit_row *w);
+
+/* Brings bucket, part and loans up to now. */
+void limit_row_refresh(struct limit_row *w, const struct share *s,
+		       int64_t now_us);
+
+/* Returns the own part without what is lent. */
+struct amount limit_row_own(const struct limit_row *w, const struct share *s,
+			    int64_t now_us);
+
+/*
+ * Sets *out to what may be lent beside the recent demand. Returns false
+ * when not even the loans that run can be spared.
+ */
+bool limit_row_spare(const struct limit_row *w, const struct share *s,
+		     int64_t now_us, struct amount *out);
+
+/* Returns the least part of the cell that covers what is lent. */
+uint32_t limit_row_reserved_ppm(const struct limit_row *w, int64_t now_us);
+
+/* Updates the demand once enough time has passed. */
+void limit_row_measure(struct limit_row *w, int64_t now_us);
+
+#endif
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -40,7 +40,8 @@
 };
 
 struct peer_loan_ask {
-	uint64_t loan_id; /* unique for the asking instance's process */
+	uint64_t loan_id; /* grows within the asking instance's process */
+	uint64_t renews; /* first loan_id of the loan to extend; 0: none */
 	char workspace[NAME_BYTES];
 	uint32_t rate_milli_per_s; /* wanted */
 	uint32_t burst_milli;
--- /dev/null
+++ b/src/core/share.c
@@ -0,0 +1,539 @@
+#include "core/share.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* The lease ends here earlier than in the platform. */
+static const int64_t DRIFT_PARTS = 100; /* 1% */
+static const int64_t LEASE_MARGIN_US = 100 * US_PER_MS;
+
+static const int64_t RUN_INTERVAL_US = 20 * US_PER_MS;
+static const int64_t SETTLE_DEFAULT_US = 2 * US_PER_S;
+static const int64_t RETRY_DEFAULT_US = 50 * US_PER_MS;
+
+enum { BACKOFF_DOUBLINGS_MAX = 6 };
+
+struct cell {
+	struct share_record record; /* latest known */
+	int64_t revision; /* older records are ignored */
+	int64_t expected; /* for the next compare */
+	bool trusted; /* read in the present lease */
+	bool must_read; /* before the next change */
+	uint32_t reserved_ppm;
+	uint32_t bound_ppm; /* of the own use */
+	int64_t bound_revision; /* a later record lifts the bound */
+	uint64_t operation_id; /* outstanding; 0: none */
+	uint64_t operation_epoch;
+	int64_t operation_revision; /* known when it started */
+	bool operation_reads;
+	struct share_record written; /* by the outstanding operation */
+	int64_t next_try_us;
+	uint32_t failures; /* in a row */
+};
+
+struct share {
+	char name[NAME_BYTES];
+	uint64_t incarnation;
+	const struct member_table *members; /* borrowed */
+	int64_t settle_us;
+	int64_t retry_us;
+	GRand *rand;
+	bool draining;
+	bool superseded; /* another process took the name */
+	int64_t valid_until_us;
+	int64_t first_lease_us; /* -1: none yet */
+	int64_t ttl_us;
+	uint64_t epoch;
+	uint64_t version;
+	uint64_t last_operation;
+	int64_t next_run_us;
+	GHashTable *absent; /* holder's name to time since when, int64_t */
+	uint32_t cell_count;
+	struct cell *cells;
+};
+
+struct share *share_new(const struct share_opts *opts)
+{
+	struct share *s = g_new0(struct share, 1);
+
+	g_strlcpy(s->name, opts->instance, sizeof(s->name));
+	s->incarnation = opts->incarnation;
+	s->members = opts->members;
+	s->settle_us = opts->settle_us ? opts->settle_us : SETTLE_DEFAULT_US;
+	s->retry_us = opts->retry_us ? opts->retry_us : RETRY_DEFAULT_US;
+	s->rand = g_rand_new_with_seed(
+		(guint32)(opts->seed ^ (opts->seed >> 32)));
+	s->first_lease_us = -1;
+	s->valid_until_us = INT64_MIN;
+	s->absent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->cell_count = opts->cells ? opts->cells : 1;
+	s->cells = g_new0(struct cell, s->cell_count);
+	for (uint32_t i = 0; i < s->cell_count; i++) {
+		s->cells[i].record.cell = i;
+		s->cells[i].bound_ppm = SHARE_WHOLE_PPM;
+	}
+	return s;
+}
+
+void share_free(struct share *s)
+{
+	g_rand_free(s->rand);
+	g_hash_table_destroy(s->absent);
+	g_free(s->cells);
+	g_free(s);
+}
+
+uint32_t share_cell(const struct share *s, const char *workspace)
+{
+	return (uint32_t)(XXH64(workspace, strlen(workspace), 0) %
+			  s->cell_count);
+}
+
+static bool is_own(const struct share *s, const struct share_holder *h)
+{
+	return h->incarnation == s->incarnation &&
+	       !strcmp(h->instance, s->name);
+}
+
+static struct share_holder *own_entry(const struct share *s,
+				      struct share_record *r)
+{
+	for (uint32_t i = 0; i < r->holder_count; i++) {
+		if (is_own(s, &r->holders[i]))
+			return &r->holders[i];
+	}
+	return NULL;
+}
+
+/* Takes a record that is at least as new as the known one. */
+static void adopt(struct share *s, struct cell *c, const struct share_record *r,
+		  int64_t revision)
+{
+	c->record = *r;
+	c->revision = revision;
+	c->expected = revision;
+	c->must_read = false;
+	if (revision > c->bound_revision)
+		c->bound_ppm = SHARE_WHOLE_PPM;
+	s->version++;
+}
+
+void share_put_record(struct share *s, const struct record *r)
+{
+	struct cell *c;
+
+	if (r->share.cell >= s->cell_count)
+		return;
+	c = &s->cells[r->share.cell];
+	if (r->revision > c->revision)
+		adopt(s, c, &r->share, r->revision);
+}
+
+static void lapse(struct share *s)
+{
+	s->epoch++;
+	s->version++;
+	for (uint32_t i = 0; i < s->cell_count; i++) {
+		s->cells[i].trusted = false;
+		s->cells[i].must_read = true;
+	}
+}
+
+void share_handle_lease(struct share *s, const struct lease_renewal *lease,
+			int64_t now_us)
+{
+	int64_t ends = lease->asked_us + lease->ttl_us -
+		       lease->ttl_us / DRIFT_PARTS - LEASE_MARGIN_US;
+
+	if (s->superseded)
+		return;
+	if (now_us >= s->valid_until_us)
+		lapse(s);
+	if (s->first_lease_us < 0)
+		s->first_lease_us = now_us;
+	s->ttl_us = lease->ttl_us;
+	s->valid_until_us = MAX(s->valid_until_us, ends);
+}
+
+void share_lose_member_key(struct share *s, bool superseded)
+{
+	s->superseded |= superseded;
+	s->valid_until_us = INT64_MIN;
+	lapse(s);
+}
+
+static void back_off(struct share *s, struct cell *c, int64_t now_us)
+{
+	uint32_t doublings = MIN(c->failures, BACKOFF_DOUBLINGS_MAX);
+	int64_t base = s->retry_us << doublings;
+
+	c->failures++;
+	c->next_try_us = now_us + base / 2 +
+			 (int64_t)(g_rand_double(s->rand) * (double)base);
+}
+
+static void take_read(struct share *s, struct cell *c,
+		      const struct platform_result *r)
+{
+	struct share_record none = { .cell = c->record.cell };
+
+	if (!r->found) {
+		adopt(s, c, &none, c->revision);
+		c->expected = 0;
+	} else if (r->record.revision >= c->revision) {
+		adopt(s, c, &r->record.share, r->record.revision);
+	} else {
+		c->must_read = true;
+		return;
+	}
+	c->trusted = c->operation_epoch == s->epoch;
+}
+
+static void take_applied(struct share *s, struct cell *c,
+			 const struct platform_result *r,
+			 struct action_queue *out)
+{
+	const struct share_holder *own;
+
+	if (c->revision > c->operation_revision)
+		return; /* a later record was seen already */
+	c->record = c->written;
+	c->trusted = c->operation_epoch == s->epoch;
+	c->must_read = true;
+	if (r->record.revision > c->revision)
+		adopt(s, c, &c->written, r->record.revision);
+	s->version++;
+	own = own_entry(s, &c->record);
+	action_queue_log(out, LOG_SHARE_GRANTED, 0, s->name, own ? own->ppm : 0,
+			 "cell %u, ppm in value", c->record.cell);
+}
+
+static struct cell *cell_of_operation(struct share *s, uint64_t id)
+{
+	for (uint32_t i = 0; i < s->cell_count; i++) {
+		if (s->cells[i].operation_id == id)
+			return &s->cells[i];
+	}
+	return NULL;
+}
+
+bool share_handle_platform(struct share *s, const struct platform_result *r,
+			   int64_t now_us, struct action_queue *out)
+{
+	struct cell *c;
+
+	if (!(r->operation_id & SHARE_OPERATION_BIT))
+		return false;
+	c = cell_of_operation(s, r->operation_id);
+	if (!c)
+		return true;
+	c->operation_id = 0;
+	if (r->outcome == PLATFORM_UNKNOWN) {
+		c->must_read = true;
+		back_off(s, c, now_us);
+	} else if (c->operation_reads) {
+		take_read(s, c, r);
+		if (c->must_read)
+			back_off(s, c, now_us);
+	} else if (r->outcome == PLATFORM_REFUSED) {
+		c->must_read = true;
+		if (r->found || r->record.revision > 0)
+			take_read(s, c, r);
+		back_off(s, c, now_us);
+	} else {
+		take_applied(s, c, r, out);
+		c->failures = 0;
+	}
+	return true;
+}
+
+static void start(struct share *s, struct cell *c, struct platform_start *p,
+		  struct action_queue *out)
+{
+	struct action a = { .type = ACTION_PLATFORM, .platform = p };
+
+	p->operation_id = SHARE_OPERATION_BIT | ++s->last_operation;
+	p->record.kind = RECORD_SHARE;
+	c->operation_id = p->operation_id;
+	c->operation_epoch = s->epoch;
+	c->operation_revision = c->revision;
+	c->operation_reads = p->operation == PLATFORM_READ_SHARE;
+	action_queue_push(out, &a);
+}
+
+static void start_read(struct share *s, struct cell *c,
+		       struct action_queue *out)
+{
+	struct platform_start p = { .operation = PLATFORM_READ_SHARE };
+
+	p.record.share.cell = c->record.cell;
+	start(s, c, &p, out);
+}
+
+static void start_write(struct share *s, struct cell *c,
+			struct platform_start *p, struct action_queue *out)
+{
+	p->operation = PLATFORM_CAS_SHARE;
+	p->expected_revision = c->expected;
+	c->written = p->record.share;
+	start(s, c, p, out);
+}
+
+/* Keeps since when each holder's member key has been absent. */
+static void note_absent(struct share *s, const char *name, int64_t now_us)
+{
+	if (!strcmp(name, s->name) || member_find(s->members, name)) {
+		g_hash_table_remove(s->absent, name);
+		return;
+	}
+	if (g_hash_table_lookup(s->absent, name))
+		return;
+	g_hash_table_insert(s->absent, g_strdup(name),
+			    g_memdup2(&now_us, sizeof(now_us)));
+}
+
+static bool is_gone(const struct share *s, const struct share_holder *h,
+		    int64_t now_us)
+{
+	const int64_t *since = g_hash_table_lookup(s->absent, h->instance);
+
+	return since && now_us - *since >= s->settle_us;
+}
+
+/* An entry of an earlier process of this instance that may be dropped. */
+static bool is_outlived(const struct share *s, const struct share_holder *h,
+			int64_t now_us)
+{
+	int64_t wait = s->ttl_us + s->ttl_us / DRIFT_PARTS + LEASE_MARGIN_US;
+
+	return !strcmp(h->instance, s->name) && !is_own(s, h) &&
+	       now_us - s->first_lease_us >= wait;
+}
+
+static void remove_holder(struct share_record *r, uint32_t i)
+{
+	r->holder_count--;
+	memmove(&r->holders[i], &r->holders[i + 1],
+		(r->holder_count - i) * sizeof(r->holders[0]));
+	memset(&r->holders[r->holder_count], 0, sizeof(r->holders[0]));
+}
+
+/* Removes holders that are gone. */
+static void remove_gone(struct share *s, struct platform_start *p,
+			int64_t now_us)
+{
+	struct share_record *r = &p->record.share;
+
+	for (uint32_t i = r->holder_count; i-- > 0;) {
+		const struct share_holder h = r->holders[i];
+
+		if (is_outlived(s, &h, now_us)) {
+			remove_holder(r, i);
+		} else if (is_gone(s, &h, now_us)) {
+			p->absent_members[p->absent_count++] = h;
+			remove_holder(r, i);
+		}
+	}
+}
+
+static uint32_t free_ppm(const struct share_record *r)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < r->holder_count; i++)
+		sum += r->holders[i].ppm;
+	return sum < SHARE_WHOLE_PPM ? (uint32_t)(SHARE_WHOLE_PPM - sum) : 0;
+}
+
+/* Returns what holders below `fair` lack and the free pool cannot give. */
+static uint32_t shortfall(const struct share_record *r, uint32_t fair)
+{
+	uint64_t lack = 0;
+	uint32_t pool = free_ppm(r);
+
+	for (uint32_t i = 0; i < r->holder_count; i++) {
+		if (r->holders[i].ppm < fair)
+			lack += fair - r->holders[i].ppm;
+	}
+	return lack > pool ? (uint32_t)MIN(lack - pool, SHARE_WHOLE_PPM) : 0;
+}
+
+/* Returns the part that the own entry should have. */
+static uint32_t wanted_ppm(const struct cell *c, const struct share_record *r,
+			   const struct share_holder *own)
+{
+	uint32_t fair = SHARE_WHOLE_PPM / r->holder_count;
+	uint32_t ppm = own->ppm;
+
+	if (ppm < fair)
+		return ppm + MIN(fair - ppm, free_ppm(r));
+	ppm -= MIN(ppm - fair, shortfall(r, fair));
+	return MIN(own->ppm, MAX(ppm, c->reserved_ppm));
+}
+
+/* Writes the record without the own entry, or as much as is not lent. */
+static void plan_leave(struct share *s, struct cell *c, struct share_record *r)
+{
+	struct share_holder *own = own_entry(s, r);
+
+	if (!own)
+		return;
+	if (c->reserved_ppm)
+		own->ppm = MIN(own->ppm, c->reserved_ppm);
+	else
+		remove_holder(r, (uint32_t)(own - r->holders));
+}
+
+static void plan_stay(struct share *s, struct cell *c, struct share_record *r)
+{
+	struct share_holder *own = own_entry(s, r);
+
+	if (!own && r->holder_count < SHARE_HOLDERS_MAX) {
+		own = &r->holders[r->holder_count++];
+		*own = (struct share_holder){ .incarnation = s->incarnation };
+		g_strlcpy(own->instance, s->name, sizeof(own->instance));
+	}
+	if (own)
+		own->ppm = wanted_ppm(c, r, own);
+}
+
+/* The own use is lowered before the smaller entry is written. */
+static void lower_bound(struct share *s, struct cell *c,
+			const struct share_record *r)
+{
+	struct share_record planned = *r;
+	const struct share_holder *now = own_entry(s, &c->record);
+	const struct share_holder *next = own_entry(s, &planned);
+	uint32_t ppm = next ? next->ppm : 0;
+
+	if (!now || ppm >= now->ppm)
+		return;
+	c->bound_ppm = MIN(c->bound_ppm, ppm);
+	c->bound_revision = MAX(c->bound_revision, c->revision);
+	s->version++;
+}
+
+static bool is_same(const struct share_record *a, const struct share_record *b)
+{
+	if (a->holder_count != b->holder_count)
+		return false;
+	for (uint32_t i = 0; i < a->holder_count; i++) {
+		const struct share_holder *x = &a->holders[i];
+		const struct share_holder *y = &b->holders[i];
+
+		if (x->incarnation != y->incarnation || x->ppm != y->ppm ||
+		    strcmp(x->instance, y->instance) != 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A write whose answer was lost may still take effect, until another write
+ * moves the revision on.
+ */
+static bool is_bound_stuck(const struct share *s, struct cell *c)
+{
+	const struct share_holder *own = own_entry(s, &c->record);
+
+	return own && c->bound_ppm < own->ppm;
+}
+
+static void run_cell(struct share *s, struct cell *c, int64_t now_us,
+		     struct action_queue *out)
+{
+	struct platform_start p = { 0 };
+	struct share_record *r = &p.record.share;
+
+	for (uint32_t i = 0; i < c->record.holder_count; i++)
+		note_absent(s, c->record.holders[i].instance, now_us);
+	if (c->operation_id || now_us < c->next_try_us)
+		return;
+	if (!c->trusted || c->must_read) {
+		start_read(s, c, out);
+		return;
+	}
+	*r = c->record;
+	if (s->draining) {
+		plan_leave(s, c, r);
+	} else {
+		/* A holder may be back unknown to us and block the change. */
+		if (c->failures % 2 == 0)
+			remove_gone(s, &p, now_us);
+		plan_stay(s, c, r);
+	}
+	if (is_same(r, &c->record) && !is_bound_stuck(s, c))
+		return;
+	lower_bound(s, c, r);
+	start_write(s, c, &p, out);
+}
+
+void share_run(struct share *s, int64_t now_us, struct action_queue *out)
+{
+	if (now_us >= s->valid_until_us || now_us < s->next_run_us)
+		return;
+	s->next_run_us = now_us + RUN_INTERVAL_US;
+	for (uint32_t i = 0; i < s->cell_count; i++)
+		run_cell(s, &s->cells[i], now_us, out);
+}
+
+void share_drain(struct share *s)
+{
+	s->draining = true;
+}
+
+bool share_is_drained(const struct share *s, int64_t now_us)
+{
+	if (now_us >= s->valid_until_us)
+		return s->draining;
+	for (uint32_t i = 0; i < s->cell_count; i++) {
+		if (own_entry(s, &s->cells[i].record))
+			return false;
+	}
+	return s->draining;
+}
+
+void share_reserve(struct share *s, uint32_t cell, uint32_t ppm)
+{
+	s->cells[cell].reserved_ppm = ppm;
+}
+
+void share_reserve_more(struct share *s, uint32_t cell, uint32_t ppm)
+{
+	struct cell *c = &s->cells[cell];
+
+	c->reserved_ppm = MAX(c->reserved_ppm, ppm);
+}
+
+uint32_t share_ppm(const struct share *s, uint32_t cell, int64_t now_us)
+{
+	struct cell *c = &s->cells[cell];
+	const struct share_holder *own;
+
+	if (!c->trusted || now_us >= s->valid_until_us)
+		return 0;
+	own = own_entry(s, &c->record);
+	return own ? MIN(own->ppm, c->bound_ppm) : 0;
+}
+
+int64_t share_valid_until_us(const struct share *s)
+{
+	return s->valid_until_us;
+}
+
+uint64_t share_epoch(const struct share *s)
+{
+	return s->epoch;
+}
+
+uint64_t share_version(const struct share *s)
+{
+	return s->version;
+}
+
+const struct share_record *share_record_of(const struct share *s, uint32_t cell)
+{
+	return &s->cells[cell].record;
+}
