--- /dev/null
+++ b/src/core/admission.c
@@ -0,0 +1,244 @@
+#include "core/admission.h"
+
+#include "core/answer.h"
+#include "core/exchange.h"
+#include "core/route.h"
+#include "core/world_state.h"
+
+#include <string.h>
+
+enum {
+	CONFIG_RETRY_US = 500 * 1000,
+	DRAIN_RETRY_US = 100 * 1000,
+	FULL_RETRY_US = 200 * 1000,
+	BUSY_RETRY_US = 20 * 1000,
+	/* In which a part of the limit can be borrowed. */
+	LOAN_RETRY_US = 100 * 1000,
+};
+
+/* A refusal, or what the request is admitted under. */
+struct admission {
+	int32_t error; /* ERR_NONE: admitted */
+	int64_t retry_after_us;
+	const struct profile_record *profile;
+	uint32_t workspace;
+	uint32_t group;
+	uint32_t transaction;
+};
+
+static bool refused(struct admission *a, int32_t error, int64_t retry_us)
+{
+	a->error = error;
+	a->retry_after_us = retry_us;
+	return false;
+}
+
+static bool check_instance(const struct world *w, const struct request_opts *o,
+			   struct admission *a)
+{
+	if (w->draining && !request_in_transaction(o->kind))
+		return refused(a, ERR_SHUTTING_DOWN, DRAIN_RETRY_US);
+	if (!w->config_known)
+		return refused(a, ERR_NO_CONFIG, CONFIG_RETRY_US);
+	return true;
+}
+
+static bool check_key(const struct world *w, const struct request_opts *o,
+		      struct admission *a, int64_t now_us)
+{
+	const struct key_record *k;
+	int64_t retry_us = 0;
+	int32_t rc;
+
+	if (!o->has_key)
+		return refused(a, ERR_NO_KEY, 0);
+	rc = key_guard_check(w->keys, now_us, &retry_us);
+	if (rc)
+		return refused(a, rc, retry_us);
+	k = catalog_key(&w->catalog, o->key_digest);
+	if (!k)
+		return refused(a, ERR_BAD_KEY, 0);
+	a->workspace = catalog_workspace_row(&w->catalog, k->workspace);
+	if (a->workspace == NO_INDEX)
+		return refused(a, ERR_BAD_KEY, 0);
+	return true;
+}
+
+static bool check_caller(const struct world *w, const struct request_opts *o,
+			 struct admission *a, int64_t now_us)
+{
+	a->profile = catalog_profile(&w->catalog, o->profile);
+	if (!a->profile)
+		return refused(a, ERR_UNKNOWN_PROFILE, 0);
+	if (!a->profile->open)
+		return check_key(w, o, a, now_us);
+	a->workspace =
+		catalog_workspace_row(&w->catalog, a->profile->open_workspace);
+	if (a->workspace == NO_INDEX)
+		return refused(a, ERR_UNKNOWN_PROFILE, 0);
+	return true;
+}
+
+/* A transaction is only known to the workspace and key that began it. */
+static bool owns(const struct transaction *x, const struct admission *a,
+		 const struct request_opts *o)
+{
+	return x->workspace == a->workspace && x->group == a->group &&
+	       x->open == a->profile->open &&
+	       (x->open || !memcmp(x->key_digest, o->key_digest, DIGEST_BYTES));
+}
+
+static bool check_target(const struct world *w, const struct request_opts *o,
+			 struct admission *a)
+{
+	const struct transaction *x;
+
+	a->transaction = NO_INDEX;
+	a->group = world_find_group(w, o->group);
+	if (a->group == NO_INDEX)
+		return refused(a, ERR_UNKNOWN_GROUP, 0);
+	if (!request_in_transaction(o->kind))
+		return true;
+	a->transaction = transaction_find(&w->transactions, o->transaction_id);
+	x = a->transaction == NO_INDEX ? NULL :
+					 &w->transactions.rows[a->transaction];
+	if (x && owns(x, a, o)) {
+		if (x->request != NO_INDEX)
+			return refused(a, ERR_TRANSACTION_BUSY, BUSY_RETRY_US);
+		return true;
+	}
+	a->transaction = NO_INDEX;
+	/* A commit that is asked again may be found by its request id. */
+	if (o->kind == REQUEST_COMMIT && o->has_request_id)
+		return true;
+	return refused(a, ERR_UNKNOWN_TRANSACTION, 0);
+}
+
+/* The end of a transaction frees resources and is never limited. */
+static bool is_limited(enum request_kind kind)
+{
+	return kind != REQUEST_COMMIT && kind != REQUEST_ROLLBACK;
+}
+
+static bool check_limit(struct world *w, const struct request_opts *o,
+			struct admission *a, int64_t now_us)
+{
+	const char *name = catalog_workspace(&w->catalog, a->workspace)->name;
+	int64_t retry_us = 0;
+	int32_t rc;
+
+	if (!is_limited(o->kind))
+		return true;
+	rc = limit_admit(w->limits, name, a->profile->cost_milli, now_us,
+			 &retry_us);
+	if (rc)
+		return refused(a, rc, retry_us ? retry_us : LOAN_RETRY_US);
+	return true;
+}
+
+static bool may_repeat(const struct request_opts *o,
+		       const struct profile_record *p)
+{
+	if (!o->repeatable || p->repeat == REPEAT_NEVER)
+		return false;
+	if (o->kind == REQUEST_WRITE || o->kind == REQUEST_COMMIT)
+		return p->repeat == REPEAT_BY_ID && o->has_request_id;
+	return true;
+}
+
+static enum exchange_plan plan_of(const struct request *r)
+{
+	switch (r->opts.kind) {
+	case REQUEST_READ:
+		return PLAN_READ;
+	case REQUEST_WRITE:
+		return r->opts.has_request_id ? PLAN_WRITE_BY_ID : PLAN_WRITE;
+	case REQUEST_BEGIN:
+		return PLAN_BEGIN;
+	case REQUEST_STATEMENT:
+		return PLAN_STATEMENT;
+	case REQUEST_COMMIT:
+		return r->transaction == NO_INDEX ? PLAN_LOOKUP : PLAN_COMMIT;
+	case REQUEST_ROLLBACK:
+		return PLAN_ROLLBACK;
+	}
+	return PLAN_READ;
+}
+
+static void admit(struct world *w, uint32_t row, const struct admission *a,
+		  int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+
+	r->workspace = a->workspace;
+	r->weight = catalog_workspace(&w->catalog, a->workspace)->weight;
+	r->cost_milli = is_limited(r->opts.kind) ? a->profile->cost_milli : 0;
+	r->group = a->group;
+	r->transaction = a->transaction;
+	r->max_age_us = a->profile->max_age_us;
+	r->may_repeat = may_repeat(&r->opts, a->profile);
+	r->open = a->profile->open;
+	r->plan = plan_of(r);
+	route_request(w, row, now_us);
+}
+
+void admission_request(struct world *w, const struct request_opts *o,
+		       int64_t now_us)
+{
+	struct admission a = { .error = ERR_NONE };
+	uint32_t row;
+
+	if (!check_instance(w, o, &a) || !check_caller(w, o, &a, now_us) ||
+	    !check_target(w, o, &a)) {
+		answer_refused(w, o, a.error, a.retry_after_us);
+		return;
+	}
+	if (now_us >= o->deadline_us) {
+		answer_refused(w, o, ERR_DEADLINE, 0);
+		return;
+	}
+	if (w->requests.used == w->requests.room) {
+		answer_refused(w, o, ERR_OVERLOADED, FULL_RETRY_US);
+		return;
+	}
+	if (!check_limit(w, o, &a, now_us)) {
+		answer_refused(w, o, a.error, a.retry_after_us);
+		return;
+	}
+	row = request_add(&w->requests, o, now_us);
+	admit(w, row, &a, now_us);
+}
+
+static void end_transactions(struct world *w, const uint8_t *digest,
+			     int64_t now_us)
+{
+	uint32_t row = w->transactions.open.head;
+
+	while (row != NO_INDEX) {
+		const struct transaction *x = &w->transactions.rows[row];
+		uint32_t next = w->transactions.links[row].next;
+
+		if (!x->open && !memcmp(x->key_digest, digest, DIGEST_BYTES))
+			exchange_close_conn(w, x->conn, now_us);
+		row = next;
+	}
+}
+
+void admission_key_withdrawn(struct world *w,
+			     const uint8_t digest[DIGEST_BYTES], int64_t now_us)
+{
+	uint32_t ended = 0;
+
+	for (uint32_t i = 0; i < w->requests.room; i++) {
+		const struct request *r = &w->requests.rows[i];
+
+		if (r->state == REQUEST_FREE || r->open ||
+		    memcmp(r->opts.key_digest, digest, DIGEST_BYTES) != 0)
+			continue;
+		answer_error(w, i, ERR_BAD_KEY, 0, now_us);
+		ended++;
+	}
+	end_transactions(w, digest, now_us);
+	action_queue_log(w->actions, LOG_KEY_WITHDRAWN, 0, "", ended,
+			 "requests ended");
+}
--- /dev/null
+++ b/src/core/apply.c
@@ -0,0 +1,253 @@
+#include "core/apply.h"
+
+#include "core/admission.h"
+#include "core/exchange.h"
+#include "core/observe.h"
+#include "core/promotion.h"
+#include "core/route.h"
+#include "core/world_state.h"
+
+#include <string.h>
+
+static uint32_t add_group(struct world *w, const char *name)
+{
+	struct group g = { .primary = NO_INDEX };
+	struct promotion p = { .state = PROMOTION_IDLE };
+
+	g_strlcpy(g.name, name, sizeof(g.name));
+	list_init(&g.waiting);
+	list_init(&g.unconfirmed);
+	g_array_append_val(w->groups, g);
+	g_array_append_val(w->promotions, p);
+	g_hash_table_insert(w->group_rows, g_strdup(name),
+			    GUINT_TO_POINTER(w->groups->len));
+	return w->groups->len - 1;
+}
+
+static uint32_t find_or_add_group(struct world *w, const char *name)
+{
+	gpointer row = g_hash_table_lookup(w->group_rows, name);
+
+	return row ? GPOINTER_TO_UINT(row) - 1 : add_group(w, name);
+}
+
+static uint32_t find_endpoint(const struct world *w,
+			      const struct endpoint_record *r)
+{
+	for (uint32_t i = 0; i < w->endpoints->len; i++) {
+		const struct endpoint *e = world_endpoint(w, i);
+
+		if (!strcmp(e->record.name, r->name) &&
+		    !strcmp(e->record.group, r->group))
+			return i;
+	}
+	return NO_INDEX;
+}
+
+static void join_group(struct group *g, uint32_t endpoint)
+{
+	if (g->endpoint_count < GROUP_ENDPOINTS_MAX)
+		g->endpoints[g->endpoint_count++] = endpoint;
+}
+
+static void leave_group(struct group *g, uint32_t endpoint)
+{
+	for (uint32_t i = 0; i < g->endpoint_count; i++) {
+		if (g->endpoints[i] != endpoint)
+			continue;
+		g->endpoint_count--;
+		memmove(&g->endpoints[i], &g->endpoints[i + 1],
+			(g->endpoint_count - i) * sizeof(g->endpoints[0]));
+		return;
+	}
+}
+
+static uint32_t add_endpoint(struct world *w, const struct endpoint_record *r)
+{
+	struct endpoint e = { .record = *r, .probe_conn = NO_INDEX };
+
+	e.group = find_or_add_group(w, r->group);
+	list_init(&e.idle);
+	queue_init(&e.queue);
+	g_array_append_val(w->endpoints, e);
+	return w->endpoints->len - 1;
+}
+
+static void close_conns(struct world *w, uint32_t endpoint, int64_t now_us)
+{
+	for (uint32_t i = 0; i < w->conns.room; i++) {
+		const struct conn *c = &w->conns.rows[i];
+
+		if (c->state != CONN_FREE && c->endpoint == endpoint &&
+		    c->request == NO_INDEX)
+			exchange_close_conn(w, i, now_us);
+	}
+}
+
+static void endpoint_changed(struct world *w, uint32_t row, bool was_leaving,
+			     int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+
+	if (endpoint_leaving(e) && !was_leaving)
+		action_queue_log(w->actions, LOG_ENDPOINT_LEAVING, 0,
+				 e->record.name, 0, "gets no new work");
+	observe_primary(w, e->group, now_us);
+	if (!endpoint_usable(e))
+		route_away(w, row, now_us);
+}
+
+static void put_endpoint(struct world *w, const struct endpoint_record *r,
+			 int64_t now_us)
+{
+	uint32_t row = find_endpoint(w, r);
+	struct endpoint *e;
+	bool was_leaving;
+
+	if (row == NO_INDEX)
+		row = add_endpoint(w, r);
+	e = world_endpoint(w, row);
+	was_leaving = endpoint_leaving(e);
+	if (e->exists && strcmp(e->record.address, r->address) != 0) {
+		close_conns(w, row, now_us);
+		e->has_status = false;
+	}
+	e->record = *r;
+	e->local = !strcmp(r->zone, w->opts.zone);
+	if (!e->exists)
+		join_group(world_group(w, e->group), row);
+	e->exists = true;
+	endpoint_set_part(e, w->instances);
+	endpoint_changed(w, row, was_leaving, now_us);
+}
+
+static void delete_endpoint(struct world *w, const struct endpoint_record *r,
+			    int64_t now_us)
+{
+	uint32_t row = find_endpoint(w, r);
+	struct endpoint *e;
+
+	if (row == NO_INDEX)
+		return;
+	e = world_endpoint(w, row);
+	if (e->exists)
+		leave_group(world_group(w, e->group), row);
+	e->exists = false;
+	e->has_status = false;
+	close_conns(w, row, now_us);
+	endpoint_changed(w, row, true, now_us);
+}
+
+static void put_instance(struct world *w, const struct instance_record *r,
+			 bool deleted, int64_t now_us)
+{
+	for (uint32_t i = 0; i < w->endpoints->len; i++) {
+		struct endpoint *e = world_endpoint(w, i);
+		bool was_leaving = endpoint_leaving(e);
+
+		if (strcmp(e->record.name, r->name) != 0)
+			continue;
+		e->listed_leaving = r->leaving && !deleted;
+		endpoint_changed(w, i, was_leaving, now_us);
+	}
+}
+
+void apply_instances(struct world *w)
+{
+	uint32_t n = member_count(w->members) + 1;
+
+	if (n == w->instances)
+		return;
+	w->instances = n;
+	for (uint32_t i = 0; i < w->endpoints->len; i++)
+		endpoint_set_part(world_endpoint(w, i), n);
+}
+
+static void put_member(struct world *w, const struct record *r, bool deleted,
+		       int64_t now_us)
+{
+	if (!strcmp(r->member.name, w->opts.instance)) {
+		limits_note_own_member(w->limits, &r->member, deleted, now_us);
+		return;
+	}
+	if (deleted)
+		member_delete(w->members, r->member.name);
+	else
+		member_put(w->members, &r->member);
+	apply_instances(w);
+}
+
+static void put_workspace(struct world *w, const struct record *r, bool deleted,
+			  int64_t now_us)
+{
+	if (deleted)
+		limits_delete_workspace(w->limits, r->workspace.name,
+					r->revision, now_us);
+	else
+		limits_put_workspace(w->limits, r, now_us);
+}
+
+static void dispatch_record(struct world *w, const struct record *r,
+			    bool deleted, int64_t now_us)
+{
+	switch (r->kind) {
+	case RECORD_PROFILE:
+		break;
+	case RECORD_KEY:
+		if (deleted)
+			admission_key_withdrawn(w, r->key.digest, now_us);
+		break;
+	case RECORD_WORKSPACE:
+		put_workspace(w, r, deleted, now_us);
+		break;
+	case RECORD_ENDPOINT:
+		if (deleted)
+			delete_endpoint(w, &r->endpoint, now_us);
+		else
+			put_endpoint(w, &r->endpoint, now_us);
+		break;
+	case RECORD_TERM:
+		if (!deleted)
+			promotion_record(w, r, now_us);
+		break;
+	case RECORD_SHARE:
+		if (!deleted)
+			limits_put_share(w->limits, r, now_us);
+		break;
+	case RECORD_MEMBER:
+		put_member(w, r, deleted, now_us);
+		break;
+	case RECORD_INSTANCE:
+		put_instance(w, &r->instance, deleted, now_us);
+		break;
+	case RECORD_KIND_COUNT:
+		break;
+	}
+}
+
+void apply_record(struct world *w, const struct record *r, bool deleted,
+		  int64_t now_us)
+{
+	if (!catalog_accept(&w->catalog, r)) {
+		action_queue_log(w->actions, LOG_CONFIG_STALE, 0, "",
+				 r->revision, "kind %d", r->kind);
+		return;
+	}
+	if (deleted)
+		catalog_delete(&w->catalog, r);
+	else
+		catalog_put(&w->catalog, r);
+	action_queue_log(w->actions, LOG_CONFIG_APPLIED, 0, "", r->revision,
+			 "kind %d%s", r->kind, deleted ? " deleted" : "");
+	dispatch_record(w, r, deleted, now_us);
+}
+
+void apply_synced(struct world *w, const struct config_synced *s,
+		  int64_t now_us)
+{
+	if (s->revision < w->revision)
+		return;
+	w->revision = s->revision;
+	w->config_known = true;
+	key_guard_note_synced(w->keys, s->revision, s->asked_us, now_us);
+}
--- /dev/null
+++ b/src/core/catalog.c
@@ -0,0 +1,198 @@
+#include "core/catalog.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum { REVISION_KEY_BYTES = 3 * NAME_BYTES };
+
+static guint digest_hash(gconstpointer p)
+{
+	guint h;
+
+	memcpy(&h, p, sizeof(h));
+	return h;
+}
+
+static gboolean digest_equal(gconstpointer a, gconstpointer b)
+{
+	return memcmp(a, b, DIGEST_BYTES) == 0;
+}
+
+void catalog_init(struct catalog *c)
+{
+	c->profiles =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	c->keys =
+		g_hash_table_new_full(digest_hash, digest_equal, NULL, g_free);
+	c->workspace_rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->workspaces =
+		g_array_new(FALSE, TRUE, sizeof(struct catalog_workspace));
+	c->revisions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void catalog_clear(struct catalog *c)
+{
+	g_hash_table_destroy(c->profiles);
+	g_hash_table_destroy(c->keys);
+	g_hash_table_destroy(c->workspace_rows);
+	g_array_free(c->workspaces, TRUE);
+	g_hash_table_destroy(c->revisions);
+}
+
+static void hex_digest(const uint8_t *digest, char *out)
+{
+	for (int i = 0; i < DIGEST_BYTES; i++)
+		sprintf(out + (size_t)2 * i, "%02x", digest[i]);
+}
+
+static void revision_key(const struct record *r, char *out, size_t size)
+{
+	char hex[2 * DIGEST_BYTES + 1] = "";
+	const char *name = "";
+	const char *group = "";
+
+	switch (r->kind) {
+	case RECORD_PROFILE:
+		name = r->profile.name;
+		break;
+	case RECORD_WORKSPACE:
+		name = r->workspace.name;
+		break;
+	case RECORD_KEY:
+		hex_digest(r->key.digest, hex);
+		name = hex;
+		break;
+	case RECORD_ENDPOINT:
+		group = r->endpoint.group;
+		name = r->endpoint.name;
+		break;
+	case RECORD_TERM:
+		name = r->term.group;
+		break;
+	case RECORD_SHARE:
+		snprintf(hex, sizeof(hex), "%u", r->share.cell);
+		name = hex;
+		break;
+	case RECORD_MEMBER:
+		name = r->member.name;
+		break;
+	case RECORD_INSTANCE:
+		name = r->instance.name;
+		break;
+	case RECORD_KIND_COUNT:
+		break;
+	}
+	snprintf(out, size, "%d/%s/%s", r->kind, group, name);
+}
+
+bool catalog_accept(struct catalog *c, const struct record *r)
+{
+	char key[REVISION_KEY_BYTES];
+	int64_t *seen;
+
+	revision_key(r, key, sizeof(key));
+	seen = g_hash_table_lookup(c->revisions, key);
+	if (seen && *seen >= r->revision)
+		return false;
+	if (!seen) {
+		seen = g_new(int64_t, 1);
+		g_hash_table_insert(c->revisions, g_strdup(key), seen);
+	}
+	*seen = r->revision;
+	return true;
+}
+
+static void put_profile(struct catalog *c, const struct profile_record *p)
+{
+	struct profile_record *copy = g_memdup2(p, sizeof(*p));
+
+	g_hash_table_replace(c->profiles, copy->name, copy);
+}
+
+static void put_key(struct catalog *c, const struct key_record *k)
+{
+	struct key_record *copy = g_memdup2(k, sizeof(*k));
+
+	g_hash_table_replace(c->keys, copy->digest, copy);
+}
+
+static struct catalog_workspace *row_of(const struct catalog *c,
+					const char *name)
+{
+	gpointer row = g_hash_table_lookup(c->workspace_rows, name);
+
+	if (!row)
+		return NULL;
+	return &g_array_index(c->workspaces, struct catalog_workspace,
+			      GPOINTER_TO_UINT(row) - 1);
+}
+
+static void put_workspace(struct catalog *c, const struct workspace_record *r)
+{
+	struct catalog_workspace *w = row_of(c, r->name);
+	struct catalog_workspace fresh = { .record = *r, .exists = true };
+
+	if (w) {
+		*w = fresh;
+		return;
+	}
+	g_array_append_val(c->workspaces, fresh);
+	g_hash_table_insert(c->workspace_rows, g_strdup(r->name),
+			    GUINT_TO_POINTER(c->workspaces->len));
+}
+
+void catalog_put(struct catalog *c, const struct record *r)
+{
+	if (r->kind == RECORD_PROFILE)
+		put_profile(c, &r->profile);
+	else if (r->kind == RECORD_KEY)
+		put_key(c, &r->key);
+	else if (r->kind == RECORD_WORKSPACE)
+		put_workspace(c, &r->workspace);
+}
+
+void catalog_delete(struct catalog *c, const struct record *r)
+{
+	struct catalog_workspace *w;
+
+	if (r->kind == RECORD_PROFILE) {
+		g_hash_table_remove(c->profiles, r->profile.name);
+	} else if (r->kind == RECORD_KEY) {
+		g_hash_table_remove(c->keys, r->key.digest);
+	} else if (r->kind == RECORD_WORKSPACE) {
+		w = row_of(c, r->workspace.name);
+		if (w)
+			w->exists = false;
+	}
+}
+
+const struct profile_record *catalog_profile(const struct catalog *c,
+					     const char *name)
+{
+	return g_hash_table_lookup(c->profiles, name);
+}
+
+const struct key_record *catalog_key(const struct catalog *c,
+				     const uint8_t digest[DIGEST_BYTES])
+{
+	return g_hash_table_lookup(c->keys, digest);
+}
+
+uint32_t catalog_workspace_row(const struct catalog *c, const char *name)
+{
+	const struct catalog_workspace *w = row_of(c, name);
+
+	if (!w || !w->exists)
+		return NO_INDEX;
+	return (uint32_t)(w - &g_array_index(c->workspaces,
+					     struct catalog_workspace, 0));
+}
+
+const struct workspace_record *catalog_workspace(const struct catalog *c,
+						 uint32_t row)
+{
+	return &g_array_index(c->workspaces, struct catalog_workspace, row)
+			.record;
+}
--- /dev/null
+++ b/src/core/confirm.c
@@ -0,0 +1,90 @@
+#include "core/confirm.h"
+
+#include "core/answer.h"
+#include "core/outcome.h"
+#include "core/probe.h"
+#include "core/route.h"
+#include "core/world_state.h"
+
+static void hold(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+	struct group *g = world_group(w, r->group);
+
+	r->state = REQUEST_UNCONFIRMED;
+	list_append(&g->unconfirmed, w->requests.links, row);
+	probe_hurry(w, r->group, now_us);
+	confirm_group(w, r->group, now_us);
+}
+
+void confirm_write(struct world *w, uint32_t row, struct position p,
+		   enum verdict verdict, int32_t error, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+
+	r->position = p;
+	r->confirm_term = 0;
+	r->confirmed_verdict = verdict;
+	r->confirmed_error = error;
+	hold(w, row, now_us);
+}
+
+void confirm_read(struct world *w, uint32_t row, uint64_t term,
+		  int64_t after_us, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+
+	r->confirm_term = term;
+	r->confirm_after_us = after_us;
+	hold(w, row, now_us);
+}
+
+static void check_write(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+	const struct group *g = world_group(w, r->group);
+
+	if (group_holds(g, world_endpoints(w), r->position)) {
+		r->seen = r->position;
+		if (r->confirmed_verdict == VERDICT_RAN) {
+			answer_ran(w, row, r->confirmed_error, now_us);
+			return;
+		}
+		r->may_have_run = false;
+		answer_error(w, row, r->confirmed_error, 0, now_us);
+	} else if (group_max_term(g, world_endpoints(w)) > r->position.term) {
+		outcome_replaced(w, row, now_us);
+	}
+}
+
+static void check_read(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+	const struct group *g = world_group(w, r->group);
+
+	if (group_legitimate_until_us(g, world_endpoints(w), r->confirm_term) >=
+	    r->confirm_after_us) {
+		r->age_us = r->max_age_us ? now_us - r->confirm_after_us : 0;
+		if (r->age_us > r->max_age_us)
+			route_again(w, row, ERR_TOO_STALE, now_us);
+		else
+			answer_ran(w, row, ERR_NONE, now_us);
+	} else if (group_max_term(g, world_endpoints(w)) > r->confirm_term) {
+		route_again(w, row, ERR_PRIMARY_REPLACED, now_us);
+	}
+}
+
+void confirm_group(struct world *w, uint32_t group, int64_t now_us)
+{
+	uint32_t row = world_group(w, group)->unconfirmed.head;
+
+	while (row != NO_INDEX) {
+		uint32_t next = w->requests.links[row].next;
+
+		if (w->requests.rows[row].confirm_term)
+			check_read(w, row, now_us);
+		else
+			check_write(w, row, now_us);
+		row = next;
+	}
+}
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -6,7 +6,7 @@
 
 /* What a caller may conclude about the effect of its request. */
 enum verdict {
-	VERDICT_NOT_RUN, /* no endpoint was given any byte of it */
+	VERDICT_NOT_RUN, /* it had no effect and will have none */
 	VERDICT_MAY_HAVE_RUN, /* it was sent; its outcome is not known */
 	VERDICT_RAN, /* it ran and its outcome is confirmed */
 };
--- /dev/null
+++ b/src/core/exchange.c
@@ -0,0 +1,241 @@
+#include "core/exchange.h"
+
+#include "core/dispatch.h"
+#include "core/observe.h"
+#include "core/outcome.h"
+#include "core/probe.h"
+#include "core/world_state.h"
+
+#include <assert.h>
+
+enum {
+	OPEN_DELAY_US = 20 * 1000, /* after a failed attempt; doubles */
+	OPEN_DELAY_DOUBLINGS_MAX = 5,
+};
+
+uint32_t exchange_open_conn(struct world *w, uint32_t endpoint,
+			    enum conn_purpose purpose, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, endpoint);
+	struct action a = { .type = ACTION_CONN_OPEN };
+	uint32_t row = conn_add(&w->conns, endpoint, purpose, now_us);
+
+	if (row == NO_INDEX)
+		return NO_INDEX;
+	if (purpose == CONN_FOR_WORK) {
+		e->work_conns++;
+		e->opening++;
+	}
+	a.open.conn_id = conn_id(&w->conns, row);
+	g_strlcpy(a.open.address, e->record.address, sizeof(a.open.address));
+	g_strlcpy(a.open.endpoint, e->record.name, sizeof(a.open.endpoint));
+	action_queue_push(w->actions, &a);
+	return row;
+}
+
+static void end_transaction(struct world *w, uint32_t row, const char *why)
+{
+	struct transaction *x = &w->transactions.rows[row];
+
+	world_endpoint(w, w->conns.rows[x->conn].endpoint)->pinned--;
+	action_queue_log(w->actions, LOG_TRANSACTION_ENDED, 0,
+			 world_group(w, x->group)->name, 0, "%s", why);
+	transaction_drop(&w->transactions, row);
+}
+
+/* Frees the row and takes it out of the endpoint's counts. */
+static void forget_conn(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct conn *c = &w->conns.rows[row];
+	struct endpoint *e = world_endpoint(w, c->endpoint);
+
+	if (c->purpose == CONN_FOR_PROBE) {
+		e->probe_conn = NO_INDEX;
+	} else {
+		e->work_conns--;
+		if (c->state == CONN_OPENING)
+			e->opening--;
+		else if (c->state == CONN_IDLE)
+			list_remove(&e->idle, w->conns.links, row);
+		else if (c->state == CONN_BUSY && !c->checking)
+			e->running--;
+	}
+	if (c->transaction != NO_INDEX)
+		end_transaction(w, c->transaction, "connection closed");
+	conn_drop(&w->conns, row);
+}
+
+void exchange_close_conn(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct action a = { .type = ACTION_CONN_CLOSE };
+
+	assert(w->conns.rows[row].request == NO_INDEX);
+	a.conn_id = conn_id(&w->conns, row);
+	action_queue_push(w->actions, &a);
+	forget_conn(w, row, now_us);
+}
+
+void exchange_start(struct world *w, uint32_t row, enum exchange_plan plan,
+		    uint64_t caller_id, uint64_t term, int64_t now_us)
+{
+	struct conn *c = &w->conns.rows[row];
+	struct action a = { .type = ACTION_EXCHANGE };
+
+	if (c->purpose == CONN_FOR_WORK && !c->checking)
+		world_endpoint(w, c->endpoint)->running++;
+	c->plan = plan;
+	a.exchange.conn_id = conn_id(&w->conns, row);
+	a.exchange.exchange = conn_start(&w->conns, row, now_us);
+	a.exchange.plan = plan;
+	a.exchange.caller_id = caller_id;
+	a.exchange.term = term;
+	action_queue_push(w->actions, &a);
+}
+
+void exchange_conn_opened(struct world *w, uint32_t id, int64_t now_us)
+{
+	uint32_t row = conn_find(&w->conns, id);
+	struct conn *c;
+	struct endpoint *e;
+
+	if (row == NO_INDEX || w->conns.rows[row].state != CONN_OPENING)
+		return;
+	c = &w->conns.rows[row];
+	e = world_endpoint(w, c->endpoint);
+	c->state = CONN_IDLE;
+	c->since_us = now_us;
+	c->answered_us = now_us;
+	if (c->purpose == CONN_FOR_PROBE)
+		return;
+	e->opening--;
+	e->open_failures = 0;
+	list_append(&e->idle, w->conns.links, row);
+	dispatch_endpoint(w, c->endpoint, now_us);
+}
+
+static void count_failure(struct world *w, const struct conn *c, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, c->endpoint);
+
+	if (c->purpose == CONN_FOR_PROBE) {
+		probe_failed(w, c->endpoint, c->since_us, now_us);
+		return;
+	}
+	if (c->state != CONN_OPENING)
+		return;
+	e->open_failures = MIN(e->open_failures + 1, OPEN_DELAY_DOUBLINGS_MAX);
+	e->open_after_us =
+		now_us + ((int64_t)OPEN_DELAY_US << e->open_failures);
+}
+
+static void conn_ended(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct conn *c = &w->conns.rows[row];
+	uint32_t endpoint = c->endpoint;
+	uint32_t request = c->request;
+
+	count_failure(w, c, now_us);
+	c->request = NO_INDEX;
+	forget_conn(w, row, now_us);
+	if (request != NO_INDEX)
+		outcome_lost(w, request, now_us);
+	dispatch_endpoint(w, endpoint, now_us);
+}
+
+void exchange_conn_lost(struct world *w, uint32_t id, int64_t now_us)
+{
+	uint32_t row = conn_find(&w->conns, id);
+
+	if (row == NO_INDEX)
+		return;
+	action_queue_log(
+		w->actions, LOG_CONN_LOST, 0,
+		world_endpoint(w, w->conns.rows[row].endpoint)->record.name, id,
+		"lost in state %d", w->conns.rows[row].state);
+	conn_ended(w, row, now_us);
+}
+
+void exchange_conn_silent(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct conn *c = &w->conns.rows[row];
+	struct action a = { .type = ACTION_CONN_CLOSE };
+
+	action_queue_log(w->actions, LOG_CONN_SILENT, 0,
+			 world_endpoint(w, c->endpoint)->record.name,
+			 now_us - c->since_us, "no answer on connection %u",
+			 conn_id(&w->conns, row));
+	a.conn_id = conn_id(&w->conns, row);
+	action_queue_push(w->actions, &a);
+	conn_ended(w, row, now_us);
+}
+
+/* The connection is free for its next exchange. */
+static void release_conn(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct conn *c = &w->conns.rows[row];
+	struct endpoint *e = world_endpoint(w, c->endpoint);
+
+	if (c->purpose == CONN_FOR_WORK && !c->checking) {
+		e->running--;
+		endpoint_add_service(e, now_us - c->since_us);
+	}
+	c->checking = false;
+	c->request = NO_INDEX;
+	c->since_us = now_us;
+	c->answered_us = now_us;
+	c->state = c->transaction == NO_INDEX ? CONN_IDLE : CONN_PINNED;
+	if (c->state == CONN_IDLE && c->purpose == CONN_FOR_WORK)
+		list_append(&e->idle, w->conns.links, row);
+}
+
+static void unpin(struct world *w, uint32_t row, const char *why)
+{
+	struct conn *c = &w->conns.rows[row];
+
+	end_transaction(w, c->transaction, why);
+	c->transaction = NO_INDEX;
+}
+
+/* Commit and rollback end the transaction whatever their result. */
+static void end_transaction_of(struct world *w, uint32_t row,
+			       enum exchange_plan plan, uint32_t request)
+{
+	if (w->conns.rows[row].transaction == NO_INDEX)
+		return;
+	if (plan != PLAN_COMMIT && plan != PLAN_ROLLBACK)
+		return;
+	unpin(w, row, plan == PLAN_COMMIT ? "committed" : "rolled back");
+	w->requests.rows[request].transaction = NO_INDEX;
+}
+
+void exchange_result(struct world *w, const struct exchange_result *x,
+		     int64_t now_us)
+{
+	uint32_t row = conn_find(&w->conns, x->conn_id);
+	struct conn *c = row == NO_INDEX ? NULL : &w->conns.rows[row];
+	uint32_t endpoint;
+	uint32_t request;
+	int64_t asked_us;
+
+	if (!c || c->state != CONN_BUSY || c->exchange != x->exchange) {
+		action_queue_log(w->actions, LOG_CROSSED_RESULT, 0, "",
+				 x->conn_id, "exchange %" G_GUINT64_FORMAT,
+				 x->exchange);
+		return;
+	}
+	endpoint = c->endpoint;
+	request = c->request;
+	asked_us = c->since_us;
+	if (request != NO_INDEX) {
+		end_transaction_of(w, row, c->plan, request);
+		w->requests.rows[request].conn = NO_INDEX;
+		w->requests.rows[request].state = REQUEST_NEW;
+	}
+	release_conn(w, row, now_us);
+	observe_status(w, endpoint, &x->after, asked_us, now_us);
+	if (c->purpose == CONN_FOR_PROBE)
+		probe_result(w, endpoint, c->plan, x, now_us);
+	if (request != NO_INDEX)
+		outcome_result(w, request, row, x, now_us);
+	dispatch_endpoint(w, endpoint, now_us);
+}
--- /dev/null
+++ b/src/core/probe.c
@@ -0,0 +1,127 @@
+#include "core/probe.h"
+
+#include "core/exchange.h"
+#include "core/observe.h"
+#include "core/promotion.h"
+#include "core/route.h"
+#include "core/world_state.h"
+
+enum {
+	/* While requests wait for a quorum. */
+	HURRY_INTERVAL_US = 2 * 1000,
+	/* Between attempts to connect. */
+	RECONNECT_US = 50 * 1000,
+	/* A probe is late after so many intervals. */
+	LATE_INTERVALS = 3,
+};
+
+static bool in_hurry(const struct world *w, const struct endpoint *e)
+{
+	return world_group(w, e->group)->unconfirmed.count > 0;
+}
+
+bool probe_send(struct world *w, uint32_t row, enum exchange_plan plan,
+		uint64_t term, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+
+	if (e->probe_conn == NO_INDEX ||
+	    w->conns.rows[e->probe_conn].state != CONN_IDLE)
+		return false;
+	exchange_start(w, e->probe_conn, plan, 0, term, now_us);
+	return true;
+}
+
+static void probe_now(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+	int64_t interval =
+		in_hurry(w, e) ? HURRY_INTERVAL_US : w->opts.probe_interval_us;
+
+	if (probe_send(w, row, PLAN_PROBE, 0, now_us))
+		e->probe_due_us = now_us + interval;
+}
+
+void probe_hurry(struct world *w, uint32_t group, int64_t now_us)
+{
+	struct group *g = world_group(w, group);
+
+	for (uint32_t i = 0; i < g->endpoint_count; i++) {
+		struct endpoint *e = world_endpoint(w, g->endpoints[i]);
+
+		if (e->probe_due_us > now_us + HURRY_INTERVAL_US)
+			e->probe_due_us = now_us;
+		if (e->probe_due_us <= now_us)
+			probe_now(w, g->endpoints[i], now_us);
+	}
+}
+
+static void mark_down(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+
+	e->down = true;
+	action_queue_log(w->actions, LOG_ENDPOINT_DOWN, 0, e->record.name,
+			 now_us - e->silent_since_us, "no answer");
+	observe_primary(w, e->group, now_us);
+	route_away(w, row, now_us);
+}
+
+void probe_failed(struct world *w, uint32_t row, int64_t asked_us,
+		  int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+
+	e->probe_due_us = now_us + RECONNECT_US;
+	if (!e->silent_since_us) {
+		/* The first failure may be the connection's alone. */
+		e->silent_since_us = asked_us;
+		e->probe_due_us = now_us;
+	} else if (!e->down &&
+		   now_us - e->silent_since_us >= w->opts.suspect_us) {
+		mark_down(w, row, now_us);
+	}
+}
+
+void probe_result(struct world *w, uint32_t row, enum exchange_plan plan,
+		  const struct exchange_result *x, int64_t now_us)
+{
+	if (plan == PLAN_RAISE_TERM || plan == PLAN_PROMOTE)
+		promotion_answer(w, row, plan, x, now_us);
+}
+
+static void check_late(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+	const struct conn *c = &w->conns.rows[e->probe_conn];
+
+	if (now_us - c->since_us < LATE_INTERVALS * w->opts.probe_interval_us)
+		return;
+	exchange_conn_silent(w, e->probe_conn, now_us);
+}
+
+static void probe_endpoint(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct endpoint *e = world_endpoint(w, row);
+
+	if (!e->exists)
+		return;
+	if (e->probe_conn == NO_INDEX) {
+		if (now_us >= e->probe_due_us)
+			e->probe_conn =
+				exchange_open_conn(w, row, CONN_FOR_PROBE,
+						   now_us);
+		return;
+	}
+	if (w->conns.rows[e->probe_conn].state != CONN_IDLE)
+		check_late(w, row, now_us);
+	else if (now_us >= e->probe_due_us || !e->has_status ||
+		 e->silent_since_us)
+		probe_now(w, row, now_us);
+}
+
+void probe_run(struct world *w, int64_t now_us)
+{
+	for (uint32_t i = 0; i < w->endpoints->len; i++)
+		probe_endpoint(w, i, now_us);
+}
--- /dev/null
+++ b/src/core/retry.c
@@ -0,0 +1,37 @@
+#include "core/retry.h"
+
+enum {
+	RETRY_PER_MILLE = 100, /* repeats that one first send pays for */
+	RETRY_BUDGET_MAX_MILLI = 200 * 1000,
+	RETRY_BUDGET_START_MILLI = 20 * 1000,
+	RETRY_BASE_US = 5 * 1000,
+	RETRY_CAP_US = 250 * 1000,
+	RETRY_DOUBLINGS_MAX = 8,
+};
+
+void retry_init(struct retry_budget *b)
+{
+	b->milli = RETRY_BUDGET_START_MILLI;
+}
+
+void retry_earn(struct retry_budget *b)
+{
+	b->milli = MIN(b->milli + RETRY_PER_MILLE, RETRY_BUDGET_MAX_MILLI);
+}
+
+bool retry_spend(struct retry_budget *b)
+{
+	if (b->milli < 1000)
+		return false;
+	b->milli -= 1000;
+	return true;
+}
+
+int64_t retry_delay_us(GRand *rand, uint32_t attempt)
+{
+	uint32_t doublings = MIN(attempt - 1, RETRY_DOUBLINGS_MAX);
+	int64_t ceiling =
+		MIN((int64_t)RETRY_BASE_US << doublings, RETRY_CAP_US);
+
+	return ceiling / 2 + g_rand_int_range(rand, 0, (gint32)ceiling / 2);
+}
--- /dev/null
+++ b/src/core/world_state.h
@@ -0,0 +1,75 @@
+/*
+ * world_state.h - the tables that the core's systems run over.
+ *
+ * Internal to src/core. Each system is one module with a function
+ * x_run(struct world *, int64_t now_us); world.c holds their order.
+ */
+#ifndef CORE_WORLD_STATE_H
+#define CORE_WORLD_STATE_H
+
+#include "core/action_queue.h"
+#include "core/catalog.h"
+#include "core/conn.h"
+#include "core/endpoint.h"
+#include "core/group.h"
+#include "core/key_guard.h"
+#include "core/limit.h"
+#include "core/member.h"
+#include "core/promotion.h"
+#include "core/request.h"
+#include "core/retry.h"
+#include "core/transaction.h"
+#include "core/world.h"
+
+#include <glib.h>
+
+struct world {
+	struct world_opts opts;
+	GRand *rand;
+	struct action_queue *actions;
+
+	struct catalog catalog;
+	GArray *endpoints; /* of struct endpoint; rows are never reused */
+	GArray *groups; /* of struct group; rows are never reused */
+	GArray *promotions; /* of struct promotion; row of the group */
+	GHashTable *group_rows; /* name to row + 1 */
+	struct conn_table conns;
+	struct request_table requests;
+	struct transaction_table transactions;
+	struct retry_budget retries;
+
+	struct member_table *members;
+	struct key_guard *keys;
+	struct limits *limits;
+
+	bool config_known; /* a whole configuration was applied */
+	int64_t revision; /* up to which all records were applied */
+	uint64_t last_operation; /* platform operations of promotions */
+	uint32_t instances; /* that share the endpoints; at least 1 */
+	bool draining;
+	bool drained;
+};
+
+static inline struct endpoint *world_endpoint(const struct world *w,
+					      uint32_t row)
+{
+	return &g_array_index(w->endpoints, struct endpoint, row);
+}
+
+static inline struct endpoint *world_endpoints(const struct world *w)
+{
+	return (struct endpoint *)(void *)w->endpoints->data;
+}
+
+static inline struct group *world_group(const struct world *w, uint32_t row)
+{
+	return &g_array_index(w->groups, struct group, row);
+}
+
+/* Returns the row of a group with endpoints, or NO_INDEX. */
+uint32_t world_find_group(const struct world *w, const char *name);
+
+/* Returns the usable primary of a group, or NO_INDEX. */
+uint32_t world_primary(const struct world *w, const struct group *g);
+
+#endif
