--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 $(B)/zinnialine: $(B)/src/main.o $(B)/libzinnialine.a
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(B)/standin-endpoint: $(ENDPOINT_OBJS) $(COMMON_OBJS)
+$(B)/standin-endpoint: $(ENDPOINT_OBJS) $(COMMON_OBJS) $(B)/libzinnialine.a
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(B)/standin-platform: $(PLATFORM_OBJS) $(COMMON_OBJS)
--- a/src/base/statement.h
+++ b/src/base/statement.h
@@ -19,7 +19,11 @@
 	char fingerprint[65]; /* hex hash of SQL and parameters */
 };
 
-/* Returns a copy owned by the caller, freed with statement_free(). */
+/*
+ * Returns a copy owned by the caller, freed with statement_free(), or NULL
+ * when `params` is neither NULL nor an array of at most
+ * STATEMENT_PARAMS_MAX strings, numbers, booleans and nulls.
+ */
 struct statement *statement_new(const char *sql, const json_t *params);
 void statement_free(struct statement *s);
 
