HTTP for callers and operators, and the session token

Change: Session tokens carry the latest position per database group, bound to a workspace and authenticated with BLAKE2b.

--- /dev/null
+++ b/src/core/session_token.c
@@ -0,0 +1,156 @@
+#include "core/session_token.h"
+
+#include "core/error.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum { TOKEN_VERSION = 1, WORD_BYTES = 8 };
+
+static uint64_t hash_name(const char *group)
+{
+	return XXH64(group, strlen(group), 0);
+}
+
+static const struct token_group *find(const struct session_token *t,
+				      const char *group)
+{
+	uint64_t hash = hash_name(group);
+
+	for (uint32_t i = 0; i < t->group_count; i++) {
+		if (t->groups[i].name_hash == hash)
+			return &t->groups[i];
+	}
+	return NULL;
+}
+
+struct position session_token_get(const struct session_token *t,
+				  const char *group)
+{
+	const struct token_group *g = find(t, group);
+
+	return g ? g->position : (struct position){ 0 };
+}
+
+bool session_token_has_room(const struct session_token *t, const char *group)
+{
+	return t->group_count < TOKEN_GROUPS_MAX || find(t, group);
+}
+
+int session_token_merge(struct session_token *t, const char *group,
+			struct position p)
+{
+	struct token_group *g = (struct token_group *)find(t, group);
+
+	if (g) {
+		g->position = position_max(g->position, p);
+		return 0;
+	}
+	if (t->group_count == TOKEN_GROUPS_MAX)
+		return -ENOSPC;
+	g = &t->groups[t->group_count++];
+	g->name_hash = hash_name(group);
+	g->position = p;
+	return 0;
+}
+
+static uint8_t *put_word(uint8_t *at, uint64_t word)
+{
+	for (int i = 0; i < WORD_BYTES; i++)
+		at[i] = (uint8_t)(word >> (8 * i));
+	return at + WORD_BYTES;
+}
+
+static const uint8_t *get_word(const uint8_t *at, uint64_t *word)
+{
+	*word = 0;
+	for (int i = 0; i < WORD_BYTES; i++)
+		*word |= (uint64_t)at[i] << (8 * i);
+	return at + WORD_BYTES;
+}
+
+/* The body has a length of its own, so body and workspace can't be shifted. */
+static void compute_mac(const uint8_t *body, size_t len, const char *workspace,
+			const uint8_t key[TOKEN_KEY_BYTES],
+			uint8_t mac[TOKEN_MAC_BYTES])
+{
+	crypto_generichash_state state;
+
+	crypto_generichash_init(&state, key, TOKEN_KEY_BYTES, TOKEN_MAC_BYTES);
+	crypto_generichash_update(&state, body, len);
+	crypto_generichash_update(&state, (const uint8_t *)workspace,
+				  strlen(workspace));
+	crypto_generichash_final(&state, mac, TOKEN_MAC_BYTES);
+}
+
+void session_token_encode(const struct session_token *t, const char *workspace,
+			  const uint8_t key[TOKEN_KEY_BYTES],
+			  char out[TOKEN_TEXT_BYTES])
+{
+	uint8_t bytes[TOKEN_BYTES_MAX];
+	uint8_t *at = bytes + TOKEN_HEAD_BYTES;
+	size_t len;
+
+	bytes[0] = TOKEN_VERSION;
+	bytes[1] = (uint8_t)t->group_count;
+	for (uint32_t i = 0; i < t->group_count; i++) {
+		at = put_word(at, t->groups[i].name_hash);
+		at = put_word(at, t->groups[i].position.term);
+		at = put_word(at, t->groups[i].position.offset);
+	}
+	len = (size_t)(at - bytes);
+	compute_mac(bytes, len, workspace, key, at);
+	sodium_bin2base64(out, TOKEN_TEXT_BYTES, bytes, len + TOKEN_MAC_BYTES,
+			  sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+}
+
+/* Returns the length of the authenticated part, 0 if it can't be a token. */
+static size_t body_length(const uint8_t *bytes, size_t len)
+{
+	size_t body_len;
+
+	if (len < TOKEN_HEAD_BYTES + TOKEN_MAC_BYTES)
+		return 0;
+	if (bytes[0] != TOKEN_VERSION || bytes[1] > TOKEN_GROUPS_MAX)
+		return 0;
+	body_len = TOKEN_HEAD_BYTES + (size_t)bytes[1] * TOKEN_GROUP_BYTES;
+	return len == body_len + TOKEN_MAC_BYTES ? body_len : 0;
+}
+
+static void read_groups(const uint8_t *bytes, struct session_token *out)
+{
+	const uint8_t *at = bytes + TOKEN_HEAD_BYTES;
+
+	out->group_count = bytes[1];
+	for (uint32_t i = 0; i < out->group_count; i++) {
+		at = get_word(at, &out->groups[i].name_hash);
+		at = get_word(at, &out->groups[i].position.term);
+		at = get_word(at, &out->groups[i].position.offset);
+	}
+}
+
+int32_t session_token_decode(const char *text, const char *workspace,
+			     const uint8_t key[TOKEN_KEY_BYTES],
+			     struct session_token *out)
+{
+	uint8_t bytes[TOKEN_BYTES_MAX];
+	uint8_t mac[TOKEN_MAC_BYTES];
+	size_t len;
+	size_t body_len;
+
+	*out = (struct session_token){ 0 };
+	if (sodium_base642bin(bytes, sizeof(bytes), text, strlen(text), NULL,
+			      &len, NULL,
+			      sodium_base64_VARIANT_URLSAFE_NO_PADDING))
+		return ERR_BAD_TOKEN;
+	body_len = body_length(bytes, len);
+	if (!body_len)
+		return ERR_BAD_TOKEN;
+	compute_mac(bytes, body_len, workspace, key, mac);
+	if (sodium_memcmp(mac, bytes + body_len, TOKEN_MAC_BYTES))
+		return ERR_BAD_TOKEN;
+	read_groups(bytes, out);
+	return 0;
+}
--- /dev/null
+++ b/src/http/caller_request.c
@@ -0,0 +1,323 @@
+#include "http/caller_request.h"
+
+#include "base/statement.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { SEGMENTS_MAX = 6, TRANSACTION_ID_DIGITS = 16 };
+
+#define BEARER "Bearer "
+
+struct route {
+	enum request_kind kind;
+	const char *segments[SEGMENTS_MAX + 1]; /* "*": group, "#": id */
+};
+
+static const struct route routes[] = {
+	{ REQUEST_READ, { "v1", "groups", "*", "read" } },
+	{ REQUEST_WRITE, { "v1", "groups", "*", "write" } },
+	{ REQUEST_BEGIN, { "v1", "groups", "*", "transactions" } },
+	{ REQUEST_STATEMENT,
+	  { "v1", "groups", "*", "transactions", "#", "statements" } },
+	{ REQUEST_COMMIT,
+	  { "v1", "groups", "*", "transactions", "#", "commit" } },
+	{ REQUEST_ROLLBACK,
+	  { "v1", "groups", "*", "transactions", "#", "rollback" } },
+};
+
+static bool has_statement(enum request_kind kind)
+{
+	return kind == REQUEST_READ || kind == REQUEST_WRITE ||
+	       kind == REQUEST_STATEMENT;
+}
+
+static bool copy_name(char out[NAME_BYTES], const char *text)
+{
+	return *text && g_strlcpy(out, text, NAME_BYTES) < NAME_BYTES;
+}
+
+static bool parse_transaction_id(const char *text, uint64_t *id)
+{
+	size_t len = strlen(text);
+
+	if (!len || len > TRANSACTION_ID_DIGITS ||
+	    strspn(text, "0123456789abcdefABCDEF") != len)
+		return false;
+	*id = strtoull(text, NULL, 16);
+	return *id != 0;
+}
+
+static bool route_matches(const struct route *route, char **segments)
+{
+	for (int i = 0; i <= SEGMENTS_MAX; i++) {
+		const char *want = route->segments[i];
+
+		if (!want || !segments[i])
+			return !want && !segments[i];
+		if (*want != '*' && *want != '#' &&
+		    !g_str_equal(want, segments[i]))
+			return false;
+	}
+	return false;
+}
+
+static int32_t take_segments(const struct route *route, char **segments,
+			     struct request_opts *out)
+{
+	out->kind = route->kind;
+	for (int i = 0; route->segments[i]; i++) {
+		if (*route->segments[i] == '*' &&
+		    !copy_name(out->group, segments[i]))
+			return ERR_UNKNOWN_GROUP;
+		if (*route->segments[i] == '#' &&
+		    !parse_transaction_id(segments[i], &out->transaction_id))
+			return ERR_UNKNOWN_TRANSACTION;
+	}
+	return 0;
+}
+
+static int32_t parse_route(const struct caller_request_input *in,
+			   struct request_opts *out)
+{
+	int32_t error = ERR_NO_ROUTE;
+	char **segments;
+
+	if (!g_str_equal(in->method, "POST") || in->path[0] != '/')
+		return ERR_NO_ROUTE;
+	/* One more than the longest route, so that a longer path differs. */
+	segments = g_strsplit(in->path + 1, "/", SEGMENTS_MAX + 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (route_matches(&routes[i], segments)) {
+			error = take_segments(&routes[i], segments, out);
+			break;
+		}
+	}
+	g_strfreev(segments);
+	return error;
+}
+
+static int32_t parse_key(const char *text, struct request_opts *out,
+			 const char **detail)
+{
+	if (!text)
+		return 0;
+	if (g_ascii_strncasecmp(text, BEARER, strlen(BEARER))) {
+		*detail = "Authorization is not a bearer token";
+		return ERR_NO_KEY;
+	}
+	text += strlen(BEARER);
+	if (!*text) {
+		*detail = "the bearer token is empty";
+		return ERR_NO_KEY;
+	}
+	out->has_key = true;
+	crypto_generichash(out->key_digest, DIGEST_BYTES, (const uint8_t *)text,
+			   strlen(text), NULL, 0);
+	return 0;
+}
+
+static int32_t parse_profile(const char *text, struct request_opts *out,
+			     const char **detail)
+{
+	if (!text || !*text) {
+		*detail = "Zinnialine-Profile is missing";
+		return ERR_BAD_FIELD;
+	}
+	return copy_name(out->profile, text) ? 0 : ERR_UNKNOWN_PROFILE;
+}
+
+static int32_t parse_request_id(const char *text, struct caller_request *out,
+				const char **detail)
+{
+	size_t len;
+
+	if (!text)
+		return 0;
+	len = strlen(text);
+	if (!len || len >= REQUEST_KEY_BYTES ||
+	    strspn(text, G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "._:-") !=
+		    len) {
+		*detail = "Idempotency-Key is not 1 to 64 characters of "
+			  "[A-Za-z0-9._:-]";
+		return ERR_BAD_FIELD;
+	}
+	g_strlcpy(out->request_id, text, sizeof(out->request_id));
+	out->opts.has_request_id = true;
+	return 0;
+}
+
+static int32_t parse_repeatable(const char *text, struct request_opts *out,
+				const char **detail)
+{
+	out->repeatable = !text || g_str_equal(text, "yes");
+	if (out->repeatable || g_str_equal(text, "no"))
+		return 0;
+	*detail = "Zinnialine-Repeatable is neither yes nor no";
+	return ERR_BAD_FIELD;
+}
+
+static int32_t parse_deadline(const struct caller_request_input *in,
+			      struct request_opts *out, const char **detail)
+{
+	const char *text = in->headers.deadline_ms;
+	int64_t after_us = in->deadline_default_us;
+	guint64 ms;
+
+	if (text) {
+		if (!g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT64, &ms,
+						NULL)) {
+			*detail = "Zinnialine-Deadline-Ms is not a positive "
+				  "number";
+			return ERR_BAD_FIELD;
+		}
+		after_us = (int64_t)MIN(ms, INT64_MAX / US_PER_MS) * US_PER_MS;
+	}
+	out->deadline_us = in->received_us + MIN(after_us, in->deadline_max_us);
+	return 0;
+}
+
+static int32_t parse_headers(const struct caller_request_input *in,
+			     struct caller_request *out, const char **detail)
+{
+	const struct caller_headers *h = &in->headers;
+	int32_t error = parse_key(h->authorization, &out->opts, detail);
+
+	if (!error)
+		error = parse_profile(h->profile, &out->opts, detail);
+	if (!error)
+		error = parse_request_id(h->request_id, out, detail);
+	if (!error)
+		error = parse_repeatable(h->repeatable, &out->opts, detail);
+	if (!error)
+		error = parse_deadline(in, &out->opts, detail);
+	return error;
+}
+
+static int32_t bad_field(const char **detail, const char *text)
+{
+	*detail = text;
+	return ERR_BAD_FIELD;
+}
+
+/* Returns the parameter in PostgreSQL's text format, NULL if it has none. */
+static json_t *param_text(json_t *param)
+{
+	char *text;
+	json_t *string;
+
+	if (json_is_string(param) || json_is_null(param))
+		return json_incref(param);
+	if (!json_is_number(param) && !json_is_boolean(param))
+		return NULL;
+	text = json_dumps(param, JSON_ENCODE_ANY);
+	string = json_string(text);
+	free(text);
+	return string;
+}
+
+static int32_t parse_params(json_t *params, struct caller_request *out,
+			    size_t *bytes, const char **detail)
+{
+	json_t *param;
+	size_t i;
+
+	out->params = json_array();
+	if (!params)
+		return 0;
+	if (!json_is_array(params))
+		return bad_field(detail, "params is not an array");
+	if (json_array_size(params) > STATEMENT_PARAMS_MAX)
+		return bad_field(detail, "params has too many elements");
+	json_array_foreach(params, i, param)
+	{
+		json_t *text = param_text(param);
+
+		if (!text)
+			return bad_field(detail, "a parameter is not a string, "
+						 "number, boolean or null");
+		*bytes += json_string_length(text);
+		json_array_append_new(out->params, text);
+	}
+	return 0;
+}
+
+static int32_t check_names(json_t *body, bool statement, const char **detail)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach(body, name, value)
+	{
+		if (!statement ||
+		    (!g_str_equal(name, "sql") && !g_str_equal(name, "params")))
+			return bad_field(detail, "unknown field in the body");
+	}
+	return 0;
+}
+
+static int32_t parse_statement(const struct caller_request_input *in,
+			       struct caller_request *out, const char **detail)
+{
+	json_t *sql = json_object_get(out->body, "sql");
+	size_t bytes = json_string_length(sql);
+	int32_t error;
+
+	if (!bytes)
+		return bad_field(detail, "sql is missing or not a string");
+	out->sql = json_string_value(sql);
+	error = parse_params(json_object_get(out->body, "params"), out, &bytes,
+			     detail);
+	if (error)
+		return error;
+	return bytes > in->statement_max_bytes ? ERR_STATEMENT_TOO_LARGE : 0;
+}
+
+static int32_t parse_body(const struct caller_request_input *in,
+			  struct caller_request *out, const char **detail)
+{
+	bool statement = has_statement(out->opts.kind);
+	int32_t error;
+
+	out->sql = "";
+	if (!in->body_len && !statement)
+		return 0;
+	if (!in->body_len)
+		return ERR_BAD_JSON;
+	out->body = json_loadb(in->body, in->body_len, JSON_REJECT_DUPLICATES,
+			       NULL);
+	if (!out->body)
+		return ERR_BAD_JSON;
+	if (!json_is_object(out->body))
+		return bad_field(detail, "the body is not an object");
+	error = check_names(out->body, statement, detail);
+	if (error || !statement)
+		return error;
+	return parse_statement(in, out, detail);
+}
+
+int32_t caller_request_parse(const struct caller_request_input *in,
+			     struct caller_request *out, const char **detail)
+{
+	int32_t error;
+
+	*out = (struct caller_request){ 0 };
+	*detail = NULL;
+	error = parse_route(in, &out->opts);
+	if (!error)
+		error = parse_headers(in, out, detail);
+	if (!error)
+		error = parse_body(in, out, detail);
+	return error;
+}
+
+void caller_request_clear(struct caller_request *r)
+{
+	json_decref(r->body);
+	json_decref(r->params);
+	*r = (struct caller_request){ 0 };
+}
--- a/src/http/operator_listener.h
+++ b/src/http/operator_listener.h
@@ -11,6 +11,7 @@
 #include "core/sizes.h"
 
 #include <jansson.h>
+#include <stdbool.h>
 
 struct operator_listener;
 
--- /dev/null
+++ b/src/http/problem.h
@@ -0,0 +1,28 @@
+/* problem.h - errors as problem documents (RFC 9457). */
+#ifndef HTTP_PROBLEM_H
+#define HTTP_PROBLEM_H
+
+#include "core/error.h"
+
+#include <jansson.h>
+#include <stdint.h>
+
+#define PROBLEM_CONTENT_TYPE "application/problem+json"
+
+struct problem {
+	int32_t error;
+	enum verdict verdict;
+	const char *detail; /* NULL: nothing to add to the title */
+	int64_t retry_after_us; /* 0: no hint */
+};
+
+/*
+ * Returns the document, owned by the caller. Members of `extra` (may be
+ * NULL, borrowed) are added where the document has no member of that name.
+ */
+json_t *problem_document(const struct problem *p, json_t *extra);
+
+/* Returns a duration in the given unit, rounded up. */
+int64_t problem_round_up(int64_t duration_us, int64_t unit_us);
+
+#endif
--- /dev/null
+++ b/tests/http_client.h
@@ -0,0 +1,195 @@
+/* http_client.h - a raw HTTP client in the loop of the tested server. */
+#ifndef HTTP_CLIENT_H
+#define HTTP_CLIENT_H
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <functional>
+#include <jansson.h>
+#include <map>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+extern "C" {
+#include "base/loop.h"
+}
+
+/* Runs the loop until `done`, with a cap against a hanging test. */
+inline bool pump(struct loop *l, const std::function<bool()> &done)
+{
+	bool is_done = done();
+
+	for (int i = 0; i < 20000 && !is_done; i++) {
+		loop_run_once(l, 1000);
+		is_done = done();
+	}
+	return is_done;
+}
+
+struct HttpResponse {
+	int status = 0;
+	std::map<std::string, std::string> headers;
+	std::string body;
+
+	std::string header(const std::string &name) const
+	{
+		auto it = headers.find(name);
+		return it == headers.end() ? "" : it->second;
+	}
+
+	/* A member of the JSON body as text. */
+	std::string field(const char *name) const
+	{
+		json_t *doc = json_loads(body.c_str(), 0, nullptr);
+		json_t *value = json_object_get(doc, name);
+		char *text =
+			value ? json_dumps(value, JSON_ENCODE_ANY) : nullptr;
+		std::string s = json_is_string(value) ?
+					json_string_value(value) :
+				text ? text :
+				       "";
+
+		free(text);
+		json_decref(doc);
+		return s;
+	}
+};
+
+class HttpClient
+{
+      public:
+	HttpClient(struct loop *l, uint16_t port) : loop_(l)
+	{
+		struct sockaddr_in sa = {};
+
+		sa.sin_family = AF_INET;
+		sa.sin_port = htons(port);
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		connected_ = !connect(fd_, (struct sockaddr *)&sa, sizeof(sa));
+		fcntl(fd_, F_SETFL, O_NONBLOCK);
+	}
+
+	~HttpClient()
+	{
+		close_now();
+	}
+
+	bool connected() const
+	{
+		return connected_;
+	}
+
+	void close_now()
+	{
+		if (fd_ >= 0)
+			close(fd_);
+		fd_ = -1;
+	}
+
+	void half_close()
+	{
+		shutdown(fd_, SHUT_WR);
+	}
+
+	/* Runs the loop until all is sent or the server has closed. */
+	void send_all(const std::string &text)
+	{
+		size_t sent = 0;
+
+		pump(loop_, [&] {
+			ssize_t n = send(fd_, text.data() + sent,
+					 text.size() - sent, MSG_NOSIGNAL);
+			if (n > 0)
+				sent += n;
+			return sent == text.size() ||
+			       (n < 0 && errno != EAGAIN);
+		});
+	}
+
+	/* Takes the next answer if it is here. */
+	bool take(HttpResponse *out)
+	{
+		read_more();
+		size_t end = in_.find("\r\n\r\n");
+		if (end == std::string::npos)
+			return false;
+		HttpResponse r;
+		parse_head(in_.substr(0, end + 2), &r);
+		size_t len = std::stoul("0" + r.header("Content-Length"));
+		if (in_.size() < end + 4 + len)
+			return false;
+		r.body = in_.substr(end + 4, len);
+		in_.erase(0, end + 4 + len);
+		*out = r;
+		return true;
+	}
+
+	HttpResponse receive()
+	{
+		HttpResponse r;
+
+		EXPECT_TRUE(pump(loop_, [&] { return take(&r); }));
+		return r;
+	}
+
+	/* True when the server has closed the connection. */
+	bool closed()
+	{
+		read_more();
+		return closed_;
+	}
+
+	/* Bytes that belong to no answer taken so far. */
+	const std::string &rest() const
+	{
+		return in_;
+	}
+
+      private:
+	void read_more()
+	{
+		char buf[65536];
+		ssize_t n;
+
+		while ((n = recv(fd_, buf, sizeof(buf), 0)) > 0)
+			in_.append(buf, n);
+		closed_ = closed_ || n == 0 || errno == ECONNRESET;
+	}
+
+	static void parse_head(const std::string &head, HttpResponse *r)
+	{
+		size_t at = head.find("\r\n");
+
+		r->status = std::stoi(head.substr(9, 3));
+		while (at + 2 < head.size()) {
+			size_t end = head.find("\r\n", at + 2);
+			std::string line = head.substr(at + 2, end - at - 2);
+			size_t colon = line.find(": ");
+			r->headers[line.substr(0, colon)] =
+				line.substr(colon + 2);
+			at = end;
+		}
+	}
+
+	struct loop *loop_;
+	int fd_ = -1;
+	bool connected_ = false;
+	bool closed_ = false;
+	std::string in_;
+};
+
+/* Text of a request; `headers` are whole lines with CRLF. */
+inline std::string http_text(const std::string &method, const std::string &path,
+			     const std::string &headers,
+			     const std::string &body)
+{
+	return method + " " + path + " HTTP/1.1\r\nHost: test\r\n" + headers +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+#endif
