--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -229,7 +229,7 @@
 {
 	uint32_t ended = 0;
 
-	for (uint32_t i = 0; i < w->requests.room; i++) {
+	for (uint32_t i = 0; i < w->requests.high; i++) {
 		const struct request *r = &w->requests.rows[i];
 
 		if (r->state == REQUEST_FREE || r->open ||
--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -75,7 +75,7 @@
 
 static void close_conns(struct world *w, uint32_t endpoint, int64_t now_us)
 {
-	for (uint32_t i = 0; i < w->conns.room; i++) {
+	for (uint32_t i = 0; i < w->conns.high; i++) {
 		const struct conn *c = &w->conns.rows[i];
 
 		if (c->state != CONN_FREE && c->endpoint == endpoint &&
--- a/src/core/conn.c
+++ b/src/core/conn.c
@@ -13,6 +13,7 @@
 	t->rows = g_new0(struct conn, room);
 	t->links = list_links_new(room);
 	t->room = room;
+	t->high = 0;
 	t->last_exchange = 0;
 	list_init(&t->free_rows);
 	for (uint32_t i = 0; i < room; i++)
@@ -33,6 +34,7 @@
 
 	if (row == NO_INDEX)
 		return NO_INDEX;
+	t->high = MAX(t->high, row + 1);
 	c = &t->rows[row];
 	c->state = CONN_OPENING;
 	c->purpose = purpose;
@@ -53,7 +55,7 @@
 	assert(c->state != CONN_FREE);
 	c->state = CONN_FREE;
 	c->generation++;
-	list_append(&t->free_rows, t->links, row);
+	list_prepend(&t->free_rows, t->links, row);
 }
 
 uint32_t conn_id(const struct conn_table *t, uint32_t row)
--- a/src/core/conn.h
+++ b/src/core/conn.h
@@ -44,7 +44,8 @@
 	struct conn *rows;
 	struct list_link *links; /* idle lists of the endpoints */
 	uint32_t room;
-	struct list free_rows;
+	uint32_t high; /* rows from here on were never used */
+	struct list free_rows; /* last freed first */
 	uint64_t last_exchange;
 };
 
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -162,7 +162,7 @@
 
 void dispatch_run(struct world *w, int64_t now_us)
 {
-	for (uint32_t i = 0; i < w->conns.room; i++) {
+	for (uint32_t i = 0; i < w->conns.high; i++) {
 		if (w->conns.rows[i].state != CONN_FREE)
 			check_conn(w, i, now_us);
 	}
--- a/src/core/exchange.c
+++ b/src/core/exchange.c
@@ -183,7 +183,10 @@
 	c->request = NO_INDEX;
 	c->since_us = now_us;
 	c->answered_us = now_us;
-	c->state = c->transaction == NO_INDEX ? CONN_IDLE : CONN_PINNED;
+	/* A new transaction's connection is never offered to others. */
+	c->state = c->transaction != NO_INDEX || c->plan == PLAN_BEGIN ?
+			   CONN_PINNED :
+			   CONN_IDLE;
 	if (c->state == CONN_IDLE && c->purpose == CONN_FOR_WORK)
 		list_append(&e->idle, w->conns.links, row);
 }
--- a/src/core/expiry.c
+++ b/src/core/expiry.c
@@ -38,7 +38,7 @@
 
 static void end_requests(struct world *w, int64_t now_us)
 {
-	for (uint32_t i = 0; i < w->requests.room; i++) {
+	for (uint32_t i = 0; i < w->requests.high; i++) {
 		const struct request *r = &w->requests.rows[i];
 
 		if (r->state == REQUEST_FREE)
--- a/src/core/list.c
+++ b/src/core/list.c
@@ -35,6 +35,18 @@
 	l->count++;
 }
 
+void list_prepend(struct list *l, struct list_link *links, uint32_t row)
+{
+	links[row].prev = NO_INDEX;
+	links[row].next = l->head;
+	if (l->head == NO_INDEX)
+		l->tail = row;
+	else
+		links[l->head].prev = row;
+	l->head = row;
+	l->count++;
+}
+
 void list_remove(struct list *l, struct list_link *links, uint32_t row)
 {
 	uint32_t next = links[row].next;
--- a/src/core/list.h
+++ b/src/core/list.h
@@ -25,6 +25,7 @@
 
 void list_init(struct list *l);
 void list_append(struct list *l, struct list_link *links, uint32_t row);
+void list_prepend(struct list *l, struct list_link *links, uint32_t row);
 void list_remove(struct list *l, struct list_link *links, uint32_t row);
 
 /* Remove and return the first or last row, or NO_INDEX. */
--- a/src/core/outcome.c
+++ b/src/core/outcome.c
@@ -244,8 +244,6 @@
 		answer_error(w, row, ERR_OVERLOADED, PRIMARY_RETRY_US, now_us);
 		return;
 	}
-	list_remove(&e->idle, w->conns.links, conn);
-	c->state = CONN_PINNED;
 	c->transaction = tx;
 	e->pinned++;
 	t = &w->transactions.rows[tx];
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -10,6 +10,7 @@
 	t->rows = g_new0(struct request, room);
 	t->links = list_links_new(room);
 	t->room = room;
+	t->high = 0;
 	t->used = 0;
 	t->due_us = INT64_MAX;
 	t->by_caller =
@@ -35,6 +36,7 @@
 
 	if (row == NO_INDEX)
 		return NO_INDEX;
+	t->high = MAX(t->high, row + 1);
 	r = &t->rows[row];
 	memset(r, 0, sizeof(*r));
 	r->state = REQUEST_NEW;
@@ -58,7 +60,7 @@
 	assert(r->state != REQUEST_FREE);
 	g_hash_table_remove(t->by_caller, &r->opts.caller_id);
 	r->state = REQUEST_FREE;
-	list_append(&t->free_rows, t->links, row);
+	list_prepend(&t->free_rows, t->links, row);
 	t->used--;
 }
 
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -74,8 +74,9 @@
 	struct request *rows;
 	struct list_link *links; /* free, queued, waiting, ... lists */
 	uint32_t room;
+	uint32_t high; /* rows from here on were never used */
 	uint32_t used;
-	struct list free_rows;
+	struct list free_rows; /* last freed first */
 	struct list delayed;
 	GHashTable *by_caller; /* caller id to row + 1 */
 	int64_t due_us; /* no deadline or delay ends before */
--- /dev/null
+++ b/tests/core_fuzz_test.cc
@@ -0,0 +1,204 @@
+#include "model.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+#include <cstdlib>
+
+namespace
+{
+
+constexpr int64_t MS = US_PER_MS;
+constexpr int64_t S = US_PER_S;
+
+/* What a step does to the system; `a` selects a node, endpoint or zone. */
+enum StepKind {
+	STEP_WAIT,
+	STEP_CRASH,
+	STEP_START,
+	STEP_PAUSE,
+	STEP_RESUME,
+	STEP_FREEZE,
+	STEP_REFUSE,
+	STEP_SILENCE,
+	STEP_HEAL_ENDPOINT,
+	STEP_LAG,
+	STEP_LEAVING,
+	STEP_CUT_ZONE,
+	STEP_HEAL_ZONE,
+	STEP_OUTAGE_ON,
+	STEP_OUTAGE_OFF,
+	STEP_LOSE_ANSWERS,
+	STEP_DROP_PEERS,
+	STEP_WITHDRAW_KEY,
+	STEP_RESTORE_KEY,
+	STEP_DRAIN,
+	STEP_REPEAT, /* callers ask again for what may have run */
+	STEP_KIND_COUNT,
+};
+
+const char *const step_names[] = {
+	"wait",	      "crash",	      "start",	     "pause",
+	"resume",     "freeze",	      "refuse",	     "silence",
+	"heal",	      "lag",	      "leaving",     "cut zone",
+	"heal zone",  "outage on",    "outage off",  "lose answers",
+	"drop peers", "withdraw key", "restore key", "drain",
+	"repeat",
+};
+
+struct Step {
+	int kind;
+	int a;
+	int wait_ms;
+};
+
+std::ostream &operator<<(std::ostream &os, const Step &s)
+{
+	return os << step_names[s.kind] << " " << s.a << " then " << s.wait_ms
+		  << " ms";
+}
+
+void repeat_unknown(Model &m)
+{
+	size_t n = m.oracle.calls.size();
+	size_t first = n > 60 ? n - 60 : 0;
+
+	for (size_t i = first; i < n; i++) {
+		const Call &c = m.oracle.calls[i];
+
+		if (c.answered && c.reply.verdict == VERDICT_MAY_HAVE_RUN &&
+		    !c.request_id.empty() && c.kind == REQUEST_WRITE)
+			m.write_again((int)(i % 3), (int)i, 2 * S);
+	}
+}
+
+void apply(Model &m, const Step &s)
+{
+	switch (s.kind) {
+	case STEP_CRASH:
+		m.crash(s.a);
+		break;
+	case STEP_START:
+		m.start(s.a);
+		break;
+	case STEP_PAUSE:
+		m.pause(s.a);
+		break;
+	case STEP_RESUME:
+		m.resume(s.a);
+		break;
+	case STEP_FREEZE:
+		m.freeze(s.a);
+		break;
+	case STEP_REFUSE:
+		m.refuse(s.a);
+		break;
+	case STEP_SILENCE:
+		m.silence(s.a);
+		break;
+	case STEP_HEAL_ENDPOINT:
+		m.heal_endpoint(s.a);
+		break;
+	case STEP_LAG:
+		m.set_lag(s.a, s.wait_ms * 5 * MS);
+		break;
+	case STEP_LEAVING:
+		m.set_leaving(s.a, !m.endpoint(s.a).leaving);
+		break;
+	case STEP_CUT_ZONE:
+		m.cut_zone(s.a);
+		break;
+	case STEP_HEAL_ZONE:
+		m.heal_zone(s.a);
+		break;
+	case STEP_OUTAGE_ON:
+		m.platform_outage(true);
+		break;
+	case STEP_OUTAGE_OFF:
+		m.platform_outage(false);
+		break;
+	case STEP_LOSE_ANSWERS:
+		m.platform_lose(s.a + 1);
+		break;
+	case STEP_DROP_PEERS:
+		m.drop_peers(s.a * 30);
+		break;
+	case STEP_WITHDRAW_KEY:
+		m.withdraw_key(s.a);
+		break;
+	case STEP_RESTORE_KEY:
+		m.restore_key();
+		break;
+	case STEP_DRAIN:
+		m.drain(s.a);
+		break;
+	case STEP_REPEAT:
+		repeat_unknown(m);
+		break;
+	default:
+		break;
+	}
+}
+
+void load_while(Model &m, int64_t duration_us, unsigned &i)
+{
+	static const int64_t ages[] = { 0, 100 * MS, 1 * S, 5 * S };
+	int64_t end = m.now() + duration_us;
+
+	while (m.now() < end) {
+		int node = (int)(i % 3);
+		int session = (int)(i % 5);
+
+		m.write(node, session, i % 3 != 0, 1500 * MS);
+		m.read((node + 1) % 3, session, ages[i % 4], 1500 * MS);
+		if (i % 4 == 0)
+			m.transaction(node, session, i % 8 == 0, 1500 * MS);
+		m.run(25 * MS);
+		i++;
+	}
+}
+
+std::string run_steps(const std::vector<Step> &steps, uint64_t seed)
+{
+	ModelOpts opts;
+	unsigned i = 0;
+
+	opts.seed = seed;
+	Model m(opts);
+	m.run(2 * S);
+	for (const Step &s : steps) {
+		apply(m, s);
+		load_while(m, s.wait_ms * MS, i);
+	}
+	m.heal_all();
+	m.restore_key();
+	m.run(10 * S);
+	load_while(m, 500 * MS, i);
+	m.run(3 * S);
+	m.check_final();
+	if (!m.oracle.violations.empty())
+		return m.oracle.violations.front();
+	return "";
+}
+
+rc::Gen<Step> gen_step()
+{
+	return rc::gen::construct<Step>(rc::gen::inRange<int>(0,
+							      STEP_KIND_COUNT),
+					rc::gen::inRange(0, 3),
+					rc::gen::inRange(10, 900));
+}
+
+RC_GTEST_PROP(CoreFuzz, PromisesHoldUnderFaults, ())
+{
+	auto steps = *rc::gen::container<std::vector<Step>>(gen_step());
+	auto seed = *rc::gen::inRange<uint64_t>(1, 1000000);
+	std::string violation = run_steps(steps, seed);
+
+	if (!violation.empty())
+		RC_FAIL(violation);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/model.cc
@@ -0,0 +1,1143 @@
+#include "model.h"
+
+#include <cstdio>
+#include <cstring>
+
+namespace
+{
+
+constexpr int64_t POLL_US = 50 * US_PER_MS;
+constexpr int64_t REPLICATE_US = 5 * US_PER_MS;
+constexpr int64_t CONNECT_US = 10 * US_PER_MS;
+constexpr int64_t CONNECT_TIMEOUT_US = 1000 * US_PER_MS;
+constexpr int64_t CALL_TIMEOUT_US = 1000 * US_PER_MS;
+constexpr int64_t SERVICE_US = 300;
+constexpr int64_t WITHDRAWAL_US = 4 * US_PER_S;
+const int64_t AGES_US[] = { 0, 100 * US_PER_MS, 1 * US_PER_S, 5 * US_PER_S };
+
+void copy_name(char *out, const std::string &s)
+{
+	snprintf(out, NAME_BYTES, "%s", s.c_str());
+}
+
+std::string age_profile(int64_t age_us)
+{
+	return "age" + std::to_string(age_us);
+}
+
+struct record profile_record_of(int64_t age_us)
+{
+	struct record r = {};
+
+	r.kind = RECORD_PROFILE;
+	copy_name(r.profile.name, age_profile(age_us));
+	r.profile.max_age_us = age_us;
+	r.profile.repeat = REPEAT_BY_ID;
+	r.profile.cost_milli = 1000;
+	return r;
+}
+
+struct record workspace_record_of()
+{
+	struct record r = {};
+
+	r.kind = RECORD_WORKSPACE;
+	copy_name(r.workspace.name, "mill");
+	r.workspace.rate_milli_per_s = 2000 * 1000;
+	r.workspace.burst_milli = 2000 * 1000;
+	r.workspace.weight = 1;
+	return r;
+}
+
+struct record key_record_of()
+{
+	struct record r = {};
+
+	r.kind = RECORD_KEY;
+	memset(r.key.digest, 7, sizeof(r.key.digest));
+	copy_name(r.key.workspace, "mill");
+	return r;
+}
+
+struct record endpoint_record_of(const ModelEndpoint &e)
+{
+	struct record r = {};
+
+	r.kind = RECORD_ENDPOINT;
+	copy_name(r.endpoint.name, e.name);
+	copy_name(r.endpoint.group, "yard");
+	copy_name(r.endpoint.zone, "zone" + std::to_string(e.zone));
+	snprintf(r.endpoint.address, sizeof(r.endpoint.address), "%s",
+		 e.name.c_str());
+	r.endpoint.slots = 5;
+	r.endpoint.connections_max = 35;
+	return r;
+}
+
+std::string path_of(const struct record &r)
+{
+	switch (r.kind) {
+	case RECORD_PROFILE:
+		return std::string("profile/") + r.profile.name;
+	case RECORD_WORKSPACE:
+		return std::string("workspace/") + r.workspace.name;
+	case RECORD_KEY:
+		return "key";
+	case RECORD_ENDPOINT:
+		return std::string("endpoint/") + r.endpoint.name;
+	case RECORD_TERM:
+		return std::string("term/") + r.term.group;
+	case RECORD_SHARE:
+		return "share/" + std::to_string(r.share.cell);
+	case RECORD_MEMBER:
+		return std::string("member/") + r.member.name;
+	case RECORD_INSTANCE:
+		return std::string("instance/") + r.instance.name;
+	default:
+		return "";
+	}
+}
+
+int find_name(const std::vector<ModelNode> &nodes, const char *name)
+{
+	for (size_t i = 0; i < nodes.size(); i++) {
+		if (nodes[i].name == name)
+			return (int)i;
+	}
+	return -1;
+}
+
+} // namespace
+
+struct position ModelEndpoint::position() const
+{
+	if (log.empty())
+		return { 0, 0 };
+	return { log.back().term, log.size() };
+}
+
+struct endpoint_status ModelEndpoint::status() const
+{
+	struct endpoint_status s = {};
+
+	s.current_term = current_term;
+	s.position = position();
+	s.role = primary ? ROLE_PRIMARY : ROLE_REPLICA;
+	return s;
+}
+
+Model::Model(const ModelOpts &opts) : opts_(opts), rand_(opts.seed)
+{
+	for (int i = 0; i < 3; i++) {
+		ModelEndpoint e;
+
+		e.name = "db" + std::to_string(i);
+		e.zone = i;
+		e.primary = i == 0;
+		if (e.primary)
+			e.log.push_back({ 1, 0, "" });
+		endpoints_.push_back(e);
+	}
+	for (int64_t age : AGES_US)
+		put(profile_record_of(age));
+	put(workspace_record_of());
+	put(key_record_of());
+	for (const ModelEndpoint &e : endpoints_)
+		put(endpoint_record_of(e));
+	for (int i = 0; i < opts.nodes; i++) {
+		ModelNode n;
+
+		n.name = "node" + std::to_string(i);
+		n.zone = i % 3;
+		nodes_.push_back(n);
+	}
+	for (int i = 0; i < opts.nodes; i++)
+		start(i);
+	for (int i = 0; i < 3; i++) {
+		for (int k = 0; k < 3; k++) {
+			if (i != k)
+				at(REPLICATE_US, [=] { replicate(i, k); });
+		}
+	}
+	at(US_PER_MS, [=] { expire_leases(); });
+}
+
+Model::~Model()
+{
+	for (ModelNode &n : nodes_) {
+		if (n.world)
+			world_free(n.world);
+	}
+}
+
+void Model::at(int64_t delay_us, Fn fn)
+{
+	due_[{ now_ + delay_us, sequence_++ }] = std::move(fn);
+}
+
+void Model::run(int64_t duration_us)
+{
+	int64_t end = now_ + duration_us;
+
+	while (!due_.empty() && due_.begin()->first.first <= end) {
+		auto it = due_.begin();
+		Fn fn = std::move(it->second);
+
+		now_ = it->first.first;
+		due_.erase(it);
+		fn();
+	}
+	now_ = end;
+}
+
+int64_t Model::latency()
+{
+	return 200 + (int64_t)(rand_() % 1500);
+}
+
+bool Model::reaches(int a, int b) const
+{
+	return a == b || (!cut_zones_.count(a) && !cut_zones_.count(b));
+}
+
+bool Model::reaches_platform(int zone) const
+{
+	return !outage_ && !cut_zones_.count(zone);
+}
+
+void Model::to_node(int node, uint64_t incarnation, Fn fn)
+{
+	ModelNode &n = nodes_[node];
+	struct action a;
+
+	if (!n.world || n.incarnation != incarnation)
+		return;
+	if (n.paused) {
+		n.backlog.push_back([=] { to_node(node, incarnation, fn); });
+		return;
+	}
+	fn();
+	while (n.world && world_next_action(n.world, &a))
+		act(node, a);
+}
+
+void Model::step(int node)
+{
+	ModelNode &n = nodes_[node];
+	uint64_t inc = n.incarnation;
+
+	if (!n.world)
+		return;
+	if (!n.paused)
+		to_node(node, inc, [&] { world_tick(n.world, now_); });
+	at(world_next_tick_us(n.world, now_) - now_, [=] {
+		if (nodes_[node].incarnation == inc)
+			step(node);
+	});
+}
+
+void Model::start(int node)
+{
+	ModelNode &n = nodes_[node];
+	struct world_opts o = world_opts_default();
+
+	if (n.world)
+		return;
+	n.incarnation = rand_() | 1;
+	n.paused = false;
+	n.drained = false;
+	n.seen_revision = 0;
+	n.lease_until_us = 0;
+	copy_name(o.instance, n.name);
+	copy_name(o.zone, "zone" + std::to_string(n.zone));
+	snprintf(o.address, sizeof(o.address), "%s", n.name.c_str());
+	o.incarnation = n.incarnation;
+	o.seed = rand_();
+	o.requests_max = 256;
+	n.world = world_new(&o, now_);
+	uint64_t inc = n.incarnation;
+	at(0, [=] {
+		if (nodes_[node].incarnation == inc)
+			poll_platform(node);
+	});
+	at(0, [=] {
+		if (nodes_[node].incarnation == inc)
+			renew_lease(node);
+	});
+	at(0, [=] {
+		if (nodes_[node].incarnation == inc)
+			step(node);
+	});
+}
+
+void Model::crash(int node)
+{
+	ModelNode &n = nodes_[node];
+
+	if (!n.world)
+		return;
+	world_free(n.world);
+	n.world = nullptr;
+	n.conns.clear();
+	n.backlog.clear();
+	n.incarnation = 0;
+	for (Call &c : oracle.calls) {
+		struct reply r = {};
+
+		/* The caller's connection broke: it knows nothing. */
+		r.verdict = VERDICT_MAY_HAVE_RUN;
+		r.error = ERR_CONNECTION_LOST;
+		if (c.node == node && !c.answered)
+			oracle.answered(c, r, now_);
+	}
+}
+
+void Model::resume(int node)
+{
+	ModelNode &n = nodes_[node];
+	auto backlog = std::move(n.backlog);
+
+	n.backlog.clear();
+	n.paused = false;
+	for (Fn &fn : backlog)
+		fn();
+}
+
+void Model::drain(int node)
+{
+	ModelNode &n = nodes_[node];
+	struct event e = {};
+
+	if (!n.world)
+		return;
+	e.type = EVENT_DRAIN;
+	to_node(node, n.incarnation, [&] { world_handle(n.world, &e, now_); });
+}
+
+/* Callers. */
+
+struct request_opts Model::request(const Call &c) const
+{
+	struct request_opts o = {};
+
+	o.caller_id = c.caller_id;
+	o.kind = c.kind;
+	o.has_key = true;
+	memset(o.key_digest, 7, sizeof(o.key_digest));
+	copy_name(o.profile, age_profile(c.max_age_us));
+	copy_name(o.group, "yard");
+	o.transaction_id = c.transaction;
+	o.has_request_id = !c.request_id.empty();
+	o.repeatable = c.repeatable;
+	o.deadline_us = c.deadline_us;
+	auto it = oracle.sessions.find(c.session);
+	if (it != oracle.sessions.end())
+		o.session = it->second.token;
+	return o;
+}
+
+void Model::submit(int node, int index)
+{
+	Call &c = oracle.calls[index];
+	struct event e = {};
+	struct reply r = {};
+
+	c.key_was_withdrawn =
+		!key_present_ && now_ - withdrawn_us_ > WITHDRAWAL_US;
+	if (!nodes_[node].world) {
+		r.verdict = VERDICT_NOT_RUN;
+		r.error = ERR_NO_ENDPOINT;
+		oracle.answered(c, r, now_);
+		return;
+	}
+	e.type = EVENT_REQUEST;
+	e.request = request(c);
+	to_node(node, nodes_[node].incarnation,
+		[=] { world_handle(nodes_[node].world, &e, now_); });
+}
+
+int Model::write(int node, int session, bool by_id, int64_t deadline_us)
+{
+	Call c = {};
+
+	c.kind = REQUEST_WRITE;
+	c.node = node;
+	c.session = session;
+	c.order = (int)oracle.calls.size() + 1;
+	c.request_id = by_id ? "r" + std::to_string(c.order) : "";
+	c.repeatable = by_id;
+	c.sent_us = now_;
+	c.deadline_us = now_ + deadline_us;
+	c.script = -1;
+	oracle.add(c);
+	int index = (int)oracle.calls.size() - 1;
+	submit(node, index);
+	return index;
+}
+
+int Model::write_again(int node, int index, int64_t deadline_us)
+{
+	Call c = oracle.calls[index];
+
+	c.node = node;
+	c.answered = false;
+	c.times_executed = 0;
+	c.sent_us = now_;
+	c.deadline_us = now_ + deadline_us;
+	c.reply = {};
+	oracle.add(c);
+	int again = (int)oracle.calls.size() - 1;
+	submit(node, again);
+	return again;
+}
+
+int Model::read(int node, int session, int64_t max_age_us, int64_t deadline_us)
+{
+	Call c = {};
+
+	c.kind = REQUEST_READ;
+	c.node = node;
+	c.session = session;
+	c.repeatable = true;
+	c.max_age_us = max_age_us;
+	c.sent_us = now_;
+	c.deadline_us = now_ + deadline_us;
+	c.script = -1;
+	oracle.add(c);
+	int index = (int)oracle.calls.size() - 1;
+	submit(node, index);
+	return index;
+}
+
+int Model::transaction(int node, int session, bool by_id, int64_t deadline_us)
+{
+	Call c = {};
+
+	c.kind = REQUEST_BEGIN;
+	c.node = node;
+	c.session = session;
+	c.order = (int)oracle.calls.size() + 1;
+	c.request_id = by_id ? "t" + std::to_string(c.order) : "";
+	c.repeatable = by_id;
+	c.sent_us = now_;
+	c.deadline_us = now_ + deadline_us;
+	c.script = 0;
+	oracle.add(c);
+	int index = (int)oracle.calls.size() - 1;
+	submit(node, index);
+	return index;
+}
+
+/* The script: begin, two statements of one order, commit. */
+static bool next_of_script(const Call &c, Call &next)
+{
+	static const enum request_kind kinds[] = { REQUEST_BEGIN,
+						   REQUEST_STATEMENT,
+						   REQUEST_STATEMENT,
+						   REQUEST_COMMIT };
+
+	if (c.script < 0 || c.script >= 3 || c.reply.verdict != VERDICT_RAN ||
+	    c.reply.error)
+		return false;
+	next = c;
+	next.script = c.script + 1;
+	next.kind = kinds[next.script];
+	next.transaction = c.reply.transaction_id;
+	next.answered = false;
+	next.times_executed = 0;
+	next.reply = {};
+	return true;
+}
+
+void Model::reply(const struct reply &r)
+{
+	Call *c = oracle.find(r.caller_id);
+	Call next;
+
+	if (!c)
+		return;
+	if (!r.error && c->kind == REQUEST_READ) {
+		if (r.endpoint[0] && endpoints_[r.endpoint[2] - '0'].primary)
+			oracle.primary_reads++;
+		else
+			oracle.replica_reads++;
+	}
+	oracle.answered(*c, r, now_);
+	if (!next_of_script(*c, next))
+		return;
+	int64_t left = next.deadline_us - next.sent_us;
+	next.sent_us = now_;
+	next.deadline_us = now_ + left;
+	oracle.add(next);
+	int index = (int)oracle.calls.size() - 1;
+	at(latency(), [=] { submit(oracle.calls[index].node, index); });
+}
+
+/* The network between nodes and endpoints. */
+
+void Model::act(int node, const struct action &a)
+{
+	ModelNode &n = nodes_[node];
+
+	switch (a.type) {
+	case ACTION_REPLY:
+		reply(a.reply);
+		break;
+	case ACTION_CONN_OPEN:
+		open(node, a.open);
+		break;
+	case ACTION_CONN_CLOSE:
+		n.conns.erase(a.conn_id);
+		break;
+	case ACTION_EXCHANGE:
+		exchange(node, a.exchange);
+		break;
+	case ACTION_PLATFORM:
+		platform(node, *a.platform);
+		break;
+	case ACTION_PEER_SEND:
+		peer(node, *a.peer);
+		break;
+	case ACTION_LOG:
+		if (trace)
+			printf("%9.3f %s %d call=%lu %s %ld: %s\n",
+			       (double)(now_ - 1000 * US_PER_S) / 1000.0,
+			       n.name.c_str(), a.log.number,
+			       (unsigned long)a.log.caller_id, a.log.subject,
+			       (long)a.log.value, a.log.text);
+		break;
+	case ACTION_DRAINED:
+		n.drained = true;
+		break;
+	}
+}
+
+void Model::lost(int node, uint32_t conn_id)
+{
+	ModelNode &n = nodes_[node];
+	struct event e = {};
+
+	if (!n.conns.count(conn_id))
+		return;
+	n.conns.erase(conn_id);
+	e.type = EVENT_CONN_LOST;
+	e.conn_id = conn_id;
+	world_handle(n.world, &e, now_);
+}
+
+void Model::open(int node, const struct conn_open &o)
+{
+	ModelNode &n = nodes_[node];
+	auto c = std::make_shared<ModelConn>();
+	uint32_t id = o.conn_id;
+	uint64_t inc = n.incarnation;
+
+	c->endpoint = o.endpoint[2] - '0';
+	n.conns[id] = c;
+	const ModelEndpoint &e = endpoints_[c->endpoint];
+	bool dark = e.frozen || !reaches(n.zone, e.zone);
+	int64_t delay = e.refuses ? US_PER_MS :
+			dark	  ? CONNECT_TIMEOUT_US :
+				    CONNECT_US;
+	bool fails = e.refuses || dark;
+
+	at(delay, [=] {
+		to_node(node, inc, [=] {
+			struct event ev = {};
+			ModelNode &m = nodes_[node];
+
+			auto it = m.conns.find(id);
+			if (it == m.conns.end() || it->second != c)
+				return;
+			if (fails) {
+				lost(node, id);
+				return;
+			}
+			c->open = true;
+			ev.type = EVENT_CONN_OPENED;
+			ev.conn_id = id;
+			world_handle(m.world, &ev, now_);
+		});
+	});
+}
+
+void Model::exchange(int node, const struct exchange_start &x)
+{
+	ModelNode &n = nodes_[node];
+	auto it = n.conns.find(x.conn_id);
+	uint64_t inc = n.incarnation;
+
+	if (it == n.conns.end()) {
+		oracle.violate("exchange on a closed connection");
+		return;
+	}
+	std::shared_ptr<ModelConn> c = it->second;
+	Call *call = oracle.find(x.caller_id);
+	int64_t leaving = endpoints_[c->endpoint].leaving_revision;
+	if (leaving && n.seen_revision >= leaving &&
+	    (x.plan == PLAN_READ || x.plan == PLAN_WRITE ||
+	     x.plan == PLAN_WRITE_BY_ID || x.plan == PLAN_BEGIN))
+		oracle.violate("new work for a leaving endpoint");
+	if (call && (x.plan == PLAN_READ || x.plan == PLAN_WRITE ||
+		     x.plan == PLAN_WRITE_BY_ID || x.plan == PLAN_STATEMENT ||
+		     x.plan == PLAN_COMMIT))
+		call->times_executed++;
+	at(latency(), [=] {
+		ModelEndpoint &e = endpoints_[c->endpoint];
+		int zone = nodes_[node].zone;
+		struct exchange_result r = {};
+
+		/* Bytes that were sent are lost or arrive; never refused. */
+		if (e.frozen || c->silent || !reaches(zone, e.zone) || !c->open)
+			return;
+		r.conn_id = x.conn_id;
+		r.exchange = x.exchange;
+		execute(node, c, x, r);
+		at(SERVICE_US + latency(), [=] {
+			const ModelEndpoint &f = endpoints_[c->endpoint];
+
+			if (f.frozen || c->silent || !c->open ||
+			    !reaches(zone, f.zone))
+				return;
+			to_node(node, inc, [=] {
+				struct event ev = {};
+				ModelNode &m = nodes_[node];
+
+				auto k = m.conns.find(x.conn_id);
+				if (k == m.conns.end() || k->second != c)
+					return;
+				ev.type = EVENT_RESULT;
+				ev.result = r;
+				world_handle(m.world, &ev, now_);
+			});
+		});
+	});
+}
+
+static bool in_log(const ModelEndpoint &e, const std::string &request_id)
+{
+	for (const ModelEntry &n : e.log) {
+		if (!request_id.empty() && n.request_id == request_id)
+			return true;
+	}
+	return false;
+}
+
+void Model::execute_write(ModelEndpoint &e, const struct exchange_start &x,
+			  struct exchange_result &r)
+{
+	Call *c = oracle.find(x.caller_id);
+
+	if (!e.primary) {
+		r.status = RESULT_NOT_PRIMARY;
+		return;
+	}
+	if (x.plan == PLAN_WRITE_BY_ID && in_log(e, c->request_id)) {
+		r.status = RESULT_DUPLICATE;
+		return;
+	}
+	e.log.push_back({ e.current_term, c->order,
+			  x.plan == PLAN_WRITE_BY_ID ? c->request_id : "" });
+}
+
+void Model::execute_commit(ModelEndpoint &e, ModelConn &c,
+			   const struct exchange_start &x,
+			   struct exchange_result &r)
+{
+	Call *call = oracle.find(x.caller_id);
+	std::vector<int> buffer = c.buffer;
+
+	c.buffer.clear();
+	c.transaction = 0;
+	if (!e.primary) {
+		r.status = RESULT_SQL_ERROR;
+		return;
+	}
+	if (in_log(e, call->request_id)) {
+		r.status = RESULT_DUPLICATE;
+		return;
+	}
+	for (int order : buffer) {
+		if (order != call->order)
+			oracle.violate("transactions are mixed");
+	}
+	if (buffer.size() != 2)
+		oracle.violate("commit of an incomplete transaction");
+	e.log.push_back({ e.current_term, call->order, call->request_id });
+}
+
+void Model::execute(int node, std::shared_ptr<ModelConn> c,
+		    const struct exchange_start &x, struct exchange_result &r)
+{
+	ModelEndpoint &e = endpoints_[c->endpoint];
+	Call *call = oracle.find(x.caller_id);
+
+	r.before = e.status();
+	r.status = RESULT_OK;
+	switch (x.plan) {
+	case PLAN_PROBE:
+		break;
+	case PLAN_RAISE_TERM:
+		if (x.term > e.current_term) {
+			e.current_term = x.term;
+			e.primary = false;
+		}
+		break;
+	case PLAN_PROMOTE:
+		if (x.term < e.current_term) {
+			r.status = RESULT_SQL_ERROR;
+			break;
+		}
+		e.current_term = x.term;
+		if (!e.primary)
+			e.log.push_back({ x.term, 0, "" });
+		e.primary = true;
+		break;
+	case PLAN_READ:
+		call->seen.clear();
+		for (const ModelEntry &n : e.log) {
+			if (n.order)
+				call->seen.insert(n.order);
+		}
+		break;
+	case PLAN_WRITE:
+	case PLAN_WRITE_BY_ID:
+		execute_write(e, x, r);
+		break;
+	case PLAN_LOOKUP:
+		r.status = in_log(e, call->request_id) ? RESULT_OK :
+							 RESULT_NOT_FOUND;
+		break;
+	case PLAN_BEGIN:
+		c->buffer.clear();
+		c->transaction = x.caller_id;
+		break;
+	case PLAN_STATEMENT:
+		if (!c->transaction)
+			oracle.violate("statement outside a transaction");
+		c->buffer.push_back(call->order);
+		break;
+	case PLAN_COMMIT:
+		execute_commit(e, *c, x, r);
+		break;
+	case PLAN_ROLLBACK:
+		c->buffer.clear();
+		c->transaction = 0;
+		break;
+	}
+	r.after = e.status();
+}
+
+/* Replication, by pushing the whole log; late pushes may overtake. */
+
+void Model::replicate(int from, int to)
+{
+	ModelEndpoint &e = endpoints_[from];
+
+	at(REPLICATE_US, [=] { replicate(from, to); });
+	if (!e.primary || e.frozen || e.refuses ||
+	    !reaches(e.zone, endpoints_[to].zone))
+		return;
+	uint64_t term = e.current_term;
+	std::vector<ModelEntry> log = e.log;
+	at(endpoints_[to].lag_us + latency(),
+	   [=] { receive(to, from, term, log); });
+}
+
+static bool same_entry(const ModelEntry &a, const ModelEntry &b)
+{
+	return a.term == b.term && a.order == b.order;
+}
+
+void Model::receive(int to, int from, uint64_t term,
+		    const std::vector<ModelEntry> &log)
+{
+	ModelEndpoint &e = endpoints_[to];
+	size_t common = 0;
+
+	if (e.frozen || e.refuses || !reaches(e.zone, endpoints_[from].zone))
+		return;
+	if (term < e.current_term) {
+		ModelEndpoint &f = endpoints_[from];
+
+		if (f.current_term < e.current_term) {
+			f.current_term = e.current_term;
+			f.primary = false;
+		}
+		return;
+	}
+	if (e.primary && term == e.current_term)
+		oracle.violate("two primaries of one term");
+	e.current_term = term;
+	e.primary = false;
+	while (common < log.size() && common < e.log.size() &&
+	       same_entry(log[common], e.log[common]))
+		common++;
+	/* An older push of the same log changes nothing. */
+	if (common == log.size())
+		return;
+	e.log = log;
+}
+
+/* Peers. */
+
+void Model::peer(int node, const struct peer_message &m)
+{
+	int to = find_name(nodes_, m.peer);
+	int copies = rand_() % 100 < 5 ? 2 : 1;
+	struct peer_message copy = m;
+
+	if (to < 0 || !nodes_[to].world)
+		return;
+	copy_name(copy.peer, nodes_[node].name);
+	copy.incarnation = nodes_[node].incarnation;
+	for (int i = 0; i < copies; i++) {
+		if ((int)(rand_() % 100) < drop_percent_)
+			continue;
+		at(latency() * (1 + (int64_t)(rand_() % 4)), [=] {
+			if (!nodes_[to].world ||
+			    !reaches(nodes_[node].zone, nodes_[to].zone))
+				return;
+			to_node(to, nodes_[to].incarnation, [=] {
+				struct event e = {};
+
+				e.type = EVENT_PEER_MESSAGE;
+				e.peer = &copy;
+				world_handle(nodes_[to].world, &e, now_);
+			});
+		});
+	}
+}
+
+/* The platform. */
+
+void Model::put(const struct record &r)
+{
+	struct record copy = r;
+
+	copy.revision = ++revision_;
+	store_[path_of(r)] = copy;
+	changes_.push_back({ revision_, false, copy });
+}
+
+void Model::erase(const std::string &path)
+{
+	auto it = store_.find(path);
+
+	if (it == store_.end())
+		return;
+	struct record r = it->second;
+	r.revision = ++revision_;
+	store_.erase(it);
+	changes_.push_back({ revision_, true, r });
+}
+
+void Model::apply_cas(const struct platform_start &p, struct platform_result &r)
+{
+	std::string path = path_of(p.record);
+	auto it = store_.find(path);
+	bool ok = it == store_.end() ?
+			  p.expected_revision == 0 :
+			  it->second.revision == p.expected_revision;
+
+	for (uint32_t i = 0; i < p.absent_count; i++) {
+		auto m = store_.find(std::string("member/") +
+				     p.absent_members[i].instance);
+		if (m != store_.end() &&
+		    m->second.member.incarnation ==
+			    p.absent_members[i].incarnation)
+			ok = false;
+	}
+	if (ok)
+		put(p.record);
+	r.outcome = ok ? PLATFORM_APPLIED : PLATFORM_REFUSED;
+	it = store_.find(path);
+	r.found = it != store_.end();
+	if (r.found)
+		r.record = it->second;
+}
+
+void Model::platform(int node, const struct platform_start &p)
+{
+	uint64_t inc = nodes_[node].incarnation;
+	struct platform_start copy = p;
+
+	at(latency() + US_PER_MS, [=] {
+		struct platform_result r = {};
+		int64_t delay = latency();
+		bool cas = copy.operation == PLATFORM_CAS_TERM ||
+			   copy.operation == PLATFORM_CAS_SHARE;
+
+		r.operation_id = copy.operation_id;
+		r.outcome = PLATFORM_UNKNOWN;
+		if (!reaches_platform(nodes_[node].zone)) {
+			delay = CALL_TIMEOUT_US;
+		} else if (cas) {
+			apply_cas(copy, r);
+			if (lose_ > 0) {
+				lose_--;
+				r = {};
+				r.operation_id = copy.operation_id;
+				r.outcome = PLATFORM_UNKNOWN;
+				delay = CALL_TIMEOUT_US;
+			}
+		} else {
+			auto it = store_.find(path_of(copy.record));
+
+			r.outcome = PLATFORM_APPLIED;
+			r.found = it != store_.end();
+			if (r.found)
+				r.record = it->second;
+		}
+		at(delay, [=] {
+			to_node(node, inc, [=] {
+				struct event e = {};
+
+				e.type = EVENT_PLATFORM_RESULT;
+				e.platform = &r;
+				world_handle(nodes_[node].world, &e, now_);
+			});
+		});
+	});
+}
+
+void Model::poll_platform(int node)
+{
+	ModelNode &n = nodes_[node];
+	uint64_t inc = n.incarnation;
+	int64_t asked = now_;
+
+	at(POLL_US, [=] {
+		if (nodes_[node].incarnation == inc)
+			poll_platform(node);
+	});
+	if (n.paused || !reaches_platform(n.zone))
+		return;
+	at(latency(), [=] {
+		std::vector<Change> news;
+		int64_t revision = revision_;
+
+		for (const Change &c : changes_) {
+			if (c.revision > nodes_[node].seen_revision)
+				news.push_back(c);
+		}
+		at(latency(), [=] {
+			to_node(node, inc, [=] {
+				ModelNode &m = nodes_[node];
+				struct event e = {};
+
+				for (const Change &c : news) {
+					e.type = c.deleted ?
+							 EVENT_RECORD_DELETED :
+							 EVENT_RECORD_PUT;
+					e.record = &c.record;
+					world_handle(m.world, &e, now_);
+				}
+				if (revision < m.seen_revision)
+					return;
+				m.seen_revision = revision;
+				e.type = EVENT_CONFIG_SYNCED;
+				e.synced = { revision, asked };
+				world_handle(m.world, &e, now_);
+			});
+		});
+	});
+}
+
+void Model::renew_lease(int node)
+{
+	ModelNode &n = nodes_[node];
+	uint64_t inc = n.incarnation;
+	int64_t asked = now_;
+
+	at(opts_.share_ttl_us / 3, [=] {
+		if (nodes_[node].incarnation == inc)
+			renew_lease(node);
+	});
+	if (n.paused || !reaches_platform(n.zone)) {
+		at(200 * US_PER_MS, [=] {
+			if (nodes_[node].incarnation == inc)
+				renew_lease(node);
+		});
+		return;
+	}
+	at(latency(), [=] {
+		ModelNode &m = nodes_[node];
+		struct record r = {};
+
+		if (m.incarnation != inc)
+			return;
+		m.lease_until_us = now_ + opts_.share_ttl_us;
+		r.kind = RECORD_MEMBER;
+		copy_name(r.member.name, m.name);
+		copy_name(r.member.zone, "zone" + std::to_string(m.zone));
+		snprintf(r.member.address, sizeof(r.member.address), "%s",
+			 m.name.c_str());
+		r.member.incarnation = inc;
+		auto it = store_.find("member/" + m.name);
+		if (it == store_.end() || it->second.member.incarnation != inc)
+			put(r);
+		at(latency(), [=] {
+			to_node(node, inc, [=] {
+				struct event e = {};
+
+				e.type = EVENT_LEASE;
+				e.lease = { asked, opts_.share_ttl_us };
+				world_handle(nodes_[node].world, &e, now_);
+			});
+		});
+	});
+}
+
+void Model::expire_leases()
+{
+	at(100 * US_PER_MS, [=] { expire_leases(); });
+	for (ModelNode &n : nodes_) {
+		if (n.lease_until_us && n.lease_until_us < now_) {
+			erase("member/" + n.name);
+			n.lease_until_us = 0;
+		}
+	}
+}
+
+/* Faults and operators. */
+
+void Model::refuse(int i)
+{
+	ModelEndpoint &e = endpoints_[i];
+
+	e.refuses = true;
+	for (size_t k = 0; k < nodes_.size(); k++) {
+		std::vector<uint32_t> ids;
+
+		for (auto &[id, c] : nodes_[k].conns) {
+			if (c->endpoint == i && c->open) {
+				c->open = false;
+				ids.push_back(id);
+			}
+		}
+		for (uint32_t id : ids)
+			to_node((int)k, nodes_[k].incarnation,
+				[=] { lost((int)k, id); });
+	}
+}
+
+void Model::silence(int i)
+{
+	for (ModelNode &n : nodes_) {
+		for (auto &[id, c] : n.conns) {
+			if (c->endpoint == i && c->open)
+				c->silent = true;
+		}
+	}
+}
+
+void Model::heal_endpoint(int i)
+{
+	endpoints_[i].frozen = false;
+	endpoints_[i].refuses = false;
+}
+
+void Model::set_lag(int i, int64_t us)
+{
+	endpoints_[i].lag_us = us;
+}
+
+void Model::set_leaving(int i, bool leaving)
+{
+	struct record r = {};
+
+	r.kind = RECORD_INSTANCE;
+	copy_name(r.instance.name, endpoints_[i].name);
+	r.instance.leaving = leaving;
+	endpoints_[i].leaving = leaving;
+	/* The platform's list lags. */
+	at(US_PER_S, [=] {
+		put(r);
+		endpoints_[i].leaving_revision = leaving ? revision_ : 0;
+	});
+}
+
+void Model::heal_all()
+{
+	cut_zones_.clear();
+	outage_ = false;
+	lose_ = 0;
+	drop_percent_ = 0;
+	for (int i = 0; i < 3; i++) {
+		heal_endpoint(i);
+		set_lag(i, 5 * US_PER_MS);
+		if (endpoints_[i].leaving)
+			set_leaving(i, false);
+	}
+	for (size_t i = 0; i < nodes_.size(); i++) {
+		if (nodes_[i].paused)
+			resume((int)i);
+		if (nodes_[i].drained)
+			crash((int)i);
+		start((int)i);
+	}
+}
+
+bool Model::withdraw_key(int node)
+{
+	ModelNode &n = nodes_[node];
+
+	if (!n.world || n.paused || !reaches_platform(n.zone) ||
+	    !world_may_accept_changes(n.world, now_) || !key_present_)
+		return false;
+	erase("key");
+	world_change_accepted(n.world, revision_);
+	key_present_ = false;
+	withdrawn_us_ = now_;
+	return true;
+}
+
+void Model::restore_key()
+{
+	if (key_present_)
+		return;
+	put(key_record_of());
+	key_present_ = true;
+}
+
+uint64_t Model::promotions() const
+{
+	uint64_t n = 0;
+
+	for (const ModelNode &m : nodes_) {
+		if (m.world)
+			n += world_report_group(m.world, 0).promotions;
+	}
+	return n;
+}
+
+int Model::primary() const
+{
+	int best = -1;
+
+	for (int i = 0; i < 3; i++) {
+		if (endpoints_[i].primary &&
+		    (best < 0 || endpoints_[i].current_term >
+					 endpoints_[best].current_term))
+			best = i;
+	}
+	return best;
+}
+
+void Model::check_final()
+{
+	std::map<int, int> orders;
+	int p = primary();
+
+	if (p < 0) {
+		oracle.violate("no primary after healing");
+		return;
+	}
+	for (const ModelEntry &n : endpoints_[p].log) {
+		if (n.order)
+			orders[n.order]++;
+	}
+	oracle.check_final(orders);
+	oracle.check_answers(50 * US_PER_MS);
+}
--- /dev/null
+++ b/tests/model.h
@@ -0,0 +1,228 @@
+/*
+ * model.h - several cores in virtual time, with a database group, the
+ * platform's key-value service and the network between them.
+ *
+ * Everything is driven by one seed. Faults are switched by the caller; the
+ * oracle in oracle.h judges the answers.
+ */
+#ifndef TESTS_MODEL_H
+#define TESTS_MODEL_H
+
+#include "oracle.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/world.h"
+#include "core/world_report.h"
+}
+
+/* One committed transaction in an endpoint's log; order 0: no order. */
+struct ModelEntry {
+	uint64_t term;
+	int order;
+	std::string request_id;
+};
+
+/* A database server: a log with terms, and connections. */
+struct ModelEndpoint {
+	std::string name;
+	int zone;
+	std::vector<ModelEntry> log;
+	uint64_t current_term = 1;
+	bool primary = false;
+	bool frozen = false; /* answers nothing */
+	bool refuses = false; /* refuses connections, ends open ones */
+	bool leaving = false;
+	int64_t leaving_revision = 0; /* of the list entry; 0: none */
+	int64_t lag_us = 5000;
+
+	struct position position() const;
+	struct endpoint_status status() const;
+};
+
+/* A connection of a node to an endpoint. */
+struct ModelConn {
+	int endpoint;
+	bool open = false;
+	bool silent = false; /* bytes are lost in both directions */
+	uint64_t transaction = 0; /* 0: none */
+	std::vector<int> buffer; /* orders of the open transaction */
+};
+
+struct ModelNode {
+	std::string name;
+	int zone;
+	struct world *world = nullptr;
+	uint64_t incarnation = 0;
+	bool paused = false;
+	std::map<uint32_t, std::shared_ptr<ModelConn>> conns;
+	int64_t seen_revision = 0; /* of the platform's changes */
+	int64_t lease_until_us = 0; /* at the platform */
+	bool drained = false;
+	std::vector<std::function<void()>> backlog; /* while paused */
+};
+
+struct ModelOpts {
+	int nodes = 3;
+	uint64_t seed = 1;
+	int64_t share_ttl_us = 60 * US_PER_S;
+};
+
+class Model
+{
+      public:
+	explicit Model(const ModelOpts &opts);
+	~Model();
+
+	/* Lets virtual time pass. */
+	void run(int64_t duration_us);
+	int64_t now() const
+	{
+		return now_;
+	}
+
+	/* Callers. `session` is a key of the oracle's sessions. */
+	int write(int node, int session, bool by_id, int64_t deadline_us);
+	int write_again(int node, int order, int64_t deadline_us);
+	int read(int node, int session, int64_t max_age_us,
+		 int64_t deadline_us);
+	/* Begins, writes two orders, commits; each step as it is answered. */
+	int transaction(int node, int session, bool by_id, int64_t deadline_us);
+
+	/* Faults. Zones are numbered; node i and endpoint i are in zone i. */
+	void crash(int node);
+	void start(int node);
+	void pause(int node)
+	{
+		nodes_[node].paused = true;
+	}
+	void resume(int node);
+	void freeze(int endpoint)
+	{
+		endpoints_[endpoint].frozen = true;
+	}
+	void refuse(int endpoint);
+	void silence(int endpoint); /* connections that are open now */
+	void heal_endpoint(int endpoint);
+	void set_lag(int endpoint, int64_t us);
+	void set_leaving(int endpoint, bool leaving);
+	void cut_zone(int zone)
+	{
+		cut_zones_.insert(zone);
+	}
+	void heal_zone(int zone)
+	{
+		cut_zones_.erase(zone);
+	}
+	void platform_outage(bool on)
+	{
+		outage_ = on;
+	}
+	void platform_lose(int n)
+	{
+		lose_ = n;
+	}
+	void drop_peers(int percent)
+	{
+		drop_percent_ = percent;
+	}
+	void heal_all();
+	void drain(int node);
+
+	/* Operators: through a node that accepts changes. */
+	bool withdraw_key(int node);
+	void restore_key();
+	bool key_present() const
+	{
+		return key_present_;
+	}
+
+	/* Checks the logs against the answers; call after heal_all(). */
+	void check_final();
+
+	Oracle oracle;
+	uint64_t promotions() const;
+	int primary() const;
+	bool drained(int node) const
+	{
+		return nodes_[node].drained;
+	}
+	const ModelEndpoint &endpoint(int i) const
+	{
+		return endpoints_[i];
+	}
+	struct world *world(int node)
+	{
+		return nodes_[node].world;
+	}
+	bool trace = false;
+
+      private:
+	using Fn = std::function<void()>;
+	struct Change {
+		int64_t revision;
+		bool deleted;
+		struct record record;
+	};
+
+	void at(int64_t delay_us, Fn fn);
+	void to_node(int node, uint64_t incarnation, Fn fn);
+	void step(int node);
+	void act(int node, const struct action &a);
+	void open(int node, const struct conn_open &o);
+	void exchange(int node, const struct exchange_start &x);
+	void execute(int node, std::shared_ptr<ModelConn> c,
+		     const struct exchange_start &x, struct exchange_result &r);
+	void execute_write(ModelEndpoint &e, const struct exchange_start &x,
+			   struct exchange_result &r);
+	void execute_commit(ModelEndpoint &e, ModelConn &c,
+			    const struct exchange_start &x,
+			    struct exchange_result &r);
+	void lost(int node, uint32_t conn_id);
+	bool reaches(int zone_a, int zone_b) const;
+	bool reaches_platform(int zone) const;
+	void peer(int node, const struct peer_message &m);
+	void platform(int node, const struct platform_start &p);
+	void apply_cas(const struct platform_start &p,
+		       struct platform_result &r);
+	void poll_platform(int node);
+	void renew_lease(int node);
+	void expire_leases();
+	void put(const struct record &r);
+	void erase(const std::string &path);
+	void replicate(int from, int to);
+	void receive(int to, int from, uint64_t term,
+		     const std::vector<ModelEntry> &log);
+	void reply(const struct reply &r);
+	struct request_opts request(const Call &c) const;
+	void submit(int node, int call);
+	int64_t latency();
+
+	ModelOpts opts_;
+	std::mt19937_64 rand_;
+	int64_t now_ = 1000 * US_PER_S;
+	uint64_t sequence_ = 0;
+	std::map<std::pair<int64_t, uint64_t>, Fn> due_;
+	std::vector<ModelNode> nodes_;
+	std::vector<ModelEndpoint> endpoints_;
+	std::set<int> cut_zones_;
+	bool outage_ = false;
+	int lose_ = 0;
+	int drop_percent_ = 0;
+	bool key_present_ = true;
+	int64_t withdrawn_us_ = 0;
+
+	int64_t revision_ = 0;
+	std::map<std::string, struct record> store_;
+	std::vector<Change> changes_;
+};
+
+#endif
--- /dev/null
+++ b/tests/oracle.cc
@@ -0,0 +1,121 @@
+#include "oracle.h"
+
+#include <sstream>
+
+Call &Oracle::add(Call c)
+{
+	c.caller_id = calls.size() + 1;
+	c.own = sessions[c.session].confirmed;
+	index_[c.caller_id] = calls.size();
+	calls.push_back(c);
+	return calls.back();
+}
+
+Call *Oracle::find(uint64_t caller_id)
+{
+	auto it = index_.find(caller_id);
+
+	return it == index_.end() ? nullptr : &calls[it->second];
+}
+
+void Oracle::violate(const std::string &text)
+{
+	violations.push_back(text);
+}
+
+/* A read shows the session's own writes and nothing older than allowed. */
+void Oracle::check_read(const Call &c, int64_t now_us)
+{
+	int64_t fresh_us = c.max_age_us ? now_us - c.max_age_us : c.sent_us;
+
+	for (int order : c.own) {
+		if (!c.seen.count(order))
+			violate("read " + std::to_string(c.caller_id) +
+				" misses the session's own order " +
+				std::to_string(order));
+	}
+	for (const auto &[at_us, order] : confirmed_) {
+		if (at_us < fresh_us && !c.seen.count(order))
+			violate("read " + std::to_string(c.caller_id) +
+				" is older than allowed: misses order " +
+				std::to_string(order));
+	}
+}
+
+void Oracle::answered(Call &c, const struct reply &r, int64_t now_us)
+{
+	if (c.answered) {
+		violate("call " + std::to_string(c.caller_id) +
+			" was answered twice");
+		return;
+	}
+	c.answered = true;
+	c.answered_us = now_us;
+	c.reply = r;
+	if (r.verdict == VERDICT_NOT_RUN)
+		not_run++;
+	else if (r.verdict == VERDICT_MAY_HAVE_RUN)
+		may_have_run++;
+	else
+		ran++;
+	if (r.verdict != VERDICT_RAN || r.error != ERR_NONE)
+		return;
+	if (c.key_was_withdrawn)
+		violate("call " + std::to_string(c.caller_id) +
+			" ran with a withdrawn key");
+	if (c.kind == REQUEST_READ)
+		check_read(c, now_us);
+	if ((c.kind == REQUEST_WRITE || c.kind == REQUEST_COMMIT) && c.order) {
+		confirmed_.emplace_back(now_us, c.order);
+		sessions[c.session].confirmed.insert(c.order);
+	}
+	Session &s = sessions[c.session];
+	s.token = position_max(s.token, r.session);
+}
+
+void Oracle::check_final(const std::map<int, int> &orders)
+{
+	std::map<int, bool> told_not_run; /* by every attempt */
+
+	for (const auto &[order, count] : orders) {
+		if (order && count > 1)
+			violate("order " + std::to_string(order) +
+				" is booked " + std::to_string(count) +
+				" times");
+	}
+	for (const auto &[at_us, order] : confirmed_) {
+		if (!orders.count(order))
+			violate("confirmed order " + std::to_string(order) +
+				" is lost");
+	}
+	for (const Call &c : calls) {
+		if (!c.repeatable && c.times_executed > 1)
+			violate("call " + std::to_string(c.caller_id) +
+				" is not repeatable and was sent twice");
+		if (c.kind != REQUEST_WRITE && c.kind != REQUEST_COMMIT)
+			continue;
+		bool not_run = c.answered && c.reply.verdict == VERDICT_NOT_RUN;
+		auto it = told_not_run.find(c.order);
+		if (it == told_not_run.end())
+			told_not_run[c.order] = not_run;
+		else
+			it->second = it->second && not_run;
+	}
+	for (const auto &[order, not_run] : told_not_run) {
+		if (order && not_run && orders.count(order))
+			violate("order " + std::to_string(order) +
+				" was answered not_run and is booked");
+	}
+}
+
+void Oracle::check_answers(int64_t slack_us)
+{
+	for (const Call &c : calls) {
+		if (!c.answered)
+			violate("call " + std::to_string(c.caller_id) +
+				" was never answered");
+		else if (!c.excused && c.answered_us > c.deadline_us + slack_us)
+			violate("call " + std::to_string(c.caller_id) +
+				" was answered late");
+	}
+}
