Tests of the endpoint stand-in and the libpq link

Cause: transactions, terms, replication and connection faults had no test; one of them showed that COMMIT of a transaction which a raised term had aborted was reported as an SQL error. Change: state steps report a not-primary refusal like writes do; muted sessions do not count against the limit of connections.

--- a/src/postgres/pg_exchange.c
+++ b/src/postgres/pg_exchange.c
@@ -259,8 +259,8 @@
 
 static const struct step_ops ops[STEP_COUNT] = {
 	[STEP_SYNC] = { send_sync, take_nothing, fail_plain, NULL },
-	[STEP_STATE_BEFORE] = { send_state, take_before, fail_plain, NULL },
-	[STEP_STATE_AFTER] = { send_state, take_after, fail_plain, NULL },
+	[STEP_STATE_BEFORE] = { send_state, take_before, fail_write, NULL },
+	[STEP_STATE_AFTER] = { send_state, take_after, fail_write, NULL },
 	[STEP_RAISE_TERM] = { send_raise_term, take_after, fail_plain, NULL },
 	[STEP_PROMOTE] = { send_promote, take_after, fail_promote, NULL },
 	[STEP_BEGIN] = { send_begin, take_nothing, fail_write, NULL },
--- a/standin/endpoint/engine.c
+++ b/standin/endpoint/engine.c
@@ -298,6 +298,14 @@
 	g_ptr_array_index(values, (guint)column) = g_strdup(text);
 }
 
+static bool has_key(const struct table *t, const GPtrArray *values)
+{
+	for (uint32_t i = 0; i < table_key_columns(t); i++)
+		if (!row_value(values, (int32_t)i))
+			return false;
+	return true;
+}
+
 static void run_insert(struct engine *e, const struct engine_call *c,
 		       struct engine_result *out)
 {
@@ -309,6 +317,11 @@
 	for (uint32_t i = 0; i < st->column_count; i++)
 		set_value(values, table_column(t, st->columns[i], true),
 			  operand_text(c, &st->operands[i]));
+	if (!has_key(t, values)) {
+		g_ptr_array_free(values, TRUE);
+		engine_error(out, SQLSTATE_NOT_NULL, "key column is null");
+		return;
+	}
 	if (check_outcome(store_insert(t, c->transaction, values), t, c, out))
 		out->tag = "INSERT 0 1";
 }
--- a/standin/endpoint/session.c
+++ b/standin/endpoint/session.c
@@ -97,6 +97,7 @@
 void session_mute(struct session *s)
 {
 	s->muted = true;
+	s->counted = false;
 	stream_mute(s->stream);
 	if (!s->waiting)
 		rollback(s);
--- a/standin/endpoint/session.h
+++ b/standin/endpoint/session.h
@@ -14,7 +14,8 @@
 
 /*
  * The client gets no byte any more and none of its bytes is read; what was
- * read already still runs. The connection stays open.
+ * read already still runs. The connection stays open, but does not count
+ * against the limit of connections.
  */
 void session_mute(struct session *s);
 
--- /dev/null
+++ b/tests/endpoint_test.cc
@@ -0,0 +1,197 @@
+/* The stand-in's replicated log, seen through pg_link. */
+#include "pg_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+/* Three endpoints that know each other; the first may be primary. */
+struct Group {
+	explicit Group(const std::vector<std::string> &args = {})
+	{
+		for (uint32_t i = 0; i < 3; i++)
+			members.push_back(std::make_unique<Endpoint>(args));
+		for (uint32_t i = 0; i < 3; i++)
+			set_peers(i);
+		for (uint32_t i = 0; i < 3; i++)
+			link.open_wait(i + 1, *members[i]);
+	}
+
+	void set_peers(uint32_t i)
+	{
+		std::string command = "peers";
+
+		for (uint32_t k = 0; k < 3; k++)
+			if (k != i)
+				command += " " + members[k]->process.address(
+							 "replication");
+		members[i]->control.ask(command);
+	}
+
+	struct exchange_result promote(uint32_t i, uint64_t term)
+	{
+		return link.run(i + 1, PLAN_PROMOTE, {}, term);
+	}
+
+	struct exchange_result insert(uint32_t i, const std::string &id)
+	{
+		return link.run(i + 1, PLAN_WRITE,
+				{ "INSERT INTO orders (id) VALUES ($1)",
+				  "[\"" + id + "\"]" });
+	}
+
+	bool wait_state(uint32_t i, const std::string &field,
+			const std::string &value)
+	{
+		return link.wait(
+			[&] { return members[i]->state(field) == value; });
+	}
+
+	std::string ask(uint32_t i, const std::string &command)
+	{
+		return members[i]->control.ask(command);
+	}
+
+	std::vector<std::string> log(uint32_t i)
+	{
+		return members[i]->control.ask_lines("log");
+	}
+
+	std::vector<std::unique_ptr<Endpoint>> members;
+	Link link;
+};
+
+TEST(EndpointGroup, ReplicasFollowThePrimary)
+{
+	Group g;
+
+	EXPECT_EQ(RESULT_OK, g.promote(0, 1).status);
+	for (int i = 0; i < 50; i++)
+		ASSERT_EQ(RESULT_OK, g.insert(0, std::to_string(i)).status);
+	for (uint32_t i = 1; i < 3; i++) {
+		EXPECT_TRUE(g.wait_state(i, "last_offset", "51"));
+		EXPECT_EQ("1", g.members[i]->state("current_term"));
+		EXPECT_EQ("ok 50", g.ask(i, "count orders"));
+		EXPECT_EQ(RESULT_NOT_PRIMARY, g.insert(i, "x").status);
+	}
+}
+
+TEST(EndpointGroup, SecondPrimaryOfATermIsRefused)
+{
+	Group g;
+
+	EXPECT_EQ(RESULT_OK, g.promote(0, 1).status);
+	EXPECT_TRUE(g.wait_state(1, "last_offset", "1"));
+	EXPECT_EQ(RESULT_NOT_PRIMARY, g.promote(1, 1).status);
+}
+
+/* The lag is that of the primary or of the replica, whichever is more. */
+struct LagCase {
+	const char *name;
+	uint32_t lagging; /* member that is told to lag */
+	const char *offset; /* of member 1 meanwhile */
+};
+
+const LagCase lag_cases[] = {
+	{ "primary", 0, "1" },
+	{ "replica", 1, "1" },
+	{ "other replica", 2, "2" },
+};
+
+TEST(EndpointGroup, Lag)
+{
+	for (const LagCase &c : lag_cases) {
+		SCOPED_TRACE(c.name);
+		Group g;
+
+		g.promote(0, 1);
+		EXPECT_TRUE(g.wait_state(1, "last_offset", "1"));
+		EXPECT_TRUE(g.wait_state(2, "last_offset", "1"));
+		g.ask(c.lagging, "lag 60000");
+		/* A new connection tells the primary of the replica's lag. */
+		g.ask(0, "cut peers");
+		g.ask(0, "heal peers");
+		EXPECT_EQ(2u, g.insert(0, "a").after.position.offset);
+		EXPECT_TRUE(g.wait_state(1, "last_offset", c.offset));
+		g.link.turns(100);
+		EXPECT_EQ(c.offset, g.members[1]->state("last_offset"));
+		g.ask(c.lagging, "lag 0");
+		EXPECT_TRUE(g.wait_state(1, "last_offset", "2"));
+	}
+}
+
+TEST(EndpointGroup, ReplacedPrimaryLosesItsDivergentTail)
+{
+	Group g;
+
+	g.promote(0, 1);
+	g.insert(0, "both");
+	EXPECT_TRUE(g.wait_state(1, "last_offset", "2"));
+	EXPECT_TRUE(g.wait_state(2, "last_offset", "2"));
+	g.ask(0, "cut peers");
+	g.insert(0, "lost 1");
+	g.insert(0, "lost 2");
+	g.insert(0, "lost 3");
+	g.link.run(2, PLAN_RAISE_TERM, {}, 2);
+	EXPECT_EQ(RESULT_OK, g.promote(1, 2).status);
+	g.insert(1, "kept");
+	EXPECT_TRUE(g.wait_state(2, "last_offset", "4"));
+	EXPECT_EQ("primary", g.members[0]->state("role"));
+	EXPECT_EQ("5", g.members[0]->state("last_offset"));
+	g.ask(0, "heal peers");
+	EXPECT_TRUE(g.wait_state(0, "last_term", "2"));
+	EXPECT_TRUE(g.wait_state(0, "last_offset", "4"));
+	EXPECT_EQ("replica", g.members[0]->state("role"));
+	EXPECT_EQ(g.log(1), g.log(0));
+	EXPECT_EQ("ok 2", g.ask(0, "count orders"));
+	EXPECT_EQ(RESULT_NOT_PRIMARY, g.insert(0, "late").status);
+}
+
+TEST(EndpointGroup, PrimaryStepsDownWhenAPeerKnowsALaterTerm)
+{
+	Group g;
+
+	g.promote(0, 1);
+	EXPECT_TRUE(g.wait_state(2, "last_offset", "1"));
+	g.link.run(3, PLAN_RAISE_TERM, {}, 5);
+	EXPECT_TRUE(g.wait_state(0, "role", "replica"));
+	EXPECT_EQ("5", g.members[0]->state("current_term"));
+	EXPECT_EQ("1", g.members[0]->state("last_offset"));
+}
+
+TEST(EndpointGroup, FrozenReplicaCatchesUp)
+{
+	Group g;
+
+	g.promote(0, 1);
+	EXPECT_TRUE(g.wait_state(1, "last_offset", "1"));
+	g.ask(1, "freeze");
+	for (int i = 0; i < 1000; i++)
+		ASSERT_EQ(RESULT_OK, g.insert(0, std::to_string(i)).status);
+	EXPECT_TRUE(g.wait_state(2, "last_offset", "1001"));
+	EXPECT_EQ("1", g.members[1]->state("last_offset"));
+	g.ask(1, "resume");
+	EXPECT_TRUE(g.wait_state(1, "last_offset", "1001"));
+	EXPECT_EQ(g.members[0]->control.ask_lines("dump orders"),
+		  g.members[1]->control.ask_lines("dump orders"));
+}
+
+TEST(EndpointGroup, PlansAfterAFailoverFindTheRecordedRequest)
+{
+	Group g;
+	const Sql order = { "INSERT INTO orders (id) VALUES ('o1')", "[]",
+			    "r1" };
+
+	g.promote(0, 1);
+	EXPECT_EQ(RESULT_OK, g.link.run(1, PLAN_WRITE_BY_ID, order).status);
+	EXPECT_TRUE(g.wait_state(1, "last_offset", "2"));
+	g.members[0]->process.stop();
+	EXPECT_EQ(RESULT_OK, g.promote(1, 2).status);
+	EXPECT_EQ(RESULT_DUPLICATE,
+		  g.link.run(2, PLAN_WRITE_BY_ID, order).status);
+	EXPECT_EQ(RESULT_OK, g.link.run(2, PLAN_LOOKUP, order).status);
+	EXPECT_EQ("ok 1", g.ask(1, "count orders"));
+}
+
+} // namespace
--- a/tests/pg_fixture.cc
+++ b/tests/pg_fixture.cc
@@ -122,13 +122,22 @@
 struct exchange_result Link::run(uint32_t conn_id, enum exchange_plan plan,
 				 const Sql &sql, uint64_t term)
 {
-	size_t had = events.size();
+	struct exchange_result out = {};
+	uint64_t exchange = start(conn_id, plan, sql, term);
+	auto ended = [&] {
+		for (const struct event &e : events) {
+			if (e.type != EVENT_RESULT ||
+			    e.result.exchange != exchange)
+				continue;
+			out = e.result;
+			return true;
+		}
+		return false;
+	};
 
-	start(conn_id, plan, sql, term);
-	EXPECT_TRUE(wait([&] { return events.size() > had; }));
-	EXPECT_EQ(EVENT_RESULT, events.back().type);
-	EXPECT_EQ(last_exchange_, events.back().result.exchange);
-	return events.back().result;
+	EXPECT_TRUE(wait(ended));
+	EXPECT_EQ(conn_id, out.conn_id);
+	return out;
 }
 
 bool Link::wait(const std::function<bool()> &condition)
--- a/tests/pg_fixture.h
+++ b/tests/pg_fixture.h
@@ -50,7 +50,7 @@
 	/* Starts an exchange and returns its number. */
 	uint64_t start(uint32_t conn_id, enum exchange_plan plan,
 		       const Sql &sql = {}, uint64_t term = 0);
-	/* The same, and waits for its end, or for CONN_LOST. */
+	/* The same, and waits for its result. */
 	struct exchange_result run(uint32_t conn_id, enum exchange_plan plan,
 				   const Sql &sql = {}, uint64_t term = 0);
 	/* Runs the loop until the condition holds; false after the cap. */
--- a/tests/pg_link_test.cc
+++ b/tests/pg_link_test.cc
@@ -12,6 +12,11 @@
 const Sql select_orders = { "SELECT id, qty FROM orders WHERE item = $1",
 			    "[\"oak\"]" };
 
+/* Text of a result without rows. */
+#define CHANGED(command, rows)                                 \
+	"{\"command\":\"" command "\",\"rows_affected\":" rows \
+	",\"columns\":[],\"rows\":[]}"
+
 /* One exchange after those of the rows before, on the same connection. */
 struct PlanCase {
 	const char *name;
@@ -32,8 +37,7 @@
 	  PLAN_WRITE,
 	  { "INSERT INTO stock (item, qty) VALUES ('oak', 10)" },
 	  RESULT_OK,
-	  "{\"command\":\"INSERT\",\"rows_affected\":1,"
-	  "\"columns\":[],\"rows\":[]}",
+	  CHANGED("INSERT", "1"),
 	  "" },
 	{ "write with a duplicate key",
 	  PLAN_WRITE,
@@ -44,15 +48,11 @@
 	{ "lookup before the write", PLAN_LOOKUP, insert_order,
 	  RESULT_NOT_FOUND, "", "" },
 	{ "write by id", PLAN_WRITE_BY_ID, insert_order, RESULT_OK,
-	  "{\"command\":\"INSERT\",\"rows_affected\":1,"
-	  "\"columns\":[],\"rows\":[]}",
-	  "" },
+	  CHANGED("INSERT", "1"), "" },
 	{ "the same write again", PLAN_WRITE_BY_ID, insert_order,
 	  RESULT_DUPLICATE, nullptr, "23505" },
 	{ "lookup", PLAN_LOOKUP, insert_order, RESULT_OK,
-	  "{\"command\":\"INSERT\",\"rows_affected\":1,"
-	  "\"columns\":[],\"rows\":[]}",
-	  "" },
+	  CHANGED("INSERT", "1"), "" },
 	{ "lookup with another content",
 	  PLAN_LOOKUP,
 	  { "DELETE FROM stock", "[]", "r1" },
@@ -82,16 +82,14 @@
 	  { "UPDATE stock SET qty = qty - $1 WHERE item = $2 AND qty >= $1",
 	    "[3, \"oak\"]" },
 	  RESULT_OK,
-	  "{\"command\":\"UPDATE\",\"rows_affected\":1,"
-	  "\"columns\":[],\"rows\":[]}",
+	  CHANGED("UPDATE", "1"),
 	  "" },
 	{ "update whose condition fails",
 	  PLAN_WRITE,
 	  { "UPDATE stock SET qty = qty - $1 WHERE item = $2 AND qty >= $1",
 	    "[8, \"oak\"]" },
 	  RESULT_OK,
-	  "{\"command\":\"UPDATE\",\"rows_affected\":0,"
-	  "\"columns\":[],\"rows\":[]}",
+	  CHANGED("UPDATE", "0"),
 	  "" },
 	{ "read",
 	  PLAN_READ,
@@ -140,26 +138,454 @@
 	  "" },
 };
 
+const Sql take_oak = { "UPDATE stock SET qty = qty - $1 WHERE item = $2",
+		       "[1, \"oak\"]" };
+const Sql count_stock = { "SELECT count(*) FROM stock" };
+const Sql commit_by_id = { "", "[]", "c1" };
+
+const PlanCase transaction_cases[] = {
+	{ "stock",
+	  PLAN_WRITE,
+	  { "INSERT INTO stock (item, qty) VALUES ('oak', 10)" },
+	  RESULT_OK,
+	  CHANGED("INSERT", "1"),
+	  "" },
+	{ "begin", PLAN_BEGIN, {}, RESULT_OK, "", "" },
+	{ "change", PLAN_STATEMENT, take_oak, RESULT_OK, CHANGED("UPDATE", "1"),
+	  "" },
+	{ "read in the transaction", PLAN_STATEMENT, count_stock, RESULT_OK,
+	  nullptr, "" },
+	{ "rollback", PLAN_ROLLBACK, {}, RESULT_OK, "", "" },
+	{ "nothing was changed",
+	  PLAN_READ,
+	  { "SELECT qty FROM stock" },
+	  RESULT_OK,
+	  "{\"command\":\"SELECT\",\"rows_affected\":1,"
+	  "\"columns\":[\"qty\"],\"rows\":[[\"10\"]]}",
+	  "" },
+	{ "begin again", PLAN_BEGIN, {}, RESULT_OK, "", "" },
+	{ "change again", PLAN_STATEMENT, take_oak, RESULT_OK,
+	  CHANGED("UPDATE", "1"), "" },
+	{ "commit by id", PLAN_COMMIT, commit_by_id, RESULT_OK,
+	  CHANGED("COMMIT", "0"), "" },
+	{ "lookup of the commit", PLAN_LOOKUP, commit_by_id, RESULT_OK,
+	  CHANGED("COMMIT", "0"), "" },
+	{ "begin a third time", PLAN_BEGIN, {}, RESULT_OK, "", "" },
+	{ "change to be undone", PLAN_STATEMENT, take_oak, RESULT_OK,
+	  CHANGED("UPDATE", "1"), "" },
+	{ "commit by the same id", PLAN_COMMIT, commit_by_id, RESULT_DUPLICATE,
+	  nullptr, "23505" },
+	{ "the duplicate changed nothing",
+	  PLAN_READ,
+	  { "SELECT qty FROM stock" },
+	  RESULT_OK,
+	  "{\"command\":\"SELECT\",\"rows_affected\":1,"
+	  "\"columns\":[\"qty\"],\"rows\":[[\"9\"]]}",
+	  "" },
+	{ "begin to fail", PLAN_BEGIN, {}, RESULT_OK, "", "" },
+	{ "failing statement",
+	  PLAN_STATEMENT,
+	  { "SELECT a FROM nowhere" },
+	  RESULT_SQL_ERROR,
+	  nullptr,
+	  "42P01" },
+	{ "statement after the failure", PLAN_STATEMENT, count_stock,
+	  RESULT_SQL_ERROR, nullptr, "25P02" },
+	{ "refused statement after the failure",
+	  PLAN_STATEMENT,
+	  { "COMMIT" },
+	  RESULT_SQL_ERROR,
+	  nullptr,
+	  "0A000" },
+	{ "commit after the failure",
+	  PLAN_COMMIT,
+	  { "", "[]", "c2" },
+	  RESULT_SQL_ERROR,
+	  nullptr,
+	  "25P02" },
+	{ "the id was not recorded",
+	  PLAN_LOOKUP,
+	  { "", "[]", "c2" },
+	  RESULT_NOT_FOUND,
+	  "",
+	  "" },
+	{ "begin to roll back", PLAN_BEGIN, {}, RESULT_OK, "", "" },
+	{ "failing statement again",
+	  PLAN_STATEMENT,
+	  { "SELECT" },
+	  RESULT_SQL_ERROR,
+	  nullptr,
+	  "42601" },
+	{ "rollback after the failure", PLAN_ROLLBACK, {}, RESULT_OK, "", "" },
+	{ "begin to commit", PLAN_BEGIN, {}, RESULT_OK, "", "" },
+	{ "last change", PLAN_STATEMENT, take_oak, RESULT_OK,
+	  CHANGED("UPDATE", "1"), "" },
+	{ "commit without id",
+	  PLAN_COMMIT,
+	  {},
+	  RESULT_OK,
+	  CHANGED("COMMIT", "0"),
+	  "" },
+	{ "the change is there",
+	  PLAN_READ,
+	  { "SELECT qty FROM stock" },
+	  RESULT_OK,
+	  "{\"command\":\"SELECT\",\"rows_affected\":1,"
+	  "\"columns\":[\"qty\"],\"rows\":[[\"8\"]]}",
+	  "" },
+};
+
+void run_cases(Link &l, uint32_t conn_id, const PlanCase *cases, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		const PlanCase &c = cases[i];
+		SCOPED_TRACE(c.name);
+		struct exchange_result r = l.run(conn_id, c.plan, c.sql);
+
+		EXPECT_EQ(c.status, r.status) << l.result();
+		EXPECT_EQ(c.sqlstate, l.sqlstate());
+		EXPECT_EQ(c.result ? c.result : l.result(), l.result());
+		EXPECT_EQ(ROLE_PRIMARY, r.before.role);
+		EXPECT_EQ(3u, r.after.current_term);
+		EXPECT_TRUE(
+			position_covers(r.after.position, r.before.position));
+	}
+}
+
 TEST(PgLink, Plans)
 {
 	Endpoint e({ "--primary-term", "3", "--password", "secret" });
 	Link l;
 
 	l.open_wait(1, e);
-	for (const PlanCase &c : plan_cases) {
+	run_cases(l, 1, plan_cases, std::size(plan_cases));
+}
+
+TEST(PgLink, Transactions)
+{
+	Endpoint e({ "--primary-term", "3" });
+	Link l;
+
+	l.open_wait(1, e);
+	run_cases(l, 1, transaction_cases, std::size(transaction_cases));
+}
+
+/* What a replica in term 2 answers, with nothing changed afterwards. */
+struct ReplicaCase {
+	const char *name;
+	enum exchange_plan plan;
+	Sql sql;
+	enum result_status status;
+};
+
+const ReplicaCase replica_cases[] = {
+	{ "write", PLAN_WRITE, insert_order, RESULT_NOT_PRIMARY },
+	{ "write that only reads", PLAN_WRITE, count_stock,
+	  RESULT_NOT_PRIMARY },
+	{ "write by id", PLAN_WRITE_BY_ID, insert_order, RESULT_NOT_PRIMARY },
+	{ "read", PLAN_READ, count_stock, RESULT_OK },
+	{ "write in a read", PLAN_READ, insert_order, RESULT_SQL_ERROR },
+	{ "begin", PLAN_BEGIN, {}, RESULT_OK },
+	{ "write in the transaction", PLAN_STATEMENT, insert_order,
+	  RESULT_NOT_PRIMARY },
+	{ "rollback", PLAN_ROLLBACK, {}, RESULT_OK },
+	{ "lookup", PLAN_LOOKUP, insert_order, RESULT_NOT_FOUND },
+};
+
+TEST(PgLink, Replica)
+{
+	Endpoint e;
+	Link l;
+
+	l.open_wait(1, e);
+	l.run(1, PLAN_RAISE_TERM, {}, 2);
+	for (const ReplicaCase &c : replica_cases) {
 		SCOPED_TRACE(c.name);
 		struct exchange_result r = l.run(1, c.plan, c.sql);
 
 		EXPECT_EQ(c.status, r.status) << l.result();
-		EXPECT_EQ(c.sqlstate, l.sqlstate());
-		if (c.result) {
-			EXPECT_EQ(c.result, l.result());
-		}
-		EXPECT_EQ(ROLE_PRIMARY, r.before.role);
-		EXPECT_EQ(3u, r.after.current_term);
-		EXPECT_TRUE(
-			position_covers(r.after.position, r.before.position));
+		EXPECT_EQ(ROLE_REPLICA, r.after.role);
+		EXPECT_EQ(2u, r.after.current_term);
+		EXPECT_EQ(0u, r.after.position.offset);
 	}
+	EXPECT_EQ("ok 0", e.control.ask("count orders"));
+	EXPECT_EQ("ok 0", e.control.ask("count zl_request"));
+}
+
+struct TermCase {
+	const char *name;
+	enum exchange_plan plan;
+	uint64_t term;
+	enum result_status status;
+	uint64_t current_term;
+	enum endpoint_role role;
+	uint64_t offset; /* of the last entry */
+};
+
+const TermCase term_cases[] = {
+	{ "raise", PLAN_RAISE_TERM, 4, RESULT_OK, 4, ROLE_REPLICA, 0 },
+	{ "raise to less", PLAN_RAISE_TERM, 3, RESULT_OK, 4, ROLE_REPLICA, 0 },
+	{ "promote behind", PLAN_PROMOTE, 3, RESULT_NOT_PRIMARY, 4,
+	  ROLE_REPLICA, 0 },
+	{ "promote", PLAN_PROMOTE, 4, RESULT_OK, 4, ROLE_PRIMARY, 1 },
+	{ "promote again", PLAN_PROMOTE, 4, RESULT_OK, 4, ROLE_PRIMARY, 1 },
+	{ "raise to the same", PLAN_RAISE_TERM, 4, RESULT_OK, 4, ROLE_PRIMARY,
+	  1 },
+	{ "raise a primary", PLAN_RAISE_TERM, 5, RESULT_OK, 5, ROLE_REPLICA,
+	  1 },
+	{ "promote ahead", PLAN_PROMOTE, 9, RESULT_OK, 9, ROLE_PRIMARY, 2 },
+};
+
+TEST(PgLink, Terms)
+{
+	Endpoint e;
+	Link l;
+
+	l.open_wait(1, e);
+	for (const TermCase &c : term_cases) {
+		SCOPED_TRACE(c.name);
+		struct exchange_result r = l.run(1, c.plan, {}, c.term);
+
+		EXPECT_EQ(c.status, r.status);
+		EXPECT_EQ(c.current_term, r.after.current_term);
+		EXPECT_EQ(c.role, r.after.role);
+		EXPECT_EQ(c.offset, r.after.position.offset);
+	}
+}
+
+TEST(PgLink, RaisedTermAbortsOpenTransaction)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+	struct exchange_result r;
+
+	l.open_wait(1, e);
+	l.open_wait(2, e);
+	l.run(1, PLAN_BEGIN);
+	l.run(1, PLAN_STATEMENT, insert_order);
+	l.run(2, PLAN_RAISE_TERM, {}, 2);
+	r = l.run(1, PLAN_COMMIT, { "", "[]", "c1" });
+	EXPECT_EQ(RESULT_NOT_PRIMARY, r.status);
+	EXPECT_EQ(2u, r.after.current_term);
+	EXPECT_EQ("ok 0", e.control.ask("count orders"));
+	EXPECT_EQ(RESULT_OK, l.run(1, PLAN_READ, count_stock).status);
+}
+
+TEST(PgLink, ConflictingRowsFailAtOnce)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.open_wait(2, e);
+	l.run(1, PLAN_BEGIN);
+	EXPECT_EQ(RESULT_OK, l.run(1, PLAN_STATEMENT, insert_order).status);
+	EXPECT_EQ(RESULT_SQL_ERROR, l.run(2, PLAN_WRITE, insert_order).status);
+	EXPECT_EQ("40001", l.sqlstate());
+	EXPECT_EQ(RESULT_OK, l.run(1, PLAN_COMMIT).status);
+	EXPECT_EQ(RESULT_SQL_ERROR, l.run(2, PLAN_WRITE, insert_order).status);
+	EXPECT_EQ("23505", l.sqlstate());
+}
+
+TEST(PgLink, TooLargeResult)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l(1000);
+	const Sql by_id = { "SELECT * FROM orders", "[]", "r9" };
+
+	l.open_wait(1, e);
+	for (int i = 0; i < 100; i++) {
+		Sql s = { "INSERT INTO orders (id, item) VALUES ($1, $2)" };
+
+		s.params = "[" + std::to_string(i) + ", \"oak board\"]";
+		ASSERT_EQ(RESULT_OK, l.run(1, PLAN_WRITE, s).status);
+	}
+	EXPECT_EQ(RESULT_TOO_LARGE, l.run(1, PLAN_READ, by_id).status);
+	EXPECT_EQ("", l.result());
+	EXPECT_EQ(RESULT_TOO_LARGE, l.run(1, PLAN_WRITE_BY_ID, by_id).status);
+	EXPECT_EQ(RESULT_DUPLICATE, l.run(1, PLAN_WRITE_BY_ID, by_id).status);
+	EXPECT_EQ(RESULT_TOO_LARGE, l.run(1, PLAN_LOOKUP, by_id).status);
+	EXPECT_EQ(RESULT_OK,
+		  l.run(1, PLAN_READ, { "SELECT count(*) FROM orders" }).status);
+}
+
+/* Attempts to connect that fail. */
+struct ConnectCase {
+	const char *name;
+	const char *argument; /* of the endpoint */
+	const char *value;
+	const char *command; /* to the endpoint beforehand */
+	const char *address; /* NULL: the endpoint's */
+	int64_t timeout_us;
+};
+
+const ConnectCase connect_cases[] = {
+	{ "nobody listens", "--name", "a", "state", "127.0.0.1:1", 5000000 },
+	{ "bad address", "--name", "a", "state", "nowhere", 5000000 },
+	{ "no port", "--name", "a", "state", "127.0.0.1:", 5000000 },
+	{ "wrong password", "--password", "other", "state", nullptr, 5000000 },
+	{ "frozen", "--name", "a", "freeze", nullptr, 50000 },
+	{ "slow login", "--connect-delay-ms", "60000", "state", nullptr,
+	  50000 },
+	{ "no connection is free", "--connections-max", "0", "state", nullptr,
+	  5000000 },
+	{ "clients are cut", "--name", "a", "cut clients", nullptr, 5000000 },
+};
+
+TEST(PgLink, ConnectFailures)
+{
+	for (const ConnectCase &c : connect_cases) {
+		SCOPED_TRACE(c.name);
+		Endpoint e({ c.argument, c.value });
+		Link l(1000, c.timeout_us);
+
+		e.control.ask(c.command);
+		l.open_address(1, c.address ? c.address :
+					      e.process.address("listen"));
+		EXPECT_EQ(0u, l.events.size());
+		EXPECT_TRUE(l.wait([&] { return l.lost(1); }));
+		l.turns(5);
+		EXPECT_EQ(1u, l.events.size());
+	}
+}
+
+TEST(PgLink, ConnectionsMaxCountsOpenOnes)
+{
+	Endpoint e({ "--connections-max", "2" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.open_wait(2, e);
+	l.open(3, e);
+	EXPECT_TRUE(l.wait([&] { return l.lost(3); }));
+	l.close(1);
+	EXPECT_TRUE(l.wait([&] { return e.state("connections") == "1"; }));
+	l.open_wait(3, e);
+	EXPECT_EQ(RESULT_OK, l.run(3, PLAN_PROBE).status);
+}
+
+/* Loss of a connection while an exchange is in progress. */
+struct LossCase {
+	const char *name;
+	const char *command;
+};
+
+const LossCase loss_cases[] = {
+	{ "connection cut", "cut clients" },
+	{ "process dead", "kill" },
+};
+
+TEST(PgLink, LossDuringExchange)
+{
+	for (const LossCase &c : loss_cases) {
+		SCOPED_TRACE(c.name);
+		Endpoint e({ "--primary-term", "1" });
+		Link l;
+
+		l.open_wait(1, e);
+		l.open_wait(2, e);
+		l.start(1, PLAN_READ, { "SELECT zl_sleep(60000)" });
+		l.turns(5);
+		e.control.ask(c.command);
+		EXPECT_TRUE(l.wait([&] { return l.lost(1) && l.lost(2); }));
+		EXPECT_EQ(0u, l.count(EVENT_RESULT));
+		EXPECT_EQ(2u, l.count(EVENT_CONN_LOST));
+	}
+}
+
+TEST(PgLink, ExchangeOnUnusableConnectionIsLost)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.start(1, PLAN_READ, { "SELECT zl_sleep(60000)" });
+	l.start(1, PLAN_PROBE);
+	EXPECT_EQ(0u, l.count(EVENT_CONN_LOST));
+	EXPECT_TRUE(l.wait([&] { return l.lost(1); }));
+	EXPECT_EQ(0u, l.count(EVENT_RESULT));
+}
+
+TEST(PgLink, SilentConnections)
+{
+	Endpoint e({ "--primary-term", "1", "--connections-max", "2" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.open_wait(2, e);
+	e.control.ask("silent");
+	l.start(1, PLAN_WRITE, insert_order);
+	l.start(2, PLAN_PROBE);
+	l.open_wait(3, e);
+	EXPECT_EQ(RESULT_OK, l.run(3, PLAN_PROBE).status);
+	EXPECT_EQ(1u, l.count(EVENT_RESULT));
+	EXPECT_EQ("ok 0", e.control.ask("count orders"));
+}
+
+TEST(PgLink, SilenceAfterTheWriteWasRead)
+{
+	Endpoint e({ "--primary-term", "1", "--service-us", "20000" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.start(1, PLAN_WRITE, insert_order);
+	EXPECT_TRUE(l.wait([&] { return e.state("statements") == "1"; }));
+	e.control.ask("silent");
+	EXPECT_TRUE(l.wait(
+		[&] { return e.control.ask("count orders") == "ok 1"; }));
+	l.turns(5);
+	EXPECT_EQ(0u, l.count(EVENT_RESULT));
+}
+
+TEST(PgLink, ReusedIdGetsNoEventOfTheOldConnection)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+	uint64_t old;
+	struct exchange_result r;
+
+	l.open_wait(1, e);
+	old = l.start(1, PLAN_READ, { "SELECT zl_sleep(20)" });
+	l.turns(2);
+	l.close(1);
+	l.open_wait(1, e);
+	r = l.run(1, PLAN_READ, { "SELECT zl_sleep(40)" });
+	EXPECT_NE(old, r.exchange);
+	EXPECT_EQ(1u, l.count(EVENT_RESULT));
+	EXPECT_EQ(0u, l.count(EVENT_CONN_LOST));
+}
+
+TEST(PgLink, StatementsQueueForSlots)
+{
+	Endpoint e({ "--primary-term", "1", "--slots", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.open_wait(2, e);
+	l.open_wait(3, e);
+	l.start(1, PLAN_READ, { "SELECT zl_sleep(30)" });
+	l.turns(5);
+	l.start(2, PLAN_READ, count_stock);
+	EXPECT_EQ(RESULT_OK, l.run(3, PLAN_PROBE).status);
+	EXPECT_TRUE(l.wait([&] { return l.count(EVENT_RESULT) == 3; }));
+	EXPECT_EQ(1u, l.events[l.events.size() - 2].result.conn_id);
+	EXPECT_EQ(2u, l.events.back().result.conn_id);
+}
+
+TEST(PgLink, FrozenEndpointAnswersAfterwards)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	e.control.ask("freeze");
+	l.start(1, PLAN_WRITE, insert_order);
+	l.turns(20);
+	EXPECT_EQ(0u, l.count(EVENT_RESULT));
+	EXPECT_EQ("ok 0", e.control.ask("count orders"));
+	e.control.ask("resume");
+	EXPECT_TRUE(l.wait([&] { return l.count(EVENT_RESULT) == 1; }));
+	EXPECT_EQ(RESULT_OK, l.events.back().result.status);
 }
 
 } // namespace
