--- /dev/null
+++ b/fuzz/request_fuzz.c
@@ -0,0 +1,62 @@
+#include "http/caller_request.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { STATEMENT_MAX_BYTES = 256 };
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* Cuts the next line off; "-" stands for an absent header. */
+static const char *next_line(char **rest)
+{
+	char *line = strsep(rest, "\n");
+
+	return line && strcmp(line, "-") != 0 ? line : NULL;
+}
+
+static void check(int32_t error, const struct caller_request *r)
+{
+	if (error)
+		return;
+	if (!r->opts.group[0] || !r->opts.profile[0])
+		abort();
+	if (strlen(r->sql) > STATEMENT_MAX_BYTES)
+		abort();
+	if (r->opts.deadline_us <= 0 || r->opts.deadline_us > US_PER_S)
+		abort();
+}
+
+/* The first lines are path and headers, the rest is the body. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct caller_request r;
+	struct caller_request_input in = {
+		.method = "POST",
+		.statement_max_bytes = STATEMENT_MAX_BYTES,
+		.deadline_default_us = US_PER_MS,
+		.deadline_max_us = US_PER_S,
+	};
+	char *text = malloc(size + 1);
+	char *rest = text;
+	const char *path;
+	const char *detail;
+
+	memcpy(text, data, size);
+	text[size] = '\0';
+	path = next_line(&rest);
+	in.path = path ? path : "";
+	in.headers.authorization = next_line(&rest);
+	in.headers.profile = next_line(&rest);
+	in.headers.request_id = next_line(&rest);
+	in.headers.repeatable = next_line(&rest);
+	in.headers.deadline_ms = next_line(&rest);
+	if (rest) {
+		in.body = rest;
+		in.body_len = size - (size_t)(rest - text);
+	}
+	check(caller_request_parse(&in, &r, &detail), &r);
+	caller_request_clear(&r);
+	free(text);
+	return 0;
+}
