--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,211 @@
+#include "base/log.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+/* Carries the whole entry through GLib to the writer. */
+#define ENTRY_FIELD "ZINNIALINE_ENTRY"
+
+enum { SECONDS_BYTES = 20, TIME_BYTES = 40 };
+
+/* GLib has one writer per process, so its options are per process too. */
+static struct {
+	enum log_format format;
+	enum log_level least;
+	char instance[NAME_BYTES];
+	bool writer_is_set;
+} opts = { .least = LOG_INFO };
+
+/* What one line shows. */
+struct line {
+	char time[TIME_BYTES];
+	enum log_level level;
+	const char *name;
+	const char *message;
+	const struct log_entry *entry; /* NULL: a message of a library */
+};
+
+static const char *const level_names[] = { "debug", "info", "warning",
+					   "error" };
+
+/* G_LOG_LEVEL_ERROR would abort the process. */
+static const GLogLevelFlags glib_levels[] = { G_LOG_LEVEL_DEBUG,
+					      G_LOG_LEVEL_INFO,
+					      G_LOG_LEVEL_WARNING,
+					      G_LOG_LEVEL_CRITICAL };
+
+static enum log_level level_from_glib(GLogLevelFlags flags)
+{
+	if (flags & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+		return LOG_ERROR;
+	if (flags & G_LOG_LEVEL_WARNING)
+		return LOG_WARNING;
+	if (flags & (G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_INFO))
+		return LOG_INFO;
+	return LOG_DEBUG;
+}
+
+static void format_time(char *out, size_t size)
+{
+	struct timespec ts;
+	struct tm tm;
+	char seconds[SECONDS_BYTES];
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	gmtime_r(&ts.tv_sec, &tm);
+	strftime(seconds, sizeof(seconds), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(out, size, "%s.%06dZ", seconds, (int)(ts.tv_nsec / 1000));
+}
+
+static void append_quoted(GString *s, const char *key, const char *value)
+{
+	g_autofree char *escaped = g_strescape(value, NULL);
+
+	g_string_append_printf(s, " %s=\"%s\"", key, escaped);
+}
+
+static char *text_line(const struct line *l)
+{
+	GString *s = g_string_new(NULL);
+	const struct log_entry *e = l->entry;
+
+	g_string_append_printf(s, "%s %s %" PRId32 " %s", l->time,
+			       level_names[l->level], e ? e->number : 0,
+			       l->name);
+	append_quoted(s, "message", l->message);
+	append_quoted(s, "instance", opts.instance);
+	if (e && e->caller_id)
+		g_string_append_printf(s, " caller=%" PRIu64, e->caller_id);
+	if (e && e->subject[0])
+		append_quoted(s, "subject", e->subject);
+	if (e)
+		g_string_append_printf(s, " value=%" PRId64, e->value);
+	if (e && e->text[0])
+		append_quoted(s, "text", e->text);
+	g_string_append_c(s, '\n');
+	return g_string_free(s, FALSE);
+}
+
+/* A text cut inside a UTF-8 sequence is still written. */
+static json_t *json_text(const char *value)
+{
+	g_autofree char *valid = g_utf8_make_valid(value, -1);
+
+	return json_string(valid);
+}
+
+static char *json_line(const struct line *l)
+{
+	const struct log_entry *e = l->entry;
+	json_t *j = json_object();
+	char *dump;
+	char *out;
+
+	json_object_set_new(j, "time", json_string(l->time));
+	json_object_set_new(j, "event", json_integer(e ? e->number : 0));
+	json_object_set_new(j, "name", json_string(l->name));
+	json_object_set_new(j, "level", json_string(level_names[l->level]));
+	json_object_set_new(j, "message", json_text(l->message));
+	json_object_set_new(j, "instance", json_text(opts.instance));
+	if (e && e->caller_id)
+		json_object_set_new(j, "caller",
+				    json_integer((json_int_t)e->caller_id));
+	if (e) {
+		json_object_set_new(j, "subject", json_text(e->subject));
+		json_object_set_new(j, "value", json_integer(e->value));
+		json_object_set_new(j, "text", json_text(e->text));
+	}
+	dump = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	out = g_strdup_printf("%s\n", dump ? dump : "{}");
+	free(dump);
+	return out;
+}
+
+typedef char *(*line_fn)(const struct line *l);
+
+static const line_fn formatters[] = {
+	[LOG_FORMAT_TEXT] = text_line,
+	[LOG_FORMAT_JSON] = json_line,
+};
+
+static void read_fields(struct line *l, const GLogField *fields, gsize count)
+{
+	const struct log_event_info *info;
+
+	for (gsize i = 0; i < count; i++) {
+		if (!strcmp(fields[i].key, ENTRY_FIELD))
+			l->entry = fields[i].value;
+		else if (!strcmp(fields[i].key, "MESSAGE"))
+			l->message = fields[i].value;
+	}
+	if (!l->entry)
+		return;
+	info = log_event_info(l->entry->number);
+	if (info)
+		l->name = info->name;
+}
+
+static GLogWriterOutput write_line(GLogLevelFlags level,
+				   const GLogField *fields, gsize count,
+				   gpointer data)
+{
+	struct line l = { .level = level_from_glib(level),
+			  .name = "LIBRARY",
+			  .message = "" };
+	g_autofree char *text = NULL;
+
+	if (l.level < opts.least)
+		return G_LOG_WRITER_HANDLED;
+	read_fields(&l, fields, count);
+	format_time(l.time, sizeof(l.time));
+	text = formatters[opts.format](&l);
+	fputs(text, stderr);
+	return G_LOG_WRITER_HANDLED;
+}
+
+void log_setup(enum log_format format, enum log_level least,
+	       const char *instance)
+{
+	opts.format = format;
+	opts.least = least;
+	g_strlcpy(opts.instance, instance, sizeof(opts.instance));
+	if (opts.writer_is_set)
+		return;
+	g_log_set_writer_func(write_line, NULL, NULL);
+	opts.writer_is_set = true;
+}
+
+void log_entry_write(const struct log_entry *e)
+{
+	const struct log_event_info *info = log_event_info(e->number);
+	enum log_level level = info ? info->level : LOG_ERROR;
+	const GLogField fields[] = {
+		{ "MESSAGE", info ? info->text : "unknown event", -1 },
+		{ "GLIB_DOMAIN", "zinnialine", -1 },
+		{ ENTRY_FIELD, e, sizeof(*e) },
+	};
+
+	if (level < opts.least)
+		return;
+	g_log_structured_array(glib_levels[level], fields,
+			       G_N_ELEMENTS(fields));
+}
+
+void log_event(enum log_event number, const char *subject, int64_t value,
+	       const char *text, ...)
+{
+	struct log_entry e = { .number = number, .value = value };
+	va_list ap;
+
+	g_strlcpy(e.subject, subject ? subject : "", sizeof(e.subject));
+	va_start(ap, text);
+	vsnprintf(e.text, sizeof(e.text), text ? text : "", ap);
+	va_end(ap);
+	log_entry_write(&e);
+}
--- /dev/null
+++ b/src/base/metrics.c
@@ -0,0 +1,257 @@
+#include "base/metrics.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+enum metric_type { COUNTER, GAUGE };
+
+struct metric_info {
+	const char *name; /* without the prefix */
+	enum metric_type type;
+	const char *label; /* name of the one label, or NULL */
+	const char *help;
+};
+
+#define NAME_PREFIX "zinnialine_"
+
+static const struct metric_info registry[] = {
+	{ "requests_total", COUNTER, "verdict", "Answered requests." },
+	{ "refusals_total", COUNTER, "error",
+	  "Requests that were answered with an error." },
+	{ "workspace_admitted_total", COUNTER, "workspace",
+	  "Requests admitted by the workspace's rate." },
+	{ "workspace_refused_total", COUNTER, "workspace",
+	  "Requests refused because the workspace was over its rate." },
+	{ "reads_total", COUNTER, "role",
+	  "Reads by the role of the endpoint that served them." },
+	{ "writes_total", COUNTER, "group", "Writes that were confirmed." },
+	{ "retries_total", COUNTER, "group",
+	  "Requests that were sent to an endpoint again." },
+	{ "pending_requests", GAUGE, NULL,
+	  "Requests that wait for an endpoint or run on one." },
+	{ "caller_connections", GAUGE, NULL, "Open connections of callers." },
+	{ "open_transactions", GAUGE, NULL, "Open transactions." },
+	{ "endpoint_connections", GAUGE, "endpoint",
+	  "Open connections to an endpoint." },
+	{ "endpoint_connections_lost_total", COUNTER, "endpoint",
+	  "Connections to an endpoint that were lost or retired." },
+	{ "endpoint_up", GAUGE, "endpoint",
+	  "1 while the endpoint answers probes." },
+	{ "group_term", GAUGE, "group", "Term of the database group." },
+	{ "promotions_total", COUNTER, "result",
+	  "Promotions that this instance started, by result." },
+	{ "platform_calls_total", COUNTER, NULL,
+	  "Calls made to the key-value service." },
+	{ "platform_up", GAUGE, NULL,
+	  "1 while the key-value service answers." },
+	{ "peer_messages_sent_total", COUNTER, "peer",
+	  "Messages sent to a peer." },
+	{ "peer_messages_received_total", COUNTER, "peer",
+	  "Messages received from a peer." },
+	{ "peer_bytes_sent_total", COUNTER, NULL, "Bytes sent to all peers." },
+	{ "peer_bytes_received_total", COUNTER, NULL,
+	  "Bytes received from all peers." },
+	{ "peers_up", GAUGE, NULL, "Peers that answer." },
+	{ "config_revision", GAUGE, NULL,
+	  "Highest configuration revision applied." },
+	{ "config_sync_age_us", GAUGE, NULL,
+	  "Time since the configuration was confirmed to be complete." },
+	{ "config_records", GAUGE, "kind", "Configuration records held." },
+	{ "share_ppm", GAUGE, "cell",
+	  "Part of the cell's limits that this instance holds." },
+	{ "loans_total", COUNTER, "direction",
+	  "Parts of shares lent and borrowed." },
+	{ "draining", GAUGE, NULL, "1 while the instance shuts down." },
+};
+
+/* Names are interned by the registry row; label is "" if there is none. */
+struct sample {
+	const struct metric_info *info;
+	const char *name;
+	char *label;
+	int64_t value;
+};
+
+struct metrics {
+	GHashTable *samples; /* set of owned struct sample */
+};
+
+static guint sample_hash(gconstpointer p)
+{
+	const struct sample *s = p;
+
+	return g_str_hash(s->name) * 31 + g_str_hash(s->label);
+}
+
+static gboolean sample_equal(gconstpointer a, gconstpointer b)
+{
+	const struct sample *x = a;
+	const struct sample *y = b;
+
+	return !strcmp(x->label, y->label) && !strcmp(x->name, y->name);
+}
+
+static void sample_free(gpointer p)
+{
+	struct sample *s = p;
+
+	g_free(s->label);
+	g_free(s);
+}
+
+struct metrics *metrics_new(void)
+{
+	struct metrics *m = g_new0(struct metrics, 1);
+
+	m->samples = g_hash_table_new_full(sample_hash, sample_equal,
+					   sample_free, NULL);
+	return m;
+}
+
+void metrics_free(struct metrics *m)
+{
+	g_hash_table_destroy(m->samples);
+	g_free(m);
+}
+
+static struct sample *find(const struct metrics *m, const char *name,
+			   const char *label)
+{
+	struct sample key = { .name = name,
+			      .label = (char *)(label ? label : "") };
+
+	return g_hash_table_lookup(m->samples, &key);
+}
+
+static const struct metric_info *find_info(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(registry); i++) {
+		if (!strcmp(registry[i].name, name))
+			return &registry[i];
+	}
+	return NULL;
+}
+
+static struct sample *find_or_add(struct metrics *m, const char *name,
+				  const char *label)
+{
+	struct sample *s = find(m, name, label);
+	const struct metric_info *info;
+
+	if (s)
+		return s;
+	info = find_info(name);
+	if (!info) {
+		g_critical("metric %s is not in the registry", name);
+		return NULL;
+	}
+	s = g_new0(struct sample, 1);
+	s->info = info;
+	s->name = info->name;
+	s->label = g_strdup(label ? label : "");
+	g_hash_table_add(m->samples, s);
+	return s;
+}
+
+void metrics_add(struct metrics *m, const char *name, const char *label,
+		 uint64_t n)
+{
+	struct sample *s = find_or_add(m, name, label);
+
+	if (s)
+		s->value += (int64_t)n;
+}
+
+void metrics_set(struct metrics *m, const char *name, const char *label,
+		 int64_t value)
+{
+	struct sample *s = find_or_add(m, name, label);
+
+	if (s)
+		s->value = value;
+}
+
+int64_t metrics_get(const struct metrics *m, const char *name,
+		    const char *label)
+{
+	const struct sample *s = find(m, name, label);
+
+	return s ? s->value : 0;
+}
+
+static void append_label(GString *out, const char *name, const char *value)
+{
+	g_string_append_printf(out, "{%s=\"", name);
+	for (const char *c = value; *c; c++) {
+		if (*c == '\n') {
+			g_string_append(out, "\\n");
+			continue;
+		}
+		if (*c == '"' || *c == '\\')
+			g_string_append_c(out, '\\');
+		g_string_append_c(out, *c);
+	}
+	g_string_append(out, "\"}");
+}
+
+static gint compare_samples(gconstpointer a, gconstpointer b)
+{
+	const struct sample *const *x = a;
+	const struct sample *const *y = b;
+	ptrdiff_t order = (*x)->info - (*y)->info;
+
+	if (order)
+		return order < 0 ? -1 : 1;
+	return strcmp((*x)->label, (*y)->label);
+}
+
+static GPtrArray *sorted_samples(const struct metrics *m)
+{
+	GPtrArray *sorted = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer s;
+
+	g_hash_table_iter_init(&it, m->samples);
+	while (g_hash_table_iter_next(&it, &s, NULL))
+		g_ptr_array_add(sorted, s);
+	g_ptr_array_sort(sorted, compare_samples);
+	return sorted;
+}
+
+static void append_header(GString *out, const struct metric_info *info)
+{
+	g_string_append_printf(out, "# HELP " NAME_PREFIX "%s %s\n", info->name,
+			       info->help);
+	g_string_append_printf(out, "# TYPE " NAME_PREFIX "%s %s\n", info->name,
+			       info->type == COUNTER ? "counter" : "gauge");
+}
+
+static void append_sample(GString *out, const struct sample *s)
+{
+	g_string_append_printf(out, NAME_PREFIX "%s", s->info->name);
+	if (s->info->label)
+		append_label(out, s->info->label, s->label);
+	g_string_append_printf(out, " %" PRId64 "\n", s->value);
+}
+
+char *metrics_text(const struct metrics *m)
+{
+	GString *out = g_string_new(NULL);
+	GPtrArray *sorted = sorted_samples(m);
+	guint next = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(registry); i++) {
+		append_header(out, &registry[i]);
+		while (next < sorted->len) {
+			const struct sample *s = sorted->pdata[next];
+
+			if (s->info != &registry[i])
+				break;
+			append_sample(out, s);
+			next++;
+		}
+	}
+	g_ptr_array_free(sorted, TRUE);
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/src/cli/command.c
@@ -0,0 +1,33 @@
+#include "cli/command.h"
+
+#include "cli/check_command.h"
+#include "cli/entry_command.h"
+#include "cli/group_command.h"
+#include "cli/instance_command.h"
+#include "cli/key_command.h"
+
+#include <stddef.h>
+
+static const struct command registry[] = {
+	{ "serve", "Run an instance", serve_command },
+	{ "check", "Check a settings file", check_command },
+	{ "profile", "List, show, set and delete profiles", profile_command },
+	{ "workspace", "List, show, set and delete workspaces",
+	  workspace_command },
+	{ "key", "Add, withdraw and list keys of callers", key_command },
+	{ "endpoint", "List, set, delete, leave and return endpoints",
+	  endpoint_command },
+	{ "group", "Show term, primary and endpoints of database groups",
+	  group_command },
+	{ "config", "Show or wait for a configuration revision",
+	  config_command },
+	{ "status", "Show the status of an instance", status_command },
+	{ "metrics", "Show the metrics of an instance", metrics_command },
+	{ "drain", "Shut an instance down gracefully", drain_command },
+	{ NULL, NULL, NULL },
+};
+
+const struct command *command_registry(void)
+{
+	return registry;
+}
--- /dev/null
+++ b/src/cli/group_command.h
@@ -0,0 +1,7 @@
+/* group_command.h - `zinnialine group`: database groups. */
+#ifndef CLI_GROUP_COMMAND_H
+#define CLI_GROUP_COMMAND_H
+
+int group_command(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/cli/instance_command.h
@@ -0,0 +1,10 @@
+/* instance_command.h - commands about instances: status, metrics, drain. */
+#ifndef CLI_INSTANCE_COMMAND_H
+#define CLI_INSTANCE_COMMAND_H
+
+int status_command(int argc, char **argv);
+int metrics_command(int argc, char **argv);
+int drain_command(int argc, char **argv);
+int config_command(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/tests/cli_test.cc
@@ -0,0 +1,144 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "cli/command.h"
+}
+
+namespace
+{
+
+struct Outcome {
+	int exit_code;
+	std::string output; /* standard output and error together */
+};
+
+std::string binary()
+{
+	const char *dir = getenv("BIN_DIR");
+
+	return std::string(dir ? dir : "build/release") + "/zinnialine";
+}
+
+Outcome run(const std::vector<const char *> &args)
+{
+	std::string path = binary();
+	std::vector<char *> argv = { const_cast<char *>(path.c_str()) };
+	Outcome o = { -1, "" };
+	int fds[2];
+	int status = 0;
+	char buf[4096];
+	ssize_t n;
+
+	for (const char *a : args)
+		argv.push_back(const_cast<char *>(a));
+	argv.push_back(nullptr);
+	EXPECT_EQ(0, pipe(fds));
+	pid_t pid = fork();
+	if (!pid) {
+		dup2(fds[1], STDOUT_FILENO);
+		dup2(fds[1], STDERR_FILENO);
+		close(fds[0]);
+		close(fds[1]);
+		execv(argv[0], argv.data());
+		_exit(127);
+	}
+	close(fds[1]);
+	while ((n = read(fds[0], buf, sizeof(buf))) > 0)
+		o.output.append(buf, n);
+	close(fds[0]);
+	EXPECT_EQ(pid, waitpid(pid, &status, 0));
+	o.exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	return o;
+}
+
+#define SERVER "--server", "127.0.0.1:1"
+
+struct ArgumentCase {
+	std::vector<const char *> args;
+	int exit_code;
+	const char *output; /* a part of it */
+};
+
+const ArgumentCase cases[] = {
+	{ {}, EXIT_USAGE, "a command is required" },
+	{ { "fly" }, EXIT_USAGE, "unknown command 'fly'" },
+	{ { "--nonsense" }, EXIT_USAGE, "unrecognized option" },
+	{ { "--help" }, EXIT_OK, "workspace" },
+	{ { "--version" }, EXIT_OK, "zinnialine" },
+	{ { "profile", "--help" }, EXIT_OK, "NAME FIELD=VALUE..." },
+	{ { "key", "--help" }, EXIT_OK, "--key-file" },
+	{ { "config", "--help" }, EXIT_OK, "--wait-ms" },
+	{ { "check" }, EXIT_USAGE, "--settings is required" },
+	{ { "check", "--settings", "docs/settings.example.yaml" }, EXIT_OK, "" },
+	{ { "check", "--settings", "Makefile" }, EXIT_SETTINGS, "Makefile:" },
+	{ { "check", "--settings", "/nonexistent" },
+	  EXIT_SETTINGS,
+	  "No such file" },
+	{ { "profile" }, EXIT_USAGE, "a verb is required" },
+	{ { "profile", "list" }, EXIT_USAGE, "--server is required" },
+	{ { "profile", "list", "x", SERVER }, EXIT_USAGE, "usage: profile" },
+	{ { "profile", "grow", SERVER }, EXIT_USAGE, "unknown verb 'grow'" },
+	{ { "profile", "set", "stock", SERVER },
+	  EXIT_USAGE,
+	  "NAME FIELD=VALUE..." },
+	{ { "profile", "show", "a/b", SERVER }, EXIT_USAGE, "not a valid name" },
+	{ { "profile", "list", "--revision", "x", SERVER },
+	  EXIT_USAGE,
+	  "--revision must be a number" },
+	{ { "profile", "list", "--wait-ms", "0", SERVER },
+	  EXIT_USAGE,
+	  "--wait-ms must be" },
+	{ { "profile", "list", "--server", "here" },
+	  EXIT_USAGE,
+	  "--server must be ip:port" },
+	{ { "group", "list", "--revision", "1", SERVER },
+	  EXIT_USAGE,
+	  "unrecognized option" },
+	{ { "endpoint", "leave", "n1", SERVER },
+	  EXIT_USAGE,
+	  "is not GROUP/NAME" },
+	{ { "key", "withdraw", SERVER },
+	  EXIT_USAGE,
+	  "either a digest or --key-file" },
+	{ { "key", "withdraw", "abc", SERVER }, EXIT_USAGE, "64 hex digits" },
+	{ { "key", "withdraw", "--key-file", "/nonexistent", SERVER },
+	  EXIT_USAGE,
+	  "No such file" },
+	{ { "drain", SERVER, SERVER }, EXIT_USAGE, "exactly one --server" },
+	{ { "config", "wait", "x", SERVER }, EXIT_USAGE, "not a revision" },
+	{ { "profile", "list", SERVER }, EXIT_UNREACHABLE, "127.0.0.1:1" },
+	{ { "profile", "set", "stock", "open=true", SERVER },
+	  EXIT_UNREACHABLE,
+	  "127.0.0.1:1" },
+	{ { "key", "add", "mill", SERVER },
+	  EXIT_UNREACHABLE,
+	  "no key was given out" },
+	{ { "drain", SERVER }, EXIT_UNREACHABLE, "127.0.0.1:1" },
+	{ { "metrics", SERVER }, EXIT_UNREACHABLE, "127.0.0.1:1" },
+	{ { "config", "wait", "5", "--wait-ms", "1", SERVER },
+	  EXIT_NOT_IN_FORCE,
+	  "not known to be in force" },
+};
+
+TEST(Cli, Arguments)
+{
+	for (const ArgumentCase &c : cases) {
+		std::string line;
+
+		for (const char *a : c.args)
+			line += std::string(a) + " ";
+		SCOPED_TRACE(line);
+		Outcome o = run(c.args);
+		EXPECT_EQ(c.exit_code, o.exit_code) << o.output;
+		EXPECT_NE(std::string::npos, o.output.find(c.output))
+			<< o.output;
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/tests/log_test.cc
@@ -0,0 +1,127 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <fstream>
+#include <set>
+#include <string>
+
+extern "C" {
+#include "base/log.h"
+
+#include <glib.h>
+#include <jansson.h>
+}
+
+namespace
+{
+
+std::string written(const struct log_entry &e)
+{
+	testing::internal::CaptureStderr();
+	log_entry_write(&e);
+	return testing::internal::GetCapturedStderr();
+}
+
+struct log_entry entry(int32_t number, const char *subject, const char *text)
+{
+	struct log_entry e = {};
+
+	e.number = number;
+	e.caller_id = 7;
+	e.value = -3;
+	snprintf(e.subject, sizeof(e.subject), "%s", subject);
+	snprintf(e.text, sizeof(e.text), "%s", text);
+	return e;
+}
+
+TEST(Log, TextLine)
+{
+	log_setup(LOG_FORMAT_TEXT, LOG_INFO, "a-1");
+	std::string line = written(entry(LOG_ROUTED, "stock", "say \"x\"\n"));
+
+	EXPECT_TRUE(g_regex_match_simple(
+		"^\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{6}Z info 200 "
+		"ROUTED message=\"request routed\" instance=\"a-1\" caller=7 "
+		"subject=\"stock\" value=-3 text=\"say \\\\\"x\\\\\"\\\\n\"\n$",
+		line.c_str(), G_REGEX_DEFAULT, G_REGEX_MATCH_DEFAULT))
+		<< line;
+}
+
+TEST(Log, JsonLine)
+{
+	log_setup(LOG_FORMAT_JSON, LOG_INFO, "a-1");
+	std::string line = written(entry(LOG_REFUSED, "w", "cut \xc3"));
+	json_t *j = json_loads(line.c_str(), 0, nullptr);
+
+	ASSERT_NE(nullptr, j) << line;
+	EXPECT_EQ('\n', line.back());
+	EXPECT_EQ(201, json_integer_value(json_object_get(j, "event")));
+	EXPECT_STREQ("REFUSED", json_string_value(json_object_get(j, "name")));
+	EXPECT_STREQ("info", json_string_value(json_object_get(j, "level")));
+	EXPECT_STREQ("a-1", json_string_value(json_object_get(j, "instance")));
+	EXPECT_STREQ("w", json_string_value(json_object_get(j, "subject")));
+	EXPECT_EQ(-3, json_integer_value(json_object_get(j, "value")));
+	EXPECT_STREQ("cut \xef\xbf\xbd",
+		     json_string_value(json_object_get(j, "text")));
+	EXPECT_NE(nullptr, json_object_get(j, "time"));
+	json_decref(j);
+}
+
+TEST(Log, LevelsBelowTheLeastAreDropped)
+{
+	log_setup(LOG_FORMAT_TEXT, LOG_WARNING, "a-1");
+	EXPECT_EQ("", written(entry(LOG_ROUTED, "", "")));
+	EXPECT_NE("", written(entry(LOG_KEYS_UNCONFIRMED, "", "")));
+	EXPECT_NE("", written(entry(LOG_INTERNAL_ERROR, "", "")));
+	testing::internal::CaptureStderr();
+	log_event(LOG_PEER_DOWN, "b-1", 4, "silent for %d ms", 900);
+	std::string line = testing::internal::GetCapturedStderr();
+	EXPECT_NE(std::string::npos, line.find("subject=\"b-1\" value=4 "
+					       "text=\"silent for 900 ms\""));
+}
+
+TEST(Log, LibraryMessagesAreLines)
+{
+	log_setup(LOG_FORMAT_TEXT, LOG_INFO, "a-1");
+	testing::internal::CaptureStderr();
+	g_log("GLib", G_LOG_LEVEL_WARNING, "odd");
+	EXPECT_NE(std::string::npos,
+		  testing::internal::GetCapturedStderr().find(
+			  "warning 0 LIBRARY message=\"odd\""));
+}
+
+/* Rows of the catalogue are "| NUMBER | NAME | level | text | ...". */
+TEST(Log, CatalogueHasEveryEventAndNoOther)
+{
+	static const char *const levels[] = { "debug", "info", "warning",
+					      "error" };
+	std::ifstream f("docs/EVENTS.md");
+	std::set<std::string> documented;
+	std::string line;
+	uint32_t count = 0;
+	const struct log_event_info *rows = log_event_rows(&count);
+
+	while (std::getline(f, line)) {
+		g_auto(GStrv) cells = g_strsplit(line.c_str(), " | ", 5);
+
+		if (g_strv_length(cells) != 5 || !g_ascii_isdigit(line[2]))
+			continue;
+		EXPECT_TRUE(documented
+				    .insert(std::string(cells[0] + 2) + " | " +
+					    cells[1] + " | " + cells[2] +
+					    " | " + cells[3])
+				    .second)
+			<< line;
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		std::string row = std::to_string(rows[i].number) + " | " +
+				  rows[i].name + " | " + levels[rows[i].level] +
+				  " | " + rows[i].text;
+
+		EXPECT_EQ(1u, documented.erase(row)) << row;
+	}
+	for (const std::string &row : documented)
+		ADD_FAILURE() << "not an event: " << row;
+}
+
+} // namespace
