--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -1,11 +1,11 @@
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <string>
-#include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
 
+#include "cli_child.h"
+
 extern "C" {
 #include "cli/command.h"
 }
@@ -13,54 +13,10 @@
 namespace
 {
 
-struct Outcome {
-	int exit_code;
-	std::string output; /* standard output and error together */
-};
-
-std::string binary()
-{
-	const char *dir = getenv("BIN_DIR");
-
-	return std::string(dir ? dir : "build/release") + "/zinnialine";
-}
-
-Outcome run(const std::vector<const char *> &args)
-{
-	std::string path = binary();
-	std::vector<char *> argv = { const_cast<char *>(path.c_str()) };
-	Outcome o = { -1, "" };
-	int fds[2];
-	int status = 0;
-	char buf[4096];
-	ssize_t n;
-
-	for (const char *a : args)
-		argv.push_back(const_cast<char *>(a));
-	argv.push_back(nullptr);
-	EXPECT_EQ(0, pipe(fds));
-	pid_t pid = fork();
-	if (!pid) {
-		dup2(fds[1], STDOUT_FILENO);
-		dup2(fds[1], STDERR_FILENO);
-		close(fds[0]);
-		close(fds[1]);
-		execv(argv[0], argv.data());
-		_exit(127);
-	}
-	close(fds[1]);
-	while ((n = read(fds[0], buf, sizeof(buf))) > 0)
-		o.output.append(buf, n);
-	close(fds[0]);
-	EXPECT_EQ(pid, waitpid(pid, &status, 0));
-	o.exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-	return o;
-}
-
 #define SERVER "--server", "127.0.0.1:1"
 
 struct ArgumentCase {
-	std::vector<const char *> args;
+	std::vector<std::string> args;
 	int exit_code;
 	const char *output; /* a part of it */
 };
@@ -131,13 +87,15 @@
 	for (const ArgumentCase &c : cases) {
 		std::string line;
 
-		for (const char *a : c.args)
-			line += std::string(a) + " ";
+		for (const std::string &a : c.args)
+			line += a + " ";
 		SCOPED_TRACE(line);
-		Outcome o = run(c.args);
-		EXPECT_EQ(c.exit_code, o.exit_code) << o.output;
-		EXPECT_NE(std::string::npos, o.output.find(c.output))
-			<< o.output;
+		CliChild child(c.args);
+		while (!child.finished())
+			usleep(1000);
+		EXPECT_EQ(c.exit_code, child.exit_code()) << child.output();
+		EXPECT_NE(std::string::npos, child.output().find(c.output))
+			<< child.output();
 	}
 }
 
