--- /dev/null
+++ b/standin/platform/gateway.c
@@ -0,0 +1,299 @@
+#include "platform/gateway.h"
+
+#include "platform/net_address.h"
+#include "platform/watch_stream.h"
+
+#include <microhttpd.h>
+#include <string.h>
+
+enum {
+	BODY_BYTES_MAX = 4 << 20,
+	CONNECTIONS_MAX = 4096,
+	STREAM_BLOCK_BYTES = 64 << 10,
+};
+
+#define WAIT_MAX_US (20 * INT64_C(1000))
+
+/* What happens with a call that was carried out. */
+enum call_fate {
+	FATE_ANSWER,
+	FATE_DROP, /* close the connection without an answer */
+	FATE_HOLD, /* answer nothing while the outage lasts, then drop */
+};
+
+/* One HTTP request, or one open watch. */
+struct http_call {
+	struct gateway *gateway;
+	struct MHD_Connection *connection;
+	char *path;
+	GString *body;
+	bool done; /* carried out; `answer` or `stream` is set */
+	bool suspended;
+	bool silent; /* a watch that never sends again */
+	enum call_fate fate;
+	int64_t due_us; /* of the answer */
+	int http_status;
+	char *answer;
+	struct watch_stream *stream;
+};
+
+struct gateway {
+	struct kv_store *store;
+	struct faults *faults;
+	struct MHD_Daemon *daemon;
+	GPtrArray *calls; /* struct http_call, not owned */
+	int64_t now_us;
+};
+
+static void suspend(struct http_call *c)
+{
+	c->suspended = true;
+	MHD_suspend_connection(c->connection);
+}
+
+static void resume(struct http_call *c)
+{
+	c->suspended = false;
+	MHD_resume_connection(c->connection);
+}
+
+static ssize_t read_stream(void *data, uint64_t pos, char *buf, size_t max)
+{
+	struct http_call *c = data;
+	GString *out = c->stream->out;
+	size_t n;
+
+	if (c->gateway->faults->outage != OUTAGE_OFF && !c->silent)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (c->silent || !watch_stream_fill(c->stream, c->gateway->now_us)) {
+		if (c->stream->canceled)
+			return MHD_CONTENT_READER_END_OF_STREAM;
+		suspend(c);
+		return 0;
+	}
+	n = MIN(out->len, max);
+	memcpy(buf, out->str, n);
+	g_string_erase(out, 0, n);
+	return n;
+}
+
+static void open_watch(struct http_call *c)
+{
+	c->gateway->faults->calls[KV_CALL_WATCH]++;
+	c->stream = watch_stream_new(c->gateway->store, c->body->str,
+				     c->gateway->now_us);
+	c->http_status = c->stream ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST;
+	c->answer = g_strdup(c->stream ? "" : "{}");
+}
+
+static void make_call(struct http_call *c)
+{
+	struct faults *f = c->gateway->faults;
+	json_t *request = json_loads(c->body->str, 0, NULL);
+	struct kv_call_result r;
+
+	r = kv_call(c->gateway->store, c->path, request, c->gateway->now_us);
+	f->calls[r.kind]++;
+	if (r.kind == KV_CALL_WRITE && f->lose_writes) {
+		f->lose_writes--;
+		c->fate = FATE_DROP;
+	}
+	c->http_status = r.http_status;
+	c->answer = json_dumps(r.body, JSON_COMPACT);
+	json_decref(r.body);
+	json_decref(request);
+}
+
+static void carry_out(struct http_call *c)
+{
+	struct gateway *g = c->gateway;
+
+	c->done = true;
+	c->due_us = g->now_us + g->faults->delay_us;
+	if (g->faults->outage != OUTAGE_OFF) {
+		c->fate = g->faults->outage == OUTAGE_SILENT ? FATE_HOLD :
+							       FATE_DROP;
+		return;
+	}
+	if (!strcmp(c->path, "/v3/watch"))
+		open_watch(c);
+	else
+		make_call(c);
+}
+
+static enum MHD_Result send_answer(struct http_call *c)
+{
+	struct MHD_Response *r;
+	enum MHD_Result rv;
+
+	if (c->fate != FATE_ANSWER)
+		return MHD_NO;
+	if (c->stream)
+		r = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
+						      STREAM_BLOCK_BYTES,
+						      read_stream, c, NULL);
+	else
+		r = MHD_create_response_from_buffer(strlen(c->answer),
+						    c->answer,
+						    MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(r, "Content-Type", "application/json");
+	rv = MHD_queue_response(c->connection, c->http_status, r);
+	MHD_destroy_response(r);
+	return rv;
+}
+
+static enum MHD_Result on_request(void *data, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *upload,
+				  size_t *upload_size, void **state)
+{
+	struct gateway *g = data;
+	struct http_call *c = *state;
+
+	if (!c) {
+		c = g_new0(struct http_call, 1);
+		c->gateway = g;
+		c->connection = conn;
+		c->path = g_strdup(url);
+		c->body = g_string_new(NULL);
+		g_ptr_array_add(g->calls, c);
+		*state = c;
+		return MHD_YES;
+	}
+	if (*upload_size) {
+		if (c->body->len + *upload_size > BODY_BYTES_MAX)
+			return MHD_NO;
+		g_string_append_len(c->body, upload, *upload_size);
+		*upload_size = 0;
+		return MHD_YES;
+	}
+	if (!c->done)
+		carry_out(c);
+	if (c->fate == FATE_HOLD || g->now_us < c->due_us) {
+		suspend(c);
+		return MHD_YES;
+	}
+	return send_answer(c);
+}
+
+static void on_completed(void *data, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct http_call *c = *state;
+
+	if (!c)
+		return;
+	g_ptr_array_remove_fast(c->gateway->calls, c);
+	g_free(c->path);
+	g_string_free(c->body, TRUE);
+	free(c->answer);
+	if (c->stream)
+		watch_stream_free(c->stream);
+	g_free(c);
+	*state = NULL;
+}
+
+struct gateway *gateway_new(struct kv_store *s, struct faults *f,
+			    const char *address)
+{
+	struct gateway *g = g_new0(struct gateway, 1);
+	struct sockaddr_in addr;
+
+	g->store = s;
+	g->faults = f;
+	g->calls = g_ptr_array_new();
+	if (net_address_parse(address, &addr))
+		g->daemon = MHD_start_daemon(
+			MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+			on_request, g, MHD_OPTION_SOCK_ADDR,
+			(struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED,
+			on_completed, NULL, MHD_OPTION_CONNECTION_LIMIT,
+			(unsigned)CONNECTIONS_MAX, MHD_OPTION_END);
+	if (g->daemon)
+		return g;
+	g_ptr_array_free(g->calls, TRUE);
+	g_free(g);
+	return NULL;
+}
+
+void gateway_free(struct gateway *g)
+{
+	for (guint i = 0; i < g->calls->len; i++) {
+		struct http_call *c = g_ptr_array_index(g->calls, i);
+
+		if (c->suspended)
+			resume(c);
+	}
+	MHD_stop_daemon(g->daemon);
+	g_ptr_array_free(g->calls, TRUE);
+	g_free(g);
+}
+
+uint16_t gateway_port(const struct gateway *g)
+{
+	return MHD_get_daemon_info(g->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+int gateway_fd(const struct gateway *g)
+{
+	return MHD_get_daemon_info(g->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+		->epoll_fd;
+}
+
+static bool is_call_due(const struct http_call *c)
+{
+	if (c->stream && g_str_equal(c->answer, "") &&
+	    c->gateway->now_us >= c->due_us) {
+		if (c->silent)
+			return false;
+		return c->gateway->faults->outage != OUTAGE_OFF ||
+		       watch_stream_fill(c->stream, c->gateway->now_us);
+	}
+	if (c->fate == FATE_HOLD)
+		return c->gateway->faults->outage != OUTAGE_SILENT;
+	return c->gateway->now_us >= c->due_us;
+}
+
+static void wake_due_calls(struct gateway *g)
+{
+	for (guint i = 0; i < g->calls->len; i++) {
+		struct http_call *c = g_ptr_array_index(g->calls, i);
+
+		if (!c->suspended || !is_call_due(c))
+			continue;
+		/* A held call is dropped once the outage is over. */
+		if (c->fate == FATE_HOLD)
+			c->fate = FATE_DROP;
+		resume(c);
+	}
+}
+
+int64_t gateway_run(struct gateway *g, int64_t now_us)
+{
+	MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+	int64_t wait_us = WAIT_MAX_US;
+
+	g->now_us = now_us;
+	wake_due_calls(g);
+	MHD_run(g->daemon);
+	wake_due_calls(g);
+	if (MHD_get_timeout(g->daemon, &wait_ms) == MHD_YES)
+		wait_us = MIN(wait_us, (int64_t)wait_ms * 1000);
+	for (guint i = 0; i < g->calls->len; i++) {
+		const struct http_call *c = g_ptr_array_index(g->calls, i);
+
+		if (c->suspended && c->due_us > now_us)
+			wait_us = MIN(wait_us, c->due_us - now_us);
+	}
+	return wait_us;
+}
+
+void gateway_silence_watches(struct gateway *g)
+{
+	for (guint i = 0; i < g->calls->len; i++) {
+		struct http_call *c = g_ptr_array_index(g->calls, i);
+
+		if (c->stream)
+			c->silent = true;
+	}
+}
--- /dev/null
+++ b/standin/platform/kv_calls.c
@@ -0,0 +1,378 @@
+#include "platform/kv_calls.h"
+
+#include "platform/kv_json.h"
+
+#include <string.h>
+
+enum {
+	HTTP_OK = 200,
+	HTTP_BAD_REQUEST = 400,
+	HTTP_NOT_FOUND = 404,
+	GRPC_NOT_FOUND = 5,
+	GRPC_OUT_OF_RANGE = 11,
+};
+
+/* Fills `body`; returns the HTTP status. */
+typedef int (*call_fn)(struct kv_store *s, const json_t *request, json_t *body,
+		       int64_t now_us);
+
+static int fail(json_t *body, int http_status, int code, const char *text)
+{
+	json_object_clear(body);
+	json_object_set_new(body, "error", json_string(text));
+	json_object_set_new(body, "code", json_integer(code));
+	json_object_set_new(body, "message", json_string(text));
+	return http_status;
+}
+
+static bool is_filtered(const struct kv_entry *e, const json_t *request)
+{
+	int64_t least = kv_json_int(request, "min_mod_revision");
+	int64_t most = kv_json_int(request, "max_mod_revision");
+
+	return e->mod_revision < least || (most && e->mod_revision > most);
+}
+
+static json_t *range_entries(const GPtrArray *found, const json_t *request,
+			     bool *more)
+{
+	int64_t limit = kv_json_int(request, "limit");
+	bool keys_only = json_is_true(json_object_get(request, "keys_only"));
+	json_t *kvs = json_array();
+
+	*more = false;
+	for (guint i = 0; i < found->len; i++) {
+		const struct kv_entry *e = g_ptr_array_index(found, i);
+		json_t *o;
+
+		if (is_filtered(e, request))
+			continue;
+		if (limit && (int64_t)json_array_size(kvs) == limit) {
+			*more = true;
+			break;
+		}
+		o = kv_json_entry(e);
+		if (keys_only)
+			json_object_del(o, "value");
+		json_array_append_new(kvs, o);
+	}
+	return kvs;
+}
+
+static int call_range(struct kv_store *s, const json_t *request, json_t *body,
+		      int64_t now_us)
+{
+	int64_t revision = kv_json_int(request, "revision");
+	char *key = kv_json_text(request, "key");
+	char *end = kv_json_text(request, "range_end");
+	GPtrArray *found;
+	json_t *kvs;
+	bool more;
+
+	if (revision && revision < s->compacted) {
+		g_free(key);
+		g_free(end);
+		return fail(body, HTTP_BAD_REQUEST, GRPC_OUT_OF_RANGE,
+			    "etcdserver: mvcc: required revision has been "
+			    "compacted");
+	}
+	found = kv_range(s, key, end, revision);
+	kvs = range_entries(found, request, &more);
+	if (json_is_true(json_object_get(request, "count_only")))
+		json_array_clear(kvs);
+	if (json_array_size(kvs))
+		json_object_set(body, "kvs", kvs);
+	if (more)
+		json_object_set_new(body, "more", json_true());
+	kv_json_set_int(body, "count", found->len);
+	json_decref(kvs);
+	g_ptr_array_unref(found);
+	g_free(key);
+	g_free(end);
+	return HTTP_OK;
+}
+
+static int put_at(struct kv_store *s, int64_t revision, const json_t *request,
+		  json_t *body)
+{
+	int64_t lease = kv_json_int(request, "lease");
+	char *key = kv_json_text(request, "key");
+	char *value = kv_json_text(request, "value");
+	int status = HTTP_OK;
+
+	if (lease && !kv_lease_get(s, lease))
+		status = fail(body, HTTP_NOT_FOUND, GRPC_NOT_FOUND,
+			      "etcdserver: requested lease not found");
+	else
+		kv_put(s, revision, key, value, lease);
+	g_free(key);
+	g_free(value);
+	return status;
+}
+
+static int call_put(struct kv_store *s, const json_t *request, json_t *body,
+		    int64_t now_us)
+{
+	return put_at(s, s->revision + 1, request, body);
+}
+
+static int delete_at(struct kv_store *s, int64_t revision,
+		     const json_t *request, json_t *body)
+{
+	char *key = kv_json_text(request, "key");
+	char *end = kv_json_text(request, "range_end");
+
+	kv_json_set_int(body, "deleted",
+			kv_delete_range(s, revision, key, end));
+	g_free(key);
+	g_free(end);
+	return HTTP_OK;
+}
+
+static int call_delete(struct kv_store *s, const json_t *request, json_t *body,
+		       int64_t now_us)
+{
+	return delete_at(s, s->revision + 1, request, body);
+}
+
+struct compare_target {
+	const char *name;
+	const char *field;
+};
+
+static const struct compare_target compare_targets[] = {
+	{ "VERSION", "version" },  { "CREATE", "create_revision" },
+	{ "MOD", "mod_revision" }, { "VALUE", "value" },
+	{ "LEASE", "lease" },
+};
+
+static const char *compare_field(const char *target)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(compare_targets); i++) {
+		if (!strcmp(target, compare_targets[i].name))
+			return compare_targets[i].field;
+	}
+	return "version";
+}
+
+static int compare_ints(int64_t a, int64_t b)
+{
+	return a < b ? -1 : a > b;
+}
+
+/* Returns the order of the stored value and the one asked for. */
+static int compare_order(const struct kv_entry *e, const json_t *c,
+			 const char *field)
+{
+	int64_t want = kv_json_int(c, field);
+	char *text;
+	int order;
+
+	if (!strcmp(field, "create_revision"))
+		return compare_ints(e ? e->create_revision : 0, want);
+	if (!strcmp(field, "mod_revision"))
+		return compare_ints(e ? e->mod_revision : 0, want);
+	if (!strcmp(field, "lease"))
+		return compare_ints(e ? e->lease : 0, want);
+	if (!strcmp(field, "version"))
+		return compare_ints(e ? e->version : 0, want);
+	text = kv_json_text(c, "value");
+	order = strcmp(e ? e->value : "", text);
+	g_free(text);
+	return order;
+}
+
+static bool compare_holds(struct kv_store *s, const json_t *c)
+{
+	const char *target = json_string_value(json_object_get(c, "target"));
+	const char *result = json_string_value(json_object_get(c, "result"));
+	const char *field = compare_field(target ? target : "VERSION");
+	char *key = kv_json_text(c, "key");
+	const struct kv_entry *e = kv_get(s, key);
+	int order = compare_order(e, c, field);
+
+	g_free(key);
+	/* The service fails every comparison of an absent key's value. */
+	if (!e && !strcmp(field, "value"))
+		return false;
+	if (!result || !strcmp(result, "EQUAL"))
+		return order == 0;
+	if (!strcmp(result, "GREATER"))
+		return order > 0;
+	if (!strcmp(result, "LESS"))
+		return order < 0;
+	return order != 0;
+}
+
+static int run_op(struct kv_store *s, int64_t revision, const json_t *op,
+		  json_t *responses)
+{
+	const json_t *r;
+	const char *name;
+	json_t *body = json_object();
+	json_t *wrapped = json_object();
+	int status;
+
+	if ((r = json_object_get(op, "request_range"))) {
+		name = "response_range";
+		status = call_range(s, r, body, 0);
+	} else if ((r = json_object_get(op, "request_put"))) {
+		name = "response_put";
+		status = put_at(s, revision, r, body);
+	} else {
+		r = json_object_get(op, "request_delete_range");
+		name = "response_delete_range";
+		status = delete_at(s, revision, r, body);
+	}
+	json_object_set_new(body, "header", kv_json_header(s));
+	json_object_set_new(wrapped, name, body);
+	json_array_append_new(responses, wrapped);
+	return status;
+}
+
+static int call_txn(struct kv_store *s, const json_t *request, json_t *body,
+		    int64_t now_us)
+{
+	const json_t *compares = json_object_get(request, "compare");
+	int64_t revision = s->revision + 1;
+	json_t *responses = json_array();
+	const json_t *c;
+	const json_t *op;
+	bool holds = true;
+	size_t i;
+
+	json_array_foreach(compares, i, c) holds = holds && compare_holds(s, c);
+	json_array_foreach(json_object_get(request,
+					   holds ? "success" : "failure"),
+			   i, op)
+	{
+		int status = run_op(s, revision, op, responses);
+
+		if (status != HTTP_OK) {
+			json_decref(responses);
+			return fail(body, status, GRPC_NOT_FOUND,
+				    "etcdserver: requested lease not found");
+		}
+	}
+	if (holds)
+		json_object_set_new(body, "succeeded", json_true());
+	json_object_set_new(body, "responses", responses);
+	return HTTP_OK;
+}
+
+static int call_grant(struct kv_store *s, const json_t *request, json_t *body,
+		      int64_t now_us)
+{
+	const struct kv_lease *l =
+		kv_lease_grant(s, kv_json_int(request, "ID"),
+			       kv_json_int(request, "TTL"), now_us);
+
+	kv_json_set_int(body, "ID", l->id);
+	kv_json_set_int(body, "TTL", l->ttl_s);
+	return HTTP_OK;
+}
+
+static int call_keepalive(struct kv_store *s, const json_t *request,
+			  json_t *body, int64_t now_us)
+{
+	int64_t id = kv_json_int(request, "ID");
+	json_t *result = json_object();
+
+	json_object_set_new(result, "header", kv_json_header(s));
+	kv_json_set_int(result, "ID", id);
+	kv_json_set_int(result, "TTL", kv_lease_renew(s, id, now_us));
+	json_object_set_new(body, "result", result);
+	return HTTP_OK;
+}
+
+static int call_revoke(struct kv_store *s, const json_t *request, json_t *body,
+		       int64_t now_us)
+{
+	if (!kv_lease_revoke(s, kv_json_int(request, "ID")))
+		return fail(body, HTTP_NOT_FOUND, GRPC_NOT_FOUND,
+			    "etcdserver: requested lease not found");
+	return HTTP_OK;
+}
+
+static int call_time_to_live(struct kv_store *s, const json_t *request,
+			     json_t *body, int64_t now_us)
+{
+	int64_t id = kv_json_int(request, "ID");
+	const struct kv_lease *l = kv_lease_get(s, id);
+
+	kv_json_set_int(body, "ID", id);
+	if (!l) {
+		kv_json_set_int(body, "TTL", -1);
+		return HTTP_OK;
+	}
+	kv_json_set_int(body, "TTL", (l->expires_us - now_us) / G_USEC_PER_SEC);
+	kv_json_set_int(body, "grantedTTL", l->ttl_s);
+	return HTTP_OK;
+}
+
+struct call_row {
+	const char *path;
+	enum kv_call_kind kind;
+	call_fn fn;
+};
+
+static const struct call_row call_rows[] = {
+	{ "/v3/kv/range", KV_CALL_READ, call_range },
+	{ "/v3/kv/put", KV_CALL_WRITE, call_put },
+	{ "/v3/kv/deleterange", KV_CALL_WRITE, call_delete },
+	{ "/v3/kv/txn", KV_CALL_WRITE, call_txn },
+	{ "/v3/lease/grant", KV_CALL_WRITE, call_grant },
+	{ "/v3/lease/keepalive", KV_CALL_KEEPALIVE, call_keepalive },
+	{ "/v3/lease/revoke", KV_CALL_WRITE, call_revoke },
+	{ "/v3/kv/lease/revoke", KV_CALL_WRITE, call_revoke },
+	{ "/v3/lease/timetolive", KV_CALL_READ, call_time_to_live },
+	{ "/v3/kv/lease/timetolive", KV_CALL_READ, call_time_to_live },
+};
+
+static bool only_ranges(const json_t *ops)
+{
+	const json_t *op;
+	size_t i;
+
+	json_array_foreach(ops, i, op)
+	{
+		if (!json_object_get(op, "request_range"))
+			return false;
+	}
+	return true;
+}
+
+/* A transaction that only reads is counted as a read. */
+static enum kv_call_kind kind_of(const struct call_row *row,
+				 const json_t *request)
+{
+	if (row->fn == call_txn &&
+	    only_ranges(json_object_get(request, "success")) &&
+	    only_ranges(json_object_get(request, "failure")))
+		return KV_CALL_READ;
+	return row->kind;
+}
+
+struct kv_call_result kv_call(struct kv_store *s, const char *path,
+			      const json_t *request, int64_t now_us)
+{
+	struct kv_call_result r = {
+		.kind = KV_CALL_READ,
+		.body = json_object(),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(call_rows); i++) {
+		if (strcmp(path, call_rows[i].path))
+			continue;
+		r.kind = kind_of(&call_rows[i], request);
+		r.http_status = call_rows[i].fn(s, request, r.body, now_us);
+		if (r.http_status == HTTP_OK &&
+		    call_rows[i].fn != call_keepalive)
+			json_object_set_new(r.body, "header",
+					    kv_json_header(s));
+		return r;
+	}
+	r.http_status =
+		fail(r.body, HTTP_NOT_FOUND, GRPC_NOT_FOUND, "Not Found");
+	return r;
+}
