--- /dev/null
+++ b/src/etcd/etcd_call.c
@@ -0,0 +1,524 @@
+#include "etcd/etcd_call.h"
+
+#include "core/sizes.h"
+#include "etcd/etcd_json.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+enum {
+	ANSWER_BYTES_MAX = 64 << 20,
+	HTTP_OK = 200,
+	/* Idle connections are not trusted for longer. */
+	CONNECTION_IDLE_MAX_S = 5,
+	CONNECT_TIMEOUT_DIVISOR = 3,
+	KEEPALIVE_IDLE_S = 5,
+	KEEPALIVE_INTERVAL_S = 2,
+};
+
+/* A call or stream in progress; owned by its etcd. */
+struct exchange {
+	struct etcd *etcd;
+	CURL *curl;
+	char *path;
+	char *request;
+	GString *in;
+	uint32_t address; /* index of the one in use */
+	uint32_t attempts;
+	int64_t floor_revision; /* least revision of a current answer */
+	int64_t asked_us;
+	int64_t deadline_us;
+	bool own_connection;
+	etcd_answer_fn fn;
+	void *data;
+	struct etcd_stream *stream; /* NULL for calls */
+};
+
+struct etcd_stream {
+	struct exchange *exchange;
+	struct etcd_stream_opts opts;
+	bool closed;
+};
+
+enum reachability { REACHABLE_UNKNOWN, REACHABLE_NO, REACHABLE_YES };
+
+struct etcd {
+	struct etcd_opts opts;
+	char **addresses; /* own copies */
+	CURLM *multi;
+	struct curl_slist *headers;
+	struct loop_timer *timer;
+	GPtrArray *exchanges;
+	GPtrArray *sockets; /* struct socket_watch */
+	uint32_t address;
+	uint32_t failures; /* in a row */
+	enum reachability reachable;
+	int64_t newest_revision; /* of any answer */
+	int64_t distrust_until_us; /* connections opened before are not used */
+	uint64_t call_count;
+};
+
+struct socket_watch {
+	struct etcd *etcd;
+	curl_socket_t fd;
+};
+
+static void exchange_free(struct exchange *x)
+{
+	curl_multi_remove_handle(x->etcd->multi, x->curl);
+	curl_easy_cleanup(x->curl);
+	g_free(x->path);
+	g_free(x->request);
+	g_string_free(x->in, TRUE);
+	g_free(x->stream);
+	g_free(x);
+}
+
+static apr_status_t etcd_cleanup(void *data)
+{
+	struct etcd *e = data;
+
+	loop_timer_set(e->timer, -1);
+	for (guint i = 0; i < e->exchanges->len; i++)
+		exchange_free(g_ptr_array_index(e->exchanges, i));
+	g_ptr_array_free(e->exchanges, TRUE);
+	curl_multi_cleanup(e->multi);
+	curl_slist_free_all(e->headers);
+	for (guint i = 0; i < e->sockets->len; i++) {
+		struct socket_watch *w = g_ptr_array_index(e->sockets, i);
+
+		loop_unwatch(e->opts.loop, w->fd);
+		g_free(w);
+	}
+	g_ptr_array_free(e->sockets, TRUE);
+	g_strfreev(e->addresses);
+	g_free(e);
+	return APR_SUCCESS;
+}
+
+static void report(struct etcd *e, enum reachability r)
+{
+	if (e->reachable == r)
+		return;
+	e->reachable = r;
+	if (e->opts.on_reachable)
+		e->opts.on_reachable(e->opts.data, r == REACHABLE_YES);
+}
+
+static void note_success(struct etcd *e)
+{
+	e->failures = 0;
+	report(e, REACHABLE_YES);
+}
+
+static void note_failure(struct etcd *e, uint32_t address)
+{
+	if (e->address == address)
+		etcd_next_address(e);
+	e->distrust_until_us = loop_now_us() + CONNECTION_IDLE_MAX_S * US_PER_S;
+	if (++e->failures >= e->opts.address_count)
+		report(e, REACHABLE_NO);
+}
+
+void etcd_next_address(struct etcd *e)
+{
+	e->address = (e->address + 1) % e->opts.address_count;
+}
+
+uint64_t etcd_call_count(const struct etcd *e)
+{
+	return e->call_count;
+}
+
+static size_t on_bytes(char *bytes, size_t size, size_t count, void *data)
+{
+	struct exchange *x = data;
+
+	if (x->in->len + size * count > ANSWER_BYTES_MAX)
+		return 0;
+	g_string_append_len(x->in, bytes, size * count);
+	return size * count;
+}
+
+static void set_time_limits(struct exchange *x)
+{
+	int64_t timeout_us = x->etcd->opts.call_timeout_us;
+	int64_t left_us = MAX(x->deadline_us - x->asked_us, US_PER_MS);
+	int64_t connect_us = MIN(left_us, timeout_us / CONNECT_TIMEOUT_DIVISOR);
+
+	curl_easy_setopt(x->curl, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)(MAX(connect_us, US_PER_MS) / US_PER_MS));
+	if (!x->stream)
+		curl_easy_setopt(x->curl, CURLOPT_TIMEOUT_MS,
+				 (long)(left_us / US_PER_MS));
+}
+
+static void submit(struct exchange *x)
+{
+	struct etcd *e = x->etcd;
+	char *url;
+
+	x->address = e->address;
+	x->attempts++;
+	x->asked_us = loop_now_us();
+	x->floor_revision = e->newest_revision;
+	url = g_strdup_printf("http://%s%s", e->addresses[x->address], x->path);
+	curl_easy_setopt(x->curl, CURLOPT_URL, url);
+	g_free(url);
+	curl_easy_setopt(x->curl, CURLOPT_FRESH_CONNECT,
+			 (long)(x->own_connection ||
+				x->asked_us < e->distrust_until_us));
+	set_time_limits(x);
+	e->call_count++;
+	curl_multi_add_handle(e->multi, x->curl);
+}
+
+static struct exchange *exchange_new(struct etcd *e, const char *path,
+				     json_t *request)
+{
+	struct exchange *x = g_new0(struct exchange, 1);
+	char *text = json_dumps(request, JSON_COMPACT);
+
+	json_decref(request);
+	x->etcd = e;
+	x->path = g_strdup(path);
+	x->request = g_strdup(text ? text : "{}");
+	free(text);
+	x->in = g_string_new(NULL);
+	x->deadline_us = loop_now_us() + e->opts.call_timeout_us;
+	x->curl = curl_easy_init();
+	curl_easy_setopt(x->curl, CURLOPT_PRIVATE, x);
+	curl_easy_setopt(x->curl, CURLOPT_HTTPHEADER, e->headers);
+	curl_easy_setopt(x->curl, CURLOPT_POSTFIELDS, x->request);
+	curl_easy_setopt(x->curl, CURLOPT_WRITEFUNCTION, on_bytes);
+	curl_easy_setopt(x->curl, CURLOPT_WRITEDATA, x);
+	curl_easy_setopt(x->curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(x->curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(x->curl, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(x->curl, CURLOPT_MAXAGE_CONN,
+			 (long)CONNECTION_IDLE_MAX_S);
+	curl_easy_setopt(x->curl, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(x->curl, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
+	curl_easy_setopt(x->curl, CURLOPT_TCP_KEEPINTVL,
+			 (long)KEEPALIVE_INTERVAL_S);
+	g_ptr_array_add(e->exchanges, x);
+	return x;
+}
+
+void etcd_call(struct etcd *e, const char *path, json_t *request,
+	       etcd_answer_fn fn, void *data)
+{
+	struct exchange *x = exchange_new(e, path, request);
+
+	x->fn = fn;
+	x->data = data;
+	submit(x);
+}
+
+/* The connection is closed with the exchange and never pooled. */
+static void use_own_connection(struct exchange *x)
+{
+	x->own_connection = true;
+	curl_easy_setopt(x->curl, CURLOPT_FORBID_REUSE, 1L);
+}
+
+/*
+ * libcurl sends a request again if a pooled connection turns out to be
+ * closed before any byte of the answer; on a new connection it does not.
+ */
+void etcd_call_once(struct etcd *e, const char *path, json_t *request,
+		    etcd_answer_fn fn, void *data)
+{
+	struct exchange *x = exchange_new(e, path, request);
+
+	x->fn = fn;
+	x->data = data;
+	use_own_connection(x);
+	submit(x);
+}
+
+struct etcd_stream *etcd_stream_open(struct etcd *e,
+				     const struct etcd_stream_opts *opts)
+{
+	struct exchange *x = exchange_new(e, opts->path, opts->request);
+	struct etcd_stream *s = g_new0(struct etcd_stream, 1);
+
+	s->exchange = x;
+	s->opts = *opts;
+	x->stream = s;
+	use_own_connection(x);
+	submit(x);
+	return s;
+}
+
+static void exchange_remove(struct exchange *x)
+{
+	g_ptr_array_remove_fast(x->etcd->exchanges, x);
+	exchange_free(x);
+}
+
+void etcd_stream_close(struct etcd_stream *s)
+{
+	s->closed = true;
+	/* Streams are freed by drive(), which may be on the stack now. */
+	loop_timer_set(s->exchange->etcd->timer, 0);
+}
+
+/* Returns the part that holds the header: streams wrap it in "result". */
+static const json_t *answer_result(const json_t *body)
+{
+	const json_t *result = json_object_get(body, "result");
+
+	return result ? result : body;
+}
+
+static int error_of(CURLcode code, const struct exchange *x)
+{
+	curl_off_t sent_us = 0;
+
+	curl_easy_getinfo(x->curl, CURLINFO_PRETRANSFER_TIME_T, &sent_us);
+	if (code == CURLE_OK)
+		return 0;
+	if (code == CURLE_COULDNT_CONNECT ||
+	    (code == CURLE_OPERATION_TIMEDOUT && !sent_us))
+		return -ECONNREFUSED;
+	return code == CURLE_OPERATION_TIMEDOUT ? -ETIMEDOUT : -ECONNRESET;
+}
+
+static json_t *read_answer(struct exchange *x, struct etcd_answer *a)
+{
+	json_t *body = json_loadb(x->in->str, x->in->len,
+				  JSON_REJECT_DUPLICATES, NULL);
+
+	if (a->http_status != HTTP_OK) {
+		a->error = -EREMOTEIO;
+		return body;
+	}
+	a->revision = etcd_json_revision(answer_result(body));
+	if (!json_is_object(body) || a->revision <= 0)
+		a->error = -EBADMSG;
+	else if (a->revision < x->floor_revision)
+		a->error = -ESTALE;
+	else
+		a->body = body;
+	return body;
+}
+
+/* A refused call, such as one for an unknown lease, is an answer. */
+static bool is_answered(const struct etcd_answer *a)
+{
+	return !a->error || (a->error == -EREMOTEIO && a->http_status < 500);
+}
+
+static void finish_call(struct exchange *x, CURLcode code)
+{
+	struct etcd *e = x->etcd;
+	struct etcd_answer a = { .asked_us = x->asked_us };
+	json_t *body = NULL;
+	long status = 0;
+
+	a.error = error_of(code, x);
+	curl_easy_getinfo(x->curl, CURLINFO_RESPONSE_CODE, &status);
+	a.http_status = (int)status;
+	if (!a.error)
+		body = read_answer(x, &a);
+	if (is_answered(&a))
+		note_success(e);
+	else
+		note_failure(e, x->address);
+	e->newest_revision = MAX(e->newest_revision, a.revision);
+	if (a.error == -ECONNREFUSED && x->attempts < e->opts.address_count &&
+	    loop_now_us() < x->deadline_us) {
+		curl_multi_remove_handle(e->multi, x->curl);
+		g_string_truncate(x->in, 0);
+		submit(x);
+		return;
+	}
+	x->fn(x->data, &a);
+	json_decref(body);
+	exchange_remove(x);
+}
+
+static void finish_stream(struct exchange *x)
+{
+	struct etcd_stream *s = x->stream;
+
+	if (!s->closed) {
+		note_failure(x->etcd, x->address);
+		s->closed = true;
+		s->opts.on_end(s->opts.data);
+	}
+	exchange_remove(x);
+}
+
+/* Passes on the whole lines that a stream received. */
+static void read_lines(struct exchange *x)
+{
+	struct etcd_stream *s = x->stream;
+	char *end;
+
+	while (!s->closed && (end = memchr(x->in->str, '\n', x->in->len))) {
+		size_t n = end - x->in->str;
+		json_t *line = json_loadb(x->in->str, n, 0, NULL);
+		const json_t *result = json_object_get(line, "result");
+
+		g_string_erase(x->in, 0, n + 1);
+		if (result)
+			s->opts.on_result(s->opts.data, result);
+		json_decref(line);
+	}
+}
+
+static void read_streams(struct etcd *e)
+{
+	for (guint i = 0; i < e->exchanges->len; i++) {
+		struct exchange *x = g_ptr_array_index(e->exchanges, i);
+
+		if (x->stream && !x->stream->closed)
+			read_lines(x);
+	}
+}
+
+static void remove_closed_streams(struct etcd *e)
+{
+	for (guint i = e->exchanges->len; i-- > 0;) {
+		struct exchange *x = g_ptr_array_index(e->exchanges, i);
+
+		if (x->stream && x->stream->closed)
+			exchange_remove(x);
+	}
+}
+
+static void finish_done(struct etcd *e)
+{
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(e->multi, &left))) {
+		struct exchange *x = NULL;
+
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&x);
+		if (x->stream)
+			finish_stream(x);
+		else
+			finish_call(x, m->data.result);
+	}
+}
+
+static void set_timer(struct etcd *e, long timeout_ms)
+{
+	if (timeout_ms < 0)
+		loop_timer_set(e->timer, -1);
+	else
+		loop_timer_set(e->timer,
+			       loop_now_us() + timeout_ms * US_PER_MS);
+}
+
+/*
+ * Lets libcurl work, then makes the callbacks; libcurl does not allow new
+ * calls from within its own callbacks. The timer is read back, because
+ * libcurl does not repeat a time that it announced before.
+ */
+static void drive(struct etcd *e, curl_socket_t fd, int curl_events)
+{
+	long timeout_ms = -1;
+	int running;
+
+	curl_multi_socket_action(e->multi, fd, curl_events, &running);
+	read_streams(e);
+	finish_done(e);
+	remove_closed_streams(e);
+	curl_multi_timeout(e->multi, &timeout_ms);
+	set_timer(e, timeout_ms);
+}
+
+static void on_timer(void *data, int64_t now_us)
+{
+	drive(data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static void on_socket(void *data, int events)
+{
+	struct socket_watch *w = data;
+	int ready = 0;
+
+	if (events & LOOP_READ)
+		ready |= CURL_CSELECT_IN;
+	if (events & LOOP_WRITE)
+		ready |= CURL_CSELECT_OUT;
+	if (events & LOOP_ERROR)
+		ready |= CURL_CSELECT_ERR;
+	drive(w->etcd, w->fd, ready);
+}
+
+static int on_curl_timer(CURLM *multi, long timeout_ms, void *data)
+{
+	set_timer(data, timeout_ms);
+	return 0;
+}
+
+static int on_curl_socket(CURL *curl, curl_socket_t fd, int what, void *data,
+			  void *socket_data)
+{
+	struct etcd *e = data;
+	struct socket_watch *w = socket_data;
+	int events = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		loop_unwatch(e->opts.loop, fd);
+		curl_multi_assign(e->multi, fd, NULL);
+		if (w)
+			g_ptr_array_remove_fast(e->sockets, w);
+		g_free(w);
+		return 0;
+	}
+	if (!w) {
+		w = g_new0(struct socket_watch, 1);
+		w->etcd = e;
+		w->fd = fd;
+		g_ptr_array_add(e->sockets, w);
+		curl_multi_assign(e->multi, fd, w);
+	}
+	if (what & CURL_POLL_IN)
+		events |= LOOP_READ;
+	if (what & CURL_POLL_OUT)
+		events |= LOOP_WRITE;
+	loop_watch(e->opts.loop, fd, events, on_socket, w);
+	return 0;
+}
+
+int etcd_new(struct etcd **out, const struct etcd_opts *opts,
+	     apr_pool_t *parent)
+{
+	struct etcd *e;
+
+	if (!opts->address_count)
+		return -EINVAL;
+	if (curl_global_init(CURL_GLOBAL_DEFAULT))
+		return -ENOMEM;
+	e = g_new0(struct etcd, 1);
+	e->opts = *opts;
+	e->addresses = g_new0(char *, opts->address_count + 1);
+	for (uint32_t i = 0; i < opts->address_count; i++)
+		e->addresses[i] = g_strdup(opts->addresses[i]);
+	e->exchanges = g_ptr_array_new();
+	e->sockets = g_ptr_array_new();
+	e->timer = loop_timer_add(opts->loop, on_timer, e);
+	e->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	e->headers = curl_slist_append(e->headers, "Expect:");
+	e->multi = curl_multi_init();
+	curl_multi_setopt(e->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+	curl_multi_setopt(e->multi, CURLMOPT_SOCKETDATA, e);
+	curl_multi_setopt(e->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+	curl_multi_setopt(e->multi, CURLMOPT_TIMERDATA, e);
+	apr_pool_cleanup_register(parent, e, etcd_cleanup,
+				  apr_pool_cleanup_null);
+	*out = e;
+	return 0;
+}
--- a/standin/platform/control.c
+++ b/standin/platform/control.c
@@ -195,7 +195,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
 		const struct command *d = &commands[i];
 
-		if (strcmp(words[0], d->name))
+		if (strcmp(words[0], d->name) != 0)
 			continue;
 		if (g_strv_length(words) != d->arguments + 1)
 			return false;
--- a/standin/platform/gateway.c
+++ b/standin/platform/gateway.c
@@ -142,6 +142,8 @@
 	return rv;
 }
 
+/* The signature is libmicrohttpd's. */
+/* NOLINTNEXTLINE(readability-function-size) */
 static enum MHD_Result on_request(void *data, struct MHD_Connection *conn,
 				  const char *url, const char *method,
 				  const char *version, const char *upload,
--- a/standin/platform/instance_list.c
+++ b/standin/platform/instance_list.c
@@ -62,7 +62,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(states); i++) {
 		struct pending_change *c;
 
-		if (strcmp(state, states[i].name))
+		if (strcmp(state, states[i].name) != 0)
 			continue;
 		c = g_new0(struct pending_change, 1);
 		c->key = g_strconcat(l->prefix, name, NULL);
--- a/standin/platform/kv_calls.c
+++ b/standin/platform/kv_calls.c
@@ -362,7 +362,7 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(call_rows); i++) {
-		if (strcmp(path, call_rows[i].path))
+		if (strcmp(path, call_rows[i].path) != 0)
 			continue;
 		r.kind = kind_of(&call_rows[i], request);
 		r.http_status = call_rows[i].fn(s, request, r.body, now_us);
--- a/standin/platform/watch_stream.c
+++ b/standin/platform/watch_stream.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#define PROGRESS_INTERVAL_US (5 * G_USEC_PER_SEC)
+#define PROGRESS_INTERVAL_US INT64_C(5000000)
 
 static void emit(struct watch_stream *w, json_t *result)
 {
