--- a/src/admin/operator_api.c
+++ b/src/admin/operator_api.c
@@ -1,6 +1,8 @@
 #include "admin/operator_api.h"
 
+#include "admin/entry_json.h"
 #include "base/log.h"
+#include "etcd/field_reader.h"
 #include "etcd/record_codec.h"
 
 #include <glib.h>
@@ -19,9 +21,6 @@
 
 #define PATH_PREFIX "/v1/"
 
-#define NAME_CHARS \
-	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
-
 struct operator_api {
 	struct operator_api_opts opts;
 	GHashTable *changes; /* set of owned struct change in progress */
@@ -61,62 +60,15 @@
 	reply(a, c->operator_id, error, json_pack("{s:s}", "detail", detail));
 }
 
-/* --- entries as JSON --- */
-
-static json_t *entry_json(const char *name, const struct record *r)
-{
-	return json_pack("{s:s, s:I, s:o}", "name", name, "revision",
-			 (json_int_t)r->revision, "fields", record_to_json(r));
-}
-
-static json_t *entry_of(const struct record *r)
-{
-	char name[RECORD_NAME_BYTES];
-
-	record_name(r, name, sizeof(name));
-	return entry_json(name, r);
-}
-
-struct listing {
-	json_t *entries;
-	const char *group; /* NULL: all */
-};
-
-static void list_entry(void *data, const char *name, const struct record *r)
-{
-	struct listing *l = data;
-
-	if (l->group && strcmp(r->endpoint.group, l->group) != 0)
-		return;
-	json_array_append_new(l->entries, entry_json(name, r));
-}
-
-static json_t *list_json(const struct operator_api *a, enum record_kind kind,
-			 const char *group)
-{
-	struct listing l = { .entries = json_array(), .group = group };
-
-	record_store_iterate(a->opts.records, kind, list_entry, &l);
-	return l.entries;
-}
-
 static void run_list(struct operator_api *a, const struct call *c)
 {
-	json_t *entries = list_json(a, c->route->kind, c->names[0]);
+	json_t *entries =
+		entry_list_json(a->opts.records, c->route->kind, c->names[0]);
 
 	reply(a, c->operator_id, ERR_NONE,
 	      json_pack("{s:o}", "entries", entries));
 }
 
-/* --- names of entries --- */
-
-static bool name_is_valid(const char *name)
-{
-	size_t n = strlen(name);
-
-	return n > 0 && n < NAME_BYTES && strspn(name, NAME_CHARS) == n;
-}
-
 static bool read_digest(const char *hex, uint8_t *digest)
 {
 	size_t size = 0;
@@ -134,7 +86,7 @@
 	r->kind = c->route->kind;
 	if (r->kind == RECORD_KEY)
 		return read_digest(c->names[0], r->key.digest);
-	if (!name_is_valid(c->names[0]))
+	if (!field_is_name(c->names[0]))
 		return false;
 	if (r->kind == RECORD_PROFILE)
 		g_strlcpy(r->profile.name, c->names[0], NAME_BYTES);
@@ -142,7 +94,7 @@
 		g_strlcpy(r->workspace.name, c->names[0], NAME_BYTES);
 	if (r->kind != RECORD_ENDPOINT)
 		return true;
-	if (!name_is_valid(c->names[1]))
+	if (!field_is_name(c->names[1]))
 		return false;
 	g_strlcpy(r->endpoint.group, c->names[0], NAME_BYTES);
 	g_strlcpy(r->endpoint.name, c->names[1], NAME_BYTES);
@@ -171,23 +123,7 @@
 	if (!held)
 		reply(a, c->operator_id, ERR_NOT_FOUND, NULL);
 	else
-		reply(a, c->operator_id, ERR_NONE, entry_of(held));
-}
-
-/* --- changes --- */
-
-static json_t *conflict_json(int64_t revision, const struct record *current)
-{
-	json_t *j = current ? entry_of(current) : json_object();
-
-	json_object_set_new(j, "revision",
-			    json_integer(current ? current->revision :
-						   revision));
-	json_object_set_new(
-		j, "detail",
-		json_string(current ? "the entry has another revision now" :
-				      "the entry does not exist"));
-	return j;
+		reply(a, c->operator_id, ERR_NONE, entry_json(held));
 }
 
 static void log_change(const struct change *ch, int64_t revision)
@@ -216,7 +152,7 @@
 		      json_pack("{s:I}", "revision", (json_int_t)revision));
 	else
 		reply(ch->api, ch->operator_id, ERR_NONE,
-		      entry_of(&ch->record));
+		      entry_json(&ch->record));
 }
 
 static void reply_refused(struct change *ch, int64_t revision,
@@ -226,7 +162,7 @@
 		reply(ch->api, ch->operator_id, ERR_NOT_FOUND, NULL);
 	else
 		reply(ch->api, ch->operator_id, ERR_CONFLICT,
-		      conflict_json(revision, current));
+		      entry_conflict_json(revision, current));
 }
 
 static void on_changed(void *data, enum platform_outcome outcome,
@@ -335,54 +271,17 @@
 		start_change(a, c, &r, true, expected);
 }
 
-/* --- groups --- */
-
-static json_t *group_json(const struct operator_api *a, const char *group)
-{
-	const struct record *r;
-	json_t *j = json_pack("{s:s}", "group", group);
-
-	r = record_store_find(a->opts.records, RECORD_TERM, group);
-	json_object_set_new(j, "term",
-			    json_integer(r ? (json_int_t)r->term.term : 0));
-	json_object_set_new(j, "primary",
-			    json_string(r ? r->term.primary : ""));
-	json_object_set_new(j, "promoter",
-			    json_string(r ? r->term.promoter : ""));
-	json_object_set_new(j, "revision", json_integer(r ? r->revision : 0));
-	json_object_set_new(j, "endpoints",
-			    list_json(a, RECORD_ENDPOINT, group));
-	return j;
-}
-
-static void collect_group(void *data, const char *name, const struct record *r)
-{
-	g_hash_table_add(data, (gpointer)(r->kind == RECORD_TERM ?
-						  r->term.group :
-						  r->endpoint.group));
-}
-
 static void run_groups(struct operator_api *a, const struct call *c)
 {
-	g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
-	json_t *groups = json_array();
-	g_autoptr(GList) sorted = NULL;
-
-	record_store_iterate(a->opts.records, RECORD_ENDPOINT, collect_group,
-			     names);
-	record_store_iterate(a->opts.records, RECORD_TERM, collect_group,
-			     names);
-	sorted =
-		g_list_sort(g_hash_table_get_keys(names), (GCompareFunc)strcmp);
-	for (GList *i = sorted; i; i = i->next)
-		json_array_append_new(groups, group_json(a, i->data));
+	json_t *groups = group_list_json(a->opts.records);
+
 	reply(a, c->operator_id, ERR_NONE,
 	      json_pack("{s:o}", "groups", groups));
 }
 
 static void run_group(struct operator_api *a, const struct call *c)
 {
-	json_t *j = group_json(a, c->names[0]);
+	json_t *j = group_json(a->opts.records, c->names[0]);
 
 	if (json_array_size(json_object_get(j, "endpoints")) ||
 	    json_integer_value(json_object_get(j, "term"))) {
@@ -393,8 +292,6 @@
 	reply(a, c->operator_id, ERR_NOT_FOUND, NULL);
 }
 
-/* --- the instance --- */
-
 static void run_status(struct operator_api *a, const struct call *c)
 {
 	reply(a, c->operator_id, ERR_NONE, a->opts.status(a->opts.data));
--- a/src/cli/entry_command.c
+++ b/src/cli/entry_command.c
@@ -3,14 +3,12 @@
 #include "cli/change.h"
 #include "cli/command.h"
 #include "cli/output.h"
+#include "etcd/field_reader.h"
 
 #include <glib.h>
 #include <stdbool.h>
 #include <string.h>
 
-#define NAME_CHARS \
-	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
-
 int entry_list(struct cli *x, const char *path)
 {
 	struct client_answer a;
@@ -113,15 +111,10 @@
 	return change_delete(x, path, revision);
 }
 
-static bool name_is_valid(const char *name)
-{
-	return name[0] && strspn(name, NAME_CHARS) == strlen(name);
-}
-
 /* Returns "/v1/COLLECTION/NAME" or NULL with a message printed. */
 static char *named_path(const struct cli *x, const char *name)
 {
-	if (name_is_valid(name))
+	if (field_is_name(name))
 		return g_strdup_printf("/v1/%s/%s", (const char *)x->noun->data,
 				       name);
 	fprintf(stderr, "zinnialine: '%s' is not a valid name\n", name);
@@ -133,8 +126,8 @@
 {
 	g_auto(GStrv) parts = g_strsplit(name, "/", -1);
 
-	if (g_strv_length(parts) == 2 && name_is_valid(parts[0]) &&
-	    name_is_valid(parts[1]))
+	if (g_strv_length(parts) == 2 && field_is_name(parts[0]) &&
+	    field_is_name(parts[1]))
 		return g_strdup_printf("/v1/groups/%s/endpoints/%s", parts[0],
 				       parts[1]);
 	fprintf(stderr, "zinnialine: '%s' is not GROUP/NAME\n", name);
@@ -216,7 +209,7 @@
 {
 	g_autofree char *path = NULL;
 
-	if (!name_is_valid(x->args[0]))
+	if (!field_is_name(x->args[0]))
 		return EXIT_USAGE;
 	path = g_strdup_printf("/v1/groups/%s/endpoints", x->args[0]);
 	return entry_list(x, path);
--- a/src/settings/settings_check.c
+++ b/src/settings/settings_check.c
@@ -1,6 +1,7 @@
 #include "settings/settings_check.h"
 
 #include "core/sizes.h"
+#include "etcd/field_reader.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -17,9 +18,6 @@
 	MS_PER_S = 1000,
 };
 
-#define NAME_CHARS \
-	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
-
 static const char bad_address[] = "must be ip:port, both by number";
 
 struct address {
@@ -70,13 +68,9 @@
 
 const char *settings_check_name(const char *text)
 {
-	size_t n = strlen(text);
-
-	if (!n || n >= NAME_BYTES)
-		return "must have 1 to 47 characters";
-	if (strspn(text, NAME_CHARS) != n)
-		return "may have letters, digits, '.', '_' and '-' only";
-	return NULL;
+	return field_is_name(text) ?
+		       NULL :
+		       "must be 1 to 47 letters, digits, '.', '_' or '-'";
 }
 
 const char *settings_check_address(const char *text)
