--- /dev/null
+++ b/tests/platform_fault_test.cc
@@ -0,0 +1,210 @@
+#include "platform_harness.h"
+
+namespace
+{
+
+const char MEMBER_KEY[] = "/zinnialine/member/i1";
+
+/* What happens between two states of the configuration, and how it ends. */
+struct FaultCase {
+	const char *name;
+	std::vector<const char *> before; /* commands while all is well */
+	std::vector<const char *> during; /* commands before the change */
+	std::vector<const char *> after; /* commands that end the fault */
+};
+
+const FaultCase fault_cases[] = {
+	{ "no fault", {}, {}, {} },
+	{ "outage without answers", { "outage on" }, {}, { "outage off" } },
+	{ "outage that refuses", { "outage refuse" }, {}, { "outage off" } },
+	{ "outage, history compacted",
+	  { "outage on" },
+	  {},
+	  { "compact", "outage off" } },
+	{ "frozen", { "freeze" }, {}, { "resume" } },
+	{ "slow", { "slow 150" }, {}, { "slow 0" } },
+	{ "slower than the timeout", { "slow 600" }, {}, { "slow 0" } },
+	{ "silent watches", { "silent" }, {}, {} },
+	{ "silent watches, history compacted", { "silent" }, {}, { "compact" } },
+	{ "silent watches in an outage",
+	  { "silent", "outage on" },
+	  {},
+	  { "outage off" } },
+};
+
+/* After every fault puts and deletions arrive, in order. */
+TEST(PlatformFault, ConfigurationArrivesAfterEveryFault)
+{
+	for (const FaultCase &t : fault_cases) {
+		SCOPED_TRACE(t.name);
+		PlatformProcess p;
+
+		p.command(put(WORKSPACE_A, WORKSPACE_1));
+		p.command(put("/zinnialine/workspace/gone", WORKSPACE_1));
+		p.command("instance e1 live");
+		Client c({ p.address() });
+		ASSERT_TRUE(c.until_synced());
+		for (const char *command : t.before)
+			p.command(command);
+		c.run_for(700 * US_PER_MS);
+		p.command("delete /zinnialine/workspace/gone");
+		p.command(put(WORKSPACE_A, WORKSPACE_2));
+		p.command("instance e1 gone");
+		c.run_for(700 * US_PER_MS);
+		for (const char *command : t.after)
+			p.command(command);
+		EXPECT_TRUE(c.until_synced());
+		EXPECT_EQ(2u, c.rate_of("workspace/a"));
+		EXPECT_FALSE(c.has("workspace/gone"));
+		EXPECT_FALSE(c.has("instance/e1"));
+		EXPECT_EQ(std::stoll(p.command("revision")), c.synced.revision);
+		EXPECT_FALSE(c.went_backwards);
+		EXPECT_TRUE(c.reachable);
+	}
+}
+
+TEST(PlatformFault, OutageIsReportedAndConfirmsNothing)
+{
+	PlatformProcess p;
+	Client c({ p.address() });
+
+	ASSERT_TRUE(c.until_synced());
+	p.command("outage on");
+	EXPECT_TRUE(c.until([&] { return !c.reachable; }));
+	int syncs = c.syncs;
+	c.run_for(3 * US_PER_S);
+	EXPECT_EQ(syncs, c.syncs);
+	p.command("outage off");
+	EXPECT_TRUE(c.until([&] { return c.reachable; }));
+	EXPECT_TRUE(c.until_synced());
+}
+
+/* A service that lost changes is not believed until it has caught up. */
+TEST(PlatformFault, OlderAnswersAreRefused)
+{
+	PlatformProcess current;
+	PlatformProcess older;
+
+	older.command(put(WORKSPACE_A, WORKSPACE_1));
+	current.command(put(WORKSPACE_A, WORKSPACE_1));
+	for (int i = 0; i < 10; i++)
+		current.command(put(WORKSPACE_A, WORKSPACE_2));
+	Client c({ current.address(), older.address() });
+	ASSERT_TRUE(c.until_synced());
+	int64_t revision = c.synced.revision;
+	size_t changes = c.revisions.size();
+
+	current.kill();
+	c.run_for(4 * US_PER_S);
+	EXPECT_EQ(revision, c.synced.revision);
+	EXPECT_EQ(changes, c.revisions.size());
+	EXPECT_EQ(2u, c.rate_of("workspace/a"));
+	for (int i = 0; i < 20; i++)
+		older.command(put("/zinnialine/workspace/b", WORKSPACE_2));
+	EXPECT_TRUE(c.until_synced());
+	EXPECT_EQ(2u, c.rate_of("workspace/b"));
+	EXPECT_FALSE(c.went_backwards);
+}
+
+TEST(PlatformFault, NextAddressIsUsed)
+{
+	PlatformProcess p;
+	PlatformProcess dead;
+	std::string refused = dead.address();
+
+	dead.kill();
+	PlatformProcess frozen;
+	frozen.command("freeze");
+	Client c({ refused, frozen.address(), p.address() }, "i1");
+	EXPECT_TRUE(c.until([&] { return c.syncs > 0 && c.leases > 0; }));
+}
+
+/* The member key is there whenever the instance trusts its lease. */
+TEST(PlatformFault, LostLeaseIsTakenAgain)
+{
+	PlatformProcess p;
+	Client c({ p.address() }, "i1");
+
+	ASSERT_TRUE(c.until([&] { return c.leases > 0; }));
+	EXPECT_TRUE(c.until([&] { return c.has("member/i1"); }));
+	EXPECT_EQ(2 * US_PER_S, c.lease.ttl_us);
+	int64_t first = c.records["member/i1"].revision;
+
+	p.command("expire-lease " + p.command("leases"));
+	EXPECT_EQ("none", p.command(std::string("get ") + MEMBER_KEY));
+	EXPECT_TRUE(c.until([&] {
+		return c.has("member/i1") &&
+		       c.records["member/i1"].revision > first;
+	}));
+	int leases = c.leases;
+	EXPECT_TRUE(c.until([&] { return c.leases > leases; }));
+	EXPECT_NE("none", p.command(std::string("get ") + MEMBER_KEY));
+	EXPECT_GE(c.synced.revision, c.records["member/i1"].revision);
+}
+
+TEST(PlatformFault, PausedHolderLosesMemberKey)
+{
+	PlatformProcess p;
+	Client c({ p.address() }, "i1");
+	std::string get = std::string("get ") + MEMBER_KEY;
+	int64_t end_us;
+
+	ASSERT_TRUE(c.until([&] { return c.leases > 0; }));
+	/* The loop does not run, so nothing is renewed. */
+	end_us = loop_now_us() + CAP_US;
+	while (p.command(get) != "none" && loop_now_us() < end_us)
+		usleep(20000);
+	ASSERT_EQ("none", p.command(get));
+	int leases = c.leases;
+	EXPECT_TRUE(c.until([&] { return c.leases > leases; }));
+	EXPECT_NE("none", p.command(get));
+	/* Renewals go on afterwards. */
+	EXPECT_TRUE(c.until([&] { return c.leases > leases + 3; }));
+	EXPECT_NE("none", p.command(get));
+}
+
+TEST(PlatformFault, DeletedMemberKeyIsPutAgain)
+{
+	PlatformProcess p;
+	Client c({ p.address() }, "i1");
+	std::string get = std::string("get ") + MEMBER_KEY;
+
+	ASSERT_TRUE(c.until([&] { return c.leases > 0; }));
+	p.command(std::string("delete ") + MEMBER_KEY);
+	EXPECT_TRUE(c.until([&] { return p.command(get) != "none"; }));
+}
+
+struct LeaveCase {
+	const char *name;
+	const char *member; /* NULL: there is no lease */
+	const char *fault;
+	bool key_stays; /* until the lease expires */
+};
+
+const LeaveCase leave_cases[] = {
+	{ "with a lease", "i1", nullptr, false },
+	{ "without a lease", nullptr, nullptr, false },
+	{ "in an outage", "i1", "outage on", true },
+	{ "answer lost", "i1", "lose 1", false },
+};
+
+TEST(PlatformFault, Leave)
+{
+	for (const LeaveCase &t : leave_cases) {
+		SCOPED_TRACE(t.name);
+		PlatformProcess p;
+		Client c({ p.address() }, t.member);
+
+		ASSERT_TRUE(c.until([&] {
+			return c.syncs > 0 && (!t.member || c.leases > 0);
+		}));
+		if (t.fault)
+			p.command(t.fault);
+		c.leave();
+		EXPECT_EQ(t.key_stays, p.command(std::string("get ") +
+						 MEMBER_KEY) != "none");
+		EXPECT_EQ(t.key_stays, p.command("leases") != "");
+	}
+}
+
+} // namespace
