--- /dev/null
+++ b/tests/peer_codec_test.cc
@@ -0,0 +1,164 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <cerrno>
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "peer/peer_codec.h"
+}
+
+namespace
+{
+
+using Bytes = std::vector<uint8_t>;
+
+peer_message message(peer_message_type type)
+{
+	peer_message m;
+
+	memset(&m, 0, sizeof(m));
+	strcpy(m.peer, "receiver");
+	m.incarnation = UINT64_MAX;
+	m.type = type;
+	return m;
+}
+
+peer_message record_message(record_kind kind)
+{
+	peer_message m = message(PEER_RECORD);
+	share_record *s = &m.record.record.share;
+
+	m.record.record.kind = kind;
+	m.record.record.revision = 77;
+	if (kind != RECORD_SHARE)
+		return m;
+	s->cell = 3;
+	s->holder_count = SHARE_HOLDERS_MAX;
+	for (uint32_t i = 0; i < s->holder_count; i++) {
+		snprintf(s->holders[i].instance, NAME_BYTES, "%047u", i);
+		s->holders[i].incarnation = UINT64_MAX - i;
+		s->holders[i].ppm = SHARE_WHOLE_PPM / SHARE_HOLDERS_MAX;
+	}
+	return m;
+}
+
+std::vector<peer_message> all_messages()
+{
+	std::vector<peer_message> all;
+
+	for (int t = 0; t < PEER_RECORD; t++)
+		all.push_back(message(static_cast<peer_message_type>(t)));
+	for (int k = 0; k < RECORD_KIND_COUNT; k++)
+		all.push_back(record_message(static_cast<record_kind>(k)));
+	all[PEER_PONG].pong.sync_age_us = INT64_MAX;
+	strcpy(all[PEER_LOAN_ASK].loan_ask.workspace, "coop");
+	all[PEER_LOAN_ASK].loan_ask.renews = 5;
+	all[PEER_VIEW].view.silent = true;
+	return all;
+}
+
+Bytes encode(const peer_message &m)
+{
+	Bytes out(PEER_MESSAGE_MAX_BYTES);
+	int len = peer_encode(&m, "sender", out.data(), out.size());
+
+	EXPECT_GT(len, 0);
+	out.resize(len > 0 ? len : 0);
+	return out;
+}
+
+TEST(PeerCodec, EveryMessageComesBackWithItsSender)
+{
+	for (const peer_message &m : all_messages()) {
+		Bytes bytes = encode(m);
+		peer_message back;
+		peer_message want = m;
+
+		SCOPED_TRACE(m.type);
+		strcpy(want.peer, "sender");
+		ASSERT_EQ(0, peer_decode(bytes.data(), bytes.size(), &back));
+		EXPECT_STREQ("sender", back.peer);
+		EXPECT_EQ(bytes, encode(back));
+		EXPECT_EQ(0, memcmp(&want.loan_ask, &back.loan_ask,
+				    sizeof(want.loan_ask)));
+	}
+}
+
+TEST(PeerCodec, EveryCutOrLongerInputIsRefused)
+{
+	for (const peer_message &m : all_messages()) {
+		Bytes bytes = encode(m);
+		peer_message back;
+
+		SCOPED_TRACE(m.type);
+		for (size_t n = 0; n < bytes.size(); n++)
+			EXPECT_NE(0, peer_decode(bytes.data(), n, &back)) << n;
+		bytes.push_back(0);
+		EXPECT_EQ(-EINVAL,
+			  peer_decode(bytes.data(), bytes.size(), &back));
+	}
+}
+
+struct BadCase {
+	const char *name;
+	Bytes bytes;
+	int error;
+};
+
+const BadCase bad_cases[] = {
+	{ "empty", {}, -EINVAL },
+	{ "other version", { 2, 0xa1, 'a', 1, 0, 0 }, -EPROTO },
+	{ "no sender", { 1, 0xa0, 1, 0, 0 }, -EINVAL },
+	{ "control character", { 1, 0xa1, 7, 1, 0, 0 }, -EINVAL },
+	{ "unknown type", { 1, 0xa1, 'a', 1, 7, 0 }, -EINVAL },
+	{ "array", { 0x91, 1 }, -EINVAL },
+	{ "huge array", { 0xdd, 0xff, 0xff, 0xff, 0xff }, -EINVAL },
+	{ "huge string", { 1, 0xdb, 0xff, 0xff, 0xff, 0xff }, -EINVAL },
+	{ "negative sequence", { 1, 0xa1, 'a', 1, 0, 0xff }, -EINVAL },
+	{ "long input", Bytes(PEER_MESSAGE_MAX_BYTES + 1, 1), -EMSGSIZE },
+};
+
+TEST(PeerCodec, BadInputIsRefused)
+{
+	for (const BadCase &c : bad_cases) {
+		peer_message m;
+
+		SCOPED_TRACE(c.name);
+		EXPECT_EQ(c.error,
+			  peer_decode(c.bytes.data(), c.bytes.size(), &m));
+	}
+}
+
+TEST(PeerCodec, ValuesThatNoReaderTakesAreNotWritten)
+{
+	uint8_t out[PEER_MESSAGE_MAX_BYTES];
+	peer_message negative = message(PEER_PONG);
+	peer_message unended = message(PEER_LOAN_ASK);
+	peer_message whole = record_message(RECORD_SHARE);
+
+	negative.pong.sync_age_us = -1;
+	memset(unended.loan_ask.workspace, 'x', NAME_BYTES);
+	EXPECT_EQ(-EINVAL, peer_encode(&negative, "a", out, sizeof(out)));
+	EXPECT_EQ(-EINVAL, peer_encode(&unended, "a", out, sizeof(out)));
+	EXPECT_EQ(-EMSGSIZE, peer_encode(&whole, "a", out, 100));
+}
+
+RC_GTEST_PROP(PeerCodec, AnyBytesAreRefusedOrReadBackAlike,
+	      (uint8_t type, Bytes tail))
+{
+	Bytes bytes = { 1, 0xa1, 'a', 1, static_cast<uint8_t>(type % 8) };
+	peer_message m;
+
+	bytes.insert(bytes.end(), tail.begin(), tail.end());
+	if (peer_decode(bytes.data(), bytes.size(), &m))
+		return;
+	Bytes again = encode(m);
+	RC_ASSERT(!peer_decode(again.data(), again.size(), &m));
+	RC_ASSERT(again == encode(m));
+}
+
+} // namespace
