--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,25 @@
+#include "ports.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* A subcommand of the bench tool. */
+struct bench_command {
+	const char *name;
+	int (*run)(int argc, char **argv);
+};
+
+static const struct bench_command commands[] = {
+	{ "ports", ports_main },
+	{ NULL, NULL },
+};
+
+int main(int argc, char **argv)
+{
+	for (const struct bench_command *c = commands; c->name; c++) {
+		if (argc > 1 && !strcmp(argv[1], c->name))
+			return c->run(argc - 1, argv + 1);
+	}
+	fprintf(stderr, "usage: bench-load ports N\n");
+	return 2;
+}
--- /dev/null
+++ b/scripts/lib-demo.sh
@@ -0,0 +1,171 @@
+# Helpers that start the system on this machine: sourced by scripts/demo
+# and bench/measure. Everything listens on loopback, on free ports, and is
+# stopped by pid when the script ends.
+
+BIN_DIR=${BIN_DIR:-build/release}
+RUN_DIR=$(mktemp -d)
+PIDS=
+INSTANCES=
+OPERATOR_KEY=demo-operator-key-0001
+export ZINNIALINE_OPERATOR_KEY=$OPERATOR_KEY
+
+# Instances first: they give back to the platform what they hold.
+stop_all () {
+	for pid in $INSTANCES
+	do
+		kill "$pid" 2>/dev/null
+	done
+	for pid in $INSTANCES
+	do
+		wait "$pid" 2>/dev/null
+	done
+	for pid in $PIDS
+	do
+		kill "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null
+	done
+	rm -rf "$RUN_DIR"
+}
+
+# port FILE NAME: prints the port NAME of a ready line.
+port () {
+	sed -n "s/^ready.* $2=\([0-9]*\).*/\1/p" "$1"
+}
+
+# wait_ready FILE: waits for the ready line, ten seconds at most.
+wait_ready () {
+	i=0
+	while ! grep -q '^ready' "$1" 2>/dev/null
+	do
+		i=$((i + 1))
+		if test $i -gt 200
+		then
+			echo "no ready line in $1" >&2
+			cat "$1" "${1%.out}.err" >&2
+			exit 1
+		fi
+		sleep 0.05
+	done
+}
+
+# start NAME COMMAND...: runs it in the background; its pid is kept in
+# $RUN_DIR/NAME.pid.
+start () {
+	name=$1
+	shift
+	"$@" >"$RUN_DIR/$name.out" 2>"$RUN_DIR/$name.err" &
+	echo $! >"$RUN_DIR/$name.pid"
+	case "$*" in
+	*" serve "*) INSTANCES="$INSTANCES $!" ;;
+	*) PIDS="$PIDS $!" ;;
+	esac
+	wait_ready "$RUN_DIR/$name.out"
+}
+
+pid_of () {
+	cat "$RUN_DIR/$1.pid"
+}
+
+# control NAME COMMAND: one control command of a stand-in.
+control () {
+	exec 9<>"/dev/tcp/127.0.0.1/$(port "$RUN_DIR/$1.out" control)"
+	echo "$2" >&9
+	head -n 1 <&9
+	exec 9>&-
+}
+
+free_ports () {
+	# Ports of the replication links must be known before all start.
+	"$BIN_DIR/bench-load" ports "$1"
+}
+
+start_platform () {
+	start platform "$BIN_DIR/standin-platform" \
+		--listen 127.0.0.1:0 --control 127.0.0.1:0 "$@"
+	PLATFORM=127.0.0.1:$(port "$RUN_DIR/platform.out" listen)
+}
+
+# start_group NAME OPTION...: three endpoints, the first one primary.
+start_group () {
+	group=$1
+	shift
+	set -- "$@"
+	r=$(free_ports 3)
+	r1=$(echo "$r" | sed -n 1p)
+	r2=$(echo "$r" | sed -n 2p)
+	r3=$(echo "$r" | sed -n 3p)
+	for n in 1 2 3
+	do
+		eval "own=\$r$n"
+		peers=
+		for p in $r1 $r2 $r3
+		do
+			test "$p" = "$own" ||
+				peers="$peers${peers:+,}127.0.0.1:$p"
+		done
+		term=
+		test $n = 1 && term="--primary-term 1"
+		start "$group-$n" "$BIN_DIR/standin-endpoint" \
+			--name "$group-$n" --listen 127.0.0.1:0 \
+			--replication 127.0.0.1:"$own" --peers "$peers" \
+			--control 127.0.0.1:0 $term "$@"
+	done
+}
+
+# start_instance NAME ZONE
+start_instance () {
+	cat >"$RUN_DIR/$1.yaml" <<YAML
+instance:
+  name: $1
+  zone: $2
+listen:
+  callers: 127.0.0.1:0
+  operators: 127.0.0.1:0
+  peers: 127.0.0.1:0
+platform:
+  addresses: [$PLATFORM]
+  lease_s: ${LEASE_S:-3600}
+endpoints:
+  user: zinnialine
+  dbname: orders
+callers:
+  token_key_hex: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+security:
+  operator_key: $OPERATOR_KEY
+  curve_public: 'bS!c]y7&f{@y0\$50cJ4R}BRrC*7NT9T[N:i00hLm'
+  curve_secret: '0/RzNf^&izs\$#:Uw^^=oeh/.O-U%]]PHW[kKr94\$'
+log:
+  format: text
+  level: ${LOG_LEVEL:-info}
+YAML
+	start "$1" "$BIN_DIR/zinnialine" serve --settings "$RUN_DIR/$1.yaml"
+}
+
+callers_port () {
+	port "$RUN_DIR/$1.out" callers
+}
+
+operators () {
+	echo "127.0.0.1:$(port "$RUN_DIR/$1.out" operators)"
+}
+
+# zl INSTANCE COMMAND...: the operators' client against that instance.
+zl () {
+	in=$1
+	cmd=$2
+	shift 2
+	"$BIN_DIR/zinnialine" "$cmd" --server "$(operators "$in")" "$@"
+}
+
+# add_endpoints GROUP ZONE1 ZONE2 ZONE3 SLOTS CONNECTIONS
+add_endpoints () {
+	n=0
+	for z in "$2" "$3" "$4"
+	do
+		n=$((n + 1))
+		p=$(port "$RUN_DIR/$1-$n.out" listen)
+		zl "$FIRST" endpoint set "$1/$1-$n" --no-wait zone="$z" \
+			address="127.0.0.1:$p" slots="$5" \
+			connections_max="$6" state=live >/dev/null || exit 1
+	done
+}
--- a/src/admin/operator_api.c
+++ b/src/admin/operator_api.c
@@ -188,9 +188,10 @@
 			 const struct record *r, bool deleted, int64_t expected)
 {
 	struct change *ch;
+	int32_t error = a->opts.may_write(a->opts.data);
 
-	if (!a->opts.may_write(a->opts.data)) {
-		reply(a, c->operator_id, ERR_PLATFORM, NULL);
+	if (error) {
+		reply(a, c->operator_id, error, NULL);
 		return;
 	}
 	ch = g_new0(struct change, 1);
--- a/src/admin/operator_api.h
+++ b/src/admin/operator_api.h
@@ -44,8 +44,8 @@
 	json_t *(*config_status)(void *data);
 	/* Starts a graceful shutdown of this instance. */
 	void (*drain)(void *data);
-	/* Returns true while the key-value service can be reached. */
-	bool (*may_write)(void *data);
+	/* Returns ERR_NONE, or why no change can be accepted now. */
+	int32_t (*may_write)(void *data);
 	void *data;
 };
 
--- a/src/cli/change.c
+++ b/src/cli/change.c
@@ -11,7 +11,12 @@
 #include <string.h>
 #include <unistd.h>
 
-enum { POLL_INTERVAL_US = 100000 };
+enum {
+	POLL_INTERVAL_US = 100000,
+	/* An instance that was just started accepts changes only later. */
+	ACCEPT_INTERVAL_US = 500000,
+	ACCEPT_TRIES = 20,
+};
 
 #define CONFIG_STATUS_PATH "/v1/config/status"
 
@@ -126,6 +131,23 @@
 	fflush(stdout);
 }
 
+/* Calls until the instance accepts changes. */
+static void call_when_accepted(struct cli *x, const char *method,
+			       const char *path, const json_t *body,
+			       struct client_answer *a)
+{
+	for (int i = 1;; i++) {
+		client_call(x->client, method, path, body, a);
+		if (a->error != ERR_NOT_YET || i == ACCEPT_TRIES)
+			return;
+		if (i == 1)
+			fprintf(stderr, "waiting until the instance accepts "
+					"changes\n");
+		client_answer_clear(a);
+		usleep(ACCEPT_INTERVAL_US);
+	}
+}
+
 /* Consumes `body`. */
 static int change(struct cli *x, const char *method, const char *path,
 		  json_t *body)
@@ -134,7 +156,7 @@
 	int64_t revision;
 	int rc;
 
-	client_call(x->client, method, path, body, &a);
+	call_when_accepted(x, method, path, body, &a);
 	json_decref(body);
 	rc = a.exit_code;
 	revision = json_integer_value(json_object_get(a.body, "revision"));
--- a/src/core/action.h
+++ b/src/core/action.h
@@ -85,6 +85,12 @@
 	int64_t value;
 };
 
+/* The end of a graceful shutdown. */
+struct drained {
+	/* The lease may be revoked: nothing depends on it any more. */
+	bool lease_free;
+};
+
 enum action_type {
 	ACTION_REPLY, /* .reply */
 	ACTION_CONN_OPEN, /* .open; answered by CONN_OPENED or CONN_LOST */
@@ -93,7 +99,7 @@
 	ACTION_PLATFORM, /* .platform; answered by PLATFORM_RESULT */
 	ACTION_PEER_SEND, /* .peer; no answer */
 	ACTION_LOG, /* .log */
-	ACTION_DRAINED, /* nothing is left to finish */
+	ACTION_DRAINED, /* nothing is left to finish; .drained */
 };
 
 /* Pointers are valid until the next action is taken from the core. */
@@ -107,6 +113,7 @@
 		const struct platform_start *platform;
 		const struct peer_message *peer;
 		struct log_entry log;
+		struct drained drained;
 	};
 };
 
--- a/src/core/world_state.h
+++ b/src/core/world_state.h
@@ -48,6 +48,7 @@
 	uint32_t instances; /* that share the endpoints; at least 1 */
 	bool draining;
 	bool drained;
+	int64_t idle_since_us; /* draining with nothing to finish */
 };
 
 static inline struct endpoint *world_endpoint(const struct world *w,
--- /dev/null
+++ b/src/serve/status.h
@@ -0,0 +1,19 @@
+/* status.h - the core's figures as JSON and metrics. */
+#ifndef SERVE_STATUS_H
+#define SERVE_STATUS_H
+
+#include "base/metrics.h"
+#include "core/world_report.h"
+
+#include <jansson.h>
+
+/* Return new JSON objects for the operators' interface. */
+json_t *status_json(const struct world *w, const char *instance,
+		    int64_t now_us);
+json_t *status_config_json(const struct world *w, const char *instance,
+			   int64_t now_us);
+
+/* Sets the gauges that show the core's present state. */
+void status_set_gauges(struct world *w, struct metrics *m, int64_t now_us);
+
+#endif
--- a/src/settings/settings_check.c
+++ b/src/settings/settings_check.c
@@ -91,6 +91,15 @@
 	return parse_address(text, &a) ? NULL : bad_address;
 }
 
+const char *settings_check_peers(const char *text)
+{
+	struct address a = { 0 };
+
+	if (!parse_address(text, &a))
+		return bad_address;
+	return a.any ? "must be an address and port to connect to" : NULL;
+}
+
 const char *settings_check_prefix(const char *text)
 {
 	size_t n = strlen(text);
--- a/src/settings/settings_check.h
+++ b/src/settings/settings_check.h
@@ -14,6 +14,8 @@
 const char *settings_check_address(const char *text);
 /* "ip:port" to listen on; port 0 takes any free port. */
 const char *settings_check_listen(const char *text);
+/* The same, but other instances must be able to connect to the address. */
+const char *settings_check_peers(const char *text);
 const char *settings_check_prefix(const char *text);
 const char *settings_check_token_key(const char *text);
 const char *settings_check_operator_key(const char *text);
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -292,6 +292,15 @@
 	}
 }
 
+void Model::pause(int node)
+{
+	nodes_[node].paused = true;
+	for (Call &c : oracle.calls) {
+		if (c.node == node && !c.answered)
+			c.excused = true;
+	}
+}
+
 void Model::resume(int node)
 {
 	ModelNode &n = nodes_[node];
@@ -342,6 +351,7 @@
 	struct event e = {};
 	struct reply r = {};
 
+	c.excused = nodes_[node].paused;
 	c.key_was_withdrawn =
 		!key_present_ && now_ - withdrawn_us_ > WITHDRAWAL_US;
 	if (!nodes_[node].world) {
