--- a/tests/model.cc
+++ b/tests/model.cc
@@ -314,13 +314,14 @@
 
 void Model::drain(int node)
 {
-	ModelNode &n = nodes_[node];
 	struct event e = {};
 
-	if (!n.world)
+	if (!nodes_[node].world)
 		return;
 	e.type = EVENT_DRAIN;
-	to_node(node, n.incarnation, [&] { world_handle(n.world, &e, now_); });
+	/* Copied: a paused node handles it later. */
+	to_node(node, nodes_[node].incarnation,
+		[=] { world_handle(nodes_[node].world, &e, now_); });
 }
 
 /* Callers. */
