--- a/src/postgres/pg_conn.c
+++ b/src/postgres/pg_conn.c
@@ -144,6 +144,10 @@
 	}
 	c->phase = PHASE_IDLE;
 	watch(c, LOOP_READ);
+	if (c->failed) {
+		lose(c);
+		return;
+	}
 	c->opts.ops->on_opened(c->opts.data, c);
 }
 
@@ -175,6 +179,13 @@
 	return !c->failed;
 }
 
+/* Of the other outcomes nothing is told to the caller as a result. */
+static bool has_result(const struct pg_exchange *x)
+{
+	return x->result &&
+	       (x->status == RESULT_OK || x->status == RESULT_SQL_ERROR);
+}
+
 static void exchange_done(struct pg_conn *c)
 {
 	struct pg_exchange *x = &c->exchange;
@@ -186,7 +197,7 @@
 		.after = x->after,
 	};
 	uint64_t caller_id = x->start.caller_id;
-	json_t *result = json_incref(x->result);
+	json_t *result = has_result(x) ? json_incref(x->result) : NULL;
 
 	c->last_known = x->after;
 	c->phase = PHASE_IDLE;
