Split the HTTP server and close gaps in its parsing

Cause: http_server.c had two jobs; the bearer scheme was parsed twice; two Content-Length headers were taken as one request, with what followed as the next Change: http_request for the arriving message, bearer for keys. A message of ambiguous length is refused and its connection closed. The key's text is overwritten in the connection's buffer once its digest is known. Stopping from within a request is deferred until MHD has returned. A result that is not valid UTF-8 is answered as an internal error with the verdict kept.

--- a/src/core/session_token.c
+++ b/src/core/session_token.c
@@ -14,45 +14,48 @@
 	return XXH64(group, strlen(group), 0);
 }
 
-static const struct token_group *find(const struct session_token *t,
-				      const char *group)
+/* Returns the index of the group, NO_INDEX if the token has it not. */
+static uint32_t find(const struct session_token *t, uint64_t name_hash)
 {
-	uint64_t hash = hash_name(group);
-
 	for (uint32_t i = 0; i < t->group_count; i++) {
-		if (t->groups[i].name_hash == hash)
-			return &t->groups[i];
+		if (t->groups[i].name_hash == name_hash)
+			return i;
 	}
-	return NULL;
+	return NO_INDEX;
 }
 
 struct position session_token_get(const struct session_token *t,
 				  const char *group)
 {
-	const struct token_group *g = find(t, group);
+	uint32_t i = find(t, hash_name(group));
 
-	return g ? g->position : (struct position){ 0 };
+	if (i == NO_INDEX)
+		return (struct position){ 0 };
+	return t->groups[i].position;
 }
 
 bool session_token_has_room(const struct session_token *t, const char *group)
 {
-	return t->group_count < TOKEN_GROUPS_MAX || find(t, group);
+	return t->group_count < TOKEN_GROUPS_MAX ||
+	       find(t, hash_name(group)) != NO_INDEX;
 }
 
 int session_token_merge(struct session_token *t, const char *group,
 			struct position p)
 {
-	struct token_group *g = (struct token_group *)find(t, group);
+	uint64_t hash = hash_name(group);
+	uint32_t i = find(t, hash);
 
-	if (g) {
-		g->position = position_max(g->position, p);
+	if (i != NO_INDEX) {
+		t->groups[i].position = position_max(t->groups[i].position, p);
 		return 0;
 	}
 	if (t->group_count == TOKEN_GROUPS_MAX)
 		return -ENOSPC;
-	g = &t->groups[t->group_count++];
-	g->name_hash = hash_name(group);
-	g->position = p;
+	t->groups[t->group_count++] = (struct token_group){
+		.name_hash = hash,
+		.position = p,
+	};
 	return 0;
 }
 
--- a/src/http/caller_listener.c
+++ b/src/http/caller_listener.c
@@ -135,6 +135,7 @@
 	const char *detail = NULL;
 	int32_t error = read_request(l, http, &in, &r, &detail);
 
+	http_request_erase_header(http, "Authorization");
 	c->id = http_request_id(http);
 	c->kind = r.opts.kind;
 	if (!error)
@@ -224,8 +225,15 @@
 	if (json_is_object(result))
 		json_object_update_missing(body, result);
 	a.text = json_dumps(body, JSON_COMPACT);
-	http_server_answer(l->server, r->caller_id, &a);
 	json_decref(body);
+	if (a.text) {
+		http_server_answer(l->server, r->caller_id, &a);
+	} else {
+		struct reply failed = *r;
+
+		failed.error = ERR_INTERNAL;
+		answer_error(l, &failed, session, NULL);
+	}
 }
 
 void caller_listener_reply(struct caller_listener *l, const struct reply *r,
--- a/src/http/caller_request.c
+++ b/src/http/caller_request.c
@@ -1,18 +1,15 @@
 #include "http/caller_request.h"
 
 #include "base/statement.h"
+#include "http/bearer.h"
 
-#include <errno.h>
 #include <glib.h>
-#include <sodium.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum { SEGMENTS_MAX = 6, TRANSACTION_ID_DIGITS = 16 };
 
-#define BEARER "Bearer "
-
 struct route {
 	enum request_kind kind;
 	const char *segments[SEGMENTS_MAX + 1]; /* "*": group, "#": id */
@@ -106,19 +103,11 @@
 {
 	if (!text)
 		return 0;
-	if (g_ascii_strncasecmp(text, BEARER, strlen(BEARER))) {
-		*detail = "Authorization is not a bearer token";
-		return ERR_NO_KEY;
-	}
-	text += strlen(BEARER);
-	if (!*text) {
-		*detail = "the bearer token is empty";
-		return ERR_NO_KEY;
-	}
-	out->has_key = true;
-	crypto_generichash(out->key_digest, DIGEST_BYTES, (const uint8_t *)text,
-			   strlen(text), NULL, 0);
-	return 0;
+	out->has_key = bearer_parse(text, out->key_digest);
+	if (out->has_key)
+		return 0;
+	*detail = "Authorization is not a bearer token";
+	return ERR_NO_KEY;
 }
 
 static int32_t parse_profile(const char *text, struct request_opts *out,
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -10,17 +10,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <unistd.h>
 
 #define GONE_CHECK_US (100 * US_PER_MS)
 
 enum {
-	/* Of a connection, on top of twice the request header. */
-	MEMORY_MARGIN_BYTES = 16384,
-	/* Rest of a refused body that is read, to keep the connection. */
-	DISCARD_MAX_BYTES = 16 << 20,
-	HEADER_SEPARATORS_BYTES = 4, /* ": " and CRLF */
+	/* Of a connection, on top of the request header and its index. */
+	MEMORY_MARGIN_BYTES = 8192,
 	ACCEPT_ROUNDS_MAX = 1000,
 	SECONDS_TEXT_BYTES = 24,
 };
@@ -31,26 +27,22 @@
 	struct MHD_Daemon *daemon;
 	struct loop_timer *run_timer;
 	struct loop_timer *gone_timer;
-	GHashTable *waiting; /* id to struct http_request, borrowed */
+	GHashTable *waiting; /* id to struct exchange, borrowed */
 	int epoll_fd;
 	uint64_t last_id;
 	uint32_t pending;
 	bool running; /* inside of MHD_run() */
 	bool wake; /* a connection was resumed */
+	bool stop_wanted;
 	bool stopped_accepting;
 };
 
-/* Owned by its connection, freed when that has completed the request. */
-struct http_request {
+/* A request and its answer; freed when its connection has completed it. */
+struct exchange {
 	uint64_t id;
-	int64_t received_us;
 	struct http_server *server;
 	struct MHD_Connection *conn;
-	const char *method;
-	const char *path;
-	GByteArray *body;
-	uint64_t discarded_bytes;
-	int32_t error; /* found before it was passed on */
+	struct http_request *request;
 	bool asked; /* passed on, or refused */
 	bool suspended;
 	bool gone;
@@ -58,14 +50,40 @@
 	struct MHD_Response *response;
 };
 
+static void run_once(struct http_server *s)
+{
+	s->running = true;
+	MHD_run(s->daemon);
+	s->running = false;
+}
+
+static bool has_connecting_client(const struct http_server *s)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd fd = { .fd = info->listen_fd, .events = POLLIN };
+
+	return poll(&fd, 1, 0) > 0;
+}
+
+/* The kernel resets the connections that are not accepted by now. */
+static void stop_accepting(struct http_server *s)
+{
+	for (int i = 0; i < ACCEPT_ROUNDS_MAX && has_connecting_client(s); i++)
+		run_once(s);
+	s->stop_wanted = false;
+	s->stopped_accepting = true;
+	close(MHD_quiesce_daemon(s->daemon));
+}
+
 static void run(struct http_server *s)
 {
 	MHD_UNSIGNED_LONG_LONG timeout_ms;
 
 	s->wake = false;
-	s->running = true;
-	MHD_run(s->daemon);
-	s->running = false;
+	run_once(s);
+	if (s->stop_wanted)
+		stop_accepting(s);
 	if (s->wake)
 		loop_timer_set(s->run_timer, 0);
 	else if (MHD_get_timeout(s->daemon, &timeout_ms) == MHD_YES)
@@ -85,26 +103,26 @@
 	run(data);
 }
 
-static void resume(struct http_request *r)
+static void resume(struct exchange *x)
 {
-	if (!r->suspended)
+	if (!x->suspended)
 		return;
-	r->suspended = false;
-	MHD_resume_connection(r->conn);
-	r->server->wake = true;
-	if (!r->server->running)
-		loop_timer_set(r->server->run_timer, 0);
+	x->suspended = false;
+	MHD_resume_connection(x->conn);
+	x->server->wake = true;
+	if (!x->server->running)
+		loop_timer_set(x->server->run_timer, 0);
 }
 
 static void drop_gone(struct http_server *s, uint64_t id)
 {
-	struct http_request *r = g_hash_table_lookup(s->waiting, &id);
+	struct exchange *x = g_hash_table_lookup(s->waiting, &id);
 
-	if (!r)
+	if (!x)
 		return;
 	g_hash_table_remove(s->waiting, &id);
-	r->gone = true;
-	resume(r);
+	x->gone = true;
+	resume(x);
 	s->opts.on_gone(s->opts.data, id);
 }
 
@@ -115,17 +133,17 @@
 	guint count = g_hash_table_size(s->waiting);
 	struct pollfd *fds = g_new0(struct pollfd, count);
 	uint64_t *ids = g_new0(uint64_t, count);
-	struct http_request *r;
+	struct exchange *x;
 	GHashTableIter iter;
 	nfds_t n = 0;
 
 	g_hash_table_iter_init(&iter, s->waiting);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
-		ids[n] = r->id;
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&x)) {
+		ids[n] = x->id;
 		fds[n].events = POLLRDHUP;
 		fds[n++].fd =
 			MHD_get_connection_info(
-				r->conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+				x->conn, MHD_CONNECTION_INFO_CONNECTION_FD)
 				->connect_fd;
 	}
 	if (poll(fds, n, 0) > 0) {
@@ -140,233 +158,134 @@
 		loop_timer_set(s->gone_timer, now_us + GONE_CHECK_US);
 }
 
-static enum MHD_Result add_size(void *data, enum MHD_ValueKind kind,
-				const char *key, size_t key_len,
-				const char *value, size_t value_len)
-{
-	size_t *sum = data;
-
-	*sum += key_len + value_len + HEADER_SEPARATORS_BYTES;
-	return MHD_YES;
-}
-
-static size_t header_size(const struct http_request *r)
+static struct exchange *exchange_new(struct http_server *s,
+				     struct MHD_Connection *conn,
+				     const char *method, const char *path)
 {
-	size_t sum = strlen(r->method) + strlen(r->path);
+	struct exchange *x = g_new0(struct exchange, 1);
 
-	MHD_get_connection_values_n(r->conn,
-				    MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND,
-				    add_size, &sum);
-	return sum;
-}
-
-static uint64_t content_length(const struct http_request *r)
-{
-	const char *text = http_request_header(r, "Content-Length");
-
-	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
-}
-
-static struct http_request *request_new(struct http_server *s,
-					struct MHD_Connection *conn,
-					const char *method, const char *path)
-{
-	struct http_request *r = g_new0(struct http_request, 1);
-
-	r->id = ++s->last_id;
-	r->received_us = loop_now_us();
-	r->server = s;
-	r->conn = conn;
-	r->method = method;
-	r->path = path;
-	r->body = g_byte_array_new();
+	x->id = ++s->last_id;
+	x->server = s;
+	x->conn = conn;
+	x->request = http_request_new(&(struct http_request_opts){
+		.id = x->id,
+		.conn = conn,
+		.method = method,
+		.path = path,
+		.body_max_bytes = s->opts.body_max_bytes,
+		.header_max_bytes = s->opts.header_max_bytes,
+	});
 	s->pending++;
-	if (header_size(r) > s->opts.header_max_bytes)
-		r->error = ERR_HEADER_TOO_LARGE;
-	else if (content_length(r) > s->opts.body_max_bytes)
-		r->error = ERR_BODY_TOO_LARGE;
-	return r;
+	return x;
 }
 
 static void on_completed(void *data, struct MHD_Connection *conn,
 			 void **request, enum MHD_RequestTerminationCode code)
 {
 	struct http_server *s = data;
-	struct http_request *r = *request;
+	struct exchange *x = *request;
 
-	if (!r)
+	if (!x)
 		return;
 	*request = NULL;
-	g_hash_table_remove(s->waiting, &r->id);
+	g_hash_table_remove(s->waiting, &x->id);
 	s->pending--;
-	if (r->response)
-		MHD_destroy_response(r->response);
-	g_byte_array_unref(r->body);
-	g_free(r);
-}
-
-static enum MHD_Result take_body(struct http_request *r, const char *data,
-				 size_t len)
-{
-	if (!r->error && r->body->len + len > r->server->opts.body_max_bytes) {
-		r->error = ERR_BODY_TOO_LARGE;
-		g_byte_array_set_size(r->body, 0);
-	}
-	if (!r->error) {
-		g_byte_array_append(r->body, (const guint8 *)data, len);
-		return MHD_YES;
-	}
-	r->discarded_bytes += len;
-	return r->discarded_bytes > DISCARD_MAX_BYTES ? MHD_NO : MHD_YES;
+	if (x->response)
+		MHD_destroy_response(x->response);
+	http_request_free(x->request);
+	g_free(x);
 }
 
 /* Passes the request on, or refuses it. */
-static void ask(struct http_request *r)
+static void ask(struct exchange *x)
 {
-	struct http_server *s = r->server;
-	struct problem p = { .error = r->error, .verdict = VERDICT_NOT_RUN };
+	struct http_server *s = x->server;
+	struct problem p = {
+		.error = http_request_error(x->request),
+		.verdict = VERDICT_NOT_RUN,
+	};
 
-	r->asked = true;
-	g_hash_table_insert(s->waiting, &r->id, r);
-	if (r->error)
-		http_server_answer_problem(s, r->id, &p, NULL, NULL);
+	x->asked = true;
+	g_hash_table_insert(s->waiting, &x->id, x);
+	if (p.error)
+		http_server_answer_problem(s, x->id, &p, NULL, NULL);
 	else
-		s->opts.on_request(s->opts.data, r);
+		s->opts.on_request(s->opts.data, x->request);
 }
 
-static enum MHD_Result wait_for_answer(struct http_request *r)
+static enum MHD_Result wait_for_answer(struct exchange *x)
 {
-	struct http_server *s = r->server;
+	struct http_server *s = x->server;
 
-	MHD_suspend_connection(r->conn);
-	r->suspended = true;
+	MHD_suspend_connection(x->conn);
+	x->suspended = true;
 	if (g_hash_table_size(s->waiting) == 1)
 		loop_timer_set(s->gone_timer, loop_now_us() + GONE_CHECK_US);
 	return MHD_YES;
 }
 
-/* A client that must not send its body is answered without it. */
-static bool is_refused_early(const struct http_request *r)
-{
-	return r->error && (http_request_header(r, "Expect") ||
-			    content_length(r) > DISCARD_MAX_BYTES);
-}
-
 /* NOLINTNEXTLINE(readability-function-size): the signature is MHD's. */
 static enum MHD_Result on_access(void *data, struct MHD_Connection *conn,
 				 const char *path, const char *method,
 				 const char *version, const char *upload,
 				 size_t *upload_len, void **request)
 {
-	struct http_request *r = *request;
+	struct exchange *x = *request;
 
-	if (!r) {
-		r = request_new(data, conn, method, path);
-		*request = r;
-		if (!is_refused_early(r))
+	if (!x) {
+		x = exchange_new(data, conn, method, path);
+		*request = x;
+		if (!http_request_is_refused_early(x->request))
 			return MHD_YES;
 	}
 	if (*upload_len) {
 		size_t len = *upload_len;
 
 		*upload_len = 0;
-		return take_body(r, upload, len);
+		return http_request_take_body(x->request, upload, len) ?
+			       MHD_YES :
+			       MHD_NO;
 	}
-	if (!r->asked)
-		ask(r);
-	if (r->response)
-		return MHD_queue_response(conn, r->status, r->response);
-	return r->gone ? MHD_NO : wait_for_answer(r);
-}
-
-uint64_t http_request_id(const struct http_request *r)
-{
-	return r->id;
-}
-
-int64_t http_request_received_us(const struct http_request *r)
-{
-	return r->received_us;
-}
-
-const char *http_request_method(const struct http_request *r)
-{
-	return r->method;
-}
-
-const char *http_request_path(const struct http_request *r)
-{
-	return r->path;
-}
-
-const char *http_request_body(const struct http_request *r, size_t *len)
-{
-	*len = r->body->len;
-	return (const char *)r->body->data;
-}
-
-const char *http_request_header(const struct http_request *r, const char *name)
-{
-	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
-}
-
-struct name_count {
-	const char *name;
-	uint32_t count;
-};
-
-static enum MHD_Result count_name(void *data, enum MHD_ValueKind kind,
-				  const char *key, const char *value)
-{
-	struct name_count *c = data;
-
-	c->count += strcasecmp(key, c->name) == 0;
-	return MHD_YES;
-}
-
-uint32_t http_request_header_count(const struct http_request *r,
-				   const char *name)
-{
-	struct name_count c = { .name = name };
-
-	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, count_name, &c);
-	return c.count;
+	if (!x->asked)
+		ask(x);
+	if (x->response)
+		return MHD_queue_response(conn, x->status, x->response);
+	return x->gone ? MHD_NO : wait_for_answer(x);
 }
 
 void http_server_answer(struct http_server *s, uint64_t id,
 			const struct http_answer *a)
 {
-	struct http_request *r = g_hash_table_lookup(s->waiting, &id);
+	struct exchange *x = g_hash_table_lookup(s->waiting, &id);
 
-	if (!r) {
+	if (!x) {
 		free(a->text);
 		return;
 	}
 	g_hash_table_remove(s->waiting, &id);
-	r->status = a->status;
-	r->response = MHD_create_response_from_buffer(strlen(a->text), a->text,
+	x->status = a->status;
+	x->response = MHD_create_response_from_buffer(strlen(a->text), a->text,
 						      MHD_RESPMEM_MUST_FREE);
-	MHD_add_response_header(r->response, "Content-Type", a->content_type);
+	MHD_add_response_header(x->response, "Content-Type", a->content_type);
 	for (int i = 0; i < HTTP_ANSWER_HEADERS_MAX; i++) {
 		if (a->headers[i].value)
-			MHD_add_response_header(r->response, a->headers[i].name,
+			MHD_add_response_header(x->response, a->headers[i].name,
 						a->headers[i].value);
 	}
-	if (s->stopped_accepting)
-		MHD_add_response_header(r->response, "Connection", "close");
-	resume(r);
+	if (s->stopped_accepting || http_request_is_refused_early(x->request))
+		MHD_add_response_header(x->response, "Connection", "close");
+	resume(x);
 }
 
 void http_server_answer_problem(struct http_server *s, uint64_t id,
 				const struct problem *p, json_t *extra,
 				const struct http_answer_header *header)
 {
-	json_t *doc = problem_document(p, extra);
 	char seconds[SECONDS_TEXT_BYTES];
 	struct http_answer a = {
 		.status = (uint32_t)error_info(p->error)->http_status,
 		.content_type = PROBLEM_CONTENT_TYPE,
-		.text = json_dumps(doc, JSON_COMPACT),
+		.text = problem_text(p, extra),
 		.headers = { { "Zinnialine-Verdict",
 			       verdict_name(p->verdict) } },
 	};
@@ -384,30 +303,16 @@
 		a.headers[3] = (struct http_answer_header){ "WWW-Authenticate",
 							    "Bearer" };
 	http_server_answer(s, id, &a);
-	json_decref(doc);
 	json_decref(extra);
 }
 
-static bool has_connecting_client(const struct http_server *s)
-{
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-	struct pollfd fd = { .fd = info->listen_fd, .events = POLLIN };
-
-	return poll(&fd, 1, 0) > 0;
-}
-
 void http_server_stop_accepting(struct http_server *s)
 {
 	if (s->stopped_accepting)
 		return;
-	for (int i = 0; i < ACCEPT_ROUNDS_MAX; i++) {
-		if (s->running || !has_connecting_client(s))
-			break;
+	s->stop_wanted = true;
+	if (!s->running)
 		run(s);
-	}
-	s->stopped_accepting = true;
-	close(MHD_quiesce_daemon(s->daemon));
 }
 
 uint32_t http_server_pending(const struct http_server *s)
@@ -423,15 +328,15 @@
 static apr_status_t server_cleanup(void *data)
 {
 	struct http_server *s = data;
-	struct http_request *r;
+	struct exchange *x;
 	GHashTableIter iter;
 
 	loop_unwatch(s->opts.loop, s->epoll_fd);
 	/* MHD does not stop while connections are suspended. */
 	g_hash_table_iter_init(&iter, s->waiting);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
-		r->gone = true;
-		resume(r);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&x)) {
+		x->gone = true;
+		resume(x);
 	}
 	MHD_stop_daemon(s->daemon);
 	loop_timer_set(s->run_timer, -1);
@@ -470,7 +375,8 @@
 {
 	const struct http_server_opts *o = &s->opts;
 	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
-	size_t memory = 2 * (size_t)o->header_max_bytes + MEMORY_MARGIN_BYTES;
+	size_t memory = o->header_max_bytes + o->header_max_bytes / 2 +
+			MEMORY_MARGIN_BYTES;
 	unsigned int idle_s =
 		(unsigned int)problem_round_up(o->idle_timeout_us, US_PER_S);
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -4,19 +4,20 @@
  * A request is passed on once, when all of it has arrived. While it waits
  * for its answer its connection is suspended. A client that closes its
  * connection meanwhile, or only its sending direction, counts as gone.
+ *
+ * A message that MHD cannot parse or that is far larger than the header
+ * limit is answered by MHD itself, with a short page, and never passed on.
  */
 #ifndef HTTP_HTTP_SERVER_H
 #define HTTP_HTTP_SERVER_H
 
 #include "base/loop.h"
+#include "http/http_request.h"
 #include "http/problem.h"
 
-#include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 
 struct http_server;
-struct http_request;
 
 struct http_server_opts {
 	struct loop *loop;
@@ -25,7 +26,10 @@
 	uint32_t header_max_bytes; /* names and values, with the path */
 	uint32_t connections_max;
 	int64_t idle_timeout_us;
-	/* Answers with http_server_answer(), during the call or later. */
+	/*
+	 * Answers with http_server_answer(), during the call or later. The
+	 * request is valid during the call.
+	 */
 	void (*on_request)(void *data, struct http_request *r);
 	/* The client went away before the answer, which has no owner now. */
 	void (*on_gone)(void *data, uint64_t id);
@@ -45,24 +49,6 @@
 /* Requests whose answer is not sent completely. */
 uint32_t http_server_pending(const struct http_server *s);
 
-/* Unique in this server, never 0. */
-uint64_t http_request_id(const struct http_request *r);
-
-/* When its header had arrived. */
-int64_t http_request_received_us(const struct http_request *r);
-
-/* Texts are valid during on_request. */
-const char *http_request_method(const struct http_request *r);
-const char *http_request_path(const struct http_request *r);
-const char *http_request_body(const struct http_request *r, size_t *len);
-
-/* Returns the value of a header, NULL if absent. */
-const char *http_request_header(const struct http_request *r, const char *name);
-
-/* Returns how often a header was given. */
-uint32_t http_request_header_count(const struct http_request *r,
-				   const char *name);
-
 enum { HTTP_ANSWER_HEADERS_MAX = 4 };
 
 struct http_answer_header {
--- a/src/http/operator_listener.c
+++ b/src/http/operator_listener.c
@@ -1,5 +1,6 @@
 #include "http/operator_listener.h"
 
+#include "http/bearer.h"
 #include "http/http_server.h"
 
 #include <errno.h>
@@ -8,7 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BEARER "Bearer "
 #define IDLE_TIMEOUT_US (60 * US_PER_S)
 
 enum { HEADER_MAX_BYTES = 16384, CONNECTIONS_MAX = 256 };
@@ -87,17 +87,15 @@
 }
 
 static bool is_operator(const struct operator_listener *l,
-			const struct http_request *r)
+			struct http_request *r)
 {
 	const char *text = http_request_header(r, "Authorization");
 	uint8_t digest[DIGEST_BYTES];
+	bool well_formed = text && bearer_parse(text, digest);
 
-	if (!text || g_ascii_strncasecmp(text, BEARER, strlen(BEARER)))
-		return false;
-	text += strlen(BEARER);
-	crypto_generichash(digest, sizeof(digest), (const uint8_t *)text,
-			   strlen(text), NULL, 0);
-	return !sodium_memcmp(digest, l->opts.key_digest, sizeof(digest));
+	http_request_erase_header(r, "Authorization");
+	return well_formed &&
+	       !sodium_memcmp(digest, l->opts.key_digest, sizeof(digest));
 }
 
 static const struct method_name *find_method(const char *name)
--- a/src/http/problem.c
+++ b/src/http/problem.c
@@ -9,7 +9,7 @@
 	return duration_us / unit_us + (duration_us % unit_us > 0);
 }
 
-json_t *problem_document(const struct problem *p, json_t *extra)
+static json_t *problem_document(const struct problem *p, json_t *extra)
 {
 	const struct error_info *info = error_info(p->error);
 	json_t *doc = json_object();
@@ -32,3 +32,18 @@
 		json_object_update_missing(doc, extra);
 	return doc;
 }
+
+char *problem_text(const struct problem *p, json_t *extra)
+{
+	json_t *doc = problem_document(p, extra);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	if (text)
+		return text;
+	doc = problem_document(p, NULL);
+	json_object_del(doc, "detail");
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	return text;
+}
--- a/src/http/problem.h
+++ b/src/http/problem.h
@@ -17,10 +17,11 @@
 };
 
 /*
- * Returns the document, owned by the caller. Members of `extra` (may be
- * NULL, borrowed) are added where the document has no member of that name.
+ * Returns the document's text, to be freed with free(). Members of `extra`
+ * (may be NULL, borrowed) are added where the document has no member of
+ * that name. Extra and detail are left out if they are not valid UTF-8.
  */
-json_t *problem_document(const struct problem *p, json_t *extra);
+char *problem_text(const struct problem *p, json_t *extra);
 
 /* Returns a duration in the given unit, rounded up. */
 int64_t problem_round_up(int64_t duration_us, int64_t unit_us);
--- a/tests/caller_listener_test.cc
+++ b/tests/caller_listener_test.cc
@@ -474,17 +474,32 @@
 	EXPECT_EQ(200, c.receive().status);
 }
 
-TEST_F(CallerListener, RefusesAnnouncedLargeBodyWithoutReadingIt)
-{
-	const char *headers[] = { "Content-Length: 5000\r\n"
-				  "Expect: 100-continue\r\n",
-				  "Content-Length: 999999999999\r\n" };
+struct EarlyCase {
+	const char *name;
+	const char *headers;
+	int status;
+};
+
+const EarlyCase early_cases[] = {
+	{ "large, client asks first",
+	  "Content-Length: 5000\r\nExpect: 100-continue\r\n", 413 },
+	{ "far too large", "Content-Length: 999999999999\r\n", 413 },
+	{ "two lengths", "Content-Length: 3\r\nContent-Length: 3\r\n", 400 },
+	{ "length and chunks",
+	  "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", 400 },
+};
 
-	for (const char *h : headers) {
+TEST_F(CallerListener, RefusesWithoutReadingTheBody)
+{
+	for (const EarlyCase &row : early_cases) {
+		SCOPED_TRACE(row.name);
 		HttpClient c = client();
 		c.send_all("POST " + std::string(READ) +
-			   " HTTP/1.1\r\nHost: test\r\n" + h + "\r\n");
-		EXPECT_EQ(413, c.receive().status);
+			   " HTTP/1.1\r\nHost: test\r\n" + row.headers +
+			   "\r\n");
+		HttpResponse r = c.receive();
+		EXPECT_EQ(row.status, r.status);
+		EXPECT_EQ("not_run", r.field("verdict"));
 		EXPECT_TRUE(pump(loop_, [&] { return c.closed(); }));
 	}
 }
