--- a/src/core/borrow.c
+++ b/src/core/borrow.c
@@ -116,7 +116,7 @@
 	send_ask(k, h->instance, amount, l ? l->first_id : 0);
 }
 
-/* Those that lend already come first. */
+/* Those that lend already and had all that was asked for come first. */
 static void ask_holders(struct asking *k, bool lending)
 {
 	const struct share_record *r =
@@ -131,7 +131,8 @@
 		if (k->sent == BORROW_ASKS_MAX)
 			return;
 		if (!strcmp(h->instance, k->env->instance) ||
-		    (l != NULL) != lending || !may_lend(k, h))
+		    (l != NULL) != lending || (l && !l->full) ||
+		    !may_lend(k, h))
 			continue;
 		ask_holder(k, h, l);
 	}
--- a/src/core/bucket.c
+++ b/src/core/bucket.c
@@ -11,10 +11,16 @@
 
 static uint32_t room(const struct bucket *b)
 {
-	uint64_t used = (uint64_t)b->level_milli + b->pending_milli;
+	return b->capacity_milli - b->level_milli;
+}
+
+/* Restores the invariant after the level rose or the capacity fell. */
+static void spend_pending(struct bucket *b)
+{
+	uint64_t open = b->pending_milli - b->spent_milli;
 
-	return used < b->capacity_milli ? (uint32_t)(b->capacity_milli - used) :
-					  0;
+	if (open > room(b))
+		b->spent_milli += open - room(b);
 }
 
 void bucket_advance(struct bucket *b, int64_t now_us)
@@ -34,26 +40,25 @@
 		b->remainder = 0;
 	}
 	b->level_milli += (uint32_t)gain;
+	spend_pending(b);
 }
 
 void bucket_resize(struct bucket *b, uint32_t rate_milli_per_s,
 		   uint32_t capacity_milli)
 {
-	uint32_t left = capacity_milli > b->pending_milli ?
-				capacity_milli - b->pending_milli :
-				0;
-
 	b->rate_milli_per_s = rate_milli_per_s;
 	b->capacity_milli = capacity_milli;
-	if (b->level_milli < left)
-		return;
-	b->level_milli = left;
-	b->remainder = 0;
+	if (b->level_milli >= capacity_milli) {
+		b->level_milli = capacity_milli;
+		b->remainder = 0;
+	}
+	spend_pending(b);
 }
 
 void bucket_clear(struct bucket *b, int64_t now_us)
 {
 	b->level_milli = 0;
+	b->spent_milli = b->pending_milli;
 	b->remainder = 0;
 	b->updated_us = now_us;
 }
@@ -70,19 +75,23 @@
 void bucket_commit(struct bucket *b, uint32_t cost_milli)
 {
 	b->pending_milli -= MIN(cost_milli, b->pending_milli);
+	b->spent_milli = MIN(b->spent_milli, b->pending_milli);
 }
 
 void bucket_refund(struct bucket *b, uint32_t cost_milli)
 {
-	uint32_t back = MIN(cost_milli, b->pending_milli);
+	uint32_t back = (uint32_t)MIN(cost_milli, b->pending_milli);
+	uint32_t spent = (uint32_t)MIN(back, b->spent_milli);
 
 	b->pending_milli -= back;
-	bucket_add(b, back);
+	b->spent_milli -= spent;
+	bucket_add(b, back - spent);
 }
 
 void bucket_add(struct bucket *b, uint32_t tokens_milli)
 {
 	b->level_milli += MIN(tokens_milli, room(b));
+	spend_pending(b);
 }
 
 int64_t bucket_wait_us(const struct bucket *b, uint32_t cost_milli,
--- a/src/core/bucket.h
+++ b/src/core/bucket.h
@@ -5,14 +5,17 @@
 #include <stdint.h>
 
 /*
- * level + pending never exceeds the capacity, but for tokens that were
- * taken before the capacity was lowered.
+ * level + pending - spent never exceeds the capacity. Tokens that came back
+ * on top of a full bucket would exceed the burst. So when the bucket fills
+ * up, that many of the pending tokens are spent: the next refunds give
+ * nothing back until they made up for it.
  */
 struct bucket {
 	uint32_t rate_milli_per_s;
 	uint32_t capacity_milli;
 	uint32_t level_milli; /* tokens there, x 1000 */
-	uint32_t pending_milli; /* taken, may still be given back */
+	uint64_t pending_milli; /* taken, neither committed nor refunded */
+	uint64_t spent_milli; /* of pending */
 	uint64_t remainder; /* of a milli-token, in 1 / 1,000,000 */
 	int64_t updated_us;
 };
@@ -27,13 +30,13 @@
 void bucket_resize(struct bucket *b, uint32_t rate_milli_per_s,
 		   uint32_t capacity_milli);
 
-/* Drops all tokens and starts again at now_us; pending ones stay. */
+/* Drops all tokens, pending ones too, and starts again at now_us. */
 void bucket_clear(struct bucket *b, int64_t now_us);
 
 /* Takes tokens. Returns 0, or -EAGAIN when there are not enough. */
 int bucket_take(struct bucket *b, uint32_t cost_milli);
 
-/* Ends a take for good, or gives its tokens back. */
+/* Ends a take for good, or gives back what is not spent. */
 void bucket_commit(struct bucket *b, uint32_t cost_milli);
 void bucket_refund(struct bucket *b, uint32_t cost_milli);
 
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -13,9 +13,11 @@
  * have ended (at most 10 s, 1 s as asked for here), the larger of the old
  * and the new figure holds; from then on the new one.
  *
- * A request counts from limit_admit() to limit_commit() as one that may
- * still give its tokens back; they take up capacity meanwhile, because
- * tokens that came back on top of a full bucket would exceed the burst.
+ * A refund gives back what still fits beside the tokens that came since;
+ * see core/bucket.h.
+ *
+ * A second is one of the instances' clocks: where a clock runs x fast, its
+ * instance's part is x higher.
  */
 #ifndef CORE_LIMIT_H
 #define CORE_LIMIT_H
--- a/src/core/loan.c
+++ b/src/core/loan.c
@@ -171,6 +171,11 @@
 	return NULL;
 }
 
+static struct amount asked_amount(const struct peer_loan_ask *a)
+{
+	return (struct amount){ a->rate_milli_per_s, a->burst_milli };
+}
+
 bool loan_take_grant(struct loan_book *b, const struct peer_message *m,
 		     int64_t now_us, uint32_t *tokens_milli)
 {
@@ -188,6 +193,7 @@
 	if (l.expires_us <= now_us)
 		return false;
 	l.first_id = a.ask.renews ? a.ask.renews : g->loan_id;
+	l.full = amount_covers(l.amount, asked_amount(&a.ask));
 	old = find_borrowed(b, m->peer, l.first_id);
 	if (old && old->expires_us >= l.expires_us)
 		return false;
@@ -232,11 +238,6 @@
 	return d < DURATION_MIN_US ? 0 : d;
 }
 
-static struct amount asked_amount(const struct peer_loan_ask *a)
-{
-	return (struct amount){ a->rate_milli_per_s, a->burst_milli };
-}
-
 /* Extends a loan that still runs; it grows by what is spare. */
 static void renew(struct loan *l, const struct peer_loan_ask *a,
 		  struct amount spare)
--- a/src/core/loan.h
+++ b/src/core/loan.h
@@ -27,6 +27,7 @@
 	uint64_t loan_id; /* of the last renewal */
 	struct amount amount;
 	uint32_t tokens_milli; /* moved by the last grant */
+	bool full; /* borrowed: the lender gave all that was asked for */
 	int64_t duration_us; /* as granted last */
 	int64_t expires_us;
 };
--- /dev/null
+++ b/tests/limit_fleet.cc
@@ -0,0 +1,455 @@
+#include "limit_fleet.h"
+
+#include <cstring>
+
+namespace
+{
+
+const int64_t STEP_US = 5 * US_PER_MS;
+const int64_t LEASE_TTL_US = 3 * US_PER_S;
+const int64_t RENEW_US = US_PER_S;
+const int64_t CALL_TIMEOUT_US = 500 * US_PER_MS;
+const uint32_t CELLS = 2;
+
+std::string node_name(int i)
+{
+	return "node-" + std::to_string(i);
+}
+
+} // namespace
+
+struct Fleet::Node {
+	std::string name;
+	uint64_t incarnation = 0;
+	member_table *members = nullptr;
+	limits *lim = nullptr;
+	action_queue *out = nullptr;
+	double speed = 1;
+	int64_t paused_until_us = 0;
+	int64_t cut_platform_until_us = 0;
+	int64_t cut_peers_until_us = 0;
+	int64_t next_renewal_us = 0;
+	std::vector<std::function<void(Node &)>> inbox;
+
+	int64_t clock(int64_t now_us) const
+	{
+		return static_cast<int64_t>(now_us * speed);
+	}
+
+	void stop()
+	{
+		if (!lim)
+			return;
+		limits_free(lim);
+		member_table_free(members);
+		action_queue_free(out);
+		lim = nullptr;
+		inbox.clear();
+	}
+};
+
+Fleet::Fleet(int count, uint32_t seed, const Faults &f) : faults(f), rng(seed)
+{
+	for (int i = 0; i < count; i++) {
+		nodes.push_back(std::make_unique<Node>());
+		nodes[i]->name = node_name(i);
+		start(i);
+	}
+}
+
+Fleet::~Fleet()
+{
+	for (auto &n : nodes)
+		n->stop();
+}
+
+bool Fleet::chance(int percent)
+{
+	return static_cast<int>(rng() % 100) < percent;
+}
+
+int64_t Fleet::delay_us()
+{
+	return 500 + rng() % 5000;
+}
+
+void Fleet::at(int64_t when_us, std::function<void()> fn)
+{
+	events.emplace(when_us, std::move(fn));
+}
+
+// A paused process finds the event when it runs again; a new one never.
+void Fleet::to_node(int i, int64_t delay, std::function<void(Node &)> deliver)
+{
+	uint64_t incarnation = nodes[i]->incarnation;
+
+	at(now_us + delay, [this, i, incarnation, deliver] {
+		Node &n = *nodes[i];
+
+		if (n.lim && n.incarnation == incarnation)
+			n.inbox.push_back(deliver);
+	});
+}
+
+static void deliver_record(limits *l, member_table *members, const record &r,
+			   bool deleted, const std::string &own, int64_t now)
+{
+	if (r.kind == RECORD_SHARE)
+		limits_put_share(l, &r, now);
+	else if (r.kind == RECORD_WORKSPACE)
+		limits_put_workspace(l, &r, now);
+	else if (own == r.member.name)
+		limits_note_own_member(l, &r.member, deleted, now);
+	else if (deleted)
+		member_delete(members, r.member.name);
+	else
+		member_put(members, &r.member);
+}
+
+void Fleet::publish(const record &r, bool deleted)
+{
+	for (size_t i = 0; i < nodes.size(); i++) {
+		int64_t delay = delay_us();
+
+		if (chance(faults.record_late))
+			delay += rng() % (3 * US_PER_S);
+		to_node(i, delay, [this, r, deleted](Node &n) {
+			deliver_record(n.lim, n.members, r, deleted, n.name,
+				       n.clock(now_us));
+		});
+	}
+}
+
+void Fleet::start(int i)
+{
+	Node &n = *nodes[i];
+	int drift = faults.clock_drift ? static_cast<int>(rng() % 9) - 4 : 0;
+	member_opts mo = {};
+	limits_opts lo = {};
+
+	n.incarnation = ++last_incarnation;
+	n.speed = 1 + drift / 1000.0;
+	mo.instance = n.name.c_str();
+	mo.zone = "zone";
+	mo.incarnation = n.incarnation;
+	mo.seed = rng();
+	n.members = member_table_new(&mo);
+	lo.instance = n.name.c_str();
+	lo.incarnation = n.incarnation;
+	lo.seed = rng();
+	lo.share_cells = CELLS;
+	lo.members = n.members;
+	n.lim = limits_new(&lo);
+	n.out = action_queue_new();
+	n.next_renewal_us = 0;
+	for (auto &w : workspaces)
+		limits_put_workspace(n.lim, &w.second, n.clock(now_us));
+	for (auto &s : shares)
+		limits_put_share(n.lim, &s.second, n.clock(now_us));
+	for (auto &l : leases) {
+		record r = {};
+
+		r.kind = RECORD_MEMBER;
+		strcpy(r.member.name, l.first.c_str());
+		r.member.incarnation = l.second.incarnation;
+		deliver_record(n.lim, n.members, r, false, n.name,
+			       n.clock(now_us));
+	}
+}
+
+void Fleet::put_workspace(const std::string &name, uint32_t rate,
+			  uint32_t burst)
+{
+	record r = {};
+
+	r.kind = RECORD_WORKSPACE;
+	r.revision = ++revision;
+	strcpy(r.workspace.name, name.c_str());
+	r.workspace.rate_milli_per_s = rate;
+	r.workspace.burst_milli = burst;
+	workspaces[name] = r;
+	publish(r, false);
+}
+
+bool Fleet::reaches_platform(int i) const
+{
+	return !faults.platform_down &&
+	       now_us >= nodes[i]->cut_platform_until_us;
+}
+
+platform_result Fleet::apply(const platform_start &p)
+{
+	platform_result r = {};
+	uint32_t cell = p.record.share.cell;
+	auto it = shares.find(cell);
+	bool holds;
+
+	r.operation_id = p.operation_id;
+	r.found = it != shares.end();
+	if (r.found)
+		r.record = it->second;
+	if (p.operation == PLATFORM_READ_SHARE)
+		return r;
+	holds = p.expected_revision == (r.found ? r.record.revision : 0);
+	for (uint32_t i = 0; i < p.absent_count; i++)
+		holds = holds && !leases.count(p.absent_members[i].instance);
+	if (!holds) {
+		r.outcome = PLATFORM_REFUSED;
+		return r;
+	}
+	shares[cell] = p.record;
+	shares[cell].revision = ++revision;
+	publish(shares[cell], false);
+	r.record = {};
+	return r;
+}
+
+void Fleet::call_platform(int i, const platform_start &p)
+{
+	auto answer = [this, i](platform_result r, int64_t delay) {
+		to_node(i, delay, [this, r](Node &n) {
+			limits_handle_platform(n.lim, &r, n.clock(now_us),
+					       n.out);
+		});
+	};
+	platform_result unknown = {};
+
+	platform_calls++;
+	unknown.operation_id = p.operation_id;
+	unknown.outcome = PLATFORM_UNKNOWN;
+	if (!reaches_platform(i)) {
+		answer(unknown, CALL_TIMEOUT_US);
+	} else if (chance(faults.change_late)) {
+		answer(unknown, CALL_TIMEOUT_US);
+		at(now_us + rng() % (3 * US_PER_S), [this, p] { apply(p); });
+	} else {
+		bool lost = chance(faults.answer_lost);
+
+		at(now_us + delay_us(), [this, p, lost, unknown, answer] {
+			platform_result r = apply(p);
+
+			if (lost)
+				answer(unknown, CALL_TIMEOUT_US);
+			else
+				answer(r, delay_us());
+		});
+	}
+}
+
+void Fleet::grant_lease(int i, uint64_t incarnation, int64_t asked_us)
+{
+	Lease &l = leases[nodes[i]->name];
+	lease_renewal renewal = { asked_us, LEASE_TTL_US };
+
+	if (l.incarnation != incarnation) {
+		record r = {};
+
+		l.incarnation = incarnation;
+		r.kind = RECORD_MEMBER;
+		r.revision = ++revision;
+		strcpy(r.member.name, nodes[i]->name.c_str());
+		r.member.incarnation = incarnation;
+		publish(r, false);
+	}
+	l.expires_us = now_us + LEASE_TTL_US;
+	if (chance(faults.answer_lost))
+		return;
+	to_node(i, delay_us(), [this, renewal](Node &n) {
+		limits_handle_lease(n.lim, &renewal, n.clock(now_us));
+	});
+}
+
+void Fleet::renew_lease(int i)
+{
+	Node &n = *nodes[i];
+	uint64_t incarnation = n.incarnation;
+	int64_t asked = n.clock(now_us);
+
+	n.next_renewal_us = now_us + RENEW_US;
+	platform_calls++;
+	if (!reaches_platform(i))
+		return;
+	at(now_us + delay_us(), [this, i, incarnation, asked] {
+		if (nodes[i]->lim && nodes[i]->incarnation == incarnation)
+			grant_lease(i, incarnation, asked);
+	});
+}
+
+void Fleet::expire_leases()
+{
+	for (auto it = leases.begin(); it != leases.end();) {
+		if (it->second.expires_us > now_us) {
+			++it;
+			continue;
+		}
+		record r = {};
+
+		r.kind = RECORD_MEMBER;
+		r.revision = ++revision;
+		strcpy(r.member.name, it->first.c_str());
+		r.member.incarnation = it->second.incarnation;
+		it = leases.erase(it);
+		publish(r, true);
+	}
+}
+
+void Fleet::send(int from, const peer_message &m)
+{
+	peer_message copy = m;
+	int to = atoi(m.peer + strlen("node-"));
+	int copies = 1;
+
+	peer_messages++;
+	if (now_us < nodes[from]->cut_peers_until_us ||
+	    now_us < nodes[to]->cut_peers_until_us ||
+	    chance(faults.message_loss))
+		return;
+	strcpy(copy.peer, nodes[from]->name.c_str());
+	copies += chance(faults.message_double);
+	for (int i = 0; i < copies; i++) {
+		int64_t delay = delay_us();
+
+		if (chance(faults.message_late))
+			delay += rng() % (3 * US_PER_S);
+		to_node(to, delay, [this, copy](Node &n) {
+			int64_t now = n.clock(now_us);
+
+			if (!member_handle(n.members, &copy, now, n.out))
+				limits_handle_peer(n.lim, &copy, now, n.out);
+		});
+	}
+}
+
+void Fleet::carry_out(int i, const action &a)
+{
+	if (a.type == ACTION_PEER_SEND)
+		send(i, *a.peer);
+	else if (a.type == ACTION_PLATFORM)
+		call_platform(i, *a.platform);
+}
+
+void Fleet::step_node(int i, const std::function<void(int)> &traffic)
+{
+	Node &n = *nodes[i];
+	std::vector<std::function<void(Node &)>> inbox;
+	action a;
+
+	if (!n.lim || now_us < n.paused_until_us)
+		return;
+	// Right after a pause requests may come before anything else.
+	if (chance(50))
+		traffic(i);
+	inbox.swap(n.inbox);
+	for (auto &deliver : inbox)
+		deliver(n);
+	if (now_us >= n.next_renewal_us)
+		renew_lease(i);
+	member_run(n.members, n.clock(now_us), n.out);
+	limits_run(n.lim, n.clock(now_us), n.out);
+	traffic(i);
+	while (action_queue_pop(n.out, &a))
+		carry_out(i, a);
+}
+
+void Fleet::run(int64_t us, const std::function<void(int)> &traffic)
+{
+	int64_t end = now_us + us;
+
+	while (now_us < end) {
+		now_us += STEP_US;
+		while (!events.empty() && events.begin()->first <= now_us) {
+			auto fn = std::move(events.begin()->second);
+
+			events.erase(events.begin());
+			fn();
+		}
+		expire_leases();
+		for (size_t i = 0; i < nodes.size(); i++)
+			step_node(i, traffic);
+	}
+}
+
+bool Fleet::admit(int i, const std::string &workspace, uint32_t cost,
+		  bool refunded, int64_t *retry_after_us)
+{
+	Node &n = *nodes[i];
+	int64_t retry = 0;
+
+	if (limit_admit(n.lim, workspace.c_str(), cost, n.clock(now_us),
+			&retry)) {
+		if (retry_after_us)
+			*retry_after_us = retry;
+		return false;
+	}
+	if (!refunded)
+		admitted[workspace].push_back({ now_us, cost });
+	to_node(i, rng() % 200000, [this, workspace, cost, refunded](Node &x) {
+		(refunded ? limit_refund : limit_commit)(x.lim,
+							 workspace.c_str(),
+							 cost, x.clock(now_us));
+	});
+	return true;
+}
+
+void Fleet::pause(int i, int64_t us)
+{
+	nodes[i]->paused_until_us = now_us + us;
+}
+
+void Fleet::crash(int i, int64_t restart_after_us)
+{
+	if (!nodes[i]->lim)
+		return;
+	nodes[i]->stop();
+	at(now_us + restart_after_us, [this, i] { start(i); });
+}
+
+void Fleet::drain(int i)
+{
+	if (nodes[i]->lim)
+		limits_drain(nodes[i]->lim);
+}
+
+bool Fleet::is_drained(int i) const
+{
+	return limits_is_drained(nodes[i]->lim, nodes[i]->clock(now_us));
+}
+
+void Fleet::cut_platform(int i, int64_t us)
+{
+	nodes[i]->cut_platform_until_us = now_us + us;
+}
+
+void Fleet::cut_peers(int i, int64_t us)
+{
+	nodes[i]->cut_peers_until_us = now_us + us;
+}
+
+bool Fleet::is_running(int i) const
+{
+	return nodes[i]->lim && now_us >= nodes[i]->paused_until_us;
+}
+
+limit_status Fleet::status(int i, const std::string &workspace)
+{
+	return limit_status_of(nodes[i]->lim, workspace.c_str(),
+			       nodes[i]->clock(now_us));
+}
+
+bool within_limit(const std::vector<Admission> &admitted,
+		  double rate_milli_per_s, double burst_milli, int64_t from_us)
+{
+	double level = burst_milli;
+	int64_t last = from_us;
+
+	for (const Admission &a : admitted) {
+		if (a.at_us < from_us)
+			continue;
+		level += rate_milli_per_s * (a.at_us - last) / 1e6;
+		level = std::min(level, burst_milli) - a.cost_milli;
+		last = a.at_us;
+		if (level < -1e-6)
+			return false;
+	}
+	return true;
+}
