--- a/src/core/event.h
+++ b/src/core/event.h
@@ -83,8 +83,9 @@
 struct platform_result {
 	uint64_t operation_id; /* as in the action */
 	enum platform_outcome outcome;
-	bool found; /* reads: the key exists */
-	struct record record; /* reads, and REFUSED: the value now stored */
+	bool found; /* reads, and REFUSED: the key exists */
+	/* The value now stored; its revision is 0 if that is not known. */
+	struct record record;
 };
 
 enum event_type {
--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -440,7 +440,7 @@
 static void allocated(struct world *w, uint32_t group,
 		      const struct platform_result *r, int64_t now_us)
 {
-	if (r->found)
+	if (r->record.revision > 0)
 		promotion_record(w, &r->record, now_us);
 	if (r->outcome == PLATFORM_UNKNOWN)
 		read_back(w, group, now_us);
@@ -483,7 +483,7 @@
 			was_read(w, i, r, now_us);
 		return true;
 	}
-	if (r->found && r->record.kind == RECORD_TERM)
+	if (r->record.revision > 0 && r->record.kind == RECORD_TERM)
 		promotion_record(w, &r->record, now_us);
 	return false;
 }
