Close a connection that gets an answer nobody waits for

Cause: bytes that arrived between two exchanges were left unread and would have been taken for the answer of the next exchange. Change: an idle connection is read and parsed at once and before each exchange; a message that no statement waits for closes it.

--- a/src/postgres/pg_conn.c
+++ b/src/postgres/pg_conn.c
@@ -1,5 +1,6 @@
 #include "postgres/pg_conn.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 
@@ -59,8 +60,20 @@
 	return true;
 }
 
-static void ignore_notice(void *data, const PGresult *r)
+/*
+ * Warnings are of no interest. Notices of libpq itself, and errors that no
+ * statement waits for, tell of answers that belong to nobody.
+ */
+static void on_notice(void *data, const PGresult *r)
 {
+	struct pg_conn *c = data;
+	const char *sqlstate = PQresultErrorField(r, PG_DIAG_SQLSTATE);
+	const char *severity;
+
+	severity = PQresultErrorField(r, PG_DIAG_SEVERITY_NONLOCALIZED);
+	if (!sqlstate || !severity || strcmp(severity, "ERROR") == 0 ||
+	    strcmp(severity, "FATAL") == 0 || strcmp(severity, "PANIC") == 0)
+		c->failed = true;
 }
 
 static PGconn *start_connect(const struct pg_conn_opts *opts)
@@ -99,7 +112,7 @@
 		c->failed = true;
 		return c;
 	}
-	PQsetNoticeReceiver(c->conn, ignore_notice, NULL);
+	PQsetNoticeReceiver(c->conn, on_notice, c);
 	watch(c, LOOP_WRITE);
 	return c;
 }
@@ -205,6 +218,15 @@
 	c->opts.ops->on_result(c->opts.data, c, &e, caller_id, result);
 }
 
+/*
+ * Reads what has arrived between exchanges, so that the next one cannot
+ * take it for its own answer. Returns false when the connection is bad.
+ */
+static bool drain_idle(struct pg_conn *c)
+{
+	return PQconsumeInput(c->conn) && !PQisBusy(c->conn) && !c->failed;
+}
+
 static void conn_ready(void *data, int events)
 {
 	struct pg_conn *c = data;
@@ -214,12 +236,12 @@
 		connect_ready(c);
 		return;
 	}
-	if (!PQconsumeInput(c->conn)) {
-		lose(c);
-		return;
-	}
-	if (c->phase == PHASE_EXCHANGE)
+	if (c->phase == PHASE_IDLE)
+		rc = drain_idle(c) ? 0 : -EPROTO;
+	else if (PQconsumeInput(c->conn))
 		rc = pg_exchange_continue(&c->exchange);
+	else
+		rc = -EIO;
 	if (rc < 0 || PQstatus(c->conn) != CONNECTION_OK || !flush(c))
 		lose(c);
 	else if (rc > 0)
@@ -238,7 +260,7 @@
 		.last_known = c->last_known,
 	};
 
-	if (c->phase != PHASE_IDLE || c->failed) {
+	if (c->phase != PHASE_IDLE || !drain_idle(c)) {
 		c->failed = true;
 		return;
 	}
--- a/standin/endpoint/control.c
+++ b/standin/endpoint/control.c
@@ -44,6 +44,14 @@
 	g_string_append_printf(out, "ok %u\n", ep->sessions->len);
 }
 
+static void run_stray(struct endpoint *ep, const char *const *words,
+		      GString *out)
+{
+	for (guint i = 0; i < ep->sessions->len; i++)
+		session_send_stray(g_ptr_array_index(ep->sessions, i));
+	g_string_append_printf(out, "ok %u\n", ep->sessions->len);
+}
+
 static void cut_clients(struct endpoint *ep)
 {
 	ep->clients_cut = true;
@@ -186,13 +194,13 @@
 	const char *name;
 	command_fn run;
 } commands[] = {
-	{ "freeze", run_freeze },   { "resume", run_resume },
-	{ "silent", run_silent },   { "cut", run_cut },
-	{ "heal", run_heal },	    { "lag", run_lag },
-	{ "service", run_service }, { "peers", run_peers },
-	{ "state", run_state },	    { "count", run_count },
-	{ "dump", run_dump },	    { "log", run_log },
-	{ "kill", run_kill },
+	{ "freeze", run_freeze }, { "resume", run_resume },
+	{ "silent", run_silent }, { "stray", run_stray },
+	{ "cut", run_cut },	  { "heal", run_heal },
+	{ "lag", run_lag },	  { "service", run_service },
+	{ "peers", run_peers },	  { "state", run_state },
+	{ "count", run_count },	  { "dump", run_dump },
+	{ "log", run_log },	  { "kill", run_kill },
 };
 
 static void run_command(struct endpoint *ep, const char *const *words,
--- a/standin/endpoint/session.c
+++ b/standin/endpoint/session.c
@@ -103,6 +103,29 @@
 		rollback(s);
 }
 
+static char status(const struct session *s)
+{
+	if (!s->explicit_transaction)
+		return STATUS_IDLE;
+	return s->failed ? STATUS_FAILED : STATUS_OPEN;
+}
+
+void session_send_stray(struct session *s)
+{
+	struct engine_result r = { .column_count = 1, .columns = { "stray" } };
+
+	r.values = g_ptr_array_new();
+	g_ptr_array_add(r.values, (gpointer) "stray");
+	pg_put_empty(s->out, '1');
+	pg_put_empty(s->out, '2');
+	pg_put_row_description(s->out, &r);
+	pg_put_rows(s->out, &r);
+	pg_put_complete(s->out, "SELECT 1");
+	pg_put_ready(s->out, status(s));
+	g_ptr_array_free(r.values, TRUE);
+	flush(s);
+}
+
 void session_doom(struct session *s)
 {
 	if (!s->in_transaction || s->transaction.changes->len == 0)
@@ -112,13 +135,6 @@
 	s->transaction.doomed = true;
 }
 
-static char status(const struct session *s)
-{
-	if (!s->explicit_transaction)
-		return STATUS_IDLE;
-	return s->failed ? STATUS_FAILED : STATUS_OPEN;
-}
-
 static void fatal(struct session *s, const char *sqlstate, const char *message)
 {
 	struct engine_result e = { .sqlstate = sqlstate, .message = message };
--- a/standin/endpoint/session.h
+++ b/standin/endpoint/session.h
@@ -19,6 +19,9 @@
  */
 void session_mute(struct session *s);
 
+/* Sends an answer that no statement asked for. */
+void session_send_stray(struct session *s);
+
 /* Rolls back an open transaction that changed something. */
 void session_doom(struct session *s);
 
--- a/tests/pg_link_test.cc
+++ b/tests/pg_link_test.cc
@@ -506,6 +506,42 @@
 	EXPECT_EQ(0u, l.count(EVENT_RESULT));
 }
 
+TEST(PgLink, StrayAnswerWhileIdle)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	EXPECT_EQ("ok 1", e.control.ask("stray"));
+	EXPECT_TRUE(l.wait([&] { return l.lost(1); }));
+}
+
+TEST(PgLink, StrayAnswerIsNotTakenByTheNextExchange)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	EXPECT_EQ("ok 1", e.control.ask("stray"));
+	l.start(1, PLAN_READ, { "SELECT 1" });
+	EXPECT_TRUE(l.wait([&] { return l.lost(1); }));
+	EXPECT_EQ(0u, l.count(EVENT_RESULT));
+	EXPECT_EQ("", l.result());
+}
+
+TEST(PgLink, StrayAnswerDuringAnExchange)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	l.start(1, PLAN_READ, { "SELECT zl_sleep(60000)" });
+	l.turns(5);
+	EXPECT_EQ("ok 1", e.control.ask("stray"));
+	EXPECT_TRUE(l.wait([&] { return l.lost(1); }));
+	EXPECT_EQ(0u, l.count(EVENT_RESULT));
+}
+
 TEST(PgLink, SilentConnections)
 {
 	Endpoint e({ "--primary-term", "1", "--connections-max", "2" });
