Stop watching a descriptor that libpq has closed

Cause: when sending found the connection closed, libpq closed its descriptor while the loop still watched that number. A new connection with the same number got no events. Change: the watch is dropped as soon as sending fails. Tests of simple queries, implicit transactions and peers of the command line.

--- a/src/postgres/pg_conn.c
+++ b/src/postgres/pg_conn.c
@@ -248,6 +248,13 @@
 		exchange_done(c);
 }
 
+/* libpq may have closed its descriptor, which others can get next. */
+static void fail_later(struct pg_conn *c)
+{
+	unwatch(c);
+	c->failed = true;
+}
+
 void pg_conn_exchange(struct pg_conn *c, const struct exchange_start *x,
 		      const struct statement *s)
 {
@@ -261,10 +268,10 @@
 	};
 
 	if (c->phase != PHASE_IDLE || !drain_idle(c)) {
-		c->failed = true;
+		fail_later(c);
 		return;
 	}
 	c->phase = PHASE_EXCHANGE;
 	if (pg_exchange_start(&c->exchange, &opts) || !flush(c))
-		c->failed = true;
+		fail_later(c);
 }
--- a/tests/endpoint_test.cc
+++ b/tests/endpoint_test.cc
@@ -2,6 +2,7 @@
 #include "pg_fixture.h"
 
 #include <gtest/gtest.h>
+#include <libpq-fe.h>
 
 namespace
 {
@@ -194,4 +195,113 @@
 	EXPECT_EQ("ok 1", g.ask(1, "count orders"));
 }
 
+TEST(EndpointGroup, PeersFromTheCommandLine)
+{
+	Endpoint a;
+	Endpoint b;
+	Endpoint primary({ "--primary-term", "7", "--peers",
+			   a.process.address("replication") + "," +
+				   b.process.address("replication") });
+	Link l;
+
+	EXPECT_TRUE(l.wait([&] { return a.state("last_term") == "7"; }));
+	EXPECT_TRUE(l.wait([&] { return b.state("last_term") == "7"; }));
+}
+
+/* A blocking libpq connection. */
+PGconn *connect_to(const Endpoint &e)
+{
+	std::string info = "host=127.0.0.1 user=u dbname=d port=" +
+			   e.process.field("listen");
+	PGconn *c = PQconnectdb(info.c_str());
+
+	EXPECT_EQ(CONNECTION_OK, PQstatus(c)) << PQerrorMessage(c);
+	return c;
+}
+
+/* One simple query after those of the rows before. */
+struct QueryCase {
+	const char *sql;
+	const char *tag;
+	const char *sqlstate; /* "" if it succeeds */
+	PGTransactionStatusType status; /* afterwards */
+};
+
+const QueryCase query_cases[] = {
+	{ "SELECT 1", "SELECT 1", "", PQTRANS_IDLE },
+	{ "INSERT INTO stock (item, qty) VALUES ('oak', -1)", "INSERT 0 1", "",
+	  PQTRANS_IDLE },
+	{ "INSERT INTO stock (item) VALUES (NULL)", "", "23502", PQTRANS_IDLE },
+	{ "BEGIN", "BEGIN", "", PQTRANS_INTRANS },
+	{ "DELETE FROM stock WHERE item = 'oak'", "DELETE 1", "",
+	  PQTRANS_INTRANS },
+	{ "INSERT INTO stock (item) VALUES ('oak')", "INSERT 0 1", "",
+	  PQTRANS_INTRANS },
+	{ "UPDATE stock SET qty = qty + 1 WHERE item = 'oak'", "", "22P02",
+	  PQTRANS_INERROR },
+	{ "SELECT 1", "", "25P02", PQTRANS_INERROR },
+	{ "COMMIT", "ROLLBACK", "", PQTRANS_IDLE },
+	{ "UPDATE stock SET qty = qty + 1 WHERE qty < 0", "UPDATE 1", "",
+	  PQTRANS_IDLE },
+	{ "BEGIN READ ONLY", "BEGIN", "", PQTRANS_INTRANS },
+	{ "DELETE FROM stock", "", "25006", PQTRANS_INERROR },
+	{ "ROLLBACK", "ROLLBACK", "", PQTRANS_IDLE },
+	{ "SELECT * FROM stock WHERE qty >= 0", "SELECT 1", "", PQTRANS_IDLE },
+	{ "SELECT nothing()", "", "42883", PQTRANS_IDLE },
+	{ "SELECT x FROM stock", "", "42703", PQTRANS_IDLE },
+	{ "CREATE TABLE x", "", "42601", PQTRANS_IDLE },
+};
+
+TEST(Endpoint, SimpleQueries)
+{
+	Endpoint e({ "--primary-term", "1" });
+	PGconn *c = connect_to(e);
+
+	for (const QueryCase &q : query_cases) {
+		SCOPED_TRACE(q.sql);
+		PGresult *r = PQexec(c, q.sql);
+		const char *s = PQresultErrorField(r, PG_DIAG_SQLSTATE);
+
+		EXPECT_STREQ(q.tag, PQcmdStatus(r));
+		EXPECT_STREQ(q.sqlstate, s ? s : "");
+		EXPECT_EQ(q.status, PQtransactionStatus(c));
+		PQclear(r);
+	}
+	PQfinish(c);
+}
+
+/* Sends all in one pipeline with one Sync and reads the answers. */
+void run_pipeline(PGconn *c, const std::vector<const char *> &texts)
+{
+	PGresult *r = nullptr;
+
+	ASSERT_EQ(1, PQenterPipelineMode(c));
+	for (const char *sql : texts)
+		PQsendQueryParams(c, sql, 0, nullptr, nullptr, nullptr, nullptr,
+				  0);
+	PQpipelineSync(c);
+	while (!r || PQresultStatus(r) != PGRES_PIPELINE_SYNC) {
+		PQclear(r);
+		r = PQgetResult(c);
+	}
+	PQclear(r);
+	ASSERT_EQ(1, PQexitPipelineMode(c));
+}
+
+TEST(Endpoint, PipelineIsOneTransaction)
+{
+	Endpoint e({ "--primary-term", "1" });
+	PGconn *c = connect_to(e);
+
+	run_pipeline(c, { "INSERT INTO orders (id) VALUES ('a')",
+			  "INSERT INTO orders (id) VALUES ('a')",
+			  "INSERT INTO orders (id) VALUES ('b')" });
+	EXPECT_EQ("ok 0", e.control.ask("count orders"));
+	run_pipeline(c, { "INSERT INTO orders (id) VALUES ('a')",
+			  "INSERT INTO orders (id) VALUES ('b')" });
+	EXPECT_EQ("ok 2", e.control.ask("count orders"));
+	EXPECT_EQ("2", e.state("last_offset"));
+	PQfinish(c);
+}
+
 } // namespace
--- a/tests/pg_link_test.cc
+++ b/tests/pg_link_test.cc
@@ -506,6 +506,20 @@
 	EXPECT_EQ(0u, l.count(EVENT_RESULT));
 }
 
+TEST(PgLink, NewConnectionTakesTheDescriptorOfALostOne)
+{
+	Endpoint e({ "--primary-term", "1" });
+	Endpoint other({ "--primary-term", "1" });
+	Link l;
+
+	l.open_wait(1, e);
+	EXPECT_EQ("ok", e.control.ask("cut clients"));
+	l.start(1, PLAN_PROBE);
+	l.open_wait(2, other);
+	EXPECT_EQ(RESULT_OK, l.run(2, PLAN_PROBE).status);
+	EXPECT_TRUE(l.lost(1));
+}
+
 TEST(PgLink, StrayAnswerWhileIdle)
 {
 	Endpoint e({ "--primary-term", "1" });
