--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -31,6 +31,7 @@
 static const int32_t next_server_errors[] = {
 	ERR_PLATFORM,
 	ERR_NO_CONFIG,
+	ERR_NOT_YET,
 	ERR_SHUTTING_DOWN,
 };
 
