--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -62,8 +62,8 @@
 	}
 	l->watches = g_hash_table_new_full(NULL, NULL, NULL, watch_free);
 	l->timers = g_ptr_array_new_with_free_func(g_free);
-	apr_pool_cleanup_register(l->pool, l, loop_cleanup,
-				  apr_pool_cleanup_null);
+	/* The watches' subpools must go before APR destroys all subpools. */
+	apr_pool_pre_cleanup_register(l->pool, l, loop_cleanup);
 	if (apr_pollset_create_ex(&l->pollset, POLLSET_DESCRIPTORS, l->pool,
 				  APR_POLLSET_NOCOPY,
 				  APR_POLLSET_EPOLL) != APR_SUCCESS) {
--- a/src/serve/instance.c
+++ b/src/serve/instance.c
@@ -12,6 +12,7 @@
 #include "http/operator_listener.h"
 #include "peer/peer_link.h"
 #include "postgres/pg_link.h"
+#include "serve/action_metrics.h"
 #include "serve/caller_table.h"
 #include "serve/status.h"
 
@@ -70,7 +71,7 @@
 		r = e->record;
 		record_store_put(in->records, r);
 		if (r->kind == RECORD_MEMBER &&
-		    strcmp(r->member.name, in->settings->instance.name))
+		    strcmp(r->member.name, in->settings->instance.name) != 0)
 			peer_link_set_peer(in->peers, r->member.name,
 					   r->member.address);
 	} else if (e->type == EVENT_RECORD_DELETED) {
@@ -129,8 +130,10 @@
 static void on_peer_message(void *data, const struct peer_message *m)
 {
 	struct event e = { .type = EVENT_PEER_MESSAGE, .peer = m };
+	struct instance *in = data;
 
-	handle(data, &e);
+	metrics_add(in->metrics, "peer_messages_received_total", m->peer, 1);
+	handle(in, &e);
 }
 
 static void on_bad_message(void *data, const char *reason)
@@ -152,10 +155,8 @@
 {
 	struct change *c = data;
 
-	if (outcome == PLATFORM_APPLIED) {
+	if (outcome == PLATFORM_APPLIED)
 		world_change_accepted(c->instance->world, revision);
-		log_event(LOG_CONFIG_CHANGED, "", revision, "stored");
-	}
 	c->fn(c->data, outcome, revision, current);
 	g_free(c);
 }
@@ -222,12 +223,28 @@
 	return ERR_NONE;
 }
 
+static void set_record_gauges(struct instance *in)
+{
+	static const struct {
+		enum record_kind kind;
+		const char *label;
+	} kinds[] = { { RECORD_PROFILE, "profile" },
+		      { RECORD_WORKSPACE, "workspace" },
+		      { RECORD_KEY, "key" },
+		      { RECORD_ENDPOINT, "endpoint" } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		metrics_set(in->metrics, "config_records", kinds[i].label,
+			    record_store_count(in->records, kinds[i].kind));
+}
+
 static char *get_metrics(void *data)
 {
 	struct instance *in = data;
 	struct peer_link_stats s = peer_link_stats(in->peers);
 
 	status_set_gauges(in->world, in->metrics, loop_now_us());
+	set_record_gauges(in);
 	metrics_set(in->metrics, "platform_calls_total", NULL,
 		    (int64_t)platform_client_calls(in->platform));
 	metrics_set(in->metrics, "peer_bytes_sent_total", NULL,
@@ -248,21 +265,25 @@
 
 static void count_reply(struct instance *in, const struct reply *r)
 {
-	metrics_add(in->metrics, "requests_total", verdict_name(r->verdict), 1);
-	if (r->error)
-		metrics_add(in->metrics, "refusals_total",
-			    error_info(r->error)->slug, 1);
+	const struct statement *s;
+	const struct record *term;
+
+	s = caller_table_statement(in->requests, r->caller_id);
+	term = record_store_find(in->records, RECORD_TERM, r->group);
+	action_metrics_count_reply(in->metrics, r, s ? s->workspace : NULL,
+				   term ? term->term.primary : NULL);
 }
 
 static void do_reply(struct instance *in, const struct reply *r)
 {
-	json_t *result = caller_table_take(in->requests, r->caller_id);
+	json_t *result;
 
+	count_reply(in, r);
+	result = caller_table_take(in->requests, r->caller_id);
 	if (!r->with_result) {
 		json_decref(result);
 		result = NULL;
 	}
-	count_reply(in, r);
 	caller_listener_reply(in->callers, r, result);
 }
 
@@ -304,6 +325,7 @@
 
 static void do_action(struct instance *in, const struct action *a)
 {
+	action_metrics_count(in->metrics, a);
 	switch (a->type) {
 	case ACTION_REPLY:
 		do_reply(in, &a->reply);
--- a/src/serve/status.c
+++ b/src/serve/status.c
@@ -70,6 +70,16 @@
 			 "instances", list);
 }
 
+static uint32_t count_alive(const struct world *w, uint32_t members,
+			    int64_t now_us)
+{
+	uint32_t alive = 0;
+
+	for (uint32_t i = 0; i < members; i++)
+		alive += world_report_member(w, i, now_us).alive;
+	return alive;
+}
+
 void status_set_gauges(struct world *w, struct metrics *m, int64_t now_us)
 {
 	struct world_report r = world_report(w, now_us);
@@ -78,6 +88,7 @@
 	metrics_set(m, "pending_requests", NULL, r.requests);
 	metrics_set(m, "open_transactions", NULL, r.transactions);
 	metrics_set(m, "draining", NULL, r.draining);
+	metrics_set(m, "peers_up", NULL, count_alive(w, r.members, now_us));
 	for (uint32_t i = 0; i < r.endpoints; i++) {
 		struct endpoint_report e = world_report_endpoint(w, i, now_us);
 
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <apr_allocator.h>
 #include <apr_general.h>
 #include <unistd.h>
 
@@ -58,4 +59,26 @@
 	apr_pool_destroy(pool);
 }
 
+/* The allocator unmaps its memory, so a pool destroyed twice crashes. */
+TEST(Loop, IsFreedWithWatchesLeft)
+{
+	apr_allocator_t *allocator = nullptr;
+	apr_pool_t *pool = nullptr;
+	struct loop *l = nullptr;
+	Counter ready;
+	int fds[2];
+
+	apr_initialize();
+	ASSERT_EQ(0, pipe(fds));
+	apr_allocator_create(&allocator);
+	apr_pool_create_ex(&pool, nullptr, nullptr, allocator);
+	apr_allocator_owner_set(allocator, pool);
+	ASSERT_EQ(0, loop_new(&l, pool));
+	ASSERT_EQ(0, loop_watch(l, fds[0], LOOP_READ, read_one, &ready));
+	ASSERT_EQ(0, loop_watch(l, fds[1], LOOP_WRITE, read_one, &ready));
+	apr_pool_destroy(pool);
+	close(fds[0]);
+	close(fds[1]);
+}
+
 } // namespace
