--- a/tests/limit_fleet.cc
+++ b/tests/limit_fleet.cc
@@ -392,6 +392,14 @@
 	return true;
 }
 
+int32_t Fleet::admit_error(int i, const std::string &workspace, uint32_t cost)
+{
+	int64_t retry = 0;
+
+	return limit_admit(nodes[i]->lim, workspace.c_str(), cost,
+			   nodes[i]->clock(now_us), &retry);
+}
+
 void Fleet::pause(int i, int64_t us)
 {
 	nodes[i]->paused_until_us = now_us + us;
@@ -426,11 +434,6 @@
 	nodes[i]->cut_peers_until_us = now_us + us;
 }
 
-bool Fleet::is_running(int i) const
-{
-	return nodes[i]->lim && now_us >= nodes[i]->paused_until_us;
-}
-
 limit_status Fleet::status(int i, const std::string &workspace)
 {
 	return limit_status_of(nodes[i]->lim, workspace.c_str(),
--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -47,12 +47,14 @@
 	bool admit(int node, const std::string &workspace, uint32_t cost,
 		   bool refunded = false, int64_t *retry_after_us = nullptr);
 
+	int32_t admit_error(int node, const std::string &workspace,
+			    uint32_t cost);
+
 	void pause(int node, int64_t us);
 	void crash(int node, int64_t restart_after_us);
 	void drain(int node);
 	void cut_platform(int node, int64_t us);
 	void cut_peers(int node, int64_t us);
-	bool is_running(int node) const;
 	bool is_drained(int node) const;
 	limit_status status(int node, const std::string &workspace);
 
--- /dev/null
+++ b/tests/share_test.cc
@@ -0,0 +1,249 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "core/share.h"
+}
+
+namespace
+{
+
+const int64_t TTL_US = 10 * US_PER_S;
+const uint64_t PROCESS = 2;
+
+// One share of one cell; the test plays the platform.
+class Share : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		member_opts mo = {};
+		share_opts so = {};
+
+		mo.instance = "a";
+		mo.incarnation = PROCESS;
+		members = member_table_new(&mo);
+		so.instance = "a";
+		so.incarnation = PROCESS;
+		so.cells = 1;
+		so.members = members;
+		share = share_new(&so);
+		out = action_queue_new();
+		add_member("b");
+	}
+
+	void TearDown() override
+	{
+		share_free(share);
+		member_table_free(members);
+		action_queue_free(out);
+	}
+
+	void add_member(const char *name)
+	{
+		member_record r = {};
+
+		strcpy(r.name, name);
+		r.incarnation = 1;
+		member_put(members, &r);
+	}
+
+	void hold(const char *name, uint64_t process, uint32_t ppm)
+	{
+		share_holder *h =
+			&stored.share.holders[stored.share.holder_count++];
+
+		strcpy(h->instance, name);
+		h->incarnation = process;
+		h->ppm = ppm;
+	}
+
+	void lease(int64_t asked_us, int64_t now_us)
+	{
+		lease_renewal l = { asked_us, TTL_US };
+
+		share_handle_lease(share, &l, now_us);
+	}
+
+	// Runs until an operation starts; false if none does.
+	bool run(int64_t now_us)
+	{
+		action a;
+
+		share_run(share, now_us, out);
+		while (action_queue_pop(out, &a)) {
+			if (a.type != ACTION_PLATFORM)
+				continue;
+			started = *a.platform;
+			return true;
+		}
+		return false;
+	}
+
+	void answer(platform_outcome outcome, int64_t now_us)
+	{
+		platform_result r = {};
+
+		r.operation_id = started.operation_id;
+		r.outcome = outcome;
+		r.found = stored.revision > 0;
+		r.record = stored;
+		if (outcome == PLATFORM_APPLIED &&
+		    started.operation == PLATFORM_CAS_SHARE) {
+			int64_t revision = stored.revision + 1;
+
+			stored = started.record;
+			stored.revision = revision;
+			r.record = {};
+		}
+		EXPECT_TRUE(share_handle_platform(share, &r, now_us, out));
+	}
+
+	void start_holding(uint32_t ppm)
+	{
+		stored.kind = RECORD_SHARE;
+		stored.revision = 5;
+		hold("a", PROCESS, ppm);
+		lease(0, 0);
+		ASSERT_TRUE(run(0));
+		ASSERT_EQ(PLATFORM_READ_SHARE, started.operation);
+		answer(PLATFORM_APPLIED, 1);
+	}
+
+	member_table *members = nullptr;
+	struct share *share = nullptr;
+	action_queue *out = nullptr;
+	record stored = {};
+	platform_start started = {};
+};
+
+TEST_F(Share, CountsUntilTheLeaseEndsLessTheMargin)
+{
+	start_holding(SHARE_WHOLE_PPM);
+	// 1% and 100 ms before the lease ends in the platform.
+	EXPECT_EQ(9800 * US_PER_MS, share_valid_until_us(share));
+	EXPECT_EQ(1000000U, share_ppm(share, 0, 9800 * US_PER_MS - 1));
+	EXPECT_EQ(0U, share_ppm(share, 0, 9800 * US_PER_MS));
+}
+
+TEST_F(Share, ALeaseCountsFromWhenItWasAskedFor)
+{
+	start_holding(SHARE_WHOLE_PPM);
+	lease(3 * US_PER_S, 9 * US_PER_S);
+	EXPECT_EQ(12800 * US_PER_MS, share_valid_until_us(share));
+}
+
+TEST_F(Share, AfterALapseNothingCountsUntilTheRecordWasRead)
+{
+	start_holding(SHARE_WHOLE_PPM);
+	uint64_t epoch = share_epoch(share);
+	record stale = stored;
+
+	lease(20 * US_PER_S, 20 * US_PER_S);
+	EXPECT_EQ(epoch + 1, share_epoch(share));
+	stale.revision = 6;
+	share_put_record(share, &stale);
+	EXPECT_EQ(0U, share_ppm(share, 0, 20 * US_PER_S));
+	ASSERT_TRUE(run(20 * US_PER_S));
+	ASSERT_EQ(PLATFORM_READ_SHARE, started.operation);
+	stored.share.holder_count = 0;
+	stored.revision = 9;
+	answer(PLATFORM_APPLIED, 20 * US_PER_S);
+	EXPECT_EQ(0U, share_ppm(share, 0, 20 * US_PER_S));
+}
+
+TEST_F(Share, AReadThatBeganBeforeTheLapseDoesNotCount)
+{
+	start_holding(SHARE_WHOLE_PPM);
+	lease(20 * US_PER_S, 20 * US_PER_S);
+	ASSERT_TRUE(run(20 * US_PER_S));
+	lease(40 * US_PER_S, 40 * US_PER_S);
+	answer(PLATFORM_APPLIED, 40 * US_PER_S);
+	EXPECT_EQ(0U, share_ppm(share, 0, 40 * US_PER_S));
+}
+
+// The write is lost, read back as not done, and done after all.
+TEST_F(Share, ASmallerPartHoldsAsLongAsItsWriteMayTakeEffect)
+{
+	start_holding(SHARE_WHOLE_PPM);
+	hold("b", 1, 0);
+	stored.revision = 6;
+	share_put_record(share, &stored);
+	ASSERT_TRUE(run(US_PER_S));
+	ASSERT_EQ(PLATFORM_CAS_SHARE, started.operation);
+	EXPECT_EQ(500000U, share_ppm(share, 0, US_PER_S));
+	answer(PLATFORM_UNKNOWN, US_PER_S);
+	ASSERT_TRUE(run(2 * US_PER_S));
+	ASSERT_EQ(PLATFORM_READ_SHARE, started.operation);
+	answer(PLATFORM_APPLIED, 2 * US_PER_S);
+	EXPECT_EQ(500000U, share_ppm(share, 0, 2 * US_PER_S));
+	// Only a record of a later revision shows that it cannot any more.
+	stored.revision = 7;
+	share_put_record(share, &stored);
+	EXPECT_EQ(1000000U, share_ppm(share, 0, 2 * US_PER_S));
+}
+
+TEST_F(Share, ANewcomerAsksAndTakesOnlyWhatIsFree)
+{
+	stored.kind = RECORD_SHARE;
+	stored.revision = 5;
+	hold("b", 1, 900000);
+	lease(0, 0);
+	ASSERT_TRUE(run(0));
+	answer(PLATFORM_APPLIED, 1);
+	ASSERT_TRUE(run(US_PER_S));
+	EXPECT_EQ(2U, started.record.share.holder_count);
+	EXPECT_EQ(100000U, started.record.share.holders[1].ppm);
+	EXPECT_EQ(0U, share_ppm(share, 0, US_PER_S));
+	answer(PLATFORM_APPLIED, US_PER_S);
+	EXPECT_EQ(100000U, share_ppm(share, 0, US_PER_S));
+}
+
+TEST_F(Share, AbsentHoldersAreRemovedAfterAWhileUnderAGuard)
+{
+	start_holding(500000);
+	hold("gone", 7, 500000);
+	stored.revision = 6;
+	share_put_record(share, &stored);
+	EXPECT_FALSE(run(US_PER_S));
+	EXPECT_FALSE(run(2900 * US_PER_MS));
+	ASSERT_TRUE(run(3 * US_PER_S));
+	ASSERT_EQ(1U, started.absent_count);
+	EXPECT_STREQ("gone", started.absent_members[0].instance);
+	EXPECT_EQ(1U, started.record.share.holder_count);
+}
+
+TEST_F(Share, AnEarlierProcessKeepsItsEntryForAWholeLease)
+{
+	start_holding(500000);
+	hold("a", 1, 500000);
+	stored.revision = 6;
+	share_put_record(share, &stored);
+	lease(8 * US_PER_S, 8 * US_PER_S);
+	EXPECT_FALSE(run(10 * US_PER_S));
+	ASSERT_TRUE(run(10300 * US_PER_MS));
+	EXPECT_EQ(1U, started.record.share.holder_count);
+	EXPECT_EQ(0U, started.absent_count);
+}
+
+TEST_F(Share, WhatIsLentStaysWhenThePartIsGivenBack)
+{
+	start_holding(SHARE_WHOLE_PPM);
+	share_reserve(share, 0, 300000);
+	share_drain(share);
+	ASSERT_TRUE(run(US_PER_S));
+	EXPECT_EQ(300000U, started.record.share.holders[0].ppm);
+	answer(PLATFORM_APPLIED, US_PER_S);
+	EXPECT_FALSE(share_is_drained(share, US_PER_S));
+	share_reserve(share, 0, 0);
+	ASSERT_TRUE(run(2 * US_PER_S));
+	answer(PLATFORM_APPLIED, 2 * US_PER_S);
+	ASSERT_TRUE(run(3 * US_PER_S));
+	EXPECT_EQ(0U, started.record.share.holder_count);
+	answer(PLATFORM_APPLIED, 3 * US_PER_S);
+	EXPECT_TRUE(share_is_drained(share, 3 * US_PER_S));
+}
+
+} // namespace
