Parts outlast the lease while the platform is lost to everyone

Cause: With parts bound to the lease alone, an outage of the platform longer than the lease refuses every request everywhere. Change: As long as every known member answers as unsynced, without a gap since the lease, the part counts on; parts that grew count only once the instance was synced for accept_after_us. The argument is in core/share.h and core/key_guard.h. limits_opts.guard NULL keeps the simple rule. Same assumption as rule (c) about unknown newcomers.

--- a/src/core/key_guard.c
+++ b/src/core/key_guard.c
@@ -135,6 +135,18 @@
 	return ERR_KEY_UNCONFIRMED;
 }
 
+int64_t key_guard_outage_until_us(const struct key_guard *g, int64_t now_us)
+{
+	int64_t until = now_us + g->grace_us;
+
+	if (is_synced(g, now_us) || !is_outage(g, now_us))
+		return INT64_MIN;
+	for (uint32_t i = 0; i < member_count(g->members); i++)
+		until = MIN(until, member_at(g->members, i)->report.asked_us +
+					   g->grace_us);
+	return until;
+}
+
 bool key_guard_may_accept(const struct key_guard *g, int64_t now_us)
 {
 	return is_synced(g, now_us) &&
--- a/src/core/key_guard.h
+++ b/src/core/key_guard.h
@@ -90,6 +90,12 @@
  */
 bool key_guard_may_accept(const struct key_guard *g, int64_t now_us);
 
+/*
+ * Returns until when no member can have been synced for accept_after_us,
+ * by the answers of rule (c); INT64_MIN when that rule does not hold now.
+ */
+int64_t key_guard_outage_until_us(const struct key_guard *g, int64_t now_us);
+
 /* What the instance reports to members. */
 struct member_self key_guard_self(const struct key_guard *g, bool draining);
 
--- a/src/core/limit.c
+++ b/src/core/limit.c
@@ -37,6 +37,7 @@
 				    .seed = opts->seed,
 				    .cells = opts->share_cells,
 				    .members = opts->members,
+				    .guard = opts->guard,
 				    .settle_us = opts->settle_us };
 
 	g_strlcpy(l->name, opts->instance, sizeof(l->name));
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -25,6 +25,7 @@
 #include "core/action_queue.h"
 #include "core/error.h"
 #include "core/event.h"
+#include "core/key_guard.h"
 #include "core/member.h"
 
 #include <stdbool.h>
@@ -38,6 +39,7 @@
 	uint64_t seed;
 	uint32_t share_cells;
 	const struct member_table *members; /* borrowed */
+	const struct key_guard *guard; /* borrowed; see core/share.h */
 	int64_t settle_us; /* until an absent holder is removed; 0: 2 s */
 };
 
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -21,6 +21,7 @@
 	bool trusted; /* read in the present lease */
 	bool must_read; /* before the next change */
 	uint32_t reserved_ppm;
+	uint32_t allowed_ppm; /* what may be used of the own entry */
 	uint32_t bound_ppm; /* of the own use */
 	int64_t bound_revision; /* a later record lifts the bound */
 	uint64_t operation_id; /* outstanding; 0: none */
@@ -36,12 +37,14 @@
 	char name[NAME_BYTES];
 	uint64_t incarnation;
 	const struct member_table *members; /* borrowed */
+	const struct key_guard *guard; /* borrowed; may be NULL */
 	int64_t settle_us;
 	int64_t retry_us;
 	GRand *rand;
 	bool draining;
 	bool superseded; /* another process took the name */
-	int64_t valid_until_us;
+	int64_t lease_until_us;
+	int64_t outage_until_us;
 	int64_t first_lease_us; /* -1: none yet */
 	int64_t ttl_us;
 	uint64_t epoch;
@@ -60,12 +63,14 @@
 	g_strlcpy(s->name, opts->instance, sizeof(s->name));
 	s->incarnation = opts->incarnation;
 	s->members = opts->members;
+	s->guard = opts->guard;
 	s->settle_us = opts->settle_us ? opts->settle_us : SETTLE_DEFAULT_US;
 	s->retry_us = opts->retry_us ? opts->retry_us : RETRY_DEFAULT_US;
 	s->rand = g_rand_new_with_seed(
 		(guint32)(opts->seed ^ (opts->seed >> 32)));
 	s->first_lease_us = -1;
-	s->valid_until_us = INT64_MIN;
+	s->lease_until_us = INT64_MIN;
+	s->outage_until_us = INT64_MIN;
 	s->absent =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->cell_count = opts->cells ? opts->cells : 1;
@@ -133,6 +138,7 @@
 
 static void lapse(struct share *s)
 {
+	s->outage_until_us = INT64_MIN;
 	s->epoch++;
 	s->version++;
 	for (uint32_t i = 0; i < s->cell_count; i++) {
@@ -149,18 +155,18 @@
 
 	if (s->superseded)
 		return;
-	if (now_us >= s->valid_until_us)
+	if (now_us >= s->lease_until_us)
 		lapse(s);
 	if (s->first_lease_us < 0)
 		s->first_lease_us = now_us;
 	s->ttl_us = lease->ttl_us;
-	s->valid_until_us = MAX(s->valid_until_us, ends);
+	s->lease_until_us = MAX(s->lease_until_us, ends);
 }
 
 void share_lose_member_key(struct share *s, bool superseded)
 {
 	s->superseded |= superseded;
-	s->valid_until_us = INT64_MIN;
+	s->lease_until_us = INT64_MIN;
 	lapse(s);
 }
 
@@ -210,6 +216,24 @@
 			 "cell %u, ppm in value", c->record.cell);
 }
 
+static bool may_grow(const struct share *s, int64_t now_us)
+{
+	return !s->guard || key_guard_may_accept(s->guard, now_us);
+}
+
+/* Lets the own use follow the entry. */
+static void allow_entry(struct share *s, struct cell *c, int64_t now_us)
+{
+	const struct share_holder *own = own_entry(s, &c->record);
+	uint32_t ppm = own ? own->ppm : 0;
+
+	if (!c->trusted || ppm == c->allowed_ppm ||
+	    (ppm > c->allowed_ppm && !may_grow(s, now_us)))
+		return;
+	c->allowed_ppm = ppm;
+	s->version++;
+}
+
 static struct cell *cell_of_operation(struct share *s, uint64_t id)
 {
 	for (uint32_t i = 0; i < s->cell_count; i++) {
@@ -246,6 +270,7 @@
 		take_applied(s, c, r, out);
 		c->failures = 0;
 	}
+	allow_entry(s, c, now_us);
 	return true;
 }
 
@@ -449,6 +474,7 @@
 
 	for (uint32_t i = 0; i < c->record.holder_count; i++)
 		note_absent(s, c->record.holders[i].instance, now_us);
+	allow_entry(s, c, now_us);
 	if (c->operation_id || now_us < c->next_try_us)
 		return;
 	if (!c->trusted || c->must_read) {
@@ -460,7 +486,7 @@
 		plan_leave(s, c, r);
 	} else {
 		/* A holder may be back unknown to us and block the change. */
-		if (c->failures % 2 == 0)
+		if (c->failures % 2 == 0 && may_grow(s, now_us))
 			remove_gone(s, &p, now_us);
 		plan_stay(s, c, r);
 	}
@@ -470,9 +496,21 @@
 	start_write(s, c, &p, out);
 }
 
+/* An outage counts only if it follows on what was valid without a gap. */
+static void extend_for_outage(struct share *s, int64_t now_us)
+{
+	int64_t until;
+
+	if (!s->guard || now_us >= share_valid_until_us(s))
+		return;
+	until = key_guard_outage_until_us(s->guard, now_us);
+	s->outage_until_us = MAX(s->outage_until_us, until);
+}
+
 void share_run(struct share *s, int64_t now_us, struct action_queue *out)
 {
-	if (now_us >= s->valid_until_us || now_us < s->next_run_us)
+	extend_for_outage(s, now_us);
+	if (now_us >= s->lease_until_us || now_us < s->next_run_us)
 		return;
 	s->next_run_us = now_us + RUN_INTERVAL_US;
 	for (uint32_t i = 0; i < s->cell_count; i++)
@@ -486,7 +524,7 @@
 
 bool share_is_drained(const struct share *s, int64_t now_us)
 {
-	if (now_us >= s->valid_until_us)
+	if (now_us >= s->lease_until_us)
 		return s->draining;
 	for (uint32_t i = 0; i < s->cell_count; i++) {
 		if (own_entry(s, &s->cells[i].record))
@@ -512,15 +550,17 @@
 	struct cell *c = &s->cells[cell];
 	const struct share_holder *own;
 
-	if (!c->trusted || now_us >= s->valid_until_us)
+	if (!c->trusted || now_us >= share_valid_until_us(s))
 		return 0;
 	own = own_entry(s, &c->record);
-	return own ? MIN(own->ppm, c->bound_ppm) : 0;
+	if (!own)
+		return 0;
+	return MIN(own->ppm, MIN(c->bound_ppm, c->allowed_ppm));
 }
 
 int64_t share_valid_until_us(const struct share *s)
 {
-	return s->valid_until_us;
+	return MAX(s->lease_until_us, s->outage_until_us);
 }
 
 uint64_t share_epoch(const struct share *s)
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -14,6 +14,14 @@
  *  - up to a bound that is lowered before a smaller entry is written, and
  *    lifted by a record of a later revision than the write was based on:
  *    from then on the write cannot take effect any more.
+ *  - where it grew, once this instance was synced for as long as it must be
+ *    before it accepts changes (core/key_guard.h).
+ * When the platform is lost to everyone, a part counts beyond the lease, as
+ * long as the answers of rule (c) in core/key_guard.h follow on the lease
+ * and on each other without a gap: nobody can use what was taken away from
+ * this instance before it has been synced for longer than an answer counts.
+ * The same assumption about members that are not known applies.
+ *
  * The entry of an earlier process of the same name is removed once a whole
  * lease has passed since this process got its own: until then the earlier
  * one, and who borrowed from it, may still use it. Two live processes never
@@ -27,6 +35,7 @@
 
 #include "core/action_queue.h"
 #include "core/event.h"
+#include "core/key_guard.h"
 #include "core/member.h"
 
 #include <stdbool.h>
@@ -43,6 +52,8 @@
 	uint64_t seed;
 	uint32_t cells;
 	const struct member_table *members; /* borrowed */
+	/* Borrowed; NULL: parts end with the lease and grow at once. */
+	const struct key_guard *guard;
 	int64_t settle_us; /* a holder is absent so long; 0: 2 s */
 	int64_t retry_us; /* least back-off; 0: 50 ms */
 };
@@ -90,7 +101,7 @@
 /* Returns the part in use at a time not before the last call's. */
 uint32_t share_ppm(const struct share *s, uint32_t cell, int64_t now_us);
 
-/* Returns the end of the own lease as it counts here. */
+/* Returns the end of the own lease or of the known outage. */
 int64_t share_valid_until_us(const struct share *s);
 
 /* Grows whenever a lease lapsed: tokens of before count no more. */
--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -26,6 +26,7 @@
 	int clock_drift = 0; // of an instance, up to 0.4%
 	bool platform_down = false;
 	int64_t settle_us = 0; // limits_opts.settle_us
+	bool with_guard = false; // parts outlast the lease in an outage
 };
 
 struct Admission {
@@ -84,6 +85,8 @@
 	void renew_lease(int i);
 	void grant_lease(int i, uint64_t incarnation, int64_t asked_us);
 	void expire_leases();
+	void sync(int i);
+	int64_t lease_ttl_us() const;
 	void publish(const record &r, bool deleted);
 	int64_t delay_us();
 	bool chance(int percent);
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -20,18 +20,27 @@
 	void SetUp() override
 	{
 		member_opts mo = {};
-		share_opts so = {};
 
 		mo.instance = "a";
 		mo.incarnation = PROCESS;
 		members = member_table_new(&mo);
+		out = action_queue_new();
+		make(nullptr);
+		add_member("b");
+	}
+
+	void make(const key_guard *guard)
+	{
+		share_opts so = {};
+
+		if (share)
+			share_free(share);
+		so.guard = guard;
 		so.instance = "a";
 		so.incarnation = PROCESS;
 		so.cells = 1;
 		so.members = members;
 		share = share_new(&so);
-		out = action_queue_new();
-		add_member("b");
 	}
 
 	void TearDown() override
@@ -246,4 +255,72 @@
 	EXPECT_TRUE(share_is_drained(share, 3 * US_PER_S));
 }
 
+// Alone: an outage is complete as soon as the own sync is too old.
+class ShareWithGuard : public Share
+{
+      protected:
+	void SetUp() override
+	{
+		key_guard_opts go = {};
+
+		Share::SetUp();
+		member_delete(members, "b");
+		go.key_grace_us = 3 * US_PER_S;
+		guard = key_guard_new(&go, members);
+		make(guard);
+	}
+
+	void TearDown() override
+	{
+		Share::TearDown();
+		key_guard_free(guard);
+	}
+
+	void sync_until(int64_t end_us)
+	{
+		for (int64_t t = 0; t <= end_us; t += US_PER_S)
+			key_guard_note_synced(guard, 1, t, t);
+	}
+
+	key_guard *guard = nullptr;
+};
+
+TEST_F(ShareWithGuard, APartCountsOnlyAfterALongSync)
+{
+	sync_until(6 * US_PER_S);
+	start_holding(SHARE_WHOLE_PPM);
+	run(6900 * US_PER_MS);
+	EXPECT_EQ(0U, share_ppm(share, 0, 6900 * US_PER_MS));
+	run(7 * US_PER_S);
+	EXPECT_EQ(1000000U, share_ppm(share, 0, 7 * US_PER_S));
+}
+
+TEST_F(ShareWithGuard, APartOutlastsTheLeaseInAnOutageWithoutAGap)
+{
+	sync_until(7 * US_PER_S);
+	start_holding(SHARE_WHOLE_PPM);
+	run(7 * US_PER_S);
+	// The lease ends at 9.8 s, the sync is too old at 10 s.
+	EXPECT_EQ(0U, share_ppm(share, 0, 9800 * US_PER_MS));
+	lease(2 * US_PER_S, 9 * US_PER_S);
+	run(11 * US_PER_S);
+	EXPECT_EQ(1000000U, share_ppm(share, 0, 13900 * US_PER_MS));
+	run(13900 * US_PER_MS);
+	EXPECT_EQ(1000000U, share_ppm(share, 0, 16800 * US_PER_MS));
+	// Paused too long: someone may have been synced in between.
+	run(16900 * US_PER_MS);
+	EXPECT_EQ(0U, share_ppm(share, 0, 17 * US_PER_S));
+}
+
+TEST_F(ShareWithGuard, OneMemberThatDoesNotAnswerEndsThePartWithTheLease)
+{
+	add_member("b");
+	sync_until(7 * US_PER_S);
+	start_holding(SHARE_WHOLE_PPM);
+	run(7 * US_PER_S);
+	lease(2 * US_PER_S, 9 * US_PER_S);
+	run(11 * US_PER_S);
+	EXPECT_EQ(0U, share_ppm(share, 0, 11800 * US_PER_MS));
+}
+
 } // namespace
