--- a/fuzz/request_fuzz.c
+++ b/fuzz/request_fuzz.c
@@ -17,11 +17,14 @@
 
 static void check(int32_t error, const struct caller_request *r)
 {
-	if (error)
+	if (error) {
+		if (r->statement)
+			abort();
 		return;
+	}
 	if (!r->opts.group[0] || !r->opts.profile[0])
 		abort();
-	if (strlen(r->sql) > STATEMENT_MAX_BYTES)
+	if (strlen(r->statement->sql) > STATEMENT_MAX_BYTES)
 		abort();
 	if (r->opts.deadline_us <= 0 || r->opts.deadline_us > US_PER_S)
 		abort();
@@ -56,7 +59,7 @@
 		in.body_len = size - (size_t)(rest - text);
 	}
 	check(caller_request_parse(&in, &r, &detail), &r);
-	caller_request_clear(&r);
+	statement_free(r.statement);
 	free(text);
 	return 0;
 }
--- a/src/http/caller_listener.c
+++ b/src/http/caller_listener.c
@@ -117,13 +117,10 @@
 static void pass_on(struct caller_listener *l, struct caller *c,
 		    struct caller_request *r)
 {
-	struct statement *s = statement_new(r->sql, r->params);
-
-	g_strlcpy(s->workspace, c->workspace, sizeof(s->workspace));
-	g_strlcpy(s->request_id, r->request_id, sizeof(s->request_id));
+	g_strlcpy(r->statement->workspace, c->workspace, NAME_BYTES);
 	r->opts.caller_id = c->id;
 	g_hash_table_insert(l->callers, &c->id, c);
-	l->opts.on_request(l->opts.data, &r->opts, s);
+	l->opts.on_request(l->opts.data, &r->opts, r->statement);
 }
 
 static void on_request(void *data, struct http_request *http)
@@ -141,13 +138,13 @@
 	if (!error)
 		error = open_session(l, in.headers.session, &r.opts, c,
 				     &detail);
-	if (error) {
-		refuse(l, c->id, error, detail);
-		g_free(c);
-	} else {
+	if (!error) {
 		pass_on(l, c, &r);
+		return;
 	}
-	caller_request_clear(&r);
+	refuse(l, c->id, error, detail);
+	statement_free(r.statement);
+	g_free(c);
 }
 
 static void on_gone(void *data, uint64_t id)
--- a/src/http/caller_request.c
+++ b/src/http/caller_request.c
@@ -1,15 +1,17 @@
 #include "http/caller_request.h"
 
-#include "base/statement.h"
 #include "http/bearer.h"
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum { SEGMENTS_MAX = 6, TRANSACTION_ID_DIGITS = 16 };
 
+#define REQUEST_ID_CHARACTERS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "._:-"
+
 struct route {
 	enum request_kind kind;
 	const char *segments[SEGMENTS_MAX + 1]; /* "*": group, "#": id */
@@ -120,7 +122,7 @@
 	return copy_name(out->profile, text) ? 0 : ERR_UNKNOWN_PROFILE;
 }
 
-static int32_t parse_request_id(const char *text, struct caller_request *out,
+static int32_t parse_request_id(const char *text, struct request_opts *out,
 				const char **detail)
 {
 	size_t len;
@@ -129,14 +131,12 @@
 		return 0;
 	len = strlen(text);
 	if (!len || len >= REQUEST_KEY_BYTES ||
-	    strspn(text, G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "._:-") !=
-		    len) {
+	    strspn(text, REQUEST_ID_CHARACTERS) != len) {
 		*detail = "Idempotency-Key is not 1 to 64 characters of "
 			  "[A-Za-z0-9._:-]";
 		return ERR_BAD_FIELD;
 	}
-	g_strlcpy(out->request_id, text, sizeof(out->request_id));
-	out->opts.has_request_id = true;
+	out->has_request_id = true;
 	return 0;
 }
 
@@ -171,19 +171,19 @@
 }
 
 static int32_t parse_headers(const struct caller_request_input *in,
-			     struct caller_request *out, const char **detail)
+			     struct request_opts *out, const char **detail)
 {
 	const struct caller_headers *h = &in->headers;
-	int32_t error = parse_key(h->authorization, &out->opts, detail);
+	int32_t error = parse_key(h->authorization, out, detail);
 
 	if (!error)
-		error = parse_profile(h->profile, &out->opts, detail);
+		error = parse_profile(h->profile, out, detail);
 	if (!error)
 		error = parse_request_id(h->request_id, out, detail);
 	if (!error)
-		error = parse_repeatable(h->repeatable, &out->opts, detail);
+		error = parse_repeatable(h->repeatable, out, detail);
 	if (!error)
-		error = parse_deadline(in, &out->opts, detail);
+		error = parse_deadline(in, out, detail);
 	return error;
 }
 
@@ -193,48 +193,6 @@
 	return ERR_BAD_FIELD;
 }
 
-/* Returns the parameter in PostgreSQL's text format, NULL if it has none. */
-static json_t *param_text(json_t *param)
-{
-	char *text;
-	json_t *string;
-
-	if (json_is_string(param) || json_is_null(param))
-		return json_incref(param);
-	if (!json_is_number(param) && !json_is_boolean(param))
-		return NULL;
-	text = json_dumps(param, JSON_ENCODE_ANY);
-	string = json_string(text);
-	free(text);
-	return string;
-}
-
-static int32_t parse_params(json_t *params, struct caller_request *out,
-			    size_t *bytes, const char **detail)
-{
-	json_t *param;
-	size_t i;
-
-	out->params = json_array();
-	if (!params)
-		return 0;
-	if (!json_is_array(params))
-		return bad_field(detail, "params is not an array");
-	if (json_array_size(params) > STATEMENT_PARAMS_MAX)
-		return bad_field(detail, "params has too many elements");
-	json_array_foreach(params, i, param)
-	{
-		json_t *text = param_text(param);
-
-		if (!text)
-			return bad_field(detail, "a parameter is not a string, "
-						 "number, boolean or null");
-		*bytes += json_string_length(text);
-		json_array_append_new(out->params, text);
-	}
-	return 0;
-}
-
 static int32_t check_names(json_t *body, bool statement, const char **detail)
 {
 	const char *name;
@@ -249,44 +207,66 @@
 	return 0;
 }
 
+static size_t statement_size(const struct statement *s)
+{
+	size_t bytes = strlen(s->sql);
+
+	for (uint32_t i = 0; i < s->param_count; i++)
+		bytes += s->params[i] ? strlen(s->params[i]) : 0;
+	return bytes;
+}
+
 static int32_t parse_statement(const struct caller_request_input *in,
-			       struct caller_request *out, const char **detail)
+			       json_t *body, struct statement **out,
+			       const char **detail)
 {
-	json_t *sql = json_object_get(out->body, "sql");
-	size_t bytes = json_string_length(sql);
-	int32_t error;
+	const char *sql = json_string_value(json_object_get(body, "sql"));
 
-	if (!bytes)
+	if (!sql || !*sql)
 		return bad_field(detail, "sql is missing or not a string");
-	out->sql = json_string_value(sql);
-	error = parse_params(json_object_get(out->body, "params"), out, &bytes,
-			     detail);
+	*out = statement_new(sql, json_object_get(body, "params"));
+	if (!*out)
+		return bad_field(detail,
+				 "params is not a short array of strings, "
+				 "numbers, booleans and nulls");
+	if (statement_size(*out) > in->statement_max_bytes)
+		return ERR_STATEMENT_TOO_LARGE;
+	return 0;
+}
+
+static int32_t parse_object(const struct caller_request_input *in, json_t *body,
+			    struct caller_request *out, const char **detail)
+{
+	bool statement = has_statement(out->opts.kind);
+	int32_t error;
+
+	if (!json_is_object(body))
+		return bad_field(detail, "the body is not an object");
+	error = check_names(body, statement, detail);
 	if (error)
 		return error;
-	return bytes > in->statement_max_bytes ? ERR_STATEMENT_TOO_LARGE : 0;
+	if (statement)
+		return parse_statement(in, body, &out->statement, detail);
+	out->statement = statement_new("", NULL);
+	return 0;
 }
 
 static int32_t parse_body(const struct caller_request_input *in,
 			  struct caller_request *out, const char **detail)
 {
-	bool statement = has_statement(out->opts.kind);
+	json_t *body = NULL;
 	int32_t error;
 
-	out->sql = "";
-	if (!in->body_len && !statement)
-		return 0;
-	if (!in->body_len)
-		return ERR_BAD_JSON;
-	out->body = json_loadb(in->body, in->body_len, JSON_REJECT_DUPLICATES,
-			       NULL);
-	if (!out->body)
+	if (in->body_len)
+		body = json_loadb(in->body, in->body_len,
+				  JSON_REJECT_DUPLICATES, NULL);
+	else if (!has_statement(out->opts.kind))
+		body = json_object();
+	if (!body)
 		return ERR_BAD_JSON;
-	if (!json_is_object(out->body))
-		return bad_field(detail, "the body is not an object");
-	error = check_names(out->body, statement, detail);
-	if (error || !statement)
-		return error;
-	return parse_statement(in, out, detail);
+	error = parse_object(in, body, out, detail);
+	json_decref(body);
+	return error;
 }
 
 int32_t caller_request_parse(const struct caller_request_input *in,
@@ -298,15 +278,15 @@
 	*detail = NULL;
 	error = parse_route(in, &out->opts);
 	if (!error)
-		error = parse_headers(in, out, detail);
+		error = parse_headers(in, &out->opts, detail);
 	if (!error)
 		error = parse_body(in, out, detail);
+	if (error) {
+		statement_free(out->statement);
+		out->statement = NULL;
+	} else if (out->opts.has_request_id) {
+		g_strlcpy(out->statement->request_id, in->headers.request_id,
+			  REQUEST_KEY_BYTES);
+	}
 	return error;
 }
-
-void caller_request_clear(struct caller_request *r)
-{
-	json_decref(r->body);
-	json_decref(r->params);
-	*r = (struct caller_request){ 0 };
-}
--- a/src/http/caller_request.h
+++ b/src/http/caller_request.h
@@ -11,10 +11,9 @@
 #ifndef HTTP_CALLER_REQUEST_H
 #define HTTP_CALLER_REQUEST_H
 
+#include "base/statement.h"
 #include "core/event.h"
-#include "core/sizes.h"
 
-#include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,19 +41,14 @@
 
 struct caller_request {
 	struct request_opts opts; /* without caller_id and session */
-	char request_id[REQUEST_KEY_BYTES]; /* "" if none */
-	json_t *body; /* owns sql; NULL if empty */
-	const char *sql; /* "" for kinds without a statement */
-	json_t *params; /* array of strings and nulls */
+	struct statement *statement; /* without workspace; "" if none */
 };
 
 /*
- * Fills *out, which is cleared with caller_request_clear() in any case.
- * Returns 0 or an error number; *detail then says what is wrong, or is
- * NULL.
+ * Fills *out, whose statement is the caller's. Returns 0, or an error
+ * number and no statement; *detail then says what is wrong, or is NULL.
  */
 int32_t caller_request_parse(const struct caller_request_input *in,
 			     struct caller_request *out, const char **detail);
-void caller_request_clear(struct caller_request *r);
 
 #endif
