--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -228,8 +228,11 @@
 void apply_record(struct world *w, const struct record *r, bool deleted,
 		  int64_t now_us)
 {
+	char name[2 * NAME_BYTES];
+
+	catalog_record_name(r, name, sizeof(name));
 	if (!catalog_accept(&w->catalog, r)) {
-		action_queue_log(w->actions, LOG_CONFIG_STALE, 0, "",
+		action_queue_log(w->actions, LOG_CONFIG_STALE, 0, name,
 				 r->revision, "kind %d", r->kind);
 		return;
 	}
@@ -237,7 +240,7 @@
 		catalog_delete(&w->catalog, r);
 	else
 		catalog_put(&w->catalog, r);
-	action_queue_log(w->actions, LOG_CONFIG_APPLIED, 0, "", r->revision,
+	action_queue_log(w->actions, LOG_CONFIG_APPLIED, 0, name, r->revision,
 			 "kind %d%s", r->kind, deleted ? " deleted" : "");
 	dispatch_record(w, r, deleted, now_us);
 }
--- a/src/core/catalog.c
+++ b/src/core/catalog.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+/* The kind as one letter, and the name. */
 enum { REVISION_KEY_BYTES = 3 * NAME_BYTES };
 
 static guint digest_hash(gconstpointer p)
@@ -47,7 +48,7 @@
 		sprintf(out + (size_t)2 * i, "%02x", digest[i]);
 }
 
-static void revision_key(const struct record *r, char *out, size_t size)
+void catalog_record_name(const struct record *r, char *out, size_t size)
 {
 	char hex[2 * DIGEST_BYTES + 1] = "";
 	const char *name = "";
@@ -84,7 +85,7 @@
 	case RECORD_KIND_COUNT:
 		break;
 	}
-	snprintf(out, size, "%d/%s/%s", r->kind, group, name);
+	snprintf(out, size, "%s%s%s", group, group[0] ? "/" : "", name);
 }
 
 bool catalog_accept(struct catalog *c, const struct record *r)
@@ -92,7 +93,8 @@
 	char key[REVISION_KEY_BYTES];
 	int64_t *seen;
 
-	revision_key(r, key, sizeof(key));
+	key[0] = (char)('a' + r->kind);
+	catalog_record_name(r, key + 1, sizeof(key) - 1);
 	seen = g_hash_table_lookup(c->revisions, key);
 	if (seen && *seen >= r->revision)
 		return false;
--- a/src/core/catalog.h
+++ b/src/core/catalog.h
@@ -35,6 +35,9 @@
  */
 bool catalog_accept(struct catalog *c, const struct record *r);
 
+/* Writes "GROUP/NAME", the hex digest or the name of a record. */
+void catalog_record_name(const struct record *r, char *out, size_t size);
+
 /* Apply an accepted record or its deletion. */
 void catalog_put(struct catalog *c, const struct record *r);
 void catalog_delete(struct catalog *c, const struct record *r);
--- a/src/core/exchange.c
+++ b/src/core/exchange.c
@@ -105,6 +105,8 @@
 	c->state = CONN_IDLE;
 	c->since_us = now_us;
 	c->answered_us = now_us;
+	action_queue_log(w->actions, LOG_CONN_OPENED, 0, e->record.name, id,
+			 "%s", c->purpose == CONN_FOR_PROBE ? "probe" : "work");
 	if (c->purpose == CONN_FOR_PROBE)
 		return;
 	e->opening--;
--- a/src/core/probe.c
+++ b/src/core/probe.c
@@ -74,6 +74,10 @@
 
 	e->probe_due_us = now_us + RECONNECT_US;
 	if (!e->silent_since_us) {
+		if (world_group(w, e->group)->primary == row)
+			action_queue_log(w->actions, LOG_PRIMARY_SUSPECTED, 0,
+					 e->record.name, now_us - asked_us,
+					 "a probe failed");
 		/* The first failure may be the connection's alone. */
 		e->silent_since_us = asked_us;
 		e->probe_due_us = now_us;
--- a/src/core/world.c
+++ b/src/core/world.c
@@ -56,6 +56,7 @@
 	w->members = member_table_new(&member);
 	w->keys = key_guard_new(&guard, w->members);
 	limits.members = w->members;
+	limits.guard = w->keys;
 	w->limits = limits_new(&limits);
 }
 
@@ -210,12 +211,27 @@
 	}
 }
 
+static void log_key_rule(struct world *w, int64_t now_us)
+{
+	bool confirmed = key_guard_rule(w->keys, now_us) != KEY_RULE_NONE;
+
+	if (confirmed == w->keys_confirmed)
+		return;
+	w->keys_confirmed = confirmed;
+	action_queue_log(w->actions,
+			 confirmed ? LOG_KEYS_CONFIRMED : LOG_KEYS_UNCONFIRMED,
+			 0, w->opts.instance, w->revision, "%s",
+			 confirmed ? "keyed requests are served" :
+				     "keyed requests are refused");
+}
+
 static void members_run(struct world *w, int64_t now_us)
 {
 	struct member_self self = key_guard_self(w->keys, w->draining);
 
 	member_set_self(w->members, &self);
 	member_run(w->members, now_us, w->actions);
+	log_key_rule(w, now_us);
 }
 
 static void limits_system_run(struct world *w, int64_t now_us)
--- a/src/core/world_state.h
+++ b/src/core/world_state.h
@@ -42,6 +42,7 @@
 	struct key_guard *keys;
 	struct limits *limits;
 
+	bool keys_confirmed; /* as logged last */
 	bool config_known; /* a whole configuration was applied */
 	int64_t revision; /* up to which all records were applied */
 	uint64_t last_operation; /* platform operations of promotions */
--- a/src/serve/instance.c
+++ b/src/serve/instance.c
@@ -155,6 +155,13 @@
 {
 	struct change *c = data;
 
+	/*
+	 * Peers may by now serve keys without a confirmation, so a change
+	 * that was slow to be stored cannot be said to be in force.
+	 */
+	if (outcome == PLATFORM_APPLIED &&
+	    !world_may_accept_changes(c->instance->world, loop_now_us()))
+		outcome = PLATFORM_UNKNOWN;
 	if (outcome == PLATFORM_APPLIED)
 		world_change_accepted(c->instance->world, revision);
 	c->fn(c->data, outcome, revision, current);
