--- a/src/core/probe.c
+++ b/src/core/probe.c
@@ -12,8 +12,8 @@
 	HURRY_INTERVAL_US = 2 * 1000,
 	/* Between attempts to connect. */
 	RECONNECT_US = 50 * 1000,
-	/* A probe is late after so many intervals. */
-	LATE_INTERVALS = 3,
+	/* An endpoint is down after an old and a fresh connection failed. */
+	ATTEMPTS = 2,
 };
 
 static bool in_hurry(const struct world *w, const struct endpoint *e)
@@ -101,7 +101,7 @@
 	struct endpoint *e = world_endpoint(w, row);
 	const struct conn *c = &w->conns.rows[e->probe_conn];
 
-	if (now_us - c->since_us < LATE_INTERVALS * w->opts.probe_interval_us)
+	if (now_us - c->since_us < w->opts.suspect_us / ATTEMPTS)
 		return;
 	exchange_conn_silent(w, e->probe_conn, now_us);
 }
