--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -303,8 +303,9 @@
 	struct promotion *p = promotion_at(w, group);
 	struct group *g = world_group(w, group);
 	const char *why = g->endpoint_count ? fault_of(w, g) : NULL;
-	int64_t wait =
-		FAULT_SETTLE_US + RANK_DELAY_US * member_self_rank(w->members);
+	int64_t wait = RANK_DELAY_US * member_self_rank(w->members);
+	bool down =
+		g->primary != NO_INDEX && world_endpoint(w, g->primary)->down;
 
 	if (!why) {
 		p->fault_since_us = 0;
@@ -312,12 +313,15 @@
 	}
 	if (!p->fault_since_us)
 		p->fault_since_us = now_us;
+	/* A primary that is down was watched for suspect_us already. */
+	if (!down)
+		wait += FAULT_SETTLE_US;
 	if (now_us - p->fault_since_us < wait || now_us < p->next_try_us ||
 	    !majority_reachable(w, g, now_us))
 		return;
 	action_queue_log(w->actions, LOG_PROMOTION_STARTED, 0, g->name,
 			 (int64_t)g->term, "%s", why);
-	if (g->primary != NO_INDEX && world_endpoint(w, g->primary)->down)
+	if (down)
 		ask_members(w, group, now_us);
 	else
 		allocate(w, group, now_us);
