Mutants of each promise's mechanism; the model judges keys, rates, crossed answers

The model had one workspace, one key, no late or doubled answers, and no configuration that changes. A call answered by its instance's crash is no longer submitted: the model answered it twice.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   check    install packages, build, test twice, format, lint, fuzz
 #   demo     install packages, build, run scripts/demo
 #   fuzz     a longer stateful run: make fuzz SEED=7 RUNS=2000
+#   prove    take out each promise's mechanism and see a test fail (slow)
 #   bench    measurements of one deployment: make bench SITE=hanbit
 
 CC = gcc
@@ -97,6 +98,9 @@
 	@$(MAKE) --no-print-directory format-check lint
 	@test ! -x scripts/fuzz-decoders || scripts/fuzz-decoders
 
+prove:
+	@scripts/prove -j 4
+
 demo: deps
 	@$(MAKE) --no-print-directory -j8 CONFIG=release all
 	@BIN_DIR=build/release scripts/demo
@@ -106,4 +110,4 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all deps test test-asan format format-check lint check demo clean
+.PHONY: all deps test test-asan format format-check lint check prove demo clean
--- a/tests/core_fuzz_test.cc
+++ b/tests/core_fuzz_test.cc
@@ -35,16 +35,21 @@
 	STEP_WITHDRAW_KEY,
 	STEP_RESTORE_KEY,
 	STEP_DRAIN,
+	STEP_SLOW_PLATFORM,
+	STEP_DOUBLE_PEERS,
+	STEP_OPERATORS_RACE,
+	STEP_FLOOD,
 	STEP_REPEAT, /* callers ask again for what may have run */
 	STEP_KIND_COUNT,
 };
 
 const char *const step_names[] = {
-	"wait",	      "crash",	      "start",	     "pause",
-	"resume",     "freeze",	      "refuse",	     "silence",
-	"heal",	      "lag",	      "leaving",     "cut zone",
-	"heal zone",  "outage on",    "outage off",  "lose answers",
-	"drop peers", "withdraw key", "restore key", "drain",
+	"wait",		 "crash",	 "start",	   "pause",
+	"resume",	 "freeze",	 "refuse",	   "silence",
+	"heal",		 "lag",		 "leaving",	   "cut zone",
+	"heal zone",	 "outage on",	 "outage off",	   "lose answers",
+	"drop peers",	 "withdraw key", "restore key",	   "drain",
+	"slow platform", "double peers", "operators race", "flood",
 	"repeat",
 };
 
@@ -134,6 +139,19 @@
 	case STEP_DRAIN:
 		m.drain(s.a);
 		break;
+	case STEP_SLOW_PLATFORM:
+		m.platform_slow(s.a * 400 * MS);
+		break;
+	case STEP_DOUBLE_PEERS:
+		m.double_peers(s.a * 45);
+		break;
+	case STEP_OPERATORS_RACE:
+		m.change_marker();
+		m.change_marker();
+		break;
+	case STEP_FLOOD:
+		m.flood(s.a, 100);
+		break;
 	case STEP_REPEAT:
 		repeat_unknown(m);
 		break;
@@ -142,40 +160,22 @@
 	}
 }
 
-void load_while(Model &m, int64_t duration_us, unsigned &i)
-{
-	static const int64_t ages[] = { 0, 100 * MS, 1 * S, 5 * S };
-	int64_t end = m.now() + duration_us;
-
-	while (m.now() < end) {
-		int node = (int)(i % 3);
-		int session = (int)(i % 5);
-
-		m.write(node, session, i % 3 != 0, 1500 * MS);
-		m.read((node + 1) % 3, session, ages[i % 4], 1500 * MS);
-		if (i % 4 == 0)
-			m.transaction(node, session, i % 8 == 0, 1500 * MS);
-		m.run(25 * MS);
-		i++;
-	}
-}
-
 std::string run_steps(const std::vector<Step> &steps, uint64_t seed)
 {
 	ModelOpts opts;
-	unsigned i = 0;
 
 	opts.seed = seed;
 	Model m(opts);
-	m.run(2 * S);
+	/* So long that operators' changes are accepted. */
+	m.run(7 * S);
 	for (const Step &s : steps) {
 		apply(m, s);
-		load_while(m, s.wait_ms * MS, i);
+		m.load(s.wait_ms * MS);
 	}
 	m.heal_all();
 	m.restore_key();
 	m.run(10 * S);
-	load_while(m, 500 * MS, i);
+	m.load(500 * MS);
 	m.run(3 * S);
 	m.check_final();
 	if (!m.oracle.violations.empty())
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -5,7 +5,6 @@
 namespace
 {
 
-constexpr int64_t MS = US_PER_MS;
 constexpr int64_t S = US_PER_S;
 
 void expect_sound(Model &m)
@@ -15,36 +14,21 @@
 		ADD_FAILURE() << v;
 }
 
-/* One request of each kind every few milliseconds, over all nodes. */
-void load(Model &m, int64_t duration_us, int nodes)
-{
-	static const int64_t ages[] = { 0, 100 * MS, 1 * S, 5 * S };
-	int64_t end = m.now() + duration_us;
-	int i = 0;
-
-	while (m.now() < end) {
-		int node = i % nodes;
-
-		m.write(node, i % 5, i % 3 != 0, 2 * S);
-		m.read((node + 1) % nodes, i % 5, ages[i % 4], 2 * S);
-		if (i % 4 == 0)
-			m.transaction(node, i % 5, i % 8 == 0, 2 * S);
-		m.run(20 * MS);
-		i++;
-	}
-}
-
 TEST(Core, ServesInCalm)
 {
 	Model m({});
 
 	m.run(3 * S);
-	load(m, 5 * S, 3);
+	m.load(5 * S);
 	m.run(3 * S);
 	expect_sound(m);
 	EXPECT_EQ(0u, m.promotions());
 	EXPECT_EQ(0, m.oracle.may_have_run);
-	EXPECT_EQ(0, m.oracle.not_run);
+	for (const Call &c : m.oracle.calls) {
+		if (c.key == KEY_MILL) {
+			EXPECT_EQ(VERDICT_RAN, c.reply.verdict);
+		}
+	}
 	EXPECT_GT(m.oracle.replica_reads, 0);
 }
 
@@ -67,9 +51,9 @@
 		Model m({});
 
 		m.run(3 * S);
-		load(m, 1 * S, 3);
+		m.load(1 * S);
 		f.apply(m);
-		load(m, 6 * S, 3);
+		m.load(6 * S);
 		EXPECT_NE(0, m.primary());
 		m.heal_all();
 		m.run(8 * S);
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -1,5 +1,6 @@
 #include "model.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 
@@ -13,6 +14,13 @@
 constexpr int64_t CALL_TIMEOUT_US = 1000 * US_PER_MS;
 constexpr int64_t SERVICE_US = 300;
 constexpr int64_t WITHDRAWAL_US = 4 * US_PER_S;
+constexpr int MILL_RATE_PER_S = 2000;
+constexpr int MILL_BURST = 2000;
+constexpr int SCHOOL_RATE_PER_S = 50;
+constexpr int SCHOOL_BURST = 20;
+constexpr int MARKERS = 8;
+constexpr int CROSSED_PERCENT = 3;
+constexpr int64_t CROSSED_US = 5 * US_PER_MS;
 const int64_t AGES_US[] = { 0, 100 * US_PER_MS, 1 * US_PER_S, 5 * US_PER_S };
 
 void copy_name(char *out, const std::string &s)
@@ -37,25 +45,39 @@
 	return r;
 }
 
-struct record workspace_record_of()
+struct record workspace_record_of(const char *name, uint32_t rate_per_s,
+				  uint32_t burst)
 {
 	struct record r = {};
 
 	r.kind = RECORD_WORKSPACE;
-	copy_name(r.workspace.name, "mill");
-	r.workspace.rate_milli_per_s = 2000 * 1000;
-	r.workspace.burst_milli = 2000 * 1000;
+	copy_name(r.workspace.name, name);
+	r.workspace.rate_milli_per_s = rate_per_s * 1000;
+	r.workspace.burst_milli = burst * 1000;
 	r.workspace.weight = 1;
 	return r;
 }
 
-struct record key_record_of()
+struct record key_record_of(int key, const char *workspace)
 {
 	struct record r = {};
 
 	r.kind = RECORD_KEY;
-	memset(r.key.digest, 7, sizeof(r.key.digest));
-	copy_name(r.key.workspace, "mill");
+	memset(r.key.digest, key, sizeof(r.key.digest));
+	copy_name(r.key.workspace, workspace);
+	return r;
+}
+
+/* An open profile whose workspace tells which version is in force. */
+struct record marker_record_of(int marker)
+{
+	struct record r = {};
+
+	r.kind = RECORD_PROFILE;
+	copy_name(r.profile.name, "marker");
+	r.profile.open = true;
+	r.profile.cost_milli = 1000;
+	copy_name(r.profile.open_workspace, "marker" + std::to_string(marker));
 	return r;
 }
 
@@ -82,7 +104,7 @@
 	case RECORD_WORKSPACE:
 		return std::string("workspace/") + r.workspace.name;
 	case RECORD_KEY:
-		return "key";
+		return "key/" + std::to_string(r.key.digest[0]);
 	case RECORD_ENDPOINT:
 		return std::string("endpoint/") + r.endpoint.name;
 	case RECORD_TERM:
@@ -140,8 +162,14 @@
 	}
 	for (int64_t age : AGES_US)
 		put(profile_record_of(age));
-	put(workspace_record_of());
-	put(key_record_of());
+	put(workspace_record_of("mill", MILL_RATE_PER_S, MILL_BURST));
+	put(workspace_record_of("school", SCHOOL_RATE_PER_S, SCHOOL_BURST));
+	put(key_record_of(KEY_MILL, "mill"));
+	put(key_record_of(KEY_SCHOOL, "school"));
+	for (int i = 0; i < MARKERS; i++)
+		put(workspace_record_of(("marker" + std::to_string(i)).c_str(),
+					1, 1));
+	put(marker_record_of(0));
 	for (const ModelEndpoint &e : endpoints_)
 		put(endpoint_record_of(e));
 	for (int i = 0; i < opts.nodes; i++) {
@@ -190,6 +218,29 @@
 	now_ = end;
 }
 
+void Model::moment(const Moment &m)
+{
+	if (!match_ || !match_(m))
+		return;
+	auto fn = std::move(on_match_);
+	match_ = nullptr;
+	/* Not at once: a core may be running. */
+	at(0, [=] { fn(m); });
+}
+
+int64_t Model::platform_latency()
+{
+	int64_t slow = slow_us_ ? (int64_t)(rand_() % (uint64_t)slow_us_) : 0;
+
+	return latency() + slow;
+}
+
+bool Model::key_withdrawn(int key) const
+{
+	return key == KEY_MILL && !key_present_ &&
+	       now_ - withdrawn_us_ > WITHDRAWAL_US;
+}
+
 int64_t Model::latency()
 {
 	return 200 + (int64_t)(rand_() % 1500);
@@ -332,8 +383,8 @@
 
 	o.caller_id = c.caller_id;
 	o.kind = c.kind;
-	o.has_key = true;
-	memset(o.key_digest, 7, sizeof(o.key_digest));
+	o.has_key = c.key != 0;
+	memset(o.key_digest, c.key, sizeof(o.key_digest));
 	copy_name(o.profile, age_profile(c.max_age_us));
 	copy_name(o.group, "yard");
 	o.transaction_id = c.transaction;
@@ -352,9 +403,11 @@
 	struct event e = {};
 	struct reply r = {};
 
+	/* Its instance crashed before the request reached it. */
+	if (c.answered)
+		return;
 	c.excused = nodes_[node].paused;
-	c.key_was_withdrawn =
-		!key_present_ && now_ - withdrawn_us_ > WITHDRAWAL_US;
+	c.key_was_withdrawn = key_withdrawn(c.key);
 	if (!nodes_[node].world) {
 		r.verdict = VERDICT_NOT_RUN;
 		r.error = ERR_NO_ENDPOINT;
@@ -363,14 +416,17 @@
 	}
 	e.type = EVENT_REQUEST;
 	e.request = request(c);
-	to_node(node, nodes_[node].incarnation,
-		[=] { world_handle(nodes_[node].world, &e, now_); });
+	to_node(node, nodes_[node].incarnation, [=] {
+		oracle.calls[index].handled_us = now_;
+		world_handle(nodes_[node].world, &e, now_);
+	});
 }
 
 int Model::write(int node, int session, bool by_id, int64_t deadline_us)
 {
 	Call c = {};
 
+	c.key = KEY_MILL;
 	c.kind = REQUEST_WRITE;
 	c.node = node;
 	c.session = session;
@@ -393,6 +449,7 @@
 	c.node = node;
 	c.answered = false;
 	c.times_executed = 0;
+	c.has_result = false;
 	c.sent_us = now_;
 	c.deadline_us = now_ + deadline_us;
 	c.reply = {};
@@ -402,10 +459,31 @@
 	return again;
 }
 
-int Model::read(int node, int session, int64_t max_age_us, int64_t deadline_us)
+int Model::intrude(int node, int key, uint64_t transaction)
 {
 	Call c = {};
 
+	c.key = key;
+	c.kind = REQUEST_STATEMENT;
+	c.node = node;
+	c.session = -1;
+	c.transaction = transaction;
+	c.sent_us = now_;
+	c.deadline_us = now_ + US_PER_S;
+	c.script = -1;
+	oracle.add(c);
+	int index = (int)oracle.calls.size() - 1;
+	submit(node, index);
+	return index;
+}
+
+int Model::read(int node, int session, int64_t max_age_us, int64_t deadline_us,
+		int key)
+{
+	Call c = {};
+
+	c.key = key;
+
 	c.kind = REQUEST_READ;
 	c.node = node;
 	c.session = session;
@@ -424,6 +502,7 @@
 {
 	Call c = {};
 
+	c.key = KEY_MILL;
 	c.kind = REQUEST_BEGIN;
 	c.node = node;
 	c.session = session;
@@ -439,6 +518,35 @@
 	return index;
 }
 
+void Model::flood(int node, int requests)
+{
+	for (int i = 0; i < requests; i++)
+		read(node, -1, 5 * US_PER_S, US_PER_S, KEY_SCHOOL);
+}
+
+void Model::load(int64_t duration_us, int64_t gap_us)
+{
+	const int64_t deadline_us = 1500 * US_PER_MS;
+	int64_t end = now_ + duration_us;
+
+	for (; now_ < end; loaded_++) {
+		unsigned i = loaded_;
+		int node = (int)(i % 3);
+		int session = (int)(i % 5);
+
+		write(node, session, i % 3 != 0, deadline_us);
+		read((node + 1) % 3, session, AGES_US[i % 4], deadline_us);
+		read(node, -1, 5 * US_PER_S, deadline_us, KEY_SCHOOL);
+		if (i % 4 == 0)
+			transaction(node, session, i % 8 == 0, deadline_us);
+		if (i % 6 == 1)
+			read(node, -1, 0, deadline_us, KEY_UNKNOWN);
+		if (i % 4 == 1 && last_transaction_)
+			intrude((node + 2) % 3, KEY_SCHOOL, last_transaction_);
+		run(std::min(gap_us, end - now_));
+	}
+}
+
 /* The script: begin, two statements of one order, commit. */
 static bool next_of_script(const Call &c, Call &next)
 {
@@ -456,6 +564,7 @@
 	next.transaction = c.reply.transaction_id;
 	next.answered = false;
 	next.times_executed = 0;
+	next.has_result = false;
 	next.reply = {};
 	return true;
 }
@@ -474,6 +583,14 @@
 			oracle.replica_reads++;
 	}
 	oracle.answered(*c, r, now_);
+	moment({ MOMENT_REPLY, c->node, c->kind, -1 });
+	if (c->kind == REQUEST_BEGIN && !r.error) {
+		int node = c->node;
+
+		last_transaction_ = r.transaction_id;
+		at(latency(),
+		   [=] { intrude(node, KEY_SCHOOL, r.transaction_id); });
+	}
 	if (!next_of_script(*c, next))
 		return;
 	int64_t left = next.deadline_us - next.sent_us;
@@ -519,6 +636,7 @@
 		break;
 	case ACTION_DRAINED:
 		n.drained = true;
+		moment({ MOMENT_DRAINED, node, 0, -1 });
 		break;
 	}
 }
@@ -572,6 +690,17 @@
 	});
 }
 
+static std::set<int> orders_of(const ModelEndpoint &e)
+{
+	std::set<int> orders;
+
+	for (const ModelEntry &n : e.log) {
+		if (n.order)
+			orders.insert(n.order);
+	}
+	return orders;
+}
+
 void Model::exchange(int node, const struct exchange_start &x)
 {
 	ModelNode &n = nodes_[node];
@@ -592,7 +721,8 @@
 	if (call && (x.plan == PLAN_READ || x.plan == PLAN_WRITE ||
 		     x.plan == PLAN_WRITE_BY_ID || x.plan == PLAN_STATEMENT ||
 		     x.plan == PLAN_COMMIT))
-		call->times_executed++;
+		oracle.sent(*call, key_withdrawn(call->key));
+	moment({ MOMENT_SENT, node, x.plan, c->endpoint });
 	at(latency(), [=] {
 		ModelEndpoint &e = endpoints_[c->endpoint];
 		int zone = nodes_[node].zone;
@@ -604,6 +734,10 @@
 		r.conn_id = x.conn_id;
 		r.exchange = x.exchange;
 		execute(node, c, x, r);
+		moment({ MOMENT_EXECUTED, node, x.plan, c->endpoint });
+		std::set<int> seen;
+		if (x.plan == PLAN_READ)
+			seen = orders_of(e);
 		at(SERVICE_US + latency(), [=] {
 			const ModelEndpoint &f = endpoints_[c->endpoint];
 
@@ -611,20 +745,44 @@
 			    !reaches(zone, f.zone))
 				return;
 			to_node(node, inc, [=] {
-				struct event ev = {};
 				ModelNode &m = nodes_[node];
+				Call *own = oracle.find(x.caller_id);
 
 				auto k = m.conns.find(x.conn_id);
-				if (k == m.conns.end() || k->second != c)
+				if (k == m.conns.end() || k->second != c) {
+					/* Late: its connection is gone. */
+					deliver(node, r);
 					return;
-				ev.type = EVENT_RESULT;
-				ev.result = r;
-				world_handle(m.world, &ev, now_);
+				}
+				if (own) {
+					own->has_result = true;
+					own->seen = seen;
+				}
+				deliver(node, r);
+				moment({ MOMENT_RESULT, node, x.plan,
+					 c->endpoint });
 			});
 		});
 	});
 }
 
+/* Hands a result to the core, now and then once more later. */
+void Model::deliver(int node, const struct exchange_result &r)
+{
+	struct event e = {};
+	uint64_t inc = nodes_[node].incarnation;
+
+	e.type = EVENT_RESULT;
+	e.result = r;
+	world_handle(nodes_[node].world, &e, now_);
+	if ((int)(rand_() % 100) >= CROSSED_PERCENT)
+		return;
+	at((int64_t)(rand_() % CROSSED_US), [=] {
+		to_node(node, inc,
+			[=] { world_handle(nodes_[node].world, &e, now_); });
+	});
+}
+
 static bool in_log(const ModelEndpoint &e, const std::string &request_id)
 {
 	for (const ModelEntry &n : e.log) {
@@ -687,6 +845,7 @@
 	r.status = RESULT_OK;
 	switch (x.plan) {
 	case PLAN_PROBE:
+	case PLAN_READ:
 		break;
 	case PLAN_RAISE_TERM:
 		if (x.term > e.current_term) {
@@ -704,13 +863,6 @@
 			e.log.push_back({ x.term, 0, "" });
 		e.primary = true;
 		break;
-	case PLAN_READ:
-		call->seen.clear();
-		for (const ModelEntry &n : e.log) {
-			if (n.order)
-				call->seen.insert(n.order);
-		}
-		break;
 	case PLAN_WRITE:
 	case PLAN_WRITE_BY_ID:
 		execute_write(e, x, r);
@@ -726,6 +878,8 @@
 	case PLAN_STATEMENT:
 		if (!c->transaction)
 			oracle.violate("statement outside a transaction");
+		else if (oracle.find(c->transaction)->key != call->key)
+			oracle.violate("statement with another key");
 		c->buffer.push_back(call->order);
 		break;
 	case PLAN_COMMIT:
@@ -795,11 +949,12 @@
 void Model::peer(int node, const struct peer_message &m)
 {
 	int to = find_name(nodes_, m.peer);
-	int copies = rand_() % 100 < 5 ? 2 : 1;
+	int copies = (int)(rand_() % 100) < double_percent_ ? 2 : 1;
 	struct peer_message copy = m;
 
 	if (to < 0 || !nodes_[to].world)
 		return;
+	moment({ MOMENT_PEER, node, m.type, -1 });
 	copy_name(copy.peer, nodes_[node].name);
 	copy.incarnation = nodes_[node].incarnation;
 	for (int i = 0; i < copies; i++) {
@@ -873,9 +1028,10 @@
 	uint64_t inc = nodes_[node].incarnation;
 	struct platform_start copy = p;
 
-	at(latency() + US_PER_MS, [=] {
+	moment({ MOMENT_CHANGE_SENT, node, p.operation, -1 });
+	at(platform_latency() + US_PER_MS, [=] {
 		struct platform_result r = {};
-		int64_t delay = latency();
+		int64_t delay = platform_latency();
 		bool cas = copy.operation == PLATFORM_CAS_TERM ||
 			   copy.operation == PLATFORM_CAS_SHARE;
 
@@ -885,6 +1041,8 @@
 			delay = CALL_TIMEOUT_US;
 		} else if (cas) {
 			apply_cas(copy, r);
+			moment({ MOMENT_CHANGE_DONE, node, copy.operation,
+				 -1 });
 			if (lose_ > 0) {
 				lose_--;
 				r = {};
@@ -924,7 +1082,7 @@
 	});
 	if (n.paused || !reaches_platform(n.zone))
 		return;
-	at(latency(), [=] {
+	at(platform_latency(), [=] {
 		std::vector<Change> news;
 		int64_t revision = revision_;
 
@@ -932,11 +1090,12 @@
 			if (c.revision > nodes_[node].seen_revision)
 				news.push_back(c);
 		}
-		at(latency(), [=] {
+		at(platform_latency(), [=] {
 			to_node(node, inc, [=] {
 				ModelNode &m = nodes_[node];
 				struct event e = {};
 
+				/* An answer that was overtaken is stale. */
 				for (const Change &c : news) {
 					e.type = c.deleted ?
 							 EVENT_RECORD_DELETED :
@@ -950,6 +1109,9 @@
 				e.type = EVENT_CONFIG_SYNCED;
 				e.synced = { revision, asked };
 				world_handle(m.world, &e, now_);
+				check_marker(node);
+				if (!news.empty())
+					moment({ MOMENT_TOLD, node, 0, -1 });
 			});
 		});
 	});
@@ -972,7 +1134,7 @@
 		});
 		return;
 	}
-	at(latency(), [=] {
+	at(platform_latency(), [=] {
 		ModelNode &m = nodes_[node];
 		struct record r = {};
 
@@ -988,7 +1150,7 @@
 		auto it = store_.find("member/" + m.name);
 		if (it == store_.end() || it->second.member.incarnation != inc)
 			put(r);
-		at(latency(), [=] {
+		at(platform_latency(), [=] {
 			to_node(node, inc, [=] {
 				struct event e = {};
 
@@ -1074,7 +1236,9 @@
 	cut_zones_.clear();
 	outage_ = false;
 	lose_ = 0;
+	slow_us_ = 0;
 	drop_percent_ = 0;
+	double_percent_ = 5;
 	for (int i = 0; i < 3; i++) {
 		heal_endpoint(i);
 		set_lag(i, 5 * US_PER_MS);
@@ -1097,10 +1261,16 @@
 	if (!n.world || n.paused || !reaches_platform(n.zone) ||
 	    !world_may_accept_changes(n.world, now_) || !key_present_)
 		return false;
-	erase("key");
+	erase("key/" + std::to_string(KEY_MILL));
 	world_change_accepted(n.world, revision_);
 	key_present_ = false;
 	withdrawn_us_ = now_;
+	int64_t at_us = now_;
+	at(WITHDRAWAL_US, [=] {
+		if (!key_present_ && withdrawn_us_ == at_us)
+			check_withdrawal();
+	});
+	moment({ MOMENT_STORED, node, RECORD_KEY, -1 });
 	return true;
 }
 
@@ -1108,10 +1278,56 @@
 {
 	if (key_present_)
 		return;
-	put(key_record_of());
+	put(key_record_of(KEY_MILL, "mill"));
 	key_present_ = true;
 }
 
+/* Transactions of a withdrawn key end where the platform is reached. */
+void Model::check_withdrawal()
+{
+	for (const ModelNode &n : nodes_) {
+		if (!n.world || n.paused || n.seen_revision < revision_)
+			continue;
+		if (world_report(n.world, now_).transactions)
+			oracle.violate("transaction of a withdrawn key");
+	}
+}
+
+void Model::change_marker()
+{
+	int64_t expected = store_["profile/marker"].revision;
+
+	at(latency(), [=] {
+		if (outage_ || marker_ + 1 == MARKERS ||
+		    store_["profile/marker"].revision != expected)
+			return;
+		put(marker_record_of(++marker_));
+		moment({ MOMENT_STORED, -1, RECORD_PROFILE, -1 });
+	});
+}
+
+int Model::marker_of(int node)
+{
+	char workspace[NAME_BYTES];
+
+	if (!nodes_[node].world ||
+	    world_find_workspace(nodes_[node].world, nullptr, "marker",
+				 workspace))
+		return -1;
+	return workspace[strlen("marker")] - '0';
+}
+
+/* What was in force in a process never reverts. */
+void Model::check_marker(int node)
+{
+	int &seen = seen_markers_[{ node, nodes_[node].incarnation }];
+	int now = marker_of(node);
+
+	if (now < seen)
+		oracle.violate("configuration reverts");
+	seen = now;
+}
+
 uint64_t Model::promotions() const
 {
 	uint64_t n = 0;
@@ -1151,4 +1367,10 @@
 	}
 	oracle.check_final(orders);
 	oracle.check_answers(50 * US_PER_MS);
+	oracle.check_rate(KEY_MILL, MILL_RATE_PER_S, MILL_BURST);
+	oracle.check_rate(KEY_SCHOOL, SCHOOL_RATE_PER_S, SCHOOL_BURST);
+	for (size_t i = 0; i < nodes_.size(); i++) {
+		if (marker_of((int)i) != marker_)
+			oracle.violate("a change is not in force");
+	}
 }
--- a/tests/model.h
+++ b/tests/model.h
@@ -70,6 +70,27 @@
 	std::vector<std::function<void()>> backlog; /* while paused */
 };
 
+/* Points of the paths through the system at which a fault can strike. */
+enum MomentKind {
+	MOMENT_SENT, /* an exchange was handed to a connection */
+	MOMENT_EXECUTED, /* the endpoint did it; the answer is on its way */
+	MOMENT_RESULT, /* the node has the answer */
+	MOMENT_REPLY, /* a caller was answered */
+	MOMENT_CHANGE_SENT, /* compare-and-swap on its way */
+	MOMENT_CHANGE_DONE, /* it took effect or was refused */
+	MOMENT_PEER, /* a message was sent to a peer */
+	MOMENT_STORED, /* an operator's change */
+	MOMENT_TOLD, /* a node learned a revision */
+	MOMENT_DRAINED,
+};
+
+struct Moment {
+	MomentKind kind;
+	int node;
+	int detail; /* plan, request kind, operation or message type */
+	int endpoint; /* -1: none */
+};
+
 struct ModelOpts {
 	int nodes = 3;
 	uint64_t seed = 1;
@@ -92,11 +113,18 @@
 	/* Callers. `session` is a key of the oracle's sessions. */
 	int write(int node, int session, bool by_id, int64_t deadline_us);
 	int write_again(int node, int order, int64_t deadline_us);
-	int read(int node, int session, int64_t max_age_us,
-		 int64_t deadline_us);
+	int read(int node, int session, int64_t max_age_us, int64_t deadline_us,
+		 int key = KEY_MILL);
+	/* A statement with another caller's transaction and a given key. */
+	int intrude(int node, int key, uint64_t transaction);
 	/* Begins, writes two orders, commits; each step as it is answered. */
 	int transaction(int node, int session, bool by_id, int64_t deadline_us);
 
+	/* One request of each kind every `gap_us`, over all nodes. */
+	void load(int64_t duration_us, int64_t gap_us = 25 * US_PER_MS);
+	/* Reads of the workspace with the small rate, far above it. */
+	void flood(int node, int requests);
+
 	/* Faults. Zones are numbered; node i and endpoint i are in zone i. */
 	void crash(int node);
 	void start(int node);
@@ -127,10 +155,19 @@
 	{
 		lose_ = n;
 	}
+	/* Calls and polls take up to `us` longer each way. */
+	void platform_slow(int64_t us)
+	{
+		slow_us_ = us;
+	}
 	void drop_peers(int percent)
 	{
 		drop_percent_ = percent;
 	}
+	void double_peers(int percent)
+	{
+		double_percent_ = percent;
+	}
 	void heal_all();
 	void drain(int node);
 
@@ -142,6 +179,22 @@
 		return key_present_;
 	}
 
+	/* Reads the marker, then changes it by compare-and-swap. */
+	void change_marker();
+	int marker_of(int node); /* that is in force; -1: none */
+	int marker() const
+	{
+		return marker_;
+	}
+
+	/* Calls fn once, at the first moment that matches. */
+	void watch(std::function<bool(const Moment &)> match,
+		   std::function<void(const Moment &)> fn)
+	{
+		match_ = std::move(match);
+		on_match_ = std::move(fn);
+	}
+
 	/* Checks the logs against the answers; call after heal_all(). */
 	void check_final();
 
@@ -171,6 +224,12 @@
 	};
 
 	void at(int64_t delay_us, Fn fn);
+	void moment(const Moment &m);
+	void check_marker(int node);
+	void check_withdrawal();
+	bool key_withdrawn(int key) const;
+	int64_t platform_latency();
+	void deliver(int node, const struct exchange_result &r);
 	void to_node(int node, uint64_t incarnation, Fn fn);
 	void step(int node);
 	void act(int node, const struct action &a);
@@ -214,6 +273,14 @@
 	bool outage_ = false;
 	int lose_ = 0;
 	int drop_percent_ = 0;
+	int double_percent_ = 5;
+	int64_t slow_us_ = 0;
+	unsigned loaded_ = 0;
+	uint64_t last_transaction_ = 0;
+	int marker_ = 0; /* accepted last */
+	std::map<std::pair<int, uint64_t>, int> seen_markers_;
+	std::function<bool(const Moment &)> match_;
+	std::function<void(const Moment &)> on_match_;
 	bool key_present_ = true;
 	int64_t withdrawn_us_ = 0;
 
--- a/tests/oracle.cc
+++ b/tests/oracle.cc
@@ -1,6 +1,6 @@
 #include "oracle.h"
 
-#include <sstream>
+#include <algorithm>
 
 Call &Oracle::add(Call c)
 {
@@ -42,6 +42,37 @@
 	}
 }
 
+void Oracle::sent(Call &c, bool key_withdrawn)
+{
+	if (key_withdrawn)
+		violate("call " + std::to_string(c.caller_id) +
+			" was sent with a withdrawn key");
+	if (c.key != KEY_MILL && c.key != KEY_SCHOOL)
+		violate("call " + std::to_string(c.caller_id) +
+			" was sent without a valid key");
+	if (c.times_executed++ == 0 && c.kind != REQUEST_COMMIT)
+		admitted_[c.key].push_back(c.handled_us);
+}
+
+void Oracle::check_rate(int key, double rate_per_s, double burst)
+{
+	double level = burst;
+	int64_t last_us = INT64_MIN;
+
+	std::sort(admitted_[key].begin(), admitted_[key].end());
+	for (int64_t at_us : admitted_[key]) {
+		if (last_us != INT64_MIN)
+			level += (double)(at_us - last_us) / 1e6 * rate_per_s;
+		level = std::min(level, burst) - 1;
+		last_us = at_us;
+		if (level < -1e-6) {
+			violate("workspace of key " + std::to_string(key) +
+				" got more than its rate and burst");
+			return;
+		}
+	}
+}
+
 void Oracle::answered(Call &c, const struct reply &r, int64_t now_us)
 {
 	if (c.answered) {
@@ -60,6 +91,9 @@
 		ran++;
 	if (r.verdict != VERDICT_RAN || r.error != ERR_NONE)
 		return;
+	if (!c.has_result)
+		violate("call " + std::to_string(c.caller_id) +
+			" was answered without its own result");
 	if (c.key_was_withdrawn)
 		violate("call " + std::to_string(c.caller_id) +
 			" ran with a withdrawn key");
--- a/tests/oracle.h
+++ b/tests/oracle.h
@@ -17,6 +17,13 @@
 #include "core/event.h"
 }
 
+/* Keys of callers, by the bytes of their digests. */
+enum {
+	KEY_MILL = 7,
+	KEY_SCHOOL = 9, /* of a workspace with a small rate */
+	KEY_UNKNOWN = 11,
+};
+
 /* One request of a caller. */
 struct Call {
 	uint64_t caller_id;
@@ -34,7 +41,11 @@
 	int times_executed; /* statement handed to an endpoint */
 	std::set<int> own; /* reads: session's confirmed orders when sent */
 	bool excused; /* its instance was paused: no answer can be in time */
+	int key; /* bytes of its digest; 0: none */
 	bool key_was_withdrawn; /* accepted over 4 s before it was sent */
+	bool has_result; /* an own result was handed to its instance */
+
+	int64_t handled_us; /* taken in by its instance */
 
 	bool answered;
 	int64_t answered_us;
@@ -61,6 +72,15 @@
 	/* An answer arrived. */
 	void answered(Call &c, const struct reply &r, int64_t now_us);
 
+	/* A statement of the call was handed to an endpoint. */
+	void sent(Call &c, bool key_withdrawn);
+
+	/*
+	 * Requests of which a statement was sent, by when their instance took
+	 * them in, stay within rate * t + burst in every window.
+	 */
+	void check_rate(int key, double rate_per_s, double burst);
+
 	/* The final log of the group: orders and how often each is in it. */
 	void check_final(const std::map<int, int> &orders);
 
@@ -81,7 +101,7 @@
 	/* Confirmed orders with the time of their confirmation. */
 	std::vector<std::pair<int64_t, int>> confirmed_;
 	std::map<uint64_t, size_t> index_;
-	std::map<int, int> lost_attempts_;
+	std::map<int, std::vector<int64_t>> admitted_; /* by key */
 };
 
 #endif
