Requests that waited are checked again before they are sent

Cause: an instance paused with a request queued for a connection sent it on resuming, 5 s after its deadline passed and its key was withdrawn: the connection's event comes before the first tick. Ruled out: new requests: the key guard refused those of the same moment with key-unconfirmed. Change: before a queued request is sent, its deadline and, unless its profile is open, the key guard are asked again.

--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -73,6 +73,25 @@
 	exchange_open_conn(w, endpoint, CONN_FOR_WORK, now_us);
 }
 
+/*
+ * A request that waited, in an instance that was paused meanwhile, may have
+ * passed its deadline or the time for which its key is known to be in force.
+ */
+static bool still_valid(struct world *w, uint32_t row, int64_t now_us)
+{
+	const struct request *r = &w->requests.rows[row];
+	int64_t retry_us = 0;
+	int32_t error = ERR_NONE;
+
+	if (now_us >= r->opts.deadline_us)
+		error = ERR_DEADLINE;
+	else if (!r->open)
+		error = key_guard_check(w->keys, now_us, &retry_us);
+	if (error)
+		answer_error(w, row, error, retry_us, now_us);
+	return error == ERR_NONE;
+}
+
 static void start_next(struct world *w, uint32_t endpoint, int64_t now_us)
 {
 	struct endpoint *e = world_endpoint(w, endpoint);
@@ -81,6 +100,8 @@
 	uint32_t conn;
 
 	r->state = REQUEST_NEW;
+	if (!still_valid(w, row, now_us))
+		return;
 	if (r->plan == PLAN_BEGIN && !may_pin(e)) {
 		answer_error(w, row, ERR_OVERLOADED, PINNED_RETRY_US, now_us);
 		return;
