Fault matrix: every fault at every step of each path, and pairs

The model's pushes share one copy of a log, and an instance out of reach of the platform no longer starts a second chain of lease renewals.

--- /dev/null
+++ b/tests/fault_matrix.cc
@@ -0,0 +1,342 @@
+#include "fault_matrix.h"
+
+#include <cstring>
+
+namespace
+{
+
+constexpr int64_t MS = US_PER_MS;
+constexpr int64_t S = US_PER_S;
+
+/* Callers' instance and zone, apart from the primary's. */
+constexpr int NODE = 1;
+
+constexpr int64_t LEASE_TTL_US = 2 * S;
+/* So long that operators' changes are accepted. */
+constexpr int64_t WARM_US = 7 * S;
+/* Past a withdrawal's bound, the lease and a promotion. */
+constexpr int64_t HOLD_US = 5 * S;
+constexpr int64_t HEAL_US = 8 * S;
+constexpr int64_t DEADLINE_US = 1500 * MS;
+constexpr int64_t LONG_DEADLINE_US = 8 * S;
+constexpr int64_t GAP_US = 100 * MS;
+
+int endpoint_of(const Model &m, const Place &p)
+{
+	if (p.endpoint >= 0)
+		return p.endpoint;
+	return m.primary() < 0 ? 0 : m.primary();
+}
+
+/* An instance other than the one that is struck. */
+int other_node(const Place &p)
+{
+	return (p.node + 1) % 3;
+}
+
+void two_operators(Model &m, const Place &p)
+{
+	m.change_marker();
+	m.change_marker();
+	m.withdraw_key(other_node(p));
+	m.withdraw_key(p.node);
+	m.restore_key();
+}
+
+void no_prepare(Model &m)
+{
+}
+
+void confirm_order(Model &m)
+{
+	m.write(0, 1, true, DEADLINE_US);
+	m.run(300 * MS);
+}
+
+void stop_node(Model &m)
+{
+	m.crash(2);
+	m.run(4 * LEASE_TTL_US);
+}
+
+void open_transaction(Model &m)
+{
+	m.transaction(NODE, 1, true, DEADLINE_US);
+	m.run(8 * MS);
+}
+
+const std::vector<StepRow> read_steps = {
+	{ "before it", true, MOMENT_SENT, 0, 0 },
+	{ "sent", false, MOMENT_SENT, PLAN_READ, 0 },
+	{ "executed", false, MOMENT_EXECUTED, PLAN_READ, 0 },
+	{ "result received", false, MOMENT_RESULT, PLAN_READ, 0 },
+	{ "answered", false, MOMENT_REPLY, REQUEST_READ, 0 },
+};
+
+std::vector<StepRow> write_steps(int plan)
+{
+	return {
+		{ "before it", true, MOMENT_SENT, 0, 0 },
+		{ "sent", false, MOMENT_SENT, plan, 0 },
+		{ "executed", false, MOMENT_EXECUTED, plan, 0 },
+		{ "waiting for a majority", false, MOMENT_RESULT, plan, 0 },
+		{ "answered", false, MOMENT_REPLY, REQUEST_WRITE, 0 },
+	};
+}
+
+} // namespace
+
+const std::vector<FaultRow> fault_rows = {
+	{ "primary killed",
+	  [](Model &m, const Place &p) { m.refuse(endpoint_of(m, p)); } },
+	{ "primary silent",
+	  [](Model &m, const Place &p) { m.freeze(endpoint_of(m, p)); } },
+	{ "primary cut off with clients",
+	  [](Model &m, const Place &p) { m.cut_zone(endpoint_of(m, p)); } },
+	{ "replicas far behind",
+	  [](Model &m, const Place &p) {
+		  for (int i = 0; i < 3; i++)
+			  m.set_lag(i, 2 * S);
+	  } },
+	{ "one replica far behind",
+	  [](Model &m, const Place &p) { m.set_lag(NODE, 20 * S); } },
+	{ "instance killed",
+	  [](Model &m, const Place &p) { m.crash(p.node); } },
+	{ "instance killed and started",
+	  [](Model &m, const Place &p) {
+		  m.crash(p.node);
+		  m.start(p.node);
+	  } },
+	{ "key withdrawn",
+	  [](Model &m, const Place &p) {
+		  if (!m.withdraw_key(other_node(p)))
+			  m.withdraw_key(p.node);
+	  } },
+	{ "platform down",
+	  [](Model &m, const Place &p) { m.platform_outage(true); } },
+	{ "platform slow",
+	  [](Model &m, const Place &p) { m.platform_slow(900 * MS); } },
+	{ "platform's answers lost",
+	  [](Model &m, const Place &p) { m.platform_lose(3); } },
+	{ "paused past its lease",
+	  [](Model &m, const Place &p) { m.pause(p.node); } },
+	{ "operators race", two_operators },
+	{ "connections silent",
+	  [](Model &m, const Place &p) {
+		  for (int i = 0; i < 3; i++)
+			  m.silence(i);
+	  } },
+	{ "availability zone cut off",
+	  [](Model &m, const Place &p) { m.cut_zone(p.node); } },
+	{ "endpoint leaving",
+	  [](Model &m, const Place &p) {
+		  m.set_leaving(endpoint_of(m, p), true);
+	  } },
+	{ "instance stopping",
+	  [](Model &m, const Place &p) { m.drain(p.node); } },
+	{ "peer messages lost",
+	  [](Model &m, const Place &p) { m.drop_peers(70); } },
+	{ "peer messages doubled",
+	  [](Model &m, const Place &p) { m.double_peers(100); } },
+};
+
+const std::vector<PathRow> path_rows = {
+	{ "strict read", confirm_order,
+	  [](Model &m) { m.read(NODE, 1, 0, DEADLINE_US); }, read_steps },
+	{ "bounded read", confirm_order,
+	  [](Model &m) { m.read(NODE, 2, 100 * MS, DEADLINE_US); },
+	  read_steps },
+	{ "session read after roaming", confirm_order,
+	  [](Model &m) { m.read(NODE, 1, 5 * S, DEADLINE_US); }, read_steps },
+	{ "write by id", no_prepare,
+	  [](Model &m) { m.write(NODE, 1, true, LONG_DEADLINE_US); },
+	  write_steps(PLAN_WRITE_BY_ID) },
+	{ "write at most once", no_prepare,
+	  [](Model &m) { m.write(NODE, 1, false, DEADLINE_US); },
+	  write_steps(PLAN_WRITE) },
+	{ "transaction",
+	  no_prepare,
+	  [](Model &m) { m.transaction(NODE, 1, true, DEADLINE_US); },
+	  {
+		  { "before it", true, MOMENT_SENT, 0, 0 },
+		  { "begin sent", false, MOMENT_SENT, PLAN_BEGIN, 0 },
+		  { "begin executed", false, MOMENT_EXECUTED, PLAN_BEGIN, 0 },
+		  { "open", false, MOMENT_REPLY, REQUEST_BEGIN, 0 },
+		  { "statement sent", false, MOMENT_SENT, PLAN_STATEMENT, 0 },
+		  { "statement executed", false, MOMENT_EXECUTED,
+		    PLAN_STATEMENT, 0 },
+		  { "between statements", false, MOMENT_REPLY,
+		    REQUEST_STATEMENT, 0 },
+		  { "commit sent", false, MOMENT_SENT, PLAN_COMMIT, 0 },
+		  { "commit executed", false, MOMENT_EXECUTED, PLAN_COMMIT, 0 },
+		  { "waiting for a majority", false, MOMENT_RESULT, PLAN_COMMIT,
+		    0 },
+		  { "answered", false, MOMENT_REPLY, REQUEST_COMMIT, 0 },
+	  } },
+	{ "promotion",
+	  confirm_order,
+	  [](Model &m) { m.freeze(0); },
+	  {
+		  { "members asked", false, MOMENT_PEER, PEER_VIEW_ASK, 0 },
+		  { "term asked for", false, MOMENT_CHANGE_SENT,
+		    PLATFORM_CAS_TERM, 0 },
+		  { "term allocated", false, MOMENT_CHANGE_DONE,
+		    PLATFORM_CAS_TERM, 0 },
+		  { "raise sent", false, MOMENT_SENT, PLAN_RAISE_TERM, 0 },
+		  { "one endpoint raised", false, MOMENT_EXECUTED,
+		    PLAN_RAISE_TERM, 0 },
+		  { "majority raised", false, MOMENT_EXECUTED, PLAN_RAISE_TERM,
+		    1 },
+		  { "promotion sent", false, MOMENT_SENT, PLAN_PROMOTE, 0 },
+		  { "promoted", false, MOMENT_EXECUTED, PLAN_PROMOTE, 0 },
+		  { "outcome known", false, MOMENT_RESULT, PLAN_PROMOTE, 0 },
+		  { "outcome recorded", false, MOMENT_CHANGE_DONE,
+		    PLATFORM_CAS_TERM, 1 },
+	  } },
+	{ "configuration change",
+	  no_prepare,
+	  [](Model &m) { m.change_marker(); },
+	  {
+		  { "before it", true, MOMENT_SENT, 0, 0 },
+		  { "stored", false, MOMENT_STORED, RECORD_PROFILE, 0 },
+		  { "one instance told", false, MOMENT_TOLD, -1, 0 },
+		  { "two instances told", false, MOMENT_TOLD, -1, 1 },
+		  { "all instances told", false, MOMENT_TOLD, -1, 2 },
+	  } },
+	{ "share taken over",
+	  stop_node,
+	  [](Model &m) { m.start(2); },
+	  {
+		  { "before it", true, MOMENT_SENT, 0, 0 },
+		  { "change sent", false, MOMENT_CHANGE_SENT,
+		    PLATFORM_CAS_SHARE, 0 },
+		  { "change done", false, MOMENT_CHANGE_DONE,
+		    PLATFORM_CAS_SHARE, 0 },
+		  { "second change done", false, MOMENT_CHANGE_DONE,
+		    PLATFORM_CAS_SHARE, 1 },
+		  { "told", false, MOMENT_TOLD, -1, 0 },
+	  } },
+	{ "loan",
+	  no_prepare,
+	  [](Model &m) { m.flood(NODE, 60); },
+	  {
+		  { "before it", true, MOMENT_SENT, 0, 0 },
+		  { "asked for", false, MOMENT_PEER, PEER_LOAN_ASK, 0 },
+		  { "asked of two", false, MOMENT_PEER, PEER_LOAN_ASK, 1 },
+		  { "granted", false, MOMENT_PEER, PEER_LOAN_GRANT, 0 },
+		  { "granted by two", false, MOMENT_PEER, PEER_LOAN_GRANT, 1 },
+	  } },
+	{ "key withdrawal",
+	  open_transaction,
+	  [](Model &m) { m.withdraw_key(NODE); },
+	  {
+		  { "before it", true, MOMENT_SENT, 0, 0 },
+		  { "stored", false, MOMENT_STORED, RECORD_KEY, 0 },
+		  { "one instance told", false, MOMENT_TOLD, -1, 0 },
+		  { "two instances told", false, MOMENT_TOLD, -1, 1 },
+		  { "all instances told", false, MOMENT_TOLD, -1, 2 },
+	  } },
+	{ "drain",
+	  open_transaction,
+	  [](Model &m) {
+		  m.write(NODE, 1, true, DEADLINE_US);
+		  m.drain(NODE);
+	  },
+	  {
+		  { "before it", true, MOMENT_SENT, 0, 0 },
+		  { "request executed", false, MOMENT_EXECUTED,
+		    PLAN_WRITE_BY_ID, 0 },
+		  { "transaction under way", false, MOMENT_SENT, PLAN_COMMIT,
+		    0 },
+		  { "share given back", false, MOMENT_CHANGE_DONE,
+		    PLATFORM_CAS_SHARE, 0 },
+		  { "done", false, MOMENT_DRAINED, -1, 0 },
+	  } },
+};
+
+const std::vector<NotApplicable> not_applicable = {};
+
+const std::vector<PairRow> pair_rows = {
+	{ "primary killed", "platform down", 20 * MS },
+	{ "primary killed", "primary killed", 1500 * MS },
+	{ "primary cut off with clients", "instance killed", 50 * MS },
+	{ "availability zone cut off", "key withdrawn", 0 },
+	{ "platform down", "instance killed and started", 500 * MS },
+	{ "paused past its lease", "primary silent", 100 * MS },
+	{ "platform's answers lost", "primary silent", 0 },
+	{ "instance stopping", "primary killed", 10 * MS },
+	{ "endpoint leaving", "primary silent", 1200 * MS },
+	{ "connections silent", "connections silent", 1500 * MS },
+	{ "peer messages doubled", "primary silent", 0 },
+	{ "platform slow", "key withdrawn", 0 },
+};
+
+const char *reason_against(const FaultRow &f, const PathRow &p)
+{
+	for (const NotApplicable &n : not_applicable) {
+		if (!strcmp(n.fault, f.name) &&
+		    (!n.path[0] || !strcmp(n.path, p.name)))
+			return n.reason;
+	}
+	return nullptr;
+}
+
+const FaultRow &find_fault(const std::string &name)
+{
+	for (const FaultRow &f : fault_rows) {
+		if (f.name == name)
+			return f;
+	}
+	abort();
+}
+
+/* Applies both faults of a cell, the second one later. */
+static void strike(Model &m, const FaultRow &first, const FaultRow *second,
+		   int64_t gap_us, const Place &p)
+{
+	first.apply(m, p);
+	if (second)
+		m.later(gap_us, [&m, second, p] { second->apply(m, p); });
+}
+
+std::string run_cell(const PathRow &path, const StepRow &step,
+		     const FaultRow &first, const FaultRow *second,
+		     int64_t gap_us, uint64_t seed)
+{
+	ModelOpts opts;
+	bool reached = step.before;
+	int skip = step.skip;
+
+	opts.seed = seed;
+	opts.share_ttl_us = LEASE_TTL_US;
+	Model m(opts);
+	m.run(WARM_US);
+	path.prepare(m);
+	if (step.before)
+		strike(m, first, second, gap_us, { NODE, -1 });
+	else
+		m.watch(
+			[&](const Moment &at) {
+				return at.kind == step.kind &&
+				       (step.detail < 0 ||
+					step.detail == at.detail) &&
+				       skip-- == 0;
+			},
+			[&](const Moment &at) {
+				reached = true;
+				strike(m, first, second, gap_us,
+				       { at.node < 0 ? NODE : at.node,
+					 at.endpoint });
+			});
+	path.drive(m);
+	m.load(HOLD_US, GAP_US);
+	m.heal_all();
+	m.restore_key();
+	m.run(HEAL_US);
+	m.load(200 * MS);
+	m.run(2 * S);
+	m.check_final();
+	if (!reached)
+		return "the step is never reached";
+	return m.oracle.violations.empty() ? "" : m.oracle.violations.front();
+}
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -14,6 +14,7 @@
 constexpr int64_t CALL_TIMEOUT_US = 1000 * US_PER_MS;
 constexpr int64_t SERVICE_US = 300;
 constexpr int64_t WITHDRAWAL_US = 4 * US_PER_S;
+constexpr int64_t LEASE_RETRY_US = 200 * US_PER_MS;
 constexpr int MILL_RATE_PER_S = 2000;
 constexpr int MILL_BURST = 2000;
 constexpr int SCHOOL_RATE_PER_S = 50;
@@ -131,6 +132,12 @@
 
 } // namespace
 
+void ModelEndpoint::append(const ModelEntry &e)
+{
+	log.push_back(e);
+	pushed = nullptr;
+}
+
 struct position ModelEndpoint::position() const
 {
 	if (log.empty())
@@ -157,7 +164,7 @@
 		e.zone = i;
 		e.primary = i == 0;
 		if (e.primary)
-			e.log.push_back({ 1, 0, "" });
+			e.append({ 1, 0, "" });
 		endpoints_.push_back(e);
 	}
 	for (int64_t age : AGES_US)
@@ -805,8 +812,8 @@
 		r.status = RESULT_DUPLICATE;
 		return;
 	}
-	e.log.push_back({ e.current_term, c->order,
-			  x.plan == PLAN_WRITE_BY_ID ? c->request_id : "" });
+	e.append({ e.current_term, c->order,
+		   x.plan == PLAN_WRITE_BY_ID ? c->request_id : "" });
 }
 
 void Model::execute_commit(ModelEndpoint &e, ModelConn &c,
@@ -832,7 +839,7 @@
 	}
 	if (buffer.size() != 2)
 		oracle.violate("commit of an incomplete transaction");
-	e.log.push_back({ e.current_term, call->order, call->request_id });
+	e.append({ e.current_term, call->order, call->request_id });
 }
 
 void Model::execute(int node, std::shared_ptr<ModelConn> c,
@@ -860,7 +867,7 @@
 		}
 		e.current_term = x.term;
 		if (!e.primary)
-			e.log.push_back({ x.term, 0, "" });
+			e.append({ x.term, 0, "" });
 		e.primary = true;
 		break;
 	case PLAN_WRITE:
@@ -904,7 +911,9 @@
 	    !reaches(e.zone, endpoints_[to].zone))
 		return;
 	uint64_t term = e.current_term;
-	std::vector<ModelEntry> log = e.log;
+	if (!e.pushed)
+		e.pushed = std::make_shared<std::vector<ModelEntry>>(e.log);
+	auto log = e.pushed;
 	at(endpoints_[to].lag_us + latency(),
 	   [=] { receive(to, from, term, log); });
 }
@@ -915,7 +924,7 @@
 }
 
 void Model::receive(int to, int from, uint64_t term,
-		    const std::vector<ModelEntry> &log)
+		    const std::shared_ptr<const std::vector<ModelEntry>> &log)
 {
 	ModelEndpoint &e = endpoints_[to];
 	size_t common = 0;
@@ -935,13 +944,16 @@
 		oracle.violate("two primaries of one term");
 	e.current_term = term;
 	e.primary = false;
-	while (common < log.size() && common < e.log.size() &&
-	       same_entry(log[common], e.log[common]))
+	if (e.pushed == log)
+		return;
+	while (common < log->size() && common < e.log.size() &&
+	       same_entry((*log)[common], e.log[common]))
 		common++;
 	/* An older push of the same log changes nothing. */
-	if (common == log.size())
+	if (common == log->size())
 		return;
-	e.log = log;
+	e.log = *log;
+	e.pushed = log;
 }
 
 /* Peers. */
@@ -1122,18 +1134,14 @@
 	ModelNode &n = nodes_[node];
 	uint64_t inc = n.incarnation;
 	int64_t asked = now_;
+	bool reached = !n.paused && reaches_platform(n.zone);
 
-	at(opts_.share_ttl_us / 3, [=] {
+	at(reached ? opts_.share_ttl_us / 3 : LEASE_RETRY_US, [=] {
 		if (nodes_[node].incarnation == inc)
 			renew_lease(node);
 	});
-	if (n.paused || !reaches_platform(n.zone)) {
-		at(200 * US_PER_MS, [=] {
-			if (nodes_[node].incarnation == inc)
-				renew_lease(node);
-		});
+	if (!reached)
 		return;
-	}
 	at(platform_latency(), [=] {
 		ModelNode &m = nodes_[node];
 		struct record r = {};
--- a/tests/model.h
+++ b/tests/model.h
@@ -36,6 +36,8 @@
 	std::string name;
 	int zone;
 	std::vector<ModelEntry> log;
+	/* The log as it was pushed last; none once it changed. */
+	std::shared_ptr<const std::vector<ModelEntry>> pushed;
 	uint64_t current_term = 1;
 	bool primary = false;
 	bool frozen = false; /* answers nothing */
@@ -44,6 +46,7 @@
 	int64_t leaving_revision = 0; /* of the list entry; 0: none */
 	int64_t lag_us = 5000;
 
+	void append(const ModelEntry &e);
 	struct position position() const;
 	struct endpoint_status status() const;
 };
@@ -195,6 +198,11 @@
 		on_match_ = std::move(fn);
 	}
 
+	void later(int64_t delay_us, std::function<void()> fn)
+	{
+		at(delay_us, std::move(fn));
+	}
+
 	/* Checks the logs against the answers; call after heal_all(). */
 	void check_final();
 
@@ -256,7 +264,7 @@
 	void erase(const std::string &path);
 	void replicate(int from, int to);
 	void receive(int to, int from, uint64_t term,
-		     const std::vector<ModelEntry> &log);
+		     const std::shared_ptr<const std::vector<ModelEntry>> &log);
 	void reply(const struct reply &r);
 	struct request_opts request(const Call &c) const;
 	void submit(int node, int call);
