--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -5,6 +5,7 @@
 namespace
 {
 
+constexpr int64_t MS = US_PER_MS;
 constexpr int64_t S = US_PER_S;
 
 void expect_sound(Model &m)
@@ -62,4 +63,98 @@
 	}
 }
 
+TEST(Core, KeepsPrimaryThatMostInstancesReach)
+{
+	ModelOpts opts;
+
+	opts.nodes = 5;
+	Model m(opts);
+	m.run(3 * S);
+	m.double_peers(100);
+	m.cut_link(1, 0); /* for two instances of five */
+	m.load(5 * S);
+	EXPECT_EQ(0u, m.promotions());
+	EXPECT_EQ(0, m.primary());
+}
+
+/* Calls from the given one on ran, as far as their key is valid. */
+void expect_ran(const Model &m, size_t first)
+{
+	for (size_t i = first; i < m.oracle.calls.size(); i++) {
+		const Call &c = m.oracle.calls[i];
+
+		if (c.key == KEY_MILL && c.session >= 0) {
+			EXPECT_EQ(VERDICT_RAN, c.reply.verdict)
+				<< "call " << c.caller_id;
+		}
+	}
+}
+
+void silence_all(Model &m)
+{
+	for (int i = 0; i < 3; i++)
+		m.silence(i);
+}
+
+TEST(Core, RetiresSilentConnectionsUnderLoad)
+{
+	Model m({});
+
+	m.run(3 * S);
+	m.load(1 * S);
+	silence_all(m);
+	m.load(3 * S);
+	size_t first = m.oracle.calls.size();
+	m.load(2 * S);
+	m.run(2 * S);
+	expect_ran(m, first);
+	expect_sound(m);
+}
+
+TEST(Core, RetiresSilentConnectionsThatAreIdle)
+{
+	Model m({});
+
+	m.run(3 * S);
+	m.load(1 * S);
+	m.run(2 * S);
+	silence_all(m);
+	m.run(4 * S);
+	size_t first = m.oracle.calls.size();
+	for (int i = 0; i < 3; i++)
+		m.write(i, i, false, 1 * S);
+	m.run(2 * S);
+	expect_ran(m, first);
+	expect_sound(m);
+}
+
+TEST(Core, WithdrawalEndsWaitingRequests)
+{
+	Model m({});
+
+	m.run(7 * S);
+	m.freeze(0);
+	m.freeze(1);
+	m.run(1 * S);
+	m.write(2, 1, true, 8 * S);
+	m.run(100 * MS);
+	EXPECT_TRUE(m.withdraw_key(0));
+	m.run(4500 * MS);
+	m.heal_all();
+	m.run(8 * S);
+	expect_sound(m);
+}
+
+TEST(Core, WithdrawalEndsIdleTransactions)
+{
+	Model m({});
+
+	m.run(7 * S);
+	m.begin(1, 1, 1 * S);
+	m.run(500 * MS);
+	EXPECT_TRUE(m.withdraw_key(0));
+	m.run(5 * S);
+	expect_sound(m);
+}
+
 } // namespace
--- a/tests/fault_matrix.cc
+++ b/tests/fault_matrix.cc
@@ -19,6 +19,9 @@
 constexpr int64_t HEAL_US = 8 * S;
 constexpr int64_t DEADLINE_US = 1500 * MS;
 constexpr int64_t LONG_DEADLINE_US = 8 * S;
+/* Past the time in which a connection is taken for silent. */
+constexpr int64_t STALL_US = 1300 * MS;
+constexpr int FLOOD = 40;
 constexpr int64_t GAP_US = 100 * MS;
 
 int endpoint_of(const Model &m, const Place &p)
@@ -62,6 +65,7 @@
 void open_transaction(Model &m)
 {
 	m.transaction(NODE, 1, true, DEADLINE_US);
+	m.begin(0, 2, DEADLINE_US);
 	m.run(8 * MS);
 }
 
@@ -126,6 +130,13 @@
 		  for (int i = 0; i < 3; i++)
 			  m.silence(i);
 	  } },
+	{ "connections stalled",
+	  [](Model &m, const Place &p) {
+		  for (int i = 0; i < 3; i++)
+			  m.stall(i, STALL_US);
+	  } },
+	{ "platform out of one zone's reach",
+	  [](Model &m, const Place &p) { m.cut_platform(p.node); } },
 	{ "availability zone cut off",
 	  [](Model &m, const Place &p) { m.cut_zone(p.node); } },
 	{ "endpoint leaving",
@@ -269,6 +280,7 @@
 	{ "connections silent", "connections silent", 1500 * MS },
 	{ "peer messages doubled", "primary silent", 0 },
 	{ "platform slow", "key withdrawn", 0 },
+	{ "platform out of one zone's reach", "key withdrawn", 0 },
 };
 
 const char *reason_against(const FaultRow &f, const PathRow &p)
@@ -330,6 +342,9 @@
 			});
 	path.drive(m);
 	m.load(HOLD_US, GAP_US);
+	/* A paused instance handles them when it resumes. */
+	for (int i = 0; i < 3; i++)
+		m.flood(i, FLOOD);
 	m.heal_all();
 	m.restore_key();
 	m.run(HEAL_US);
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -14,6 +14,8 @@
 constexpr int64_t CALL_TIMEOUT_US = 1000 * US_PER_MS;
 constexpr int64_t SERVICE_US = 300;
 constexpr int64_t WITHDRAWAL_US = 4 * US_PER_S;
+/* The longest deadline, an idle transaction and the return of shares. */
+constexpr int64_t DRAIN_US = 25 * US_PER_S;
 constexpr int64_t LEASE_RETRY_US = 200 * US_PER_MS;
 constexpr int MILL_RATE_PER_S = 2000;
 constexpr int MILL_BURST = 2000;
@@ -22,7 +24,8 @@
 constexpr int MARKERS = 8;
 constexpr int CROSSED_PERCENT = 3;
 constexpr int64_t CROSSED_US = 5 * US_PER_MS;
-const int64_t AGES_US[] = { 0, 100 * US_PER_MS, 1 * US_PER_S, 5 * US_PER_S };
+const int64_t AGES_US[] = { 0, 100 * US_PER_MS, 1 * US_PER_S, 5 * US_PER_S,
+			    60 * US_PER_S };
 
 void copy_name(char *out, const std::string &s)
 {
@@ -195,6 +198,7 @@
 		}
 	}
 	at(US_PER_MS, [=] { expire_leases(); });
+	at(US_PER_MS, [=] { check_drains(); });
 }
 
 Model::~Model()
@@ -260,7 +264,15 @@
 
 bool Model::reaches_platform(int zone) const
 {
-	return !outage_ && !cut_zones_.count(zone);
+	return !outage_ && !cut_zones_.count(zone) &&
+	       !cut_platforms_.count(zone);
+}
+
+bool Model::reaches_endpoint(int zone, int endpoint) const
+{
+	int other = endpoints_[endpoint].zone;
+
+	return reaches(zone, other) && !cut_links_.count({ zone, other });
 }
 
 void Model::to_node(int node, uint64_t incarnation, Fn fn)
@@ -304,6 +316,7 @@
 	n.incarnation = rand_() | 1;
 	n.paused = false;
 	n.drained = false;
+	n.drain_since_us = 0;
 	n.seen_revision = 0;
 	n.lease_until_us = 0;
 	copy_name(o.instance, n.name);
@@ -378,8 +391,37 @@
 		return;
 	e.type = EVENT_DRAIN;
 	/* Copied: a paused node handles it later. */
-	to_node(node, nodes_[node].incarnation,
-		[=] { world_handle(nodes_[node].world, &e, now_); });
+	to_node(node, nodes_[node].incarnation, [=] {
+		if (!nodes_[node].drain_since_us)
+			nodes_[node].drain_since_us = now_;
+		world_handle(nodes_[node].world, &e, now_);
+	});
+}
+
+/* A graceful shutdown cuts nothing that the instance had taken in. */
+void Model::check_drained(int node)
+{
+	for (const Call &c : oracle.calls) {
+		if (c.node == node && !c.answered && c.handled_us)
+			oracle.violate("call " + std::to_string(c.caller_id) +
+				       " was cut by a shutdown");
+	}
+	if (world_report(nodes_[node].world, now_).transactions)
+		oracle.violate("a shutdown cut a transaction");
+}
+
+/* Callers' deadlines bound what there is to wait for. */
+void Model::check_drains()
+{
+	at(100 * US_PER_MS, [=] { check_drains(); });
+	for (ModelNode &n : nodes_) {
+		if (!n.world || n.paused || n.drained || !n.drain_since_us)
+			continue;
+		if (now_ - n.drain_since_us > DRAIN_US) {
+			oracle.violate("a shutdown does not end");
+			n.drain_since_us = 0;
+		}
+	}
 }
 
 /* Callers. */
@@ -542,18 +584,27 @@
 		int session = (int)(i % 5);
 
 		write(node, session, i % 3 != 0, deadline_us);
-		read((node + 1) % 3, session, AGES_US[i % 4], deadline_us);
+		read((node + 1) % 3, session, AGES_US[i % 5], deadline_us);
 		read(node, -1, 5 * US_PER_S, deadline_us, KEY_SCHOOL);
 		if (i % 4 == 0)
 			transaction(node, session, i % 8 == 0, deadline_us);
 		if (i % 6 == 1)
-			read(node, -1, 0, deadline_us, KEY_UNKNOWN);
+			read(node, -1, 0, deadline_us,
+			     i % 4 == 1 ? KEY_UNKNOWN : 0);
 		if (i % 4 == 1 && last_transaction_)
 			intrude((node + 2) % 3, KEY_SCHOOL, last_transaction_);
 		run(std::min(gap_us, end - now_));
 	}
 }
 
+int Model::begin(int node, int session, int64_t deadline_us)
+{
+	int index = transaction(node, session, true, deadline_us);
+
+	oracle.calls[index].script = -1;
+	return index;
+}
+
 /* The script: begin, two statements of one order, commit. */
 static bool next_of_script(const Call &c, Call &next)
 {
@@ -590,6 +641,8 @@
 			oracle.replica_reads++;
 	}
 	oracle.answered(*c, r, now_);
+	if (r.error == ERR_SHUTTING_DOWN && c->transaction)
+		oracle.violate("a shutdown cut a transaction");
 	moment({ MOMENT_REPLY, c->node, c->kind, -1 });
 	if (c->kind == REQUEST_BEGIN && !r.error) {
 		int node = c->node;
@@ -643,6 +696,7 @@
 		break;
 	case ACTION_DRAINED:
 		n.drained = true;
+		check_drained(node);
 		moment({ MOMENT_DRAINED, node, 0, -1 });
 		break;
 	}
@@ -671,7 +725,7 @@
 	c->endpoint = o.endpoint[2] - '0';
 	n.conns[id] = c;
 	const ModelEndpoint &e = endpoints_[c->endpoint];
-	bool dark = e.frozen || !reaches(n.zone, e.zone);
+	bool dark = e.frozen || !reaches_endpoint(n.zone, c->endpoint);
 	int64_t delay = e.refuses ? US_PER_MS :
 			dark	  ? CONNECT_TIMEOUT_US :
 				    CONNECT_US;
@@ -730,13 +784,14 @@
 		     x.plan == PLAN_COMMIT))
 		oracle.sent(*call, key_withdrawn(call->key));
 	moment({ MOMENT_SENT, node, x.plan, c->endpoint });
-	at(latency(), [=] {
+	at(latency() + c->stall_us, [=] {
 		ModelEndpoint &e = endpoints_[c->endpoint];
 		int zone = nodes_[node].zone;
 		struct exchange_result r = {};
 
 		/* Bytes that were sent are lost or arrive; never refused. */
-		if (e.frozen || c->silent || !reaches(zone, e.zone) || !c->open)
+		if (e.frozen || c->silent || !c->open ||
+		    !reaches_endpoint(zone, c->endpoint))
 			return;
 		r.conn_id = x.conn_id;
 		r.exchange = x.exchange;
@@ -749,7 +804,7 @@
 			const ModelEndpoint &f = endpoints_[c->endpoint];
 
 			if (f.frozen || c->silent || !c->open ||
-			    !reaches(zone, f.zone))
+			    !reaches_endpoint(zone, c->endpoint))
 				return;
 			to_node(node, inc, [=] {
 				ModelNode &m = nodes_[node];
@@ -887,7 +942,8 @@
 			oracle.violate("statement outside a transaction");
 		else if (oracle.find(c->transaction)->key != call->key)
 			oracle.violate("statement with another key");
-		c->buffer.push_back(call->order);
+		if (call->order)
+			c->buffer.push_back(call->order);
 		break;
 	case PLAN_COMMIT:
 		execute_commit(e, *c, x, r);
@@ -1115,9 +1171,8 @@
 					e.record = &c.record;
 					world_handle(m.world, &e, now_);
 				}
-				if (revision < m.seen_revision)
-					return;
-				m.seen_revision = revision;
+				m.seen_revision =
+					std::max(m.seen_revision, revision);
 				e.type = EVENT_CONFIG_SYNCED;
 				e.synced = { revision, asked };
 				world_handle(m.world, &e, now_);
@@ -1213,6 +1268,16 @@
 	}
 }
 
+void Model::stall(int i, int64_t us)
+{
+	for (ModelNode &n : nodes_) {
+		for (auto &[id, c] : n.conns) {
+			if (c->endpoint == i && c->open)
+				c->stall_us = us;
+		}
+	}
+}
+
 void Model::heal_endpoint(int i)
 {
 	endpoints_[i].frozen = false;
@@ -1242,6 +1307,8 @@
 void Model::heal_all()
 {
 	cut_zones_.clear();
+	cut_platforms_.clear();
+	cut_links_.clear();
 	outage_ = false;
 	lose_ = 0;
 	slow_us_ = 0;
@@ -1328,12 +1395,17 @@
 /* What was in force in a process never reverts. */
 void Model::check_marker(int node)
 {
-	int &seen = seen_markers_[{ node, nodes_[node].incarnation }];
+	std::pair<int, uint64_t> process = { node, nodes_[node].incarnation };
+	int &seen = seen_markers_[process];
+	int64_t &seen_revision = seen_revisions_[process];
 	int now = marker_of(node);
+	int64_t revision =
+		world_report(nodes_[node].world, now_).config_revision;
 
-	if (now < seen)
+	if (now < seen || revision < seen_revision)
 		oracle.violate("configuration reverts");
 	seen = now;
+	seen_revision = revision;
 }
 
 uint64_t Model::promotions() const
--- a/tests/model.h
+++ b/tests/model.h
@@ -56,6 +56,7 @@
 	int endpoint;
 	bool open = false;
 	bool silent = false; /* bytes are lost in both directions */
+	int64_t stall_us = 0; /* bytes arrive so much later */
 	uint64_t transaction = 0; /* 0: none */
 	std::vector<int> buffer; /* orders of the open transaction */
 };
@@ -70,6 +71,7 @@
 	int64_t seen_revision = 0; /* of the platform's changes */
 	int64_t lease_until_us = 0; /* at the platform */
 	bool drained = false;
+	int64_t drain_since_us = 0; /* 0: it does not drain */
 	std::vector<std::function<void()>> backlog; /* while paused */
 };
 
@@ -118,6 +120,8 @@
 	int write_again(int node, int order, int64_t deadline_us);
 	int read(int node, int session, int64_t max_age_us, int64_t deadline_us,
 		 int key = KEY_MILL);
+	/* Begins a transaction and leaves it open. */
+	int begin(int node, int session, int64_t deadline_us);
 	/* A statement with another caller's transaction and a given key. */
 	int intrude(int node, int key, uint64_t transaction);
 	/* Begins, writes two orders, commits; each step as it is answered. */
@@ -140,6 +144,16 @@
 	void refuse(int endpoint);
 	void silence(int endpoint); /* connections that are open now */
 	void heal_endpoint(int endpoint);
+	void stall(int endpoint, int64_t us); /* the same connections */
+	/* Instances of one zone no longer reach the endpoint of another. */
+	void cut_link(int from_zone, int to_zone)
+	{
+		cut_links_.insert({ from_zone, to_zone });
+	}
+	void cut_platform(int zone)
+	{
+		cut_platforms_.insert(zone);
+	}
 	void set_lag(int endpoint, int64_t us);
 	void set_leaving(int endpoint, bool leaving);
 	void cut_zone(int zone)
@@ -252,7 +266,10 @@
 			    struct exchange_result &r);
 	void lost(int node, uint32_t conn_id);
 	bool reaches(int zone_a, int zone_b) const;
+	bool reaches_endpoint(int zone, int endpoint) const;
 	bool reaches_platform(int zone) const;
+	void check_drained(int node);
+	void check_drains();
 	void peer(int node, const struct peer_message &m);
 	void platform(int node, const struct platform_start &p);
 	void apply_cas(const struct platform_start &p,
@@ -278,6 +295,8 @@
 	std::vector<ModelNode> nodes_;
 	std::vector<ModelEndpoint> endpoints_;
 	std::set<int> cut_zones_;
+	std::set<int> cut_platforms_;
+	std::set<std::pair<int, int>> cut_links_;
 	bool outage_ = false;
 	int lose_ = 0;
 	int drop_percent_ = 0;
@@ -287,6 +306,7 @@
 	uint64_t last_transaction_ = 0;
 	int marker_ = 0; /* accepted last */
 	std::map<std::pair<int, uint64_t>, int> seen_markers_;
+	std::map<std::pair<int, uint64_t>, int64_t> seen_revisions_;
 	std::function<bool(const Moment &)> match_;
 	std::function<void(const Moment &)> on_match_;
 	bool key_present_ = true;
