--- a/bench/main.c
+++ b/bench/main.c
@@ -1,3 +1,4 @@
+#include "load.h"
 #include "ports.h"
 
 #include <stdio.h>
@@ -10,6 +11,7 @@
 };
 
 static const struct bench_command commands[] = {
+	{ "load", load_main },
 	{ "ports", ports_main },
 	{ NULL, NULL },
 };
@@ -20,6 +22,6 @@
 		if (argc > 1 && !strcmp(argv[1], c->name))
 			return c->run(argc - 1, argv + 1);
 	}
-	fprintf(stderr, "usage: bench-load ports N\n");
+	fprintf(stderr, "usage: bench-load load|ports ...\n");
 	return 2;
 }
--- /dev/null
+++ b/bench/plan.c
@@ -0,0 +1,128 @@
+#include "plan.h"
+
+#include "core/sizes.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+static const char *const kind_names[WORK_KIND_COUNT] = {
+	[WORK_READ] = "read",
+	[WORK_STRICT] = "strict",
+	[WORK_BY_ID] = "by_id",
+	[WORK_ONCE] = "once",
+	[WORK_TRANSACTION] = "transaction",
+};
+
+const char *work_kind_name(enum work_kind kind)
+{
+	return kind_names[kind];
+}
+
+static void copy_text(char out[PLAN_TEXT_BYTES], const json_t *text)
+{
+	g_strlcpy(out, json_is_string(text) ? json_string_value(text) : "",
+		  PLAN_TEXT_BYTES);
+}
+
+static double number(const json_t *o, const char *name, double fallback)
+{
+	const json_t *n = json_object_get(o, name);
+
+	return json_is_number(n) ? json_number_value(n) : fallback;
+}
+
+static uint32_t read_texts(const json_t *array, char out[][PLAN_TEXT_BYTES],
+			   uint32_t max)
+{
+	uint32_t n = MIN((uint32_t)json_array_size(array), max);
+
+	for (uint32_t i = 0; i < n; i++)
+		copy_text(out[i], json_array_get(array, i));
+	return n;
+}
+
+static void read_endpoint(const json_t *o, struct plan_endpoint *e)
+{
+	copy_text(e->name, json_object_get(o, "name"));
+	copy_text(e->group, json_object_get(o, "group"));
+	e->port = (uint16_t)number(o, "port", 0);
+	e->control = (uint16_t)number(o, "control", 0);
+}
+
+static void read_workspace(const json_t *o, struct plan_workspace *w)
+{
+	const json_t *mix = json_object_get(o, "mix");
+
+	copy_text(w->name, json_object_get(o, "name"));
+	copy_text(w->key, json_object_get(o, "key"));
+	w->rate_per_s = number(o, "rate", 0);
+	w->surge_factor = number(o, "surge_factor", 1);
+	w->surge_from_us = (int64_t)(number(o, "surge_from_s", 0) * US_PER_S);
+	w->surge_to_us = (int64_t)(number(o, "surge_to_s", 0) * US_PER_S);
+	w->limit_per_s = number(o, "limit_rate", 0);
+	w->limit_burst = number(o, "limit_burst", 0);
+	for (int k = 0; k < WORK_KIND_COUNT; k++)
+		w->mix[k] = (uint32_t)number(mix, kind_names[k], 0);
+}
+
+static void read_arrays(const json_t *o, struct plan *p)
+{
+	const json_t *ends = json_object_get(o, "endpoints");
+	const json_t *spaces = json_object_get(o, "workspaces");
+
+	p->instance_count = read_texts(json_object_get(o, "instances"),
+				       p->instances, PLAN_INSTANCES_MAX);
+	p->group_count = read_texts(json_object_get(o, "groups"), p->groups,
+				    PLAN_GROUPS_MAX);
+	p->endpoint_count =
+		MIN((uint32_t)json_array_size(ends), PLAN_ENDPOINTS_MAX);
+	for (uint32_t i = 0; i < p->endpoint_count; i++)
+		read_endpoint(json_array_get(ends, i), &p->endpoints[i]);
+	p->workspace_count =
+		MIN((uint32_t)json_array_size(spaces), PLAN_WORKSPACES_MAX);
+	for (uint32_t i = 0; i < p->workspace_count; i++)
+		read_workspace(json_array_get(spaces, i), &p->workspaces[i]);
+}
+
+static int check(const struct plan *p, const char *file)
+{
+	if (p->instance_count && p->group_count && p->workspace_count &&
+	    p->duration_us > 0)
+		return 0;
+	fprintf(stderr,
+		"%s: instances, groups, workspaces or duration_s "
+		"missing\n",
+		file);
+	return -EINVAL;
+}
+
+int plan_load(struct plan *p, const char *file)
+{
+	json_error_t e;
+	json_t *o = json_load_file(file, 0, &e);
+
+	*p = (struct plan){ 0 };
+	if (!o) {
+		fprintf(stderr, "%s:%d: %s\n", file, e.line, e.text);
+		return -EINVAL;
+	}
+	p->duration_us = (int64_t)(number(o, "duration_s", 0) * US_PER_S);
+	p->deadline_ms = (int64_t)number(o, "deadline_ms", 2000);
+	p->sessions = (uint32_t)MAX(number(o, "sessions", 8), 1);
+	copy_text(p->read_profile, json_object_get(o, "read_profile"));
+	copy_text(p->strict_profile, json_object_get(o, "strict_profile"));
+	read_arrays(o, p);
+	json_decref(o);
+	return check(p, file);
+}
+
+double plan_rate(const struct plan_workspace *w, int64_t since_start_us)
+{
+	bool surge = since_start_us >= w->surge_from_us &&
+		     since_start_us < w->surge_to_us;
+
+	return w->rate_per_s * (surge ? w->surge_factor : 1);
+}
--- /dev/null
+++ b/bench/plan.h
@@ -0,0 +1,69 @@
+/* plan.h - what the load tool sends, read from a JSON file. */
+#ifndef BENCH_PLAN_H
+#define BENCH_PLAN_H
+
+#include <stdint.h>
+
+enum {
+	PLAN_INSTANCES_MAX = 16,
+	PLAN_GROUPS_MAX = 8,
+	PLAN_ENDPOINTS_MAX = 32,
+	PLAN_WORKSPACES_MAX = 16,
+	PLAN_TEXT_BYTES = 96,
+};
+
+/* Kinds of work; each is one row of a workspace's mix. */
+enum work_kind {
+	WORK_READ, /* the profile's age is allowed */
+	WORK_STRICT, /* a read without any age */
+	WORK_BY_ID, /* a write with a request id */
+	WORK_ONCE, /* a write that must not be repeated */
+	WORK_TRANSACTION,
+	WORK_KIND_COUNT,
+};
+
+/* Returns the kind's name in files and figures. */
+const char *work_kind_name(enum work_kind kind);
+
+struct plan_workspace {
+	char name[PLAN_TEXT_BYTES];
+	char key[PLAN_TEXT_BYTES];
+	double rate_per_s; /* sent in calm */
+	double surge_factor; /* of the rate, during the surge */
+	int64_t surge_from_us; /* since the start */
+	int64_t surge_to_us;
+	double limit_per_s; /* as configured for the workspace */
+	double limit_burst;
+	uint32_t mix[WORK_KIND_COUNT]; /* parts of the sum */
+};
+
+struct plan_endpoint {
+	char name[PLAN_TEXT_BYTES];
+	char group[PLAN_TEXT_BYTES];
+	uint16_t port; /* for clients */
+	uint16_t control; /* of the stand-in */
+};
+
+struct plan {
+	int64_t duration_us;
+	int64_t deadline_ms;
+	uint32_t sessions; /* of each workspace */
+	uint32_t instance_count;
+	uint32_t group_count;
+	uint32_t endpoint_count;
+	uint32_t workspace_count;
+	char instances[PLAN_INSTANCES_MAX][PLAN_TEXT_BYTES];
+	char groups[PLAN_GROUPS_MAX][PLAN_TEXT_BYTES];
+	struct plan_endpoint endpoints[PLAN_ENDPOINTS_MAX];
+	struct plan_workspace workspaces[PLAN_WORKSPACES_MAX];
+	char read_profile[PLAN_TEXT_BYTES];
+	char strict_profile[PLAN_TEXT_BYTES];
+};
+
+/* Returns 0, or -EINVAL after a message on standard error. */
+int plan_load(struct plan *p, const char *file);
+
+/* Returns the requests a second that the workspace sends then. */
+double plan_rate(const struct plan_workspace *w, int64_t since_start_us);
+
+#endif
