--- a/bench/load.c
+++ b/bench/load.c
@@ -77,7 +77,9 @@
 	int rc = 0;
 
 	summary_traffic(r, p, f);
-	summary_reads(r, p, f);
+	/* Roles are not known while primaries change. */
+	if (!o->faults)
+		summary_reads(r, p, f);
 	summary_limits(r, p, f);
 	summary_gaps(r, p, o->faults, f);
 	if (o->verify) {
--- a/bench/plan.c
+++ b/bench/plan.c
@@ -111,6 +111,7 @@
 	}
 	p->duration_us = (int64_t)(number(o, "duration_s", 0) * US_PER_S);
 	p->deadline_ms = (int64_t)number(o, "deadline_ms", 2000);
+	p->lag_us = (int64_t)(number(o, "lag_ms", 0) * US_PER_MS);
 	p->sessions = (uint32_t)MAX(number(o, "sessions", 8), 1);
 	copy_text(p->read_profile, json_object_get(o, "read_profile"));
 	copy_text(p->strict_profile, json_object_get(o, "strict_profile"));
@@ -126,3 +127,21 @@
 
 	return w->rate_per_s * (surge ? w->surge_factor : 1);
 }
+
+enum work_kind plan_draw_kind(const struct plan_workspace *w, GRand *rand)
+{
+	uint32_t sum = 0;
+	uint32_t at;
+
+	for (int k = 0; k < WORK_KIND_COUNT; k++)
+		sum += w->mix[k];
+	if (!sum)
+		return WORK_READ;
+	at = (uint32_t)g_rand_int_range(rand, 0, (gint32)sum);
+	for (int k = 0; k < WORK_KIND_COUNT; k++) {
+		if (at < w->mix[k])
+			return (enum work_kind)k;
+		at -= w->mix[k];
+	}
+	return WORK_READ;
+}
--- a/bench/plan.h
+++ b/bench/plan.h
@@ -2,6 +2,7 @@
 #ifndef BENCH_PLAN_H
 #define BENCH_PLAN_H
 
+#include <glib.h>
 #include <stdint.h>
 
 enum {
@@ -47,6 +48,7 @@
 struct plan {
 	int64_t duration_us;
 	int64_t deadline_ms;
+	int64_t lag_us; /* of the replicas */
 	uint32_t sessions; /* of each workspace */
 	uint32_t instance_count;
 	uint32_t group_count;
@@ -66,4 +68,7 @@
 /* Returns the requests a second that the workspace sends then. */
 double plan_rate(const struct plan_workspace *w, int64_t since_start_us);
 
+/* Returns a kind, drawn by the workspace's mix. */
+enum work_kind plan_draw_kind(const struct plan_workspace *w, GRand *rand);
+
 #endif
--- a/bench/record.h
+++ b/bench/record.h
@@ -22,6 +22,7 @@
 	enum verdict verdict;
 	int32_t error; /* 0: served */
 	int64_t age_us; /* -1: not told */
+	int64_t behind_us; /* since the write that a read must see */
 	uint32_t sends; /* HTTP requests of this unit */
 	bool in_rate; /* the limit had a token when it was sent */
 	bool in_surge; /* some workspace sent more than its rate */
--- a/bench/summary_limits.c
+++ b/bench/summary_limits.c
@@ -39,6 +39,34 @@
 	return whole ? 100.0 * part / whole : none;
 }
 
+static void add_served(struct figures *f, const char *workspace,
+		       const char *when, const struct fare *one)
+{
+	char *name = g_strdup_printf("served_%s_%s", when, workspace);
+
+	figures_add(f, name, percent(one->served, one->in_rate, 100), "%");
+	g_free(name);
+}
+
+/* What a workspace got of its limit while it sent more. */
+static void add_surging(const struct records *r, const struct plan *p,
+			uint32_t workspace, struct figures *f)
+{
+	const struct plan_workspace *w = &p->workspaces[workspace];
+	double seconds = (double)(w->surge_to_us - w->surge_from_us) / US_PER_S;
+	uint32_t count = 0;
+
+	for (guint i = 0; i < r->taken[workspace]->len; i++) {
+		const struct taken *t =
+			&g_array_index(r->taken[workspace], struct taken, i);
+		int64_t at_us = t->sent_us - r->start_us;
+
+		count += at_us >= w->surge_from_us && at_us < w->surge_to_us;
+	}
+	figures_add(f, "surging_got_of_limit",
+		    100.0 * count / (w->limit_per_s * seconds), "%");
+}
+
 static void add_period(const struct records *r, const struct plan *p,
 		       bool surge, struct figures *f)
 {
@@ -53,10 +81,10 @@
 
 		count(r, i, surge, &one);
 		if (surge && surges(&p->workspaces[i])) {
-			figures_add(f, "surging_served",
-				    percent(one.served, one.in_rate, 100), "%");
+			add_surging(r, p, i, f);
 			continue;
 		}
+		add_served(f, p->workspaces[i].name, when, &one);
 		worst = MIN(worst, percent(one.served, one.in_rate, 100));
 		sum.in_rate += one.in_rate;
 		sum.wrongful += one.wrongful;
