--- a/bench/http_call.c
+++ b/bench/http_call.c
@@ -171,6 +171,8 @@
 		a->age_us = json_integer_value(age);
 	a->endpoint = text_of(c->doc, "endpoint");
 	a->transaction = text_of(c->doc, "transaction");
+	a->sqlstate = text_of(c->doc, "sqlstate");
+	a->answered = true;
 	a->first_value = value ? value : "";
 }
 
@@ -184,6 +186,7 @@
 		.endpoint = "",
 		.transaction = "",
 		.session = c->session,
+		.sqlstate = "",
 		.first_value = "",
 	};
 	if (rc == CURLE_COULDNT_CONNECT)
--- a/bench/http_call.h
+++ b/bench/http_call.h
@@ -46,6 +46,8 @@
 	const char *endpoint; /* "" if not told */
 	const char *transaction; /* "" if none */
 	const char *session; /* "" if none */
+	const char *sqlstate; /* of the endpoint's error, "" if none */
+	bool answered; /* false: nothing came before the client gave up */
 	const char *first_value; /* of the first row, "" if none */
 };
 const struct http_answer_view *http_call_answer(const struct http_call *c);
--- a/bench/record.h
+++ b/bench/record.h
@@ -24,6 +24,8 @@
 	int64_t age_us; /* -1: not told */
 	int64_t behind_us; /* since the write that a read must see */
 	uint32_t sends; /* HTTP requests of this unit */
+	bool unanswered; /* the client gave up */
+	bool duplicate; /* the order's key was stored before */
 	bool in_rate; /* the limit had a token when it was sent */
 	bool in_surge; /* some workspace sent more than its rate */
 	char order_id[ORDER_ID_BYTES]; /* of a write */
--- a/bench/summary_limits.c
+++ b/bench/summary_limits.c
@@ -42,8 +42,11 @@
 static void add_served(struct figures *f, const char *workspace,
 		       const char *when, const struct fare *one)
 {
-	char *name = g_strdup_printf("served_%s_%s", when, workspace);
+	char *name;
 
+	if (!one->in_rate)
+		return;
+	name = g_strdup_printf("served_%s_%s", when, workspace);
 	figures_add(f, name, percent(one->served, one->in_rate, 100), "%");
 	g_free(name);
 }
--- a/bench/summary_reads.c
+++ b/bench/summary_reads.c
@@ -30,7 +30,8 @@
 /* A replica has the session's last write once the lag has passed. */
 static bool is_allowed(const struct record *x, const struct plan *p)
 {
-	return x->kind == WORK_READ && x->behind_us > p->lag_us;
+	return x->kind == WORK_READ && x->behind_us > p->lag_us &&
+	       !g_str_equal(p->read_profile, p->strict_profile);
 }
 
 static double percent(uint32_t part, uint32_t whole)
@@ -65,9 +66,10 @@
 	}
 	figures_add(f, "reads", reads, "requests");
 	figures_add(f, "replica_share_all", percent(by_replica, reads), "%");
-	figures_target(f, "replica_share_allowed",
-		       percent(allowed_by_replica, allowed), "%",
-		       BOUND_AT_LEAST, replica_share_target);
+	if (allowed)
+		figures_target(f, "replica_share_allowed",
+			       percent(allowed_by_replica, allowed), "%",
+			       BOUND_AT_LEAST, replica_share_target);
 	figures_target(f, "session_reads_stale", (double)r->stale_sessions,
 		       "requests", BOUND_AT_MOST, 0);
 }
--- a/bench/summary_traffic.c
+++ b/bench/summary_traffic.c
@@ -45,16 +45,19 @@
 {
 	uint32_t served = 0;
 	uint32_t confirmed = 0;
+	uint32_t unanswered = 0;
 
 	for (guint i = 0; i < r->rows->len; i++) {
 		const struct record *x =
 			&g_array_index(r->rows, struct record, i);
 
 		served += !x->error;
+		unanswered += x->unanswered;
 		confirmed += !x->error && work_writes(x->kind);
 	}
 	figures_add(f, "sent", r->rows->len, "requests");
 	figures_add(f, "served", served, "requests");
+	figures_add(f, "unanswered", unanswered, "requests");
 	figures_add(f, "throughput",
 		    (double)served * US_PER_S / (double)p->duration_us, "1/s");
 	figures_add(f, "confirmed_writes", confirmed, "requests");
