Close the connection whose request stops the listener

Cause: a listener that was stopped from within a request left that request's connection open for more Change: its answer says Connection: close as well. Tests for that, for a session of too many groups, for results that are not UTF-8, for deadlines and key digests; the tables of refusals are shorter. Before: CallerListener.StopsFromWithinARequest failed, 20 of 21 passed After: tests of listeners and token: 21 passed, also under ASan and UBSan.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -272,7 +272,8 @@
 			MHD_add_response_header(x->response, a->headers[i].name,
 						a->headers[i].value);
 	}
-	if (s->stopped_accepting || http_request_is_refused_early(x->request))
+	if (s->stop_wanted || s->stopped_accepting ||
+	    http_request_is_refused_early(x->request))
 		MHD_add_response_header(x->response, "Connection", "close");
 	resume(x);
 }
--- a/tests/caller_listener_test.cc
+++ b/tests/caller_listener_test.cc
@@ -1,7 +1,5 @@
 #include <gtest/gtest.h>
 
-#include <apr_general.h>
-#include <apr_pools.h>
 #include <cstring>
 #include <string>
 #include <vector>
@@ -10,6 +8,7 @@
 
 extern "C" {
 #include "core/session_token.h"
+#include "http/bearer.h"
 #include "http/caller_listener.h"
 }
 
@@ -19,8 +18,13 @@
 const char PROFILE[] = "Zinnialine-Profile: fresh\r\n";
 const char KEY[] = "Authorization: Bearer k1\r\n";
 const char SQL[] = "{\"sql\": \"select 1\"}";
+const int64_t DEFAULT_US = 5 * US_PER_S;
+const int64_t MAX_US = 60 * US_PER_S;
 const char READ[] = "/v1/groups/orders/read";
 
+const uint8_t token_key[TOKEN_KEY_BYTES] = { 7 };
+const std::string AUTH = std::string(PROFILE) + KEY;
+
 struct Seen {
 	struct request_opts opts;
 	std::string sql;
@@ -29,25 +33,22 @@
 	std::string request_id;
 };
 
-class CallerListener : public testing::Test
+class CallerListener : public HttpTest
 {
       protected:
-	void SetUp() override
+	void listen() override
 	{
 		struct caller_listener_opts o = {};
 
-		apr_initialize();
-		apr_pool_create(&pool_, nullptr);
-		ASSERT_EQ(0, loop_new(&loop_, pool_));
 		o.loop = loop_;
 		o.address = "127.0.0.1:0";
-		memset(o.token_key, 7, sizeof(o.token_key));
+		memcpy(o.token_key, token_key, sizeof(o.token_key));
 		o.body_max_bytes = 4096;
 		o.header_max_bytes = 2048;
 		o.statement_max_bytes = 1024;
 		o.connections_max = 64;
-		o.deadline_default_us = 5 * US_PER_S;
-		o.deadline_max_us = 60 * US_PER_S;
+		o.deadline_default_us = DEFAULT_US;
+		o.deadline_max_us = MAX_US;
 		o.idle_timeout_us = 60 * US_PER_S;
 		o.on_request = on_request;
 		o.on_gone = on_gone;
@@ -56,11 +57,6 @@
 		ASSERT_EQ(0, caller_listener_new(&listener_, &o, pool_));
 	}
 
-	void TearDown() override
-	{
-		apr_pool_destroy(pool_);
-	}
-
 	static void on_request(void *data, const struct request_opts *r,
 			       struct statement *s)
 	{
@@ -72,6 +68,8 @@
 							     "NULL");
 		statement_free(s);
 		t->seen_.push_back(seen);
+		if (t->stop_at_once_)
+			caller_listener_stop_accepting(t->listener_);
 		if (t->answer_at_once_)
 			t->reply(seen.opts.caller_id, 0, VERDICT_RAN);
 	}
@@ -127,81 +125,74 @@
 		return http_text("POST", path, PROFILE + (KEY + headers), body);
 	}
 
-	apr_pool_t *pool_ = nullptr;
-	struct loop *loop_ = nullptr;
 	struct caller_listener *listener_ = nullptr;
 	std::vector<Seen> seen_;
 	std::vector<uint64_t> gone_;
 	uint64_t transaction_ = 0;
 	bool answer_at_once_ = false;
+	bool stop_at_once_ = false;
 };
 
+/* A request that is well-formed but for the given part. */
 struct RefusedCase {
 	const char *name;
-	const char *method;
-	std::string path;
-	std::string headers;
-	std::string body;
 	int32_t error;
+	std::string body = SQL;
+	std::string headers = AUTH;
+	std::string path = READ;
+	const char *method = "POST";
 };
 
-const std::string AUTH = std::string(PROFILE) + KEY;
+std::string with(const std::string &header)
+{
+	return AUTH + header + "\r\n";
+}
 
 const RefusedCase refused[] = {
-	{ "unknown path", "POST", "/v1/other", AUTH, SQL, ERR_NO_ROUTE },
-	{ "longer path", "POST", "/v1/groups/orders/read/x", AUTH, SQL,
-	  ERR_NO_ROUTE },
-	{ "other method", "GET", READ, AUTH, "", ERR_NO_ROUTE },
-	{ "empty group", "POST", "/v1/groups//read", AUTH, SQL,
-	  ERR_UNKNOWN_GROUP },
-	{ "long group", "POST", "/v1/groups/" + std::string(48, 'g') + "/read",
-	  AUTH, SQL, ERR_UNKNOWN_GROUP },
-	{ "transaction not hex", "POST",
-	  "/v1/groups/orders/transactions/xyz/commit", AUTH, "",
-	  ERR_UNKNOWN_TRANSACTION },
-	{ "no profile", "POST", READ, KEY, SQL, ERR_BAD_FIELD },
-	{ "no key", "POST", READ, PROFILE, SQL, ERR_NO_KEY },
-	{ "basic authorization", "POST", READ,
-	  PROFILE + std::string("Authorization: Basic azE=\r\n"), SQL,
-	  ERR_NO_KEY },
-	{ "two profiles", "POST", READ, AUTH + PROFILE, SQL, ERR_BAD_FIELD },
-	{ "malformed JSON", "POST", READ, AUTH, "{\"sql\": ", ERR_BAD_JSON },
-	{ "no body", "POST", READ, AUTH, "", ERR_BAD_JSON },
-	{ "body is an array", "POST", READ, AUTH, "[]", ERR_BAD_FIELD },
-	{ "sql is missing", "POST", READ, AUTH, "{}", ERR_BAD_FIELD },
-	{ "sql is a number", "POST", READ, AUTH, "{\"sql\":1}", ERR_BAD_FIELD },
-	{ "same field twice", "POST", READ, AUTH,
-	  "{\"sql\":\"a\",\"sql\":\"b\"}", ERR_BAD_JSON },
-	{ "unknown field", "POST", READ, AUTH, "{\"sql\":\"a\",\"param\":[]}",
-	  ERR_BAD_FIELD },
-	{ "params is an object", "POST", READ, AUTH,
-	  "{\"sql\":\"a\",\"params\":{}}", ERR_BAD_FIELD },
-	{ "a parameter is an array", "POST", READ, AUTH,
-	  "{\"sql\":\"a\",\"params\":[[]]}", ERR_BAD_FIELD },
-	{ "commit with a statement", "POST",
-	  "/v1/groups/orders/transactions/1/commit", AUTH, SQL, ERR_BAD_FIELD },
-	{ "repeatable maybe", "POST", READ,
-	  AUTH + "Zinnialine-Repeatable: maybe\r\n", SQL, ERR_BAD_FIELD },
-	{ "deadline zero", "POST", READ, AUTH + "Zinnialine-Deadline-Ms: 0\r\n",
-	  SQL, ERR_BAD_FIELD },
-	{ "deadline negative", "POST", READ,
-	  AUTH + "Zinnialine-Deadline-Ms: -5\r\n", SQL, ERR_BAD_FIELD },
-	{ "request id with a space", "POST", READ,
-	  AUTH + "Idempotency-Key: a b\r\n", SQL, ERR_BAD_FIELD },
-	{ "request id of 65", "POST", READ,
-	  AUTH + "Idempotency-Key: " + std::string(65, 'a') + "\r\n", SQL,
-	  ERR_BAD_FIELD },
-	{ "forged token", "POST", READ, AUTH + "Zinnialine-Session: AQAA\r\n",
-	  SQL, ERR_BAD_TOKEN },
-	{ "large statement", "POST", READ, AUTH,
+	{ "other path", ERR_NO_ROUTE, SQL, AUTH, "/v1/other" },
+	{ "longer path", ERR_NO_ROUTE, SQL, AUTH, "/v1/groups/g/read/x" },
+	{ "other method", ERR_NO_ROUTE, "", AUTH, READ, "GET" },
+	{ "no group", ERR_UNKNOWN_GROUP, SQL, AUTH, "/v1/groups//read" },
+	{ "long group", ERR_UNKNOWN_GROUP, SQL, AUTH,
+	  "/v1/groups/" + std::string(48, 'g') + "/read" },
+	{ "id not hex", ERR_UNKNOWN_TRANSACTION, "", AUTH,
+	  "/v1/groups/g/transactions/xyz/commit" },
+	{ "commit with a statement", ERR_BAD_FIELD, SQL, AUTH,
+	  "/v1/groups/g/transactions/1/commit" },
+	{ "no profile", ERR_BAD_FIELD, SQL, KEY },
+	{ "two profiles", ERR_BAD_FIELD, SQL, AUTH + PROFILE },
+	{ "no key", ERR_NO_KEY, SQL, PROFILE },
+	{ "other scheme", ERR_NO_KEY, SQL,
+	  PROFILE + std::string("Authorization: Basic azE=\r\n") },
+	{ "cut JSON", ERR_BAD_JSON, "{\"sql\": " },
+	{ "no body", ERR_BAD_JSON, "" },
+	{ "body is an array", ERR_BAD_FIELD, "[]" },
+	{ "no sql", ERR_BAD_FIELD, "{}" },
+	{ "sql is a number", ERR_BAD_FIELD, "{\"sql\":1}" },
+	{ "sql twice", ERR_BAD_JSON, "{\"sql\":\"a\",\"sql\":\"b\"}" },
+	{ "unknown field", ERR_BAD_FIELD, "{\"sql\":\"a\",\"param\":[]}" },
+	{ "params is an object", ERR_BAD_FIELD,
+	  "{\"sql\":\"a\",\"params\":{}}" },
+	{ "a parameter is an array", ERR_BAD_FIELD,
+	  "{\"sql\":\"a\",\"params\":[[]]}" },
+	{ "large statement", ERR_STATEMENT_TOO_LARGE,
 	  "{\"sql\":\"" + std::string(1000, 'x') + "\",\"params\":[\"" +
-		  std::string(25, 'y') + "\"]}",
-	  ERR_STATEMENT_TOO_LARGE },
-	{ "large body", "POST", READ, AUTH, std::string(5000, ' '),
-	  ERR_BODY_TOO_LARGE },
-	{ "large header", "POST", READ,
-	  AUTH + "X-Fill: " + std::string(2500, 'x') + "\r\n", SQL,
-	  ERR_HEADER_TOO_LARGE },
+		  std::string(25, 'y') + "\"]}" },
+	{ "large body", ERR_BODY_TOO_LARGE, std::string(5000, ' ') },
+	{ "large header", ERR_HEADER_TOO_LARGE, SQL,
+	  with("X-Fill: " + std::string(2500, 'x')) },
+	{ "repeatable maybe", ERR_BAD_FIELD, SQL,
+	  with("Zinnialine-Repeatable: maybe") },
+	{ "deadline zero", ERR_BAD_FIELD, SQL,
+	  with("Zinnialine-Deadline-Ms: 0") },
+	{ "deadline negative", ERR_BAD_FIELD, SQL,
+	  with("Zinnialine-Deadline-Ms: -5") },
+	{ "request id with a space", ERR_BAD_FIELD, SQL,
+	  with("Idempotency-Key: a b") },
+	{ "request id of 65", ERR_BAD_FIELD, SQL,
+	  with("Idempotency-Key: " + std::string(65, 'a')) },
+	{ "forged token", ERR_BAD_TOKEN, SQL,
+	  with("Zinnialine-Session: AQAA") },
 };
 
 TEST_F(CallerListener, RefusesBadInputOnOneConnection)
@@ -239,28 +230,32 @@
 	uint64_t transaction_id;
 	const char *request_id;
 	bool repeatable;
+	int64_t deadline_us; /* from the arrival */
 	std::vector<std::string> params;
 };
 
 const AcceptedCase accepted[] = {
-	{ "read", READ, "", SQL, REQUEST_READ, 0, "", true, {} },
+	{ "read", READ, "", SQL, REQUEST_READ, 0, "", true, DEFAULT_US, {} },
 	{ "write with everything",
 	  "/v1/groups/orders/write",
-	  "Idempotency-Key: Order-1.a:b_c\r\nZinnialine-Repeatable: no\r\n",
+	  "Idempotency-Key: Order-1.a:b_c\r\nZinnialine-Repeatable: no\r\n"
+	  "Zinnialine-Deadline-Ms: 250\r\n",
 	  "{\"sql\":\"x\",\"params\":[\"a\",null,7,1.5,true]}",
 	  REQUEST_WRITE,
 	  0,
 	  "Order-1.a:b_c",
 	  false,
+	  250000,
 	  { "a", "NULL", "7", "1.5", "true" } },
-	{ "begin",
+	{ "begin, long deadline",
 	  "/v1/groups/orders/transactions",
-	  "",
+	  "Zinnialine-Deadline-Ms: 18446744073709551615\r\n",
 	  "",
 	  REQUEST_BEGIN,
 	  0,
 	  "",
 	  true,
+	  MAX_US,
 	  {} },
 	{ "statement",
 	  "/v1/groups/orders/transactions/00aF/statements",
@@ -270,6 +265,7 @@
 	  0xaf,
 	  "",
 	  true,
+	  DEFAULT_US,
 	  {} },
 	{ "commit",
 	  "/v1/groups/orders/transactions/ffffffffffffffff/commit",
@@ -279,6 +275,7 @@
 	  UINT64_MAX,
 	  "k",
 	  true,
+	  DEFAULT_US,
 	  {} },
 	{ "rollback",
 	  "/v1/groups/orders/transactions/1/rollback",
@@ -288,16 +285,20 @@
 	  1,
 	  "",
 	  true,
+	  DEFAULT_US,
 	  {} },
 };
 
 TEST_F(CallerListener, PassesOnWellFormedRequests)
 {
 	HttpClient c = client();
+	uint8_t digest[DIGEST_BYTES];
 
+	bearer_key_digest("k1", digest);
 	answer_at_once_ = true;
 	for (const AcceptedCase &row : accepted) {
 		SCOPED_TRACE(row.name);
+		int64_t sent_us = loop_now_us();
 		c.send_all(post(row.path, row.headers, row.body));
 		HttpResponse r = c.receive();
 		ASSERT_EQ(200, r.status) << r.body;
@@ -312,7 +313,10 @@
 		EXPECT_EQ(row.repeatable, s.opts.repeatable);
 		EXPECT_EQ(row.params, s.params);
 		EXPECT_EQ("hanbit", s.workspace);
+		EXPECT_LE(sent_us + row.deadline_us, s.opts.deadline_us);
+		EXPECT_GE(loop_now_us() + row.deadline_us, s.opts.deadline_us);
 		EXPECT_TRUE(s.opts.has_key);
+		EXPECT_FALSE(memcmp(digest, s.opts.key_digest, DIGEST_BYTES));
 	}
 	EXPECT_EQ(std::size(accepted), seen_.size());
 }
@@ -530,6 +534,55 @@
 	EXPECT_EQ(0u, caller_listener_pending(listener_));
 }
 
+TEST_F(CallerListener, StopsFromWithinARequest)
+{
+	HttpClient a = client();
+	HttpClient b = client();
+
+	stop_at_once_ = answer_at_once_ = true;
+	a.send_all(post());
+	b.send_all(post());
+	EXPECT_EQ(200, a.receive().status);
+	EXPECT_EQ(200, b.receive().status);
+	EXPECT_TRUE(pump(loop_, [&] { return a.closed() && b.closed(); }));
+	EXPECT_FALSE(client().connected());
+}
+
+TEST_F(CallerListener, SessionOfTooManyGroupsIsRefusedForAnother)
+{
+	struct session_token t = {};
+	char text[TOKEN_TEXT_BYTES];
+	HttpClient c = client();
+
+	for (int i = 0; i < TOKEN_GROUPS_MAX; i++)
+		session_token_merge(&t, std::to_string(i).c_str(), { 1, 1 });
+	session_token_encode(&t, "hanbit", token_key, text);
+	std::string header =
+		std::string("Zinnialine-Session: ") + text + "\r\n";
+	c.send_all(post(READ, header));
+	EXPECT_EQ(std::to_string(ERR_BAD_FIELD), c.receive().field("error"));
+	answer_at_once_ = true;
+	c.send_all(post("/v1/groups/7/read", header));
+	EXPECT_EQ(text, c.receive().header("Zinnialine-Session"));
+}
+
+TEST_F(CallerListener, ResultThatIsNotUtf8KeepsTheVerdict)
+{
+	struct reply r = {};
+	HttpClient c = client();
+
+	c.send_all(post());
+	ASSERT_TRUE(wait_seen(1));
+	r.caller_id = seen_[0].opts.caller_id;
+	r.verdict = VERDICT_RAN;
+	caller_listener_reply(listener_, &r,
+			      json_pack("{s:o}", "command",
+					json_stringn_nocheck("\xff", 1)));
+	HttpResponse answer = c.receive();
+	EXPECT_EQ(std::to_string(ERR_INTERNAL), answer.field("error"));
+	EXPECT_EQ("ran", answer.field("verdict"));
+}
+
 TEST_F(CallerListener, IsFreedWhileCallersWait)
 {
 	HttpClient c = client();
--- a/tests/http_client.h
+++ b/tests/http_client.h
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <apr_general.h>
+#include <apr_pools.h>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <functional>
@@ -40,18 +42,16 @@
 		return it == headers.end() ? "" : it->second;
 	}
 
-	/* A member of the JSON body as text. */
+	/* A member of the JSON body as text, "" if absent. */
 	std::string field(const char *name) const
 	{
 		json_t *doc = json_loads(body.c_str(), 0, nullptr);
 		json_t *value = json_object_get(doc, name);
-		char *text =
-			value ? json_dumps(value, JSON_ENCODE_ANY) : nullptr;
-		std::string s = json_is_string(value) ?
-					json_string_value(value) :
-				text ? text :
-				       "";
+		char *text = json_dumps(value, JSON_ENCODE_ANY);
+		std::string s = text ? text : "";
 
+		if (json_is_string(value))
+			s = json_string_value(value);
 		free(text);
 		json_decref(doc);
 		return s;
@@ -182,6 +182,29 @@
 	std::string in_;
 };
 
+/* A fixture with a loop. */
+class HttpTest : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		apr_initialize();
+		apr_pool_create(&pool_, nullptr);
+		ASSERT_EQ(0, loop_new(&loop_, pool_));
+		listen();
+	}
+
+	void TearDown() override
+	{
+		apr_pool_destroy(pool_);
+	}
+
+	virtual void listen() = 0;
+
+	apr_pool_t *pool_ = nullptr;
+	struct loop *loop_ = nullptr;
+};
+
 /* Text of a request; `headers` are whole lines with CRLF. */
 inline std::string http_text(const std::string &method, const std::string &path,
 			     const std::string &headers,
--- a/tests/operator_listener_test.cc
+++ b/tests/operator_listener_test.cc
@@ -1,9 +1,6 @@
 #include <gtest/gtest.h>
 
-#include <apr_general.h>
-#include <apr_pools.h>
 #include <cstring>
-#include <sodium.h>
 #include <string>
 #include <vector>
 
@@ -11,13 +8,13 @@
 
 extern "C" {
 #include "core/error.h"
+#include "http/bearer.h"
 #include "http/operator_listener.h"
 }
 
 namespace
 {
 
-const char KEY[] = "op-key";
 const std::string AUTH = "Authorization: Bearer op-key\r\n";
 
 struct Seen {
@@ -27,22 +24,17 @@
 	std::string body;
 };
 
-class OperatorListener : public testing::Test
+class OperatorListener : public HttpTest
 {
       protected:
-	void SetUp() override
+	void listen() override
 	{
 		struct operator_listener_opts o = {};
 
-		apr_initialize();
-		apr_pool_create(&pool_, nullptr);
-		ASSERT_EQ(0, loop_new(&loop_, pool_));
 		o.loop = loop_;
 		o.address = "127.0.0.1:0";
 		o.body_max_bytes = 1024;
-		crypto_generichash(o.key_digest, sizeof(o.key_digest),
-				   (const uint8_t *)KEY, strlen(KEY), nullptr,
-				   0);
+		bearer_key_digest("op-key", o.key_digest);
 		o.on_request = on_request;
 		o.metrics = [](void *) { return strdup("requests_total 3\n"); };
 		o.healthy = [](void *data) {
@@ -52,11 +44,6 @@
 		ASSERT_EQ(0, operator_listener_new(&listener_, &o, pool_));
 	}
 
-	void TearDown() override
-	{
-		apr_pool_destroy(pool_);
-	}
-
 	static void on_request(void *data, uint64_t id,
 			       enum operator_method method, const char *path,
 			       const json_t *body)
@@ -73,8 +60,6 @@
 		return HttpClient(loop_, operator_listener_port(listener_));
 	}
 
-	apr_pool_t *pool_ = nullptr;
-	struct loop *loop_ = nullptr;
 	struct operator_listener *listener_ = nullptr;
 	std::vector<Seen> seen_;
 	bool healthy_ = true;
