--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 #include <time.h>
 
-enum { POLLSET_DESCRIPTORS = 65536 };
+enum { POLLSET_DESCRIPTORS = 65536, US_PER_POLL_UNIT = 1000 };
 
 struct watch {
 	int fd;
@@ -174,7 +174,11 @@
 		if (t->at_us - now < wait)
 			wait = t->at_us - now;
 	}
-	return wait < 0 ? 0 : wait;
+	if (wait <= 0)
+		return 0;
+	/* The pollset drops fractions of a millisecond: it would spin. */
+	return (wait + US_PER_POLL_UNIT - 1) / US_PER_POLL_UNIT *
+	       US_PER_POLL_UNIT;
 }
 
 static void run_timers(struct loop *l)
--- a/src/serve/instance.c
+++ b/src/serve/instance.c
@@ -23,9 +23,9 @@
 #include <string.h>
 
 enum {
-	/* Answers are given so long to reach their callers at the end. */
-	LINGER_US = 500 * 1000,
-	CALL_TIMEOUT_DEFAULT_US = 1000 * 1000,
+	/* Answers that are being sent at the end get so long. */
+	LINGER_MAX_US = 5000 * 1000,
+	LINGER_STEP_US = 100 * 1000,
 };
 
 struct instance {
@@ -44,10 +44,12 @@
 	struct metrics *metrics;
 	struct loop_timer *tick;
 	struct loop_timer *drain_limit;
+	struct loop_timer *linger;
+	int64_t linger_until_us;
 	int64_t next_tick_us;
 	bool platform_reachable;
 	bool draining;
-	bool left; /* the platform; the loop ends after LINGER_US */
+	bool left; /* the platform; the loop ends once answers are sent */
 };
 
 static void handle(struct instance *in, const struct event *e)
@@ -298,6 +300,12 @@
 {
 	struct instance *in = data;
 
+	/* An answer that is being sent is not cut off. */
+	if (caller_listener_pending(in->callers) > 0 &&
+	    now_us < in->linger_until_us) {
+		loop_timer_set(in->linger, now_us + LINGER_STEP_US);
+		return;
+	}
 	log_event(LOG_STOPPED, in->settings->instance.name, 0, "bye");
 	loop_stop(in->loop);
 }
@@ -305,13 +313,13 @@
 static void has_left(void *data)
 {
 	struct instance *in = data;
-	struct loop_timer *t;
 
 	if (in->left)
 		return;
 	in->left = true;
-	t = loop_timer_add(in->loop, end_linger, in);
-	loop_timer_set(t, loop_now_us() + LINGER_US);
+	in->linger_until_us = loop_now_us() + LINGER_MAX_US;
+	in->linger = loop_timer_add(in->loop, end_linger, in);
+	loop_timer_set(in->linger, loop_now_us() + LINGER_STEP_US);
 }
 
 /* The lease is kept where parts of it are still lent to peers. */
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -42,7 +42,7 @@
 	Model m({});
 	int before;
 
-	m.run(3 * S);
+	m.run(START_US);
 	before = m.oracle.replica_reads;
 	for (int i = 0; i < ROUNDS; i++) {
 		m.write(0, 0, true, 2 * S);
@@ -50,7 +50,7 @@
 		m.read(1, 0, 1 * S, 2 * S);
 		m.run(10 * MS);
 	}
-	m.run(3 * S);
+	m.run(START_US);
 	expect_sound(m);
 	EXPECT_EQ(0, m.oracle.not_run);
 	EXPECT_GE(m.oracle.replica_reads - before, ROUNDS * 95 / 100);
