--- a/Makefile
+++ b/Makefile
@@ -101,9 +101,12 @@
 	@$(MAKE) --no-print-directory -j8 CONFIG=release all
 	@BIN_DIR=build/release scripts/demo
 
+bench: all
+	@BIN_DIR=$(B) bench/measure $(SITE)
+
 clean:
 	@rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all deps test test-asan format format-check lint check demo clean
+.PHONY: all deps test test-asan format format-check lint check demo bench clean
--- a/bench/summary_gaps.c
+++ b/bench/summary_gaps.c
@@ -40,7 +40,7 @@
 	return us;
 }
 
-/* Longest gap that ends after from_us and begins before to_us. */
+/* Longest gap that ends after from_us, counted up to to_us. */
 static int64_t longest_gap(const GArray *us, int64_t from_us, int64_t to_us)
 {
 	int64_t longest = 0;
@@ -50,7 +50,7 @@
 		int64_t b = g_array_index(us, int64_t, i);
 
 		if (b > from_us && a < to_us)
-			longest = MAX(longest, b - a);
+			longest = MAX(longest, MIN(b, to_us) - a);
 	}
 	if (us->len && g_array_index(us, int64_t, us->len - 1) < to_us)
 		longest = MAX(longest,
