--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -157,4 +157,83 @@
 	expect_sound(m);
 }
 
+/* The only endpoint with the latest log goes silent before it answers. */
+TEST(Core, PromotionWaitsForAMajority)
+{
+	Model m({});
+
+	m.run(3 * S);
+	m.set_lag(1, 20 * S);
+	m.load(1 * S);
+	m.watch(
+		[](const Moment &at) {
+			return at.kind == MOMENT_SENT &&
+			       at.detail == PLAN_RAISE_TERM;
+		},
+		[&](const Moment &at) { m.freeze(2); });
+	m.freeze(0);
+	m.load(4 * S);
+	m.heal_all();
+	m.run(8 * S);
+	expect_sound(m);
+}
+
+/* Logs of a later term are longer than the replaced primary's own. */
+TEST(Core, ReplacedPrimaryConfirmsNothingAfterTheCut)
+{
+	Model m({});
+
+	m.run(3 * S);
+	m.cut_zone(0);
+	for (int i = 0; i < 3; i++)
+		m.write(0, i, true, 8 * S);
+	m.load(3 * S);
+	m.heal_zone(0);
+	m.run(10 * S);
+	expect_sound(m);
+	EXPECT_GE(m.promotions(), 1u);
+}
+
+/* Others have taken its part over when it resumes, unaware. */
+TEST(Core, PausedHolderUsesNothingThatWasTakenOver)
+{
+	ModelOpts opts;
+
+	opts.share_ttl_us = 2 * S;
+	for (int64_t paused_us = 1 * S; paused_us <= 12 * S;
+	     paused_us += 500 * MS) {
+		Model m(opts);
+
+		m.run(8 * S);
+		m.pause(1);
+		m.run(paused_us);
+		for (int i = 0; i < 3; i++)
+			m.flood(i, 40);
+		m.run(1 * MS);
+		m.resume(1);
+		for (int i = 0; i < 20; i++) {
+			m.flood(i % 3, 10);
+			m.run(20 * MS);
+		}
+		m.run(3 * S);
+		expect_sound(m);
+	}
+}
+
+/* The platform's answers overtake each other. */
+TEST(Core, ConfigurationNeverReverts)
+{
+	Model m({});
+
+	m.run(8 * S);
+	m.platform_slow(900 * MS);
+	for (int i = 0; i < 6; i++) {
+		m.change_marker();
+		m.run(150 * MS);
+	}
+	m.run(4 * S);
+	expect_sound(m);
+	EXPECT_EQ(6, m.marker());
+}
+
 } // namespace
--- a/tests/fault_matrix.cc
+++ b/tests/fault_matrix.cc
@@ -21,6 +21,7 @@
 constexpr int64_t LONG_DEADLINE_US = 8 * S;
 /* Past the time in which a connection is taken for silent. */
 constexpr int64_t STALL_US = 1300 * MS;
+constexpr int64_t RESET_AFTER_US = 100 * MS;
 constexpr int FLOOD = 40;
 constexpr int64_t GAP_US = 100 * MS;
 
@@ -135,6 +136,15 @@
 		  for (int i = 0; i < 3; i++)
 			  m.stall(i, STALL_US);
 	  } },
+	{ "connections reset with bytes under way",
+	  [](Model &m, const Place &p) {
+		  for (int i = 0; i < 3; i++)
+			  m.stall(i, STALL_US);
+		  m.later(RESET_AFTER_US, [&m] {
+			  for (int i = 0; i < 3; i++)
+				  m.reset(i);
+		  });
+	  } },
 	{ "platform out of one zone's reach",
 	  [](Model &m, const Place &p) { m.cut_platform(p.node); } },
 	{ "availability zone cut off",
--- a/tests/limit_property_test.cc
+++ b/tests/limit_property_test.cc
@@ -198,4 +198,22 @@
 	}
 }
 
+TEST(LimitFleet, DoubledMessagesBringNoTokens)
+{
+	Faults faults;
+
+	faults.message_double = 100;
+	for (const Calm &c : calm_cases) {
+		Fleet f(c.nodes, 7, faults);
+
+		SCOPED_TRACE(c.name);
+		f.put_workspace("w", c.rate, c.burst);
+		f.run(20 * US_PER_S, [&](int i) {
+			while ((c.hot >> i) & 1 && f.admit(i, "w", COST)) {
+			}
+		});
+		EXPECT_TRUE(within_limit(f.admitted["w"], c.rate, c.burst));
+	}
+}
+
 } // namespace
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -1278,6 +1278,21 @@
 	}
 }
 
+void Model::reset(int i)
+{
+	for (size_t k = 0; k < nodes_.size(); k++) {
+		std::vector<uint32_t> ids;
+
+		for (auto &[id, c] : nodes_[k].conns) {
+			if (c->endpoint == i && c->open)
+				ids.push_back(id);
+		}
+		for (uint32_t id : ids)
+			to_node((int)k, nodes_[k].incarnation,
+				[=] { lost((int)k, id); });
+	}
+}
+
 void Model::heal_endpoint(int i)
 {
 	endpoints_[i].frozen = false;
--- a/tests/model.h
+++ b/tests/model.h
@@ -145,6 +145,7 @@
 	void silence(int endpoint); /* connections that are open now */
 	void heal_endpoint(int endpoint);
 	void stall(int endpoint, int64_t us); /* the same connections */
+	void reset(int endpoint); /* the same; sent bytes still arrive */
 	/* Instances of one zone no longer reach the endpoint of another. */
 	void cut_link(int from_zone, int to_zone)
 	{
