--- a/tests/fault_matrix_test.cc
+++ b/tests/fault_matrix_test.cc
@@ -17,12 +17,25 @@
 {
 };
 
-void run_seeds(const PathRow &p, const StepRow &s, const FaultRow &first,
-	       const FaultRow *second, int64_t gap_us)
+struct Counts {
+	int passed = 0;
+	int red = 0;
+	int absent = 0;
+};
+
+void print_counts(const char *what, const PathRow &p, const Counts &n)
+{
+	printf("%s, %s: %d passed, %d red, %d not applicable\n", p.name, what,
+	       n.passed, n.red, n.absent);
+}
+
+void run_seeds(Counts &n, const PathRow &p, const StepRow &s,
+	       const FaultRow &first, const FaultRow *second, int64_t gap_us)
 {
 	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
 		std::string seen = run_cell(p, s, first, second, gap_us, seed);
 
+		(seen.empty() ? n.passed : n.red)++;
 		EXPECT_EQ("", seen)
 			<< p.name << ", " << s.name << ", " << first.name
 			<< (second ? " and " : "")
@@ -33,24 +46,30 @@
 TEST_P(FaultMatrix, EveryFaultAtEveryStep)
 {
 	const PathRow &p = path_rows[GetParam()];
+	Counts n;
 
 	for (const FaultRow &f : fault_rows) {
-		if (reason_against(f, p))
+		if (reason_against(f, p)) {
+			n.absent += (int)p.steps.size();
 			continue;
+		}
 		for (const StepRow &s : p.steps)
-			run_seeds(p, s, f, nullptr, 0);
+			run_seeds(n, p, s, f, nullptr, 0);
 	}
+	print_counts("single faults", p, n);
 }
 
 TEST_P(FaultMatrix, PairsOfFaults)
 {
 	const PathRow &p = path_rows[GetParam()];
+	Counts n;
 
 	for (const PairRow &r : pair_rows) {
 		for (const StepRow &s : p.steps)
-			run_seeds(p, s, find_fault(r.first),
+			run_seeds(n, p, s, find_fault(r.first),
 				  &find_fault(r.second), r.gap_us);
 	}
+	print_counts("pairs", p, n);
 }
 
 std::string name_of(const testing::TestParamInfo<size_t> &info)
