--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -14,12 +14,18 @@
 	BUSY_RETRY_US = 20 * 1000,
 	/* In which a part of the limit can be borrowed. */
 	LOAN_RETRY_US = 100 * 1000,
+	/* A request waits so long for tokens of other instances. */
+	HOLD_US = 100 * 1000,
+	/* Then the next instance is asked. */
+	HOLD_ASK_US = 5 * 1000,
+	HELD_MAX = 64,
 };
 
 /* A refusal, or what the request is admitted under. */
 struct admission {
 	int32_t error; /* ERR_NONE: admitted */
 	int64_t retry_after_us;
+	bool hold; /* refused, but other instances may have tokens */
 	const struct profile_record *profile;
 	uint32_t workspace;
 	uint32_t group;
@@ -131,9 +137,11 @@
 		return true;
 	rc = limit_admit(w->limits, name, a->profile->cost_milli, now_us,
 			 &retry_us);
-	if (rc)
-		return refused(a, rc, retry_us ? retry_us : LOAN_RETRY_US);
-	return true;
+	if (!rc)
+		return true;
+	a->hold = rc == ERR_RATE_LIMITED && w->requests.held.count < HELD_MAX &&
+		  limit_may_wait(w->limits, name, now_us);
+	return refused(a, rc, retry_us ? retry_us : LOAN_RETRY_US);
 }
 
 static bool may_repeat(const struct request_opts *o,
@@ -165,8 +173,7 @@
 	return PLAN_READ;
 }
 
-static void admit(struct world *w, uint32_t row, const struct admission *a,
-		  int64_t now_us)
+static void fill(struct world *w, uint32_t row, const struct admission *a)
 {
 	struct request *r = &w->requests.rows[row];
 
@@ -179,7 +186,64 @@
 	r->may_repeat = may_repeat(&r->opts, a->profile);
 	r->open = a->profile->open;
 	r->plan = plan_of(r);
-	route_request(w, row, now_us);
+}
+
+static const char *workspace_name(const struct world *w,
+				  const struct request *r)
+{
+	return catalog_workspace(&w->catalog, r->workspace)->name;
+}
+
+static void ask_tokens(struct world *w, struct request *r, int64_t now_us)
+{
+	limit_ask_tokens(w->limits, workspace_name(w, r), r->held_milli, now_us,
+			 w->actions);
+	r->resume_us = now_us + HOLD_ASK_US;
+}
+
+static void hold(struct world *w, uint32_t row, int64_t retry_after_us,
+		 int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+
+	r->state = REQUEST_HELD;
+	r->held_milli = r->cost_milli;
+	r->cost_milli = 0; /* nothing to give back */
+	r->retry_after_us = retry_after_us;
+	list_append(&w->requests.held, w->requests.links, row);
+	ask_tokens(w, r, now_us);
+}
+
+static void try_held(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+	const char *name = workspace_name(w, r);
+	int64_t retry_us;
+	int32_t rc = limit_admit_again(w->limits, name, r->held_milli, now_us,
+				       &retry_us);
+
+	if (!rc) {
+		answer_detach(w, row, now_us);
+		r->cost_milli = r->held_milli;
+		route_request(w, row, now_us);
+	} else if (now_us - r->arrived_us >= HOLD_US) {
+		limit_stop_waiting(w->limits, name, now_us);
+		answer_error(w, row, rc, r->retry_after_us, now_us);
+	} else if (now_us >= r->resume_us) {
+		ask_tokens(w, r, now_us);
+	}
+}
+
+void admission_run(struct world *w, int64_t now_us)
+{
+	uint32_t row = w->requests.held.head;
+
+	while (row != NO_INDEX) {
+		uint32_t next = w->requests.links[row].next;
+
+		try_held(w, row, now_us);
+		row = next;
+	}
 }
 
 void admission_request(struct world *w, const struct request_opts *o,
@@ -201,12 +265,16 @@
 		answer_refused(w, o, ERR_OVERLOADED, FULL_RETRY_US);
 		return;
 	}
-	if (!check_limit(w, o, &a, now_us)) {
+	if (!check_limit(w, o, &a, now_us) && !a.hold) {
 		answer_refused(w, o, a.error, a.retry_after_us);
 		return;
 	}
 	row = request_add(&w->requests, o, now_us);
-	admit(w, row, &a, now_us);
+	fill(w, row, &a);
+	if (a.hold)
+		hold(w, row, a.retry_after_us, now_us);
+	else
+		route_request(w, row, now_us);
 }
 
 static void end_transactions(struct world *w, const uint8_t *digest,
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -9,6 +9,12 @@
 void admission_request(struct world *w, const struct request_opts *o,
 		       int64_t now_us);
 
+/*
+ * System: takes the held requests whose tokens arrived, refuses those whose
+ * time is over.
+ */
+void admission_run(struct world *w, int64_t now_us);
+
 /* A key was withdrawn: its requests and transactions end now. */
 void admission_key_withdrawn(struct world *w,
 			     const uint8_t digest[DIGEST_BYTES],
--- a/src/core/answer.c
+++ b/src/core/answer.c
@@ -47,6 +47,9 @@
 	case REQUEST_UNCONFIRMED:
 		list_remove(&world_group(w, r->group)->unconfirmed, links, row);
 		break;
+	case REQUEST_HELD:
+		list_remove(&w->requests.held, links, row);
+		break;
 	case REQUEST_DELAYED:
 		list_remove(&w->requests.delayed, links, row);
 		break;
--- a/src/core/borrow.c
+++ b/src/core/borrow.c
@@ -10,6 +10,9 @@
 /* A peer that did not grant is asked again after so long. */
 static const int64_t ASK_AGAIN_US = 150 * US_PER_MS;
 
+/* The same for tokens, which a peer may have a moment later. */
+static const int64_t ASK_TOKENS_AGAIN_US = 20 * US_PER_MS;
+
 /* The level must last so long at the present demand. */
 static const int64_t LOOKAHEAD_US = 100 * US_PER_MS;
 
@@ -19,10 +22,11 @@
 	int64_t now_us;
 	struct amount want; /* still to be asked for */
 	uint32_t sent;
+	int64_t ask_again_us; /* a peer that did not grant is left so long */
 };
 
 static void send_ask(struct asking *k, const char *peer, struct amount amount,
-		     uint64_t renews)
+		     uint64_t renews, int64_t duration_us)
 {
 	struct peer_message m = { .type = PEER_LOAN_ASK };
 	struct action a = { .type = ACTION_PEER_SEND, .peer = &m };
@@ -35,7 +39,7 @@
 	g_strlcpy(ask->workspace, k->row->record.name, sizeof(ask->workspace));
 	ask->rate_milli_per_s = amount.rate_milli_per_s;
 	ask->burst_milli = amount.burst_milli;
-	ask->duration_us = LOAN_DURATION_US;
+	ask->duration_us = duration_us;
 	loan_note_ask(k->row->loans, peer, ask, k->now_us);
 	action_queue_push(k->env->out, &a);
 	k->sent++;
@@ -82,11 +86,15 @@
 		l = loan_borrowed_at(k->row->loans, i);
 		if (!l)
 			break;
+		if (loan_is_for_tokens(l->amount.rate_milli_per_s,
+				       l->duration_us))
+			continue;
 		if (l->expires_us - k->now_us < RENEW_BEFORE_US &&
 		    !loan_is_asked(k->row->loans, l->peer,
 				   k->now_us - ASK_AGAIN_US) &&
 		    is_needed(k, l, have))
-			send_ask(k, l->peer, l->amount, l->first_id);
+			send_ask(k, l->peer, l->amount, l->first_id,
+				 LOAN_DURATION_US);
 	}
 }
 
@@ -97,7 +105,7 @@
 	return h->ppm && m && m->alive && m->incarnation == h->incarnation &&
 	       !m->report.draining &&
 	       !loan_is_asked(k->row->loans, h->instance,
-			      k->now_us - ASK_AGAIN_US);
+			      k->now_us - k->ask_again_us);
 }
 
 /* Asks one holder for as much of the rest as its own part can give. */
@@ -113,7 +121,7 @@
 	k->want = amount_minus(k->want, amount);
 	if (l)
 		amount = amount_add(amount, l->amount);
-	send_ask(k, h->instance, amount, l ? l->first_id : 0);
+	send_ask(k, h->instance, amount, l ? l->first_id : 0, LOAN_DURATION_US);
 }
 
 /* Those that lend already and had all that was asked for come first. */
@@ -150,7 +158,10 @@
 void borrow_run(struct limit_row *w, const struct borrow_env *env,
 		int64_t now_us)
 {
-	struct asking k = { .row = w, .env = env, .now_us = now_us };
+	struct asking k = { .row = w,
+			    .env = env,
+			    .now_us = now_us,
+			    .ask_again_us = ASK_AGAIN_US };
 
 	if (w->deleted || !w->cost_max_milli)
 		return;
@@ -159,6 +170,31 @@
 		return;
 	w->short_of_tokens = false;
 	k.want = wanted(w, available(&k));
+	/* Tokens alone are asked for by the requests that wait for them. */
+	if (!k.want.rate_milli_per_s)
+		return;
 	ask_holders(&k, true);
 	ask_holders(&k, false);
 }
+
+void borrow_tokens(struct limit_row *w, const struct borrow_env *env,
+		   uint32_t missing_milli, int64_t now_us)
+{
+	struct asking k = { .row = w,
+			    .env = env,
+			    .now_us = now_us,
+			    .ask_again_us = ASK_TOKENS_AGAIN_US };
+	const struct share_record *r = share_record_of(env->share, w->cell);
+	uint32_t start = r->holder_count ? g_rand_int(env->rand) : 0;
+	struct amount amount = { .burst_milli = missing_milli };
+
+	for (uint32_t i = 0; i < r->holder_count; i++) {
+		const struct share_holder *h =
+			&r->holders[(start + i) % r->holder_count];
+
+		if (k.sent == BORROW_TOKEN_ASKS_MAX)
+			return;
+		if (strcmp(h->instance, env->instance) != 0 && may_lend(&k, h))
+			send_ask(&k, h->instance, amount, 0, LOAN_TOKENS_US);
+	}
+}
--- a/src/core/borrow.h
+++ b/src/core/borrow.h
@@ -23,8 +23,15 @@
  * Asks for renewals that are due, and for more when the level does not
  * last for the expected demand. At most BORROW_ASKS_MAX asks are sent.
  */
-enum { BORROW_ASKS_MAX = 8 };
+enum { BORROW_ASKS_MAX = 8, BORROW_TOKEN_ASKS_MAX = 1 };
 void borrow_run(struct limit_row *w, const struct borrow_env *env,
 		int64_t now_us);
 
+/*
+ * Asks up to BORROW_TOKEN_ASKS_MAX holders for tokens that a waiting
+ * request lacks, without any rate and for 100 ms only.
+ */
+void borrow_tokens(struct limit_row *w, const struct borrow_env *env,
+		   uint32_t missing_milli, int64_t now_us);
+
 #endif
--- a/src/core/limit.c
+++ b/src/core/limit.c
@@ -9,6 +9,9 @@
 
 static const int64_t RUN_INTERVAL_US = 20 * US_PER_MS;
 
+/* After tokens did not come, requests are refused at once so long. */
+static const int64_t NO_WAIT_US = 50 * US_PER_MS;
+
 struct limits {
 	char name[NAME_BYTES];
 	uint64_t incarnation;
@@ -179,7 +182,10 @@
 	action_queue_push(out, &a);
 }
 
-/* Takes the lent capacity's part of the tokens out of the bucket. */
+/*
+ * Takes tokens for the lent capacity out of the bucket: its part of them,
+ * or all of them for a loan of tokens.
+ */
 static void debit(struct limits *l, struct limit_row *w, struct loan *loan,
 		  uint32_t capacity_before, int64_t now_us)
 {
@@ -192,6 +198,10 @@
 			(uint32_t)((uint64_t)b->level_milli *
 				   (capacity_before - left.burst_milli) /
 				   capacity_before);
+	if (loan_is_for_tokens(loan->amount.rate_milli_per_s,
+			       loan->duration_us))
+		loan->tokens_milli =
+			MIN(loan->amount.burst_milli, b->level_milli);
 	b->level_milli -= loan->tokens_milli;
 	limit_row_refresh(w, l->share, now_us);
 }
@@ -209,6 +219,11 @@
 		return;
 	limit_row_refresh(w, l->share, now_us);
 	may_lend = limit_row_spare(w, l->share, now_us, &spare);
+	if (loan_is_for_tokens(m->loan_ask.rate_milli_per_s,
+			       m->loan_ask.duration_us)) {
+		limit_row_spare_tokens(w, l->share, now_us, &spare);
+		may_lend = spare.burst_milli > 0;
+	}
 	capacity = w->bucket.capacity_milli;
 	switch (loan_lend(w->loans, m, may_lend ? &spare : NULL,
 			  share_valid_until_us(l->share), now_us, &loan)) {
@@ -271,16 +286,22 @@
 	}
 }
 
+static struct borrow_env borrow_env_of(struct limits *l,
+				       struct action_queue *out)
+{
+	return (struct borrow_env){ .share = l->share,
+				    .members = l->members,
+				    .instance = l->name,
+				    .incarnation = l->incarnation,
+				    .last_loan_id = &l->last_loan_id,
+				    .rand = l->rand,
+				    .out = out };
+}
+
 static void run_row(struct limits *l, struct limit_row *w, int64_t now_us,
 		    struct action_queue *out)
 {
-	struct borrow_env env = { .share = l->share,
-				  .members = l->members,
-				  .instance = l->name,
-				  .incarnation = l->incarnation,
-				  .last_loan_id = &l->last_loan_id,
-				  .rand = l->rand,
-				  .out = out };
+	struct borrow_env env = borrow_env_of(l, out);
 
 	limit_row_refresh(w, l->share, now_us);
 	limit_row_measure(w, now_us);
@@ -335,6 +356,19 @@
 	limit_row_refresh(w, l->share, now_us);
 	w->arrived_milli += cost_milli;
 	w->cost_max_milli = MAX(w->cost_max_milli, cost_milli);
+	return limit_admit_again(l, workspace, cost_milli, now_us, retry_after);
+}
+
+int32_t limit_admit_again(struct limits *l, const char *workspace,
+			  uint32_t cost_milli, int64_t now_us,
+			  int64_t *retry_after)
+{
+	struct limit_row *w = find(l, workspace);
+
+	*retry_after = 0;
+	if (!w || w->deleted)
+		return ERR_NO_CONFIG;
+	limit_row_refresh(w, l->share, now_us);
 	if (!bucket_take(&w->bucket, cost_milli))
 		return ERR_NONE;
 	w->short_of_tokens = true;
@@ -346,6 +380,38 @@
 	return ERR_RATE_LIMITED;
 }
 
+/* A workspace that sends more here than its whole rate gets no help. */
+bool limit_may_wait(struct limits *l, const char *workspace, int64_t now_us)
+{
+	const struct limit_row *w = find(l, workspace);
+
+	return w && !l->draining && now_us >= w->no_wait_until_us &&
+	       w->demand_milli_per_s <= w->record.rate_milli_per_s;
+}
+
+void limit_ask_tokens(struct limits *l, const char *workspace,
+		      uint32_t cost_milli, int64_t now_us,
+		      struct action_queue *out)
+{
+	struct limit_row *w = find(l, workspace);
+	struct borrow_env env = borrow_env_of(l, out);
+
+	if (!w)
+		return;
+	limit_row_refresh(w, l->share, now_us);
+	if (w->bucket.level_milli < cost_milli)
+		borrow_tokens(w, &env, cost_milli - w->bucket.level_milli,
+			      now_us);
+}
+
+void limit_stop_waiting(struct limits *l, const char *workspace, int64_t now_us)
+{
+	struct limit_row *w = find(l, workspace);
+
+	if (w)
+		w->no_wait_until_us = now_us + NO_WAIT_US;
+}
+
 void limit_commit(struct limits *l, const char *workspace, uint32_t cost_milli,
 		  int64_t now_us)
 {
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -89,6 +89,24 @@
 		    uint32_t cost_milli, int64_t now_us,
 		    int64_t *retry_after_us);
 
+/*
+ * A request that was refused with ERR_RATE_LIMITED may be held back for a
+ * moment, while other instances are asked for the tokens that it lacks.
+ */
+bool limit_may_wait(struct limits *l, const char *workspace, int64_t now_us);
+void limit_ask_tokens(struct limits *l, const char *workspace,
+		      uint32_t cost_milli, int64_t now_us,
+		      struct action_queue *out);
+
+/* limit_admit() for a request that was counted before. */
+int32_t limit_admit_again(struct limits *l, const char *workspace,
+			  uint32_t cost_milli, int64_t now_us,
+			  int64_t *retry_after_us);
+
+/* A held request got no tokens: for a while none is held. */
+void limit_stop_waiting(struct limits *l, const char *workspace,
+			int64_t now_us);
+
 /* Each admitted request ends with one of the two. */
 void limit_commit(struct limits *l, const char *workspace, uint32_t cost_milli,
 		  int64_t now_us);
--- a/src/core/limit_row.c
+++ b/src/core/limit_row.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 
 static const int64_t DEMAND_INTERVAL_US = 100 * US_PER_MS;
+static const int64_t DEMAND_SPARSE_US = US_PER_S;
+enum { DEMAND_REQUESTS = 4 }; /* in an interval, to tell a rate */
 
 /* A lender keeps this part of its own, and this much for one request. */
 enum { KEPT_PPM = SHARE_WHOLE_PPM / 16, KEPT_BURST_MILLI = 1000 };
@@ -113,6 +115,15 @@
 	return amount_covers(whole, used);
 }
 
+void limit_row_spare_tokens(const struct limit_row *w, const struct share *s,
+			    int64_t now_us, struct amount *out)
+{
+	struct amount own = limit_row_own(w, s, now_us);
+
+	out->rate_milli_per_s = 0;
+	out->burst_milli = MIN(own.burst_milli, w->bucket.level_milli);
+}
+
 static uint32_t ppm_for(uint32_t amount, uint32_t whole)
 {
 	uint64_t ppm = ((uint64_t)amount * SHARE_WHOLE_PPM + whole - 1) / whole;
@@ -145,6 +156,10 @@
 
 	if (elapsed < DEMAND_INTERVAL_US)
 		return;
+	/* A few arrivals of a small workspace tell no rate yet. */
+	if (elapsed < DEMAND_SPARSE_US &&
+	    w->arrived_milli < (uint64_t)DEMAND_REQUESTS * w->cost_max_milli)
+		return;
 	recent = w->arrived_milli * (uint64_t)US_PER_S / (uint64_t)elapsed;
 	/* Rises at once to half, falls slowly: a lender must not be caught. */
 	if (recent > w->demand_milli_per_s)
--- a/src/core/limit_row.h
+++ b/src/core/limit_row.h
@@ -24,6 +24,7 @@
 	uint32_t demand_milli_per_s;
 	uint32_t cost_max_milli; /* of one request so far */
 	bool short_of_tokens; /* a request was refused since the last run */
+	int64_t no_wait_until_us; /* no request waits for others' tokens */
 };
 
 /* Freed by its owner with limit_row_free(). */
@@ -46,6 +47,13 @@
 bool limit_row_spare(const struct limit_row *w, const struct share *s,
 		     int64_t now_us, struct amount *out);
 
+/*
+ * Sets *out to the tokens that may be given away for a moment, with the
+ * capacity that they fill.
+ */
+void limit_row_spare_tokens(const struct limit_row *w, const struct share *s,
+			    int64_t now_us, struct amount *out);
+
 /* Returns the least part of the cell that covers what is lent. */
 uint32_t limit_row_reserved_ppm(const struct limit_row *w, int64_t now_us);
 
--- a/src/core/loan.c
+++ b/src/core/loan.c
@@ -23,6 +23,11 @@
 	GArray *asks; /* of struct ask, not answered yet */
 };
 
+bool loan_is_for_tokens(uint32_t rate_milli_per_s, int64_t duration_us)
+{
+	return !rate_milli_per_s && duration_us <= LOAN_TOKENS_US;
+}
+
 struct loan_book *loan_book_new(void)
 {
 	struct loan_book *b = g_new0(struct loan_book, 1);
--- a/src/core/loan.h
+++ b/src/core/loan.h
@@ -32,6 +32,13 @@
 	int64_t expires_us;
 };
 
+/*
+ * A loan of at most this duration and no rate moves tokens for one waiting
+ * request; the lender gives all that it has.
+ */
+#define LOAN_TOKENS_US (100 * US_PER_MS)
+bool loan_is_for_tokens(uint32_t rate_milli_per_s, int64_t duration_us);
+
 struct loan_book;
 
 /* Freed by its owner with loan_book_free(). */
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -17,6 +17,7 @@
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, NULL);
 	list_init(&t->free_rows);
 	list_init(&t->delayed);
+	list_init(&t->held);
 	for (uint32_t i = 0; i < room; i++)
 		list_append(&t->free_rows, t->links, i);
 }
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -16,6 +16,7 @@
 enum request_state {
 	REQUEST_FREE,
 	REQUEST_NEW, /* being routed */
+	REQUEST_HELD, /* waits a moment for tokens of its workspace */
 	REQUEST_QUEUED, /* waits for a connection of .endpoint */
 	REQUEST_WAITING, /* waits for its group to have a primary */
 	REQUEST_RUNNING, /* an exchange is under way */
@@ -29,6 +30,8 @@
 	uint32_t workspace; /* row of the catalog */
 	uint32_t weight; /* of that workspace when queued */
 	uint32_t cost_milli; /* tokens that were taken */
+	uint32_t held_milli; /* held: tokens that it needs */
+	int64_t retry_after_us; /* held: hint if they do not come */
 	uint32_t group;
 	uint32_t transaction; /* row, or NO_INDEX */
 	int64_t max_age_us; /* of the profile at admission */
@@ -78,6 +81,7 @@
 	uint32_t used;
 	struct list free_rows; /* last freed first */
 	struct list delayed;
+	struct list held;
 	GHashTable *by_caller; /* caller id to row + 1 */
 	int64_t due_us; /* no deadline or delay ends before */
 };
--- a/src/core/world.c
+++ b/src/core/world.c
@@ -154,8 +154,10 @@
 {
 	if (member_handle(w->members, m, now_us, w->actions))
 		return;
-	if (limits_handle_peer(w->limits, m, now_us, w->actions))
+	if (limits_handle_peer(w->limits, m, now_us, w->actions)) {
+		admission_run(w, now_us);
 		return;
+	}
 	promotion_peer(w, m, now_us);
 }
 
@@ -261,8 +263,8 @@
 
 /* The order in which systems see the tables. */
 static const system_fn systems[] = {
-	members_run, limits_system_run, probe_run, promotion_run,
-	expiry_run,  dispatch_run,	drain_run,
+	members_run,   limits_system_run, admission_run, probe_run,
+	promotion_run, expiry_run,	  dispatch_run,	 drain_run,
 };
 
 void world_tick(struct world *w, int64_t now_us)
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -176,6 +176,8 @@
 	put(workspace_record_of("school", SCHOOL_RATE_PER_S, SCHOOL_BURST));
 	put(key_record_of(KEY_MILL, "mill"));
 	put(key_record_of(KEY_SCHOOL, "school"));
+	put(workspace_record_of("kiosk", KIOSK_RATE_PER_S, KIOSK_BURST));
+	put(key_record_of(KEY_KIOSK, "kiosk"));
 	for (int i = 0; i < MARKERS; i++)
 		put(workspace_record_of(("marker" + std::to_string(i)).c_str(),
 					1, 1));
@@ -1279,6 +1281,21 @@
 	}
 }
 
+void Model::reset(int i)
+{
+	for (size_t k = 0; k < nodes_.size(); k++) {
+		std::vector<uint32_t> ids;
+
+		for (auto &[id, c] : nodes_[k].conns) {
+			if (c->endpoint == i && c->open)
+				ids.push_back(id);
+		}
+		for (uint32_t id : ids)
+			to_node((int)k, nodes_[k].incarnation,
+				[=] { lost((int)k, id); });
+	}
+}
+
 void Model::heal_endpoint(int i)
 {
 	endpoints_[i].frozen = false;
@@ -1450,6 +1467,7 @@
 	oracle.check_answers(50 * US_PER_MS);
 	oracle.check_rate(KEY_MILL, MILL_RATE_PER_S, MILL_BURST);
 	oracle.check_rate(KEY_SCHOOL, SCHOOL_RATE_PER_S, SCHOOL_BURST);
+	oracle.check_rate(KEY_KIOSK, KIOSK_RATE_PER_S, KIOSK_BURST);
 	for (size_t i = 0; i < nodes_.size(); i++) {
 		if (marker_of((int)i) != marker_)
 			oracle.violate("a change is not in force");
--- a/tests/model.h
+++ b/tests/model.h
@@ -102,6 +102,10 @@
 	int64_t share_ttl_us = 60 * US_PER_S;
 };
 
+/* Limits of the smallest workspace. */
+constexpr int KIOSK_RATE_PER_S = 10;
+constexpr int KIOSK_BURST = 10;
+
 class Model
 {
       public:
@@ -145,6 +149,7 @@
 	void silence(int endpoint); /* connections that are open now */
 	void heal_endpoint(int endpoint);
 	void stall(int endpoint, int64_t us); /* the same connections */
+	void reset(int endpoint); /* the same; sent bytes still arrive */
 	/* Instances of one zone no longer reach the endpoint of another. */
 	void cut_link(int from_zone, int to_zone)
 	{
--- a/tests/oracle.cc
+++ b/tests/oracle.cc
@@ -47,7 +47,7 @@
 	if (key_withdrawn)
 		violate("call " + std::to_string(c.caller_id) +
 			" was sent with a withdrawn key");
-	if (c.key != KEY_MILL && c.key != KEY_SCHOOL)
+	if (c.key != KEY_MILL && c.key != KEY_SCHOOL && c.key != KEY_KIOSK)
 		violate("call " + std::to_string(c.caller_id) +
 			" was sent without a valid key");
 	if (c.times_executed++ == 0 && c.kind != REQUEST_COMMIT)
--- a/tests/oracle.h
+++ b/tests/oracle.h
@@ -21,6 +21,7 @@
 enum {
 	KEY_MILL = 7,
 	KEY_SCHOOL = 9, /* of a workspace with a small rate */
+	KEY_KIOSK = 13, /* of one with less than two tokens an instance */
 	KEY_UNKNOWN = 11,
 };
 
