--- a/tests/process.cc
+++ b/tests/process.cc
@@ -68,6 +68,21 @@
 	pid_ = -1;
 }
 
+void Process::signal(int number)
+{
+	if (pid_ > 0)
+		kill(pid_, number);
+}
+
+int Process::wait_exit()
+{
+	int status = 0;
+
+	waitpid(pid_, &status, 0);
+	pid_ = -1;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 std::string Process::field(const std::string &name) const
 {
 	std::string key = " " + name + "=";
--- a/tests/process.h
+++ b/tests/process.h
@@ -23,6 +23,10 @@
 
 	/* Kills the child and waits for its end. */
 	void stop();
+	/* Sends a signal. */
+	void signal(int number);
+	/* Waits for the child's end; returns its exit code, -1: a signal. */
+	int wait_exit();
 	/* Value of a field of the ready line, or "". */
 	std::string field(const std::string &name) const;
 	/* "127.0.0.1:" and the port in that field. */
