Tests that crash leave no process behind

Cause: a test run that crashed left its stand-ins and instances running, 23 processes in one case. Change: children of tests get SIGKILL when their parent dies.

--- a/tests/platform_process.h
+++ b/tests/platform_process.h
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -90,6 +91,8 @@
 		for (const std::string &a : extra)
 			args.push_back(const_cast<char *>(a.c_str()));
 		args.push_back(nullptr);
+		/* A test that crashes leaves no process behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(out[1], STDOUT_FILENO);
 		close(out[0]);
 		close(out[1]);
--- a/tests/process.cc
+++ b/tests/process.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -44,6 +45,8 @@
 		abort();
 	pid_ = fork();
 	if (pid_ == 0) {
+		/* A test that crashes leaves no process behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fds[1], STDOUT_FILENO);
 		execv(path.c_str(), argv.data());
 		_exit(127);
