--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -73,6 +73,25 @@
 	exchange_open_conn(w, endpoint, CONN_FOR_WORK, now_us);
 }
 
+/*
+ * A request that waited, in an instance that was paused meanwhile, may have
+ * passed its deadline or the time for which its key is known to be in force.
+ */
+static bool still_valid(struct world *w, uint32_t row, int64_t now_us)
+{
+	const struct request *r = &w->requests.rows[row];
+	int64_t retry_us = 0;
+	int32_t error = ERR_NONE;
+
+	if (now_us >= r->opts.deadline_us)
+		error = ERR_DEADLINE;
+	else if (!r->open)
+		error = key_guard_check(w->keys, now_us, &retry_us);
+	if (error)
+		answer_error(w, row, error, retry_us, now_us);
+	return error == ERR_NONE;
+}
+
 static void start_next(struct world *w, uint32_t endpoint, int64_t now_us)
 {
 	struct endpoint *e = world_endpoint(w, endpoint);
@@ -81,6 +100,8 @@
 	uint32_t conn;
 
 	r->state = REQUEST_NEW;
+	if (!still_valid(w, row, now_us))
+		return;
 	if (r->plan == PLAN_BEGIN && !may_pin(e)) {
 		answer_error(w, row, ERR_OVERLOADED, PINNED_RETRY_US, now_us);
 		return;
@@ -128,6 +149,29 @@
 	exchange_conn_silent(w, conn, now_us);
 }
 
+static bool may_give_up(const struct world *w, const struct conn *c)
+{
+	const struct request *r;
+
+	if (c->state == CONN_FREE || c->state == CONN_PINNED)
+		return false;
+	if (c->request == NO_INDEX)
+		return true;
+	r = &w->requests.rows[c->request];
+	return r->may_repeat && r->transaction == NO_INDEX;
+}
+
+void dispatch_give_up(struct world *w, uint32_t endpoint, int64_t now_us)
+{
+	for (uint32_t i = 0; i < w->conns.high; i++) {
+		const struct conn *c = &w->conns.rows[i];
+
+		if (c->endpoint == endpoint && c->purpose == CONN_FOR_WORK &&
+		    may_give_up(w, c))
+			exchange_conn_silent(w, i, now_us);
+	}
+}
+
 static void check_conn(struct world *w, uint32_t conn, int64_t now_us)
 {
 	struct conn *c = &w->conns.rows[conn];
--- a/src/core/probe.c
+++ b/src/core/probe.c
@@ -1,5 +1,6 @@
 #include "core/probe.h"
 
+#include "core/dispatch.h"
 #include "core/exchange.h"
 #include "core/observe.h"
 #include "core/promotion.h"
@@ -11,8 +12,8 @@
 	HURRY_INTERVAL_US = 2 * 1000,
 	/* Between attempts to connect. */
 	RECONNECT_US = 50 * 1000,
-	/* A probe is late after so many intervals. */
-	LATE_INTERVALS = 3,
+	/* An endpoint is down after an old and a fresh connection failed. */
+	ATTEMPTS = 2,
 };
 
 static bool in_hurry(const struct world *w, const struct endpoint *e)
@@ -65,6 +66,7 @@
 			 now_us - e->silent_since_us, "no answer");
 	observe_primary(w, e->group, now_us);
 	route_away(w, row, now_us);
+	dispatch_give_up(w, row, now_us);
 }
 
 void probe_failed(struct world *w, uint32_t row, int64_t asked_us,
@@ -74,6 +76,10 @@
 
 	e->probe_due_us = now_us + RECONNECT_US;
 	if (!e->silent_since_us) {
+		if (world_group(w, e->group)->primary == row)
+			action_queue_log(w->actions, LOG_PRIMARY_SUSPECTED, 0,
+					 e->record.name, now_us - asked_us,
+					 "a probe failed");
 		/* The first failure may be the connection's alone. */
 		e->silent_since_us = asked_us;
 		e->probe_due_us = now_us;
@@ -95,7 +101,7 @@
 	struct endpoint *e = world_endpoint(w, row);
 	const struct conn *c = &w->conns.rows[e->probe_conn];
 
-	if (now_us - c->since_us < LATE_INTERVALS * w->opts.probe_interval_us)
+	if (now_us - c->since_us < w->opts.suspect_us / ATTEMPTS)
 		return;
 	exchange_conn_silent(w, e->probe_conn, now_us);
 }
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -7,6 +7,8 @@
 
 constexpr int64_t MS = US_PER_MS;
 constexpr int64_t S = US_PER_S;
+/* A new fleet uses its parts of the limits only after this time. */
+constexpr int64_t START_US = 8 * S;
 
 void expect_sound(Model &m)
 {
@@ -15,39 +17,45 @@
 		ADD_FAILURE() << v;
 }
 
-/* One request of each kind every few milliseconds, over all nodes. */
-void load(Model &m, int64_t duration_us, int nodes)
-{
-	static const int64_t ages[] = { 0, 100 * MS, 1 * S, 5 * S };
-	int64_t end = m.now() + duration_us;
-	int i = 0;
-
-	while (m.now() < end) {
-		int node = i % nodes;
-
-		m.write(node, i % 5, i % 3 != 0, 2 * S);
-		m.read((node + 1) % nodes, i % 5, ages[i % 4], 2 * S);
-		if (i % 4 == 0)
-			m.transaction(node, i % 5, i % 8 == 0, 2 * S);
-		m.run(20 * MS);
-		i++;
-	}
-}
-
 TEST(Core, ServesInCalm)
 {
 	Model m({});
 
-	m.run(3 * S);
-	load(m, 5 * S, 3);
+	m.run(START_US);
+	m.load(5 * S);
 	m.run(3 * S);
 	expect_sound(m);
 	EXPECT_EQ(0u, m.promotions());
 	EXPECT_EQ(0, m.oracle.may_have_run);
-	EXPECT_EQ(0, m.oracle.not_run);
+	for (const Call &c : m.oracle.calls) {
+		if (c.key == KEY_MILL) {
+			EXPECT_EQ(VERDICT_RAN, c.reply.verdict);
+		}
+	}
 	EXPECT_GT(m.oracle.replica_reads, 0);
 }
 
+/* Node 1 learns positions only by its probes, which are rarer than this. */
+TEST(Core, ReadsOwnWritesFromReplicasAfterTheLag)
+{
+	enum { ROUNDS = 200 };
+	Model m({});
+	int before;
+
+	m.run(START_US);
+	before = m.oracle.replica_reads;
+	for (int i = 0; i < ROUNDS; i++) {
+		m.write(0, 0, true, 2 * S);
+		m.run(40 * MS);
+		m.read(1, 0, 1 * S, 2 * S);
+		m.run(10 * MS);
+	}
+	m.run(START_US);
+	expect_sound(m);
+	EXPECT_EQ(0, m.oracle.not_run);
+	EXPECT_GE(m.oracle.replica_reads - before, ROUNDS * 95 / 100);
+}
+
 struct PrimaryFault {
 	const char *name;
 	void (*apply)(Model &m);
@@ -66,10 +74,10 @@
 		SCOPED_TRACE(f.name);
 		Model m({});
 
-		m.run(3 * S);
-		load(m, 1 * S, 3);
+		m.run(START_US);
+		m.load(1 * S);
 		f.apply(m);
-		load(m, 6 * S, 3);
+		m.load(6 * S);
 		EXPECT_NE(0, m.primary());
 		m.heal_all();
 		m.run(8 * S);
@@ -78,4 +86,98 @@
 	}
 }
 
+TEST(Core, KeepsPrimaryThatMostInstancesReach)
+{
+	ModelOpts opts;
+
+	opts.nodes = 5;
+	Model m(opts);
+	m.run(3 * S);
+	m.double_peers(100);
+	m.cut_link(1, 0); /* for two instances of five */
+	m.load(5 * S);
+	EXPECT_EQ(0u, m.promotions());
+	EXPECT_EQ(0, m.primary());
+}
+
+/* Calls from the given one on ran, as far as their key is valid. */
+void expect_ran(const Model &m, size_t first)
+{
+	for (size_t i = first; i < m.oracle.calls.size(); i++) {
+		const Call &c = m.oracle.calls[i];
+
+		if (c.key == KEY_MILL && c.session >= 0) {
+			EXPECT_EQ(VERDICT_RAN, c.reply.verdict)
+				<< "call " << c.caller_id;
+		}
+	}
+}
+
+void silence_all(Model &m)
+{
+	for (int i = 0; i < 3; i++)
+		m.silence(i);
+}
+
+TEST(Core, RetiresSilentConnectionsUnderLoad)
+{
+	Model m({});
+
+	m.run(3 * S);
+	m.load(1 * S);
+	silence_all(m);
+	m.load(3 * S);
+	size_t first = m.oracle.calls.size();
+	m.load(2 * S);
+	m.run(2 * S);
+	expect_ran(m, first);
+	expect_sound(m);
+}
+
+TEST(Core, RetiresSilentConnectionsThatAreIdle)
+{
+	Model m({});
+
+	m.run(3 * S);
+	m.load(1 * S);
+	m.run(2 * S);
+	silence_all(m);
+	m.run(4 * S);
+	size_t first = m.oracle.calls.size();
+	for (int i = 0; i < 3; i++)
+		m.write(i, i, false, 1 * S);
+	m.run(2 * S);
+	expect_ran(m, first);
+	expect_sound(m);
+}
+
+TEST(Core, WithdrawalEndsWaitingRequests)
+{
+	Model m({});
+
+	m.run(7 * S);
+	m.freeze(0);
+	m.freeze(1);
+	m.run(1 * S);
+	m.write(2, 1, true, 8 * S);
+	m.run(100 * MS);
+	EXPECT_TRUE(m.withdraw_key(0));
+	m.run(4500 * MS);
+	m.heal_all();
+	m.run(8 * S);
+	expect_sound(m);
+}
+
+TEST(Core, WithdrawalEndsIdleTransactions)
+{
+	Model m({});
+
+	m.run(7 * S);
+	m.begin(1, 1, 1 * S);
+	m.run(500 * MS);
+	EXPECT_TRUE(m.withdraw_key(0));
+	m.run(5 * S);
+	expect_sound(m);
+}
+
 } // namespace
--- a/tests/model.h
+++ b/tests/model.h
@@ -36,6 +36,8 @@
 	std::string name;
 	int zone;
 	std::vector<ModelEntry> log;
+	/* The log as it was pushed last; none once it changed. */
+	std::shared_ptr<const std::vector<ModelEntry>> pushed;
 	uint64_t current_term = 1;
 	bool primary = false;
 	bool frozen = false; /* answers nothing */
@@ -44,6 +46,7 @@
 	int64_t leaving_revision = 0; /* of the list entry; 0: none */
 	int64_t lag_us = 5000;
 
+	void append(const ModelEntry &e);
 	struct position position() const;
 	struct endpoint_status status() const;
 };
@@ -53,6 +56,7 @@
 	int endpoint;
 	bool open = false;
 	bool silent = false; /* bytes are lost in both directions */
+	int64_t stall_us = 0; /* bytes arrive so much later */
 	uint64_t transaction = 0; /* 0: none */
 	std::vector<int> buffer; /* orders of the open transaction */
 };
@@ -67,9 +71,31 @@
 	int64_t seen_revision = 0; /* of the platform's changes */
 	int64_t lease_until_us = 0; /* at the platform */
 	bool drained = false;
+	int64_t drain_since_us = 0; /* 0: it does not drain */
 	std::vector<std::function<void()>> backlog; /* while paused */
 };
 
+/* Points of the paths through the system at which a fault can strike. */
+enum MomentKind {
+	MOMENT_SENT, /* an exchange was handed to a connection */
+	MOMENT_EXECUTED, /* the endpoint did it; the answer is on its way */
+	MOMENT_RESULT, /* the node has the answer */
+	MOMENT_REPLY, /* a caller was answered */
+	MOMENT_CHANGE_SENT, /* compare-and-swap on its way */
+	MOMENT_CHANGE_DONE, /* it took effect or was refused */
+	MOMENT_PEER, /* a message was sent to a peer */
+	MOMENT_STORED, /* an operator's change */
+	MOMENT_TOLD, /* a node learned a revision */
+	MOMENT_DRAINED,
+};
+
+struct Moment {
+	MomentKind kind;
+	int node;
+	int detail; /* plan, request kind, operation or message type */
+	int endpoint; /* -1: none */
+};
+
 struct ModelOpts {
 	int nodes = 3;
 	uint64_t seed = 1;
@@ -92,11 +118,20 @@
 	/* Callers. `session` is a key of the oracle's sessions. */
 	int write(int node, int session, bool by_id, int64_t deadline_us);
 	int write_again(int node, int order, int64_t deadline_us);
-	int read(int node, int session, int64_t max_age_us,
-		 int64_t deadline_us);
+	int read(int node, int session, int64_t max_age_us, int64_t deadline_us,
+		 int key = KEY_MILL);
+	/* Begins a transaction and leaves it open. */
+	int begin(int node, int session, int64_t deadline_us);
+	/* A statement with another caller's transaction and a given key. */
+	int intrude(int node, int key, uint64_t transaction);
 	/* Begins, writes two orders, commits; each step as it is answered. */
 	int transaction(int node, int session, bool by_id, int64_t deadline_us);
 
+	/* One request of each kind every `gap_us`, over all nodes. */
+	void load(int64_t duration_us, int64_t gap_us = 25 * US_PER_MS);
+	/* Reads of the workspace with the small rate, far above it. */
+	void flood(int node, int requests);
+
 	/* Faults. Zones are numbered; node i and endpoint i are in zone i. */
 	void crash(int node);
 	void start(int node);
@@ -109,6 +144,16 @@
 	void refuse(int endpoint);
 	void silence(int endpoint); /* connections that are open now */
 	void heal_endpoint(int endpoint);
+	void stall(int endpoint, int64_t us); /* the same connections */
+	/* Instances of one zone no longer reach the endpoint of another. */
+	void cut_link(int from_zone, int to_zone)
+	{
+		cut_links_.insert({ from_zone, to_zone });
+	}
+	void cut_platform(int zone)
+	{
+		cut_platforms_.insert(zone);
+	}
 	void set_lag(int endpoint, int64_t us);
 	void set_leaving(int endpoint, bool leaving);
 	void cut_zone(int zone)
@@ -127,10 +172,19 @@
 	{
 		lose_ = n;
 	}
+	/* Calls and polls take up to `us` longer each way. */
+	void platform_slow(int64_t us)
+	{
+		slow_us_ = us;
+	}
 	void drop_peers(int percent)
 	{
 		drop_percent_ = percent;
 	}
+	void double_peers(int percent)
+	{
+		double_percent_ = percent;
+	}
 	void heal_all();
 	void drain(int node);
 
@@ -142,6 +196,27 @@
 		return key_present_;
 	}
 
+	/* Reads the marker, then changes it by compare-and-swap. */
+	void change_marker();
+	int marker_of(int node); /* that is in force; -1: none */
+	int marker() const
+	{
+		return marker_;
+	}
+
+	/* Calls fn once, at the first moment that matches. */
+	void watch(std::function<bool(const Moment &)> match,
+		   std::function<void(const Moment &)> fn)
+	{
+		match_ = std::move(match);
+		on_match_ = std::move(fn);
+	}
+
+	void later(int64_t delay_us, std::function<void()> fn)
+	{
+		at(delay_us, std::move(fn));
+	}
+
 	/* Checks the logs against the answers; call after heal_all(). */
 	void check_final();
 
@@ -171,6 +246,12 @@
 	};
 
 	void at(int64_t delay_us, Fn fn);
+	void moment(const Moment &m);
+	void check_marker(int node);
+	void check_withdrawal();
+	bool key_withdrawn(int key) const;
+	int64_t platform_latency();
+	void deliver(int node, const struct exchange_result &r);
 	void to_node(int node, uint64_t incarnation, Fn fn);
 	void step(int node);
 	void act(int node, const struct action &a);
@@ -185,7 +266,10 @@
 			    struct exchange_result &r);
 	void lost(int node, uint32_t conn_id);
 	bool reaches(int zone_a, int zone_b) const;
+	bool reaches_endpoint(int zone, int endpoint) const;
 	bool reaches_platform(int zone) const;
+	void check_drained(int node);
+	void check_drains();
 	void peer(int node, const struct peer_message &m);
 	void platform(int node, const struct platform_start &p);
 	void apply_cas(const struct platform_start &p,
@@ -197,7 +281,7 @@
 	void erase(const std::string &path);
 	void replicate(int from, int to);
 	void receive(int to, int from, uint64_t term,
-		     const std::vector<ModelEntry> &log);
+		     const std::shared_ptr<const std::vector<ModelEntry>> &log);
 	void reply(const struct reply &r);
 	struct request_opts request(const Call &c) const;
 	void submit(int node, int call);
@@ -211,9 +295,20 @@
 	std::vector<ModelNode> nodes_;
 	std::vector<ModelEndpoint> endpoints_;
 	std::set<int> cut_zones_;
+	std::set<int> cut_platforms_;
+	std::set<std::pair<int, int>> cut_links_;
 	bool outage_ = false;
 	int lose_ = 0;
 	int drop_percent_ = 0;
+	int double_percent_ = 5;
+	int64_t slow_us_ = 0;
+	unsigned loaded_ = 0;
+	uint64_t last_transaction_ = 0;
+	int marker_ = 0; /* accepted last */
+	std::map<std::pair<int, uint64_t>, int> seen_markers_;
+	std::map<std::pair<int, uint64_t>, int64_t> seen_revisions_;
+	std::function<bool(const Moment &)> match_;
+	std::function<void(const Moment &)> on_match_;
 	bool key_present_ = true;
 	int64_t withdrawn_us_ = 0;
 
