Measure how the cost of an instance grows with size

Cause: docs/CAPACITY.md needs slopes that anyone can measure again. Change: bench/slopes runs cores in virtual time (endpoints, requests in progress, workspaces, members, applied records, joining of a share cell), then processes with stand-ins at 4, 8 and 16 instances and 9, 45 and 90 endpoints, and fits lines. The spread is the least and most over three repeats.

--- /dev/null
+++ b/bench/idle_callers.h
@@ -0,0 +1,13 @@
+/* idle_callers.h - many idle connections to one listener. */
+#ifndef BENCH_IDLE_CALLERS_H
+#define BENCH_IDLE_CALLERS_H
+
+#include <stdint.h>
+
+/*
+ * Opens `count` connections to a loopback port, prints "ready" and holds
+ * them until standard input ends. Returns 0 or a negative errno.
+ */
+int idle_callers_hold(uint16_t port, uint32_t count);
+
+#endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -1,4 +1,5 @@
 #include "ports.h"
+#include "slopes.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -11,6 +12,7 @@
 
 static const struct bench_command commands[] = {
 	{ "ports", ports_main },
+	{ "slopes", slopes_main },
 	{ NULL, NULL },
 };
 
@@ -20,6 +22,6 @@
 		if (argc > 1 && !strcmp(argv[1], c->name))
 			return c->run(argc - 1, argv + 1);
 	}
-	fprintf(stderr, "usage: bench-load ports N\n");
+	fprintf(stderr, "usage: bench-load COMMAND ARGUMENT...\n");
 	return 2;
 }
