Rank an instance among the members only when a group has a fault

Cause: bench-load slopes core showed the tick growing with the number of members although the pings do not. promotion_run() computed member_self_rank(), which scans the members, for each group in each tick, also where nothing is wrong. Ruled out: the pings: at most 16 each 500 ms, and the number of peer messages stayed 64 a second from 16 to 6,200 members. Change: the rank is computed after the check for a fault. In a failover each faulty group still scans all members each tick.

--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -303,13 +303,14 @@
 	struct promotion *p = promotion_at(w, group);
 	struct group *g = world_group(w, group);
 	const char *why = g->endpoint_count ? fault_of(w, g) : NULL;
-	int64_t wait =
-		FAULT_SETTLE_US + RANK_DELAY_US * member_self_rank(w->members);
+	int64_t wait;
 
 	if (!why) {
 		p->fault_since_us = 0;
 		return;
 	}
+	/* The rank scans all members: only groups with a fault pay for it. */
+	wait = FAULT_SETTLE_US + RANK_DELAY_US * member_self_rank(w->members);
 	if (!p->fault_since_us)
 		p->fault_since_us = now_us;
 	if (now_us - p->fault_since_us < wait || now_us < p->next_try_us ||
