--- a/bench/main.c
+++ b/bench/main.c
@@ -2,6 +2,7 @@
 #include "idle.h"
 #include "load.h"
 #include "ports.h"
+#include "slopes.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -13,8 +14,9 @@
 };
 
 static const struct bench_command commands[] = {
-	{ "direct", direct_main }, { "idle", idle_main }, { "load", load_main },
-	{ "ports", ports_main },   { NULL, NULL },
+	{ "direct", direct_main }, { "idle", idle_main },
+	{ "load", load_main },	   { "ports", ports_main },
+	{ "slopes", slopes_main }, { NULL, NULL },
 };
 
 int main(int argc, char **argv)
@@ -23,6 +25,6 @@
 		if (argc > 1 && !strcmp(argv[1], c->name))
 			return c->run(argc - 1, argv + 1);
 	}
-	fprintf(stderr, "usage: bench-load direct|idle|load|ports ...\n");
+	fprintf(stderr, "usage: bench-load COMMAND ARGUMENT...\n");
 	return 2;
 }
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -211,6 +211,9 @@
 	r->cost_milli = 0; /* nothing to give back */
 	r->retry_after_us = retry_after_us;
 	list_append(&w->requests.held, w->requests.links, row);
+	action_queue_log(w->actions, LOG_HELD, r->opts.caller_id,
+			 workspace_name(w, r), r->held_milli,
+			 "thousandths of a token");
 	ask_tokens(w, r, now_us);
 }
 
@@ -225,6 +228,9 @@
 	if (!rc) {
 		answer_detach(w, row, now_us);
 		r->cost_milli = r->held_milli;
+		action_queue_log(w->actions, LOG_TOKENS_CAME, r->opts.caller_id,
+				 name, now_us - r->arrived_us,
+				 "after so many us");
 		route_request(w, row, now_us);
 	} else if (now_us - r->arrived_us >= HOLD_US) {
 		limit_stop_waiting(w->limits, name, now_us);
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -20,6 +20,8 @@
 	X(QUEUED, 204, LOG_DEBUG, "request waits for a connection")         \
 	X(TRANSACTION_ENDED, 205, LOG_INFO, "transaction ended")            \
 	X(STALE_RESULT, 206, LOG_INFO, "result was too old and discarded")  \
+	X(HELD, 207, LOG_DEBUG, "request waits for tokens")                 \
+	X(TOKENS_CAME, 208, LOG_DEBUG, "waiting request got its tokens")    \
 	X(CONN_OPENED, 300, LOG_DEBUG, "endpoint connection opened")        \
 	X(CONN_LOST, 301, LOG_INFO, "endpoint connection lost")             \
 	X(CONN_SILENT, 302, LOG_WARNING, "endpoint connection is silent")   \
--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -303,14 +303,16 @@
 	struct promotion *p = promotion_at(w, group);
 	struct group *g = world_group(w, group);
 	const char *why = g->endpoint_count ? fault_of(w, g) : NULL;
-	int64_t wait = RANK_DELAY_US * member_self_rank(w->members);
-	bool down =
-		g->primary != NO_INDEX && world_endpoint(w, g->primary)->down;
+	int64_t wait;
+	bool down;
 
 	if (!why) {
 		p->fault_since_us = 0;
 		return;
 	}
+	/* The rank scans all members: only groups with a fault pay for it. */
+	wait = RANK_DELAY_US * member_self_rank(w->members);
+	down = g->primary != NO_INDEX && world_endpoint(w, g->primary)->down;
 	if (!p->fault_since_us)
 		p->fault_since_us = now_us;
 	/* A primary that is down was watched for suspect_us already. */
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -689,6 +689,9 @@
 		peer(node, *a.peer);
 		break;
 	case ACTION_LOG:
+		/* A held request is taken in when its tokens arrive. */
+		if (a.log.number == LOG_TOKENS_CAME)
+			oracle.find(a.log.caller_id)->handled_us = now_;
 		if (trace)
 			printf("%9.3f %s %d call=%lu %s %ld: %s\n",
 			       (double)(now_ - 1000 * US_PER_S) / 1000.0,
