--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -225,6 +225,13 @@
 	}
 }
 
+/* Entries of operators; they are passed on in the order of revisions. */
+static bool is_configuration(enum record_kind kind)
+{
+	return kind == RECORD_KEY || kind == RECORD_PROFILE ||
+	       kind == RECORD_WORKSPACE || kind == RECORD_ENDPOINT;
+}
+
 void apply_record(struct world *w, const struct record *r, bool deleted,
 		  int64_t now_us)
 {
@@ -243,6 +250,8 @@
 	action_queue_log(w->actions, LOG_CONFIG_APPLIED, 0, name, r->revision,
 			 "kind %d%s", r->kind, deleted ? " deleted" : "");
 	dispatch_record(w, r, deleted, now_us);
+	if (w->config_known && is_configuration(r->kind))
+		key_guard_note_applied(w->keys, r->revision);
 }
 
 void apply_synced(struct world *w, const struct config_synced *s,
--- a/src/core/key_guard.c
+++ b/src/core/key_guard.c
@@ -43,11 +43,18 @@
 {
 	if (asked_us <= g->synced_us)
 		return;
+	/*
+	 * Members compare what is reported with what they applied. Later
+	 * syncs do not raise it: their revisions also count changes that
+	 * are nobody's configuration.
+	 */
+	if (g->synced_us < 0)
+		g->reported_revision = MAX(g->reported_revision, revision);
 	/* By the time of receipt: members were told of the age until now. */
 	if (g->synced_us < 0 || now_us - g->synced_us > g->grace_us)
 		g->synced_since_us = now_us;
 	g->synced_us = asked_us;
-	key_guard_note_applied(g, revision);
+	g->applied_revision = MAX(g->applied_revision, revision);
 }
 
 void key_guard_note_applied(struct key_guard *g, int64_t revision)
--- a/src/core/key_guard.h
+++ b/src/core/key_guard.h
@@ -63,7 +63,12 @@
 void key_guard_note_synced(struct key_guard *g, int64_t revision,
 			   int64_t asked_us, int64_t now_us);
 
-/* All records up to `revision` were applied, as learned from a member. */
+/*
+ * An operator's entry of that revision was applied, and entries arrive in
+ * the order of revisions. What is reported to members is the latest entry
+ * applied or accepted since the first load, or that load's revision: the
+ * platform's other changes would make instances that miss nothing differ.
+ */
 void key_guard_note_applied(struct key_guard *g, int64_t revision);
 
 /*
--- a/src/core/world_report.c
+++ b/src/core/world_report.c
@@ -4,8 +4,10 @@
 
 struct world_report world_report(const struct world *w, int64_t now_us)
 {
+	struct member_self self = key_guard_self(w->keys, w->draining);
+
 	return (struct world_report){
-		.config_revision = w->config_known ? w->revision : -1,
+		.config_revision = w->config_known ? self.config_revision : -1,
 		.keys_confirmed =
 			key_guard_rule(w->keys, now_us) != KEY_RULE_NONE,
 		.draining = w->draining,
--- a/src/core/world_report.h
+++ b/src/core/world_report.h
@@ -32,7 +32,7 @@
 };
 
 struct world_report {
-	int64_t config_revision; /* applied; -1: none */
+	int64_t config_revision; /* of the latest entry; -1: none */
 	bool keys_confirmed;
 	bool draining;
 	uint32_t requests;
