--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -311,7 +311,7 @@
 		return;
 	}
 	/* The rank scans all members: only groups with a fault pay for it. */
-	wait = RANK_DELAY_US * member_self_rank(w->members);
+	wait = (int64_t)RANK_DELAY_US * member_self_rank(w->members);
 	down = g->primary != NO_INDEX && world_endpoint(w, g->primary)->down;
 	if (!p->fault_since_us)
 		p->fault_since_us = now_us;
