--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -1,6 +1,7 @@
 #include "core/promotion.h"
 
 #include "core/probe.h"
+#include "core/promotion_view.h"
 #include "core/world_state.h"
 
 #include <string.h>
@@ -106,33 +107,6 @@
 	return candidate && n >= group_majority(g);
 }
 
-static void ask_members(struct world *w, uint32_t group, int64_t now_us)
-{
-	struct promotion *p = promotion_at(w, group);
-	struct group *g = world_group(w, group);
-	struct peer_message m = { .type = PEER_VIEW_ASK };
-	struct action a = { .type = ACTION_PEER_SEND, .peer = &m };
-	uint32_t asked = 0;
-
-	p->view_sequence++;
-	p->view_silent = 0;
-	p->view_count = 0;
-	m.incarnation = w->opts.incarnation;
-	m.view_ask.sequence = p->view_sequence;
-	m.view_ask.term = g->term;
-	g_strlcpy(m.view_ask.group, g->name, sizeof(m.view_ask.group));
-	for (uint32_t i = 0; i < member_count(w->members); i++) {
-		const struct member *peer = member_at(w->members, i);
-
-		if (!peer->alive || asked == PROMOTION_VIEWS_MAX)
-			continue;
-		asked++;
-		g_strlcpy(m.peer, peer->name, sizeof(m.peer));
-		action_queue_push(w->actions, &a);
-	}
-	enter(w, group, PROMOTION_ASKING, "asking members", now_us);
-}
-
 static void allocate(struct world *w, uint32_t group, int64_t now_us)
 {
 	struct promotion *p = promotion_at(w, group);
@@ -285,14 +259,17 @@
 		give_up(w, group, "the chosen endpoint did not answer", now_us);
 }
 
-/* Most of the members that answer must find the primary silent. */
+static void start_asking(struct world *w, uint32_t group, int64_t now_us)
+{
+	promotion_view_ask(w, group);
+	enter(w, group, PROMOTION_ASKING, "asking members", now_us);
+}
+
 static void advance_asking(struct world *w, uint32_t group, int64_t now_us)
 {
 	struct promotion *p = promotion_at(w, group);
-	uint32_t all =
-		MIN(member_alive_count(w->members), PROMOTION_VIEWS_MAX) + 1;
 
-	if (p->view_silent + 1 >= all / 2 + 1)
+	if (promotion_view_agrees(w, p))
 		allocate(w, group, now_us);
 	else if (now_us - p->since_us >= VIEW_TIMEOUT_US)
 		give_up(w, group, "members disagree", now_us);
@@ -324,7 +301,7 @@
 	action_queue_log(w->actions, LOG_PROMOTION_STARTED, 0, g->name,
 			 (int64_t)g->term, "%s", why);
 	if (down)
-		ask_members(w, group, now_us);
+		start_asking(w, group, now_us);
 	else
 		allocate(w, group, now_us);
 }
@@ -494,70 +471,21 @@
 	return false;
 }
 
-static void answer_view(struct world *w, const struct peer_message *m,
-			int64_t now_us)
-{
-	uint32_t row = world_find_group(w, m->view_ask.group);
-	struct peer_message out = { .type = PEER_VIEW };
-	struct action a = { .type = ACTION_PEER_SEND, .peer = &out };
-	const struct group *g;
-	const struct endpoint *e;
-
-	if (row == NO_INDEX || world_group(w, row)->primary == NO_INDEX)
-		return;
-	g = world_group(w, row);
-	e = world_endpoint(w, g->primary);
-	out.incarnation = w->opts.incarnation;
-	g_strlcpy(out.peer, m->peer, sizeof(out.peer));
-	g_strlcpy(out.view.group, g->name, sizeof(out.view.group));
-	out.view.sequence = m->view_ask.sequence;
-	out.view.term = g->term;
-	out.view.silent = g->term == m->view_ask.term && e->silent_since_us &&
-			  now_us - e->silent_since_us >= w->opts.suspect_us / 2;
-	action_queue_push(w->actions, &a);
-}
-
-/* A message may arrive twice; each member has one vote. */
-static bool first_view_of(struct promotion *p, const char *member)
-{
-	for (uint32_t i = 0; i < p->view_count; i++) {
-		if (!strcmp(p->viewers[i], member))
-			return false;
-	}
-	if (p->view_count == PROMOTION_VIEWS_MAX)
-		return false;
-	g_strlcpy(p->viewers[p->view_count++], member, NAME_BYTES);
-	return true;
-}
-
-static void count_view(struct world *w, const struct peer_message *m,
-		       int64_t now_us)
-{
-	uint32_t row = world_find_group(w, m->view.group);
-	struct promotion *p;
-
-	if (row == NO_INDEX)
-		return;
-	p = promotion_at(w, row);
-	if (p->state != PROMOTION_ASKING ||
-	    p->view_sequence != m->view.sequence ||
-	    m->view.term != world_group(w, row)->term)
-		return;
-	if (!first_view_of(p, m->peer))
-		return;
-	if (m->view.silent)
-		p->view_silent++;
-	advance_asking(w, row, now_us);
-}
-
 bool promotion_peer(struct world *w, const struct peer_message *m,
 		    int64_t now_us)
 {
-	if (m->type == PEER_VIEW_ASK)
-		answer_view(w, m, now_us);
-	else if (m->type == PEER_VIEW)
-		count_view(w, m, now_us);
-	else
+	uint32_t group;
+
+	switch (m->type) {
+	case PEER_VIEW_ASK:
+		promotion_view_answer(w, m, now_us);
+		return true;
+	case PEER_VIEW:
+		group = promotion_view_count(w, m);
+		if (group != NO_INDEX)
+			advance_asking(w, group, now_us);
+		return true;
+	default:
 		return false;
-	return true;
+	}
 }
