--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -12,6 +12,10 @@
 	IDLE_CHECK_US = 1000 * 1000,
 	IDLE_CHECK_TIMEOUT_US = 500 * 1000,
 	PINNED_RETRY_US = 100 * 1000,
+	/* Until a transaction that found too many others looks again. */
+	PINNED_WAIT_US = 10 * 1000,
+	/* After that it is refused: the others are not about to end. */
+	PINNED_WAIT_MAX_US = 800 * 1000,
 };
 
 static bool is_write(enum exchange_plan plan)
@@ -92,6 +96,22 @@
 	return error == ERR_NONE;
 }
 
+/* Nothing of it was sent, so it may wait for others to end. */
+static void delay_begin(struct world *w, uint32_t row, int64_t now_us)
+{
+	struct request *r = &w->requests.rows[row];
+
+	if (now_us - r->arrived_us >= PINNED_WAIT_MAX_US ||
+	    now_us + PINNED_WAIT_US >= r->opts.deadline_us) {
+		answer_error(w, row, ERR_OVERLOADED, PINNED_RETRY_US, now_us);
+		return;
+	}
+	r->state = REQUEST_DELAYED;
+	r->resume_us = now_us + PINNED_WAIT_US;
+	list_append(&w->requests.delayed, w->requests.links, row);
+	request_due(&w->requests, r->resume_us);
+}
+
 static void start_next(struct world *w, uint32_t endpoint, int64_t now_us)
 {
 	struct endpoint *e = world_endpoint(w, endpoint);
@@ -103,7 +123,7 @@
 	if (!still_valid(w, row, now_us))
 		return;
 	if (r->plan == PLAN_BEGIN && !may_pin(e)) {
-		answer_error(w, row, ERR_OVERLOADED, PINNED_RETRY_US, now_us);
+		delay_begin(w, row, now_us);
 		return;
 	}
 	conn = list_take_last(&e->idle, w->conns.links);
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -21,7 +21,7 @@
 	REQUEST_WAITING, /* waits for its group to have a primary */
 	REQUEST_RUNNING, /* an exchange is under way */
 	REQUEST_UNCONFIRMED, /* ran; waits for a quorum */
-	REQUEST_DELAYED, /* is sent again at .resume_us */
+	REQUEST_DELAYED, /* is routed again at .resume_us */
 };
 
 struct request {
