One function finds an endpoint's place in its group

Cause: read through: promotion.c and route.c each had the same search, and a transaction kept a term that nothing read Change: group_place_of() serves both; the unread field is gone.

--- a/src/core/group.c
+++ b/src/core/group.c
@@ -9,6 +9,15 @@
 	MARK_DENSE_COUNT = 32, /* newest marks that are kept densely */
 };
 
+uint32_t group_place_of(const struct group *g, uint32_t endpoint)
+{
+	for (uint32_t i = 0; i < g->endpoint_count; i++) {
+		if (g->endpoints[i] == endpoint)
+			return i;
+	}
+	return NO_INDEX;
+}
+
 uint32_t group_majority(const struct group *g)
 {
 	return g->endpoint_count / 2 + 1;
--- a/src/core/group.h
+++ b/src/core/group.h
@@ -45,6 +45,9 @@
 	int64_t term_revision; /* 0: not stored */
 };
 
+/* Returns the place of an endpoint's row in the group, or NO_INDEX. */
+uint32_t group_place_of(const struct group *g, uint32_t endpoint);
+
 /* Returns the majority of the group's endpoints. */
 uint32_t group_majority(const struct group *g);
 
--- a/src/core/outcome.c
+++ b/src/core/outcome.c
@@ -251,7 +251,6 @@
 	t->group = r->group;
 	t->conn = conn;
 	t->open = r->open;
-	t->term = x->before.current_term;
 	t->used_us = now_us;
 	memcpy(t->key_digest, r->opts.key_digest, DIGEST_BYTES);
 	r->transaction = tx;
--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -340,15 +340,6 @@
 		advance(w, i, now_us);
 }
 
-static uint32_t place_of(const struct group *g, uint32_t endpoint)
-{
-	for (uint32_t i = 0; i < g->endpoint_count; i++) {
-		if (g->endpoints[i] == endpoint)
-			return i;
-	}
-	return NO_INDEX;
-}
-
 static void raise_answered(struct world *w, uint32_t group, uint32_t place,
 			   const struct endpoint_status *s, int64_t now_us)
 {
@@ -390,7 +381,7 @@
 {
 	uint32_t group = world_endpoint(w, endpoint)->group;
 	struct promotion *p = promotion_at(w, group);
-	uint32_t place = place_of(world_group(w, group), endpoint);
+	uint32_t place = group_place_of(world_group(w, group), endpoint);
 
 	if (place == NO_INDEX)
 		return;
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -35,15 +35,6 @@
 		f->used = MIN(f->used + (size_t)n, sizeof(f->text) - 1);
 }
 
-static uint32_t place_in_group(const struct group *g, uint32_t endpoint)
-{
-	for (uint32_t i = 0; i < g->endpoint_count; i++) {
-		if (g->endpoints[i] == endpoint)
-			return i;
-	}
-	return 0;
-}
-
 /*
  * Returns why a replica cannot serve the read by what is known now, or
  * NULL. The answer's own position is checked again.
@@ -237,6 +228,7 @@
 {
 	struct request *r = &w->requests.rows[row];
 	int64_t delay = retry_delay_us(w->rand, r->attempts ? r->attempts : 1);
+	uint32_t place;
 
 	answer_detach(w, row, now_us);
 	if (!r->may_repeat ||
@@ -245,9 +237,9 @@
 		answer_error(w, row, error, delay, now_us);
 		return;
 	}
-	if (r->endpoint != NO_INDEX)
-		r->tried |= 1u << place_in_group(world_group(w, r->group),
-						 r->endpoint);
+	place = group_place_of(world_group(w, r->group), r->endpoint);
+	if (place != NO_INDEX)
+		r->tried |= 1u << place;
 	r->state = REQUEST_DELAYED;
 	r->resume_us = now_us + delay;
 	list_append(&w->requests.delayed, w->requests.links, row);
--- a/src/core/transaction.h
+++ b/src/core/transaction.h
@@ -19,7 +19,6 @@
 	uint32_t request; /* whose statement runs, or NO_INDEX */
 	bool open; /* began without a key */
 	uint8_t key_digest[DIGEST_BYTES];
-	uint64_t term; /* of the primary it began on */
 	int64_t used_us; /* end of the last statement */
 };
 
