--- a/Makefile
+++ b/Makefile
@@ -112,7 +112,7 @@
 clean:
 	@rm -rf build
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
 
 .PHONY: all deps test test-asan format format-check lint check prove demo \
 	bench clean
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -75,6 +75,8 @@
 	  "Statements and connections that endpoints refused unrun." },
 	{ "connections_opened_total", COUNTER, "purpose",
 	  "Connections opened to endpoints." },
+	{ "quota_admitted_total", COUNTER, "workspace",
+	  "Operations admitted by the workspace's rate." },
 	{ "quota_refused_total", COUNTER, "workspace",
 	  "Operations refused because the workspace was over its rate." },
 	{ "store_calls_total", COUNTER, "call",
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -37,6 +37,8 @@
 	uint64_t asked_milli; /* since the last report */
 	int64_t asked_since_us;
 	uint32_t demand_milli_per_s;
+	uint32_t admitted; /* since quota_each() */
+	uint32_t refused;
 };
 
 struct quota {
@@ -194,8 +196,10 @@
 	if (now_us < q->lease_until_us &&
 	    !bucket_take(&r->bucket, OPERATION_MILLI)) {
 		bucket_commit(&r->bucket, OPERATION_MILLI);
+		r->admitted++;
 		return 0;
 	}
+	r->refused++;
 	*retry_us = bucket_wait_us(&r->bucket, OPERATION_MILLI,
 				   r->bucket.rate_milli_per_s);
 	if (*retry_us < 0 || *retry_us > RETRY_MAX_US)
@@ -216,6 +220,33 @@
 	refresh(q, r, now_us);
 }
 
+void quota_each(struct quota *q, int64_t now_us, quota_state_fn fn, void *data)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, q->rows);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		struct quota_row *r = value;
+		struct quota_state s = { .workspace = name };
+
+		if (is_unlimited(r) || !r->known)
+			continue;
+		refresh(q, r, now_us);
+		s.limit_milli_per_s = r->rate_milli_per_s;
+		s.rate_milli_per_s = r->bucket.rate_milli_per_s;
+		if (now_us < r->granted_until_us)
+			s.granted_milli_per_s = r->granted_milli_per_s;
+		s.level_milli = r->bucket.level_milli;
+		s.admitted = r->admitted;
+		s.refused = r->refused;
+		r->admitted = 0;
+		r->refused = 0;
+		fn(data, &s);
+	}
+}
+
 static void measure(struct quota_row *r, int64_t now_us)
 {
 	int64_t took_us = MAX(now_us - r->asked_since_us, 1);
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -54,6 +54,21 @@
 void quota_grant(struct quota *q, uint64_t workspace,
 		 uint32_t rate_milli_per_s, int64_t until_us, int64_t now_us);
 
+/* One workspace's bucket here, for log and metrics. */
+struct quota_state {
+	const char *workspace; /* valid until the next configuration */
+	uint32_t limit_milli_per_s; /* of the whole fleet */
+	uint32_t rate_milli_per_s; /* here */
+	uint32_t granted_milli_per_s; /* part of it that was granted */
+	uint32_t level_milli;
+	uint32_t admitted; /* since the last call */
+	uint32_t refused;
+};
+
+/* Calls fn for each workspace that has a limit, and counts anew. */
+typedef void (*quota_state_fn)(void *data, const struct quota_state *s);
+void quota_each(struct quota *q, int64_t now_us, quota_state_fn fn, void *data);
+
 /* What this instance could use, for the holder of the duty. */
 struct quota_need {
 	uint64_t workspace;
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -10,6 +10,8 @@
 	 * the time that a grant lasts, so a few may be lost.
 	 */
 	REPORT_US = 250 * 1000,
+	/* Limits that were reached are logged once a second. */
+	REPORTS_PER_LINE = 4,
 	/* Clocks differ in rate by less. */
 	CLOCK_MARGIN_PERCENT = 2,
 	PERCENT = 100,
@@ -106,6 +108,23 @@
 	take_grant(e, e->opts.instance, e->opts.incarnation, &g, now_us);
 }
 
+static void say_limit(void *data, const struct quota_state *s)
+{
+	const struct engine *e = data;
+
+	metrics_add(e->opts.metrics, "quota_admitted_total", s->workspace,
+		    s->admitted);
+	metrics_add(e->opts.metrics, "quota_refused_total", s->workspace,
+		    s->refused);
+	if (!s->refused)
+		return;
+	engine_log(e, LOG_LIMIT_REACHED, 0, s->workspace, s->refused,
+		   "admitted %u; rate here %u, granted %u, of %u milli/s; "
+		   "level %u",
+		   s->admitted, s->rate_milli_per_s, s->granted_milli_per_s,
+		   s->limit_milli_per_s, s->level_milli);
+}
+
 void report_run(struct engine *e, int64_t now_us)
 {
 	const char *holder = duty_holder(e->duty);
@@ -114,6 +133,8 @@
 	if (now_us < e->next_report_us || !e->config)
 		return;
 	e->next_report_us = now_us + REPORT_US;
+	if (e->report_sequence % REPORTS_PER_LINE == 0)
+		quota_each(e->quota, now_us, say_limit, e);
 	if (strcmp(holder, e->grantor) != 0)
 		e->grant_confirmed = 0;
 	fill_report(e, &m.report, now_us);
