Leave 45 % of an endpoint's connections to successors of dead instances

Cause: after a loss of power the endpoints keep the dead instances' connections for 3 s; restarted instances were denied theirs (CONN_DENIED limit, 1,200 statements refused, seconds 40 to 44). Ruled out: the quota (few refusals there), the store (back within 20 ms). Change: an instance uses 55 % of its part of an endpoint's connections.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -24,6 +24,11 @@
 	/* The own entry lasts this part of the keys' time. */
 	LEASE_PERCENT = 70,
 	PERCENT = 100,
+	/*
+	 * Of an endpoint's connections. Instances that lose power leave theirs
+	 * open there for some seconds; so many are left for their successors.
+	 */
+	RESERVE_PERCENT = 45,
 	/* A dead holder of the duty keeps the others waiting so long. */
 	DUTY_TTL_US = 2000 * 1000,
 	/* While something is under way, limits are looked at so often. */
@@ -65,8 +70,7 @@
 
 uint32_t engine_conns_limit(const struct engine *e, const struct service *s)
 {
-	/* Room for orders, and for what a dead instance left open. */
-	uint32_t reserve = s->conns_max > 8 ? 2 : 0;
+	uint32_t reserve = s->conns_max * RESERVE_PERCENT / PERCENT;
 	uint32_t usable = s->conns_max - reserve;
 	uint32_t each = usable / e->instance_count;
 	uint32_t rest = usable % e->instance_count;
