Choose the primary among all endpoints that say they lead

Cause: a primary that was replaced while cut off came back with an old entry that still said 'primary'. Ruled out: the promotion itself (done at 6.9 s), the store (entries in order). Change: each endpoint's word is kept; an entry read for the first time displaces nobody, a denial falls back to the other claimants, and when nobody is known all are asked by BEGIN.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -79,6 +79,18 @@
 	return MAX(each + (e->instance_rank < rest), 1);
 }
 
+void engine_note_lead(struct engine *e, struct upstream *u,
+		      enum lead_word word, const char *why)
+{
+	struct service *svc = u->service;
+
+	if (!service_note_lead(u, word, engine_now(e)))
+		return;
+	engine_log(e, LOG_PRIMARY_CHANGED, 0, svc->name, 0, "%s; %s %s",
+		   svc->primary ? svc->primary->entry.id : "none",
+		   u->entry.id, why);
+}
+
 void engine_conn_flush(struct upstream_conn *c)
 {
 	struct engine *e = c->engine;
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -25,18 +25,6 @@
 	exchange_lost(c, what, now_us);
 }
 
-static void note_not_primary(struct upstream_conn *c, int64_t now_us)
-{
-	struct upstream *u = c->upstream;
-
-	u->not_primary_us = now_us;
-	if (u->service->primary != u)
-		return;
-	engine_log(c->engine, LOG_PRIMARY_CHANGED, 0, u->service->name, 0,
-		   "%s says that it leads no more", u->entry.id);
-	service_set_primary(u->service, NULL, now_us);
-}
-
 /* What a refusal tells about the endpoint. */
 static void note_refusal(struct upstream_conn *c, enum answer_code code,
 			 int64_t now_us)
@@ -51,7 +39,8 @@
 		u->busy_until_us = now_us + BUSY_PAUSE_US;
 		break;
 	case ANSWER_NOT_PRIMARY:
-		note_not_primary(c, now_us);
+		engine_note_lead(c->engine, u, LEAD_DENIED,
+				 "refused as a replica");
 		break;
 	default:
 		break;
@@ -229,10 +218,15 @@
 			   const struct wire_reply *ready, int64_t now_us)
 {
 	c->upstream->service->probing = false;
-	if (c->answer.failed)
+	if (c->answer.failed) {
 		note_refusal(c, c->answer.code, now_us);
-	else
-		note_mark(c, step->sent_us, ready);
+		return;
+	}
+	/* Only a leader begins a transaction that may write. */
+	if (c->upstream->service->primary != c->upstream)
+		engine_note_lead(c->engine, c->upstream, LEAD_TAKEN,
+				 "answers as the leader");
+	note_mark(c, step->sent_us, ready);
 }
 
 static void on_report(struct upstream_conn *c, const struct step *step,
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -82,32 +82,21 @@
 static void forget_upstream(struct engine *e, struct upstream *u,
 			    const char *why, int64_t now_us)
 {
-	struct service *svc = u->service;
-
 	engine_log(e, LOG_ENDPOINT_DOWN, 0, u->entry.id, 0, "%s", why);
 	g_hash_table_remove(e->entries, u->entry.id);
 	takeover_forget(e->takeovers, u);
 	close_conns(u, why, now_us);
-	if (svc->primary == u)
-		service_set_primary(svc, NULL, now_us);
+	engine_note_lead(e, u, LEAD_DENIED, "is gone");
 	upstream_free(u);
 }
 
-/* The entry tells who leads, unless the endpoint itself denied it since. */
-static void note_role(struct engine *e, struct upstream *u, int64_t now_us)
+/* What an entry that is read now says about who leads. */
+static enum lead_word lead_word_of(const struct upstream_entry *n,
+				   const struct upstream_entry *before)
 {
-	struct service *svc = u->service;
-
-	if (u->entry.role == ROLE_PRIMARY) {
-		if (!service_set_primary(svc, u, now_us))
-			return;
-		engine_log(e, LOG_PRIMARY_CHANGED, 0, svc->name, 0, "%s",
-			   u->entry.id);
-	} else if (svc->primary == u) {
-		service_set_primary(svc, NULL, now_us);
-		engine_log(e, LOG_PRIMARY_CHANGED, 0, svc->name, 0,
-			   "none; %s is a replica now", u->entry.id);
-	}
+	if (n->role != ROLE_PRIMARY)
+		return LEAD_DENIED;
+	return before && before->role == ROLE_REPLICA ? LEAD_TAKEN : LEAD_ENTRY;
 }
 
 static void close_free_conns(struct upstream *u)
@@ -146,12 +135,16 @@
 			 int64_t now_us)
 {
 	struct upstream *u = g_hash_table_lookup(e->entries, n->id);
+	enum lead_word word;
+	bool same_role;
+	bool known;
 	bool left;
 
 	if (u && !is_same_process(u, n)) {
 		forget_upstream(e, u, "it was started again", now_us);
 		u = NULL;
 	}
+	known = u != NULL;
 	if (!u) {
 		u = upstream_new(service_of(e, n->service), n);
 		g_hash_table_insert(e->entries, u->entry.id, u);
@@ -159,6 +152,9 @@
 			   n->service, n->address);
 	}
 	left = n->leaving && !u->entry.leaving;
+	/* An unchanged role is no news: it may have been denied since. */
+	same_role = known && u->entry.role == n->role;
+	word = lead_word_of(n, known ? &u->entry : NULL);
 	u->entry = *n;
 	u->listed = true;
 	u->missing_since_us = 0;
@@ -167,7 +163,8 @@
 			   n->service);
 		close_free_conns(u);
 	}
-	note_role(e, u, now_us);
+	if (!same_role)
+		engine_note_lead(e, u, word, "says so in its entry");
 }
 
 static void count_instances(struct engine *e, int64_t now_us)
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -97,6 +97,25 @@
 	}
 }
 
+/* Nobody is known to lead: whoever begins a transaction does. */
+static void look_for_leader(struct engine *e, struct service *svc,
+			    int64_t now_us)
+{
+	if (now_us < svc->probe_due_us)
+		return;
+	svc->probe_due_us = now_us + SILENT_INTERVAL_US;
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+		struct upstream_conn *c = free_conn(u);
+
+		if (c)
+			send_probe(svc, c, now_us);
+		else
+			open_to_look(e, u, now_us);
+	}
+	svc->probing = false; /* several at once */
+}
+
 void mark_probe_run(struct engine *e, struct service *svc, int64_t now_us)
 {
 	struct upstream *u = svc->primary;
@@ -104,7 +123,11 @@
 
 	for (guint i = 0; i < svc->upstreams->len; i++)
 		check_silence(g_ptr_array_index(svc->upstreams, i), now_us);
-	if (!u || svc->probing || now_us < svc->probe_due_us)
+	if (!u) {
+		look_for_leader(e, svc, now_us);
+		return;
+	}
+	if (svc->probing || now_us < svc->probe_due_us)
 		return;
 	if (!u->silent_since_us && svc->marks.count &&
 	    now_us - mark_ring_newest_us(&svc->marks) <
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -471,7 +471,8 @@
 
 	if (chosen_leads(t)) {
 		say(t, LOG_PROMOTION_DONE, now_us - t->since_us, "leads");
-		service_set_primary(t->service, c->upstream, now_us);
+		engine_note_lead(t->owner->engine, c->upstream, LEAD_TAKEN,
+				 "was promoted");
 		end_round(t, now_us);
 		return;
 	}
@@ -559,7 +560,8 @@
 	copy->report = *r;
 	t->service->term = MAX(t->service->term, r->term);
 	if (!copy->was_primary && r->role == ROLE_PRIMARY)
-		service_set_primary(t->service, c->upstream, now_us);
+		engine_note_lead(ts->engine, c->upstream, LEAD_TAKEN,
+				 "reports that it leads");
 	if (t->state == TAKEOVER_SURVEY && r->term >= t->term)
 		t->term = r->term + 1;
 	if (copy->was_primary && r->role == ROLE_REPLICA &&
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -66,8 +66,7 @@
 {
 	struct service *s = u->service;
 
-	if (s->primary == u)
-		s->primary = NULL;
+	g_assert(s->primary != u);
 	g_ptr_array_remove(s->upstreams, u);
 }
 
@@ -111,7 +110,22 @@
 	return MAX(u->latency_us >> (idle_us / LATENCY_HALF_LIFE_US), 1);
 }
 
-bool service_set_primary(struct service *s, struct upstream *u, int64_t now_us)
+/* Of those that say they lead, the one in the latest term. */
+static struct upstream *latest_leader(const struct service *s)
+{
+	struct upstream *best = NULL;
+
+	for (guint i = 0; i < s->upstreams->len; i++) {
+		struct upstream *u = g_ptr_array_index(s->upstreams, i);
+
+		if (u->leads &&
+		    (!best || u->position.term > best->position.term))
+			best = u;
+	}
+	return best;
+}
+
+static bool set_primary(struct service *s, struct upstream *u, int64_t now_us)
 {
 	if (s->primary == u)
 		return false;
@@ -119,3 +133,15 @@
 	s->primary_lost_us = u ? 0 : now_us;
 	return true;
 }
+
+bool service_note_lead(struct upstream *u, enum lead_word word, int64_t now_us)
+{
+	struct service *s = u->service;
+
+	u->leads = word != LEAD_DENIED;
+	if (word == LEAD_TAKEN)
+		return set_primary(s, u, now_us);
+	if (s->primary && s->primary->leads)
+		return false;
+	return set_primary(s, latest_leader(s), now_us);
+}
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -37,7 +37,7 @@
 	int64_t lag_us; /* estimate of how far it is behind */
 	int64_t behind_until_us; /* it said that it lacks a position */
 	int64_t busy_until_us; /* it said that it is overloaded */
-	int64_t not_primary_us; /* last time that it said so */
+	bool leads; /* it said so, and has not denied it since */
 
 	/* Moving averages. */
 	int64_t latency_us; /* of a statement, waiting there included */
@@ -88,7 +88,20 @@
 /* Returns the expected duration of a statement; fades when not renewed. */
 int64_t upstream_latency_us(const struct upstream *u, int64_t now_us);
 
-/* Sets the primary; NULL: it is not known. Returns true if it changed. */
-bool service_set_primary(struct service *s, struct upstream *u, int64_t now_us);
+/*
+ * How an endpoint's word about its role counts. An entry that is read for the
+ * first time may be older than a promotion; it displaces nobody.
+ */
+enum lead_word {
+	LEAD_DENIED, /* it is a replica, or refused as one */
+	LEAD_ENTRY, /* its entry says that it leads */
+	LEAD_TAKEN, /* its entry changed to that, or its answer shows it */
+};
+
+/*
+ * Takes an endpoint's word and chooses the primary anew. Returns true if
+ * the service's primary changed; it may be NULL then.
+ */
+bool service_note_lead(struct upstream *u, enum lead_word word, int64_t now_us);
 
 #endif
