--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -9,6 +9,7 @@
 #include "proxy/mark_probe.h"
 #include "proxy/report.h"
 
+#include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -320,8 +321,8 @@
 
 	if (c->closed)
 		return;
-	/* The machine is there; whether it works shows later. */
-	c->upstream->silent_since_us = 0;
+	/* Whether it works shows later. */
+	upstream_note_answer(c->upstream);
 	e->opts.ops->conn_send(e->opts.host, c->stream, c->out->str,
 			       c->out->len);
 	g_string_truncate(c->out, 0);
@@ -341,6 +342,8 @@
 	int64_t now_us = engine_now(c->engine);
 	struct service *svc = c->upstream->service;
 
+	if (error == -ECONNREFUSED)
+		c->upstream->refused = true;
 	exchange_lost(c, error ? g_strerror(-error) : "closed by the endpoint",
 		      now_us);
 	dispatch_pump(svc, now_us);
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -45,6 +45,7 @@
 	int64_t next_report_us;
 	uint64_t report_sequence;
 	int64_t report_sent_us; /* of that report */
+	uint32_t silent_reported; /* primaries that it called silent */
 	char grantor[NAME_BYTES]; /* whose grant was applied last */
 	uint64_t grantor_incarnation;
 	uint64_t grant_confirmed; /* its number */
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -292,8 +292,7 @@
 	step = *oldest;
 	upstream_conn_pop(c);
 	c->in_transaction = ready->state != TRANSACTION_NONE;
-	c->upstream->answered_us = now_us;
-	c->upstream->silent_since_us = 0;
+	upstream_note_answer(c->upstream);
 	if (ready->has_position)
 		upstream_note_position(c->upstream, ready->position, now_us);
 	step_fns[step.kind](c, &step, ready, now_us);
@@ -310,8 +309,7 @@
 	engine_log(c->engine, LOG_CONN_DENIED, 0, u->entry.id, u->conns->len,
 		   "%s", answer_code_name(code));
 	note_refusal(c, code, now_us);
-	u->answered_us = now_us;
-	u->silent_since_us = 0;
+	upstream_note_answer(u);
 	u->open_after_us = now_us + OPEN_PAUSE_US;
 	if (code == ANSWER_LIMIT)
 		u->conn_denied_us = now_us;
@@ -398,6 +396,9 @@
 
 	if (!u->silent_since_us)
 		u->silent_since_us = now_us;
+	/* A fresh connection tells whether it or its connection is gone. */
+	if (c->state != CONN_STARTING && u->service->primary == u)
+		u->service->probe_due_us = now_us;
 	if (c->state != CONN_STARTING)
 		return;
 	u->open_failures = MIN(u->open_failures + 1, 4);
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -10,11 +10,11 @@
 	INTERVAL_MIN_US = 100 * 1000,
 	INTERVAL_MAX_US = 500 * 1000,
 	/* BEGIN waits for no slot: round trips and delays are far below. */
-	PATIENCE_US = 400 * 1000,
+	PATIENCE_US = 250 * 1000,
 	/* A primary that did not answer is tried so often. */
 	SILENT_INTERVAL_US = 150 * 1000,
 	/* Connecting needs one round trip. */
-	CONNECT_US = 300 * 1000,
+	CONNECT_US = 250 * 1000,
 };
 
 static int64_t interval_us(const struct service *svc)
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -129,8 +129,14 @@
 {
 	const char *holder = duty_holder(e->duty);
 	struct peer_message m = { .type = PEER_REPORT };
-
-	if (now_us < e->next_report_us || !e->config)
+	uint64_t silent[PEER_SILENT_MAX];
+	uint32_t count =
+		silent_primaries(e, silent, G_N_ELEMENTS(silent), now_us);
+	/* A primary that went silent is no matter for the next turn. */
+	bool news = count > e->silent_reported;
+
+	e->silent_reported = count;
+	if ((now_us < e->next_report_us && !news) || !e->config)
 		return;
 	e->next_report_us = now_us + REPORT_US;
 	if (e->report_sequence % REPORTS_PER_LINE == 0)
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -9,7 +9,7 @@
 
 enum {
 	/* Connecting takes a round trip; silence this long is no delay. */
-	SILENT_US = 300 * 1000,
+	SILENT_US = 150 * 1000,
 	/* Views of instances that reported lately count. */
 	VIEW_MAX_US = 1500 * 1000,
 	/* Half of the instances must miss the primary. */
@@ -118,7 +118,8 @@
 
 bool takeover_is_silent(const struct upstream *u, int64_t now_us)
 {
-	return u->silent_since_us && now_us - u->silent_since_us >= SILENT_US;
+	return u->silent_since_us &&
+	       (u->refused || now_us - u->silent_since_us >= SILENT_US);
 }
 
 void takeover_view(struct takeovers *t, const char *instance,
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -87,6 +87,12 @@
 	s->term = MAX(s->term, p.term);
 }
 
+void upstream_note_answer(struct upstream *u)
+{
+	u->silent_since_us = 0;
+	u->refused = false;
+}
+
 void upstream_note_latency(struct upstream *u, int64_t took_us, int64_t now_us)
 {
 	int64_t before = upstream_latency_us(u, now_us);
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -32,8 +32,8 @@
 	bool has_position;
 	struct position position;
 	int64_t position_us;
-	int64_t answered_us; /* any answer */
 	int64_t silent_since_us; /* first question without an answer; 0 */
+	bool refused; /* and nothing listens at its address */
 	int64_t lag_us; /* estimate of how far it is behind */
 	int64_t behind_until_us; /* it said that it lacks a position */
 	int64_t busy_until_us; /* it said that it is overloaded */
@@ -81,6 +81,9 @@
 void upstream_note_position(struct upstream *u, struct position p,
 			    int64_t now_us);
 
+/* It answered something, or at least its machine did. */
+void upstream_note_answer(struct upstream *u);
+
 /* Takes the time that a statement or a handshake took. */
 void upstream_note_latency(struct upstream *u, int64_t took_us, int64_t now_us);
 void upstream_note_handshake(struct upstream *u, int64_t took_us);
