Statements wait for a primary that is expected soon

Cause: while a primary is replaced every statement for it was sent away, also in the last moments, though a late answer is worth something. Ruled out: a longer wait for everything (only the missing primary's statements wait; a moment's silence after a lost connection is no outage).

--- a/src/proxy/admission.h
+++ b/src/proxy/admission.h
@@ -21,11 +21,14 @@
 	uint32_t running; /* statements that hold connections */
 	uint32_t waiting; /* statements ahead of it */
 	int64_t latency_us; /* of one statement */
-	int64_t lost_us; /* the primary is missing so long; -1: it is there */
+	int64_t lost_us; /* no primary for so long, or ADMISSION_NOT_LOST */
+	int64_t outage_us; /* how long such losses last */
 };
 
-/* Returns how long a statement of the route may wait for a connection. */
-int64_t admission_hold_us(const struct route *r);
+#define ADMISSION_NOT_LOST (-1)
+
+/* Returns how long a statement of the route may wait from its arrival. */
+int64_t admission_hold_us(const struct route *r, const struct admission_load *l);
 
 /* Returns the expected wait. */
 int64_t admission_wait_us(const struct admission_load *l);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -260,9 +260,11 @@
 		l.latency_us =
 			MAX(l.latency_us, upstream_latency_us(u, now_us));
 	}
-	l.lost_us = s->op.need != NEED_READ && !svc->primary ?
-			    now_us - svc->primary_lost_us :
-			    -1;
+	l.outage_us = svc->outage_us;
+	if (s->op.need != NEED_READ && service_outage_since_us(svc, now_us))
+		l.lost_us = now_us - service_outage_since_us(svc, now_us);
+	else
+		l.lost_us = ADMISSION_NOT_LOST;
 	return l;
 }
 
@@ -272,6 +274,8 @@
 	struct admission_load l = load_of(s, svc, now_us);
 	int64_t wait_us = admission_wait_us(&l);
 
+	s->op.hold_until_us =
+		s->op.arrived_us + admission_hold_us(route_of(s), &l);
 	if (now_us + wait_us > s->op.hold_until_us) {
 		refuse_hopeless(s, wait_us, now_us);
 		return;
@@ -291,7 +295,6 @@
 		return;
 	}
 	op->deadline_us = op->arrived_us + r->timeout_us;
-	op->hold_until_us = op->arrived_us + admission_hold_us(r);
 	if (s->pinned) {
 		s->conn = s->pinned;
 		dispatch_run_on(s->pinned, now_us);
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -28,7 +28,7 @@
 	while (n < max && g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct service *svc = value;
 
-		if (svc->primary && takeover_is_silent(svc->primary, now_us))
+		if (svc->primary && upstream_is_silent(svc->primary, now_us))
 			out[n++] = takeover_upstream_number(svc->primary);
 	}
 	return n;
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -8,8 +8,6 @@
 #include <xxhash.h>
 
 enum {
-	/* Connecting takes a round trip; silence this long is no delay. */
-	SILENT_US = 150 * 1000,
 	/* Views of instances that reported lately count. */
 	VIEW_MAX_US = 1500 * 1000,
 	/* Half of the instances must miss the primary. */
@@ -116,12 +114,6 @@
 	return XXH64(u->entry.id, strlen(u->entry.id), 0);
 }
 
-bool takeover_is_silent(const struct upstream *u, int64_t now_us)
-{
-	return u->silent_since_us &&
-	       (u->refused || now_us - u->silent_since_us >= SILENT_US);
-}
-
 void takeover_view(struct takeovers *t, const char *instance,
 		   const uint64_t *silent, uint32_t count, int64_t now_us)
 {
@@ -152,7 +144,7 @@
 {
 	uint64_t number = takeover_upstream_number(u);
 	uint32_t asked = 1;
-	uint32_t silent = takeover_is_silent(u, now_us);
+	uint32_t silent = upstream_is_silent(u, now_us);
 	GHashTableIter it;
 	gpointer value;
 
--- a/src/proxy/takeover.h
+++ b/src/proxy/takeover.h
@@ -29,9 +29,6 @@
 /* Returns the endpoint's number in messages between instances. */
 uint64_t takeover_upstream_number(const struct upstream *u);
 
-/* Returns true if this instance gets no answer from the endpoint. */
-bool takeover_is_silent(const struct upstream *u, int64_t now_us);
-
 /* Starts and advances rounds. */
 void takeovers_run(struct takeovers *t, int64_t now_us);
 
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -7,6 +7,15 @@
 	/* Assumed until the first answer; a few round trips and some work. */
 	FIRST_LATENCY_US = 20 * 1000,
 	FIRST_HANDSHAKE_US = 20 * 1000,
+	/* Connecting takes a round trip; silence this long is no delay. */
+	SILENT_US = 150 * 1000,
+	/* Noticing, agreeing and a promotion of about a second. */
+	FIRST_OUTAGE_US = 1500 * 1000,
+	OUTAGE_WEIGHT = 2, /* the last one counts for half */
+	/* A refusal that the next answer corrects is no outage. */
+	OUTAGE_LEAST_US = 200 * 1000,
+	/* Longer ones wait for a copy, not for a promotion. */
+	OUTAGE_MOST_US = 6000 * 1000,
 	/* An average that nothing renews halves in this time. */
 	LATENCY_HALF_LIFE_US = 1000 * 1000,
 };
@@ -27,6 +36,7 @@
 	s->upstreams = g_ptr_array_new_with_free_func(upstream_release);
 	s->waiting = g_ptr_array_new();
 	s->conns_max = 1;
+	s->outage_us = FIRST_OUTAGE_US;
 	return s;
 }
 
@@ -133,13 +143,41 @@
 
 static bool set_primary(struct service *s, struct upstream *u, int64_t now_us)
 {
+	int64_t since_us = service_outage_since_us(s, now_us);
+
 	if (s->primary == u)
 		return false;
+	if (u && since_us)
+		service_note_recovery(s, now_us - since_us);
 	s->primary = u;
-	s->primary_lost_us = u ? 0 : now_us;
+	/* An outage that began with silence goes on from there. */
+	s->primary_lost_us = u ? 0 : since_us ? since_us : now_us;
 	return true;
 }
 
+bool upstream_is_silent(const struct upstream *u, int64_t now_us)
+{
+	return u->silent_since_us &&
+	       (u->refused || now_us - u->silent_since_us >= SILENT_US);
+}
+
+int64_t service_outage_since_us(const struct service *s, int64_t now_us)
+{
+	if (!s->primary)
+		return s->primary_lost_us;
+	return upstream_is_silent(s->primary, now_us) ?
+		       s->primary->silent_since_us :
+		       0;
+}
+
+void service_note_recovery(struct service *s, int64_t took_us)
+{
+	if (took_us < OUTAGE_LEAST_US)
+		return;
+	s->outage_us += (MIN(took_us, OUTAGE_MOST_US) - s->outage_us) /
+			OUTAGE_WEIGHT;
+}
+
 bool service_note_lead(struct upstream *u, enum lead_word word, int64_t now_us)
 {
 	struct service *s = u->service;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -53,6 +53,7 @@
 	struct upstream *primary; /* NULL: none is known */
 	uint64_t term; /* highest seen */
 	int64_t primary_lost_us; /* 0: there is one */
+	int64_t outage_us; /* how long losses of the primary last */
 	struct mark_ring marks;
 	GPtrArray *waiting; /* struct session, most urgent first */
 	bool probing; /* a mark is being asked for */
@@ -91,6 +92,15 @@
 /* Returns the expected duration of a statement; fades when not renewed. */
 int64_t upstream_latency_us(const struct upstream *u, int64_t now_us);
 
+/* Returns true if it gets no answer for longer than a delay lasts. */
+bool upstream_is_silent(const struct upstream *u, int64_t now_us);
+
+/* Returns since when no primary answers; 0: one does. */
+int64_t service_outage_since_us(const struct service *s, int64_t now_us);
+
+/* The primary serves again after an outage. */
+void service_note_recovery(struct service *s, int64_t took_us);
+
 /*
  * How an endpoint's word about its role counts. An entry that is read for the
  * first time may be older than a promotion; it displaces nobody.
