A copy that lacks the position is not asked again at once

Ruled out: wrong marks (the copies' lag was above the bound). Change: while a copy's denial is fresh and its position does not cover the mark, the read waits for the primary.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -140,12 +140,26 @@
 	       now_us - op->after.asked_us < u->lag_us;
 }
 
+/*
+ * It has just said that it lacks the position. The primary has it: waiting
+ * for that one is better than asking again.
+ */
+static bool is_behind(const struct session *s, const struct upstream *u,
+		      int64_t now_us)
+{
+	if (s->op.need != NEED_READ || u == u->service->primary ||
+	    now_us >= u->behind_until_us)
+		return false;
+	return !position_covers(u->position, s->op.after.position);
+}
+
 static void fill_candidate(const struct session *s, const struct upstream *u,
 			   struct placement_candidate *out, int64_t now_us)
 {
 	const struct engine *e = s->engine;
 
-	out->way = way_to(e, u, s, now_us);
+	out->way = is_behind(s, u, now_us) ? CONN_WAY_NONE :
+					     way_to(e, u, s, now_us);
 	out->is_primary = s->op.need == NEED_READ && u == u->service->primary;
 	out->same_zone = !strcmp(u->entry.zone, e->opts.zone);
 	out->doubtful = is_doubtful(s, u, now_us);
