A planned change of primary that gets no answer becomes an unplanned one

Also: a new holder of the duty granted nothing for 1.5 s after a full restart. Change: 300 ms without the primary's word end the planned way; grants wait only until every instance has told what it still uses.

--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -85,7 +85,8 @@
 /* A rate of one workspace, which is named by a hash of its name. */
 struct peer_rate {
 	uint64_t workspace;
-	uint32_t rate_milli_per_s;
+	uint32_t rate_milli_per_s; /* report: demand; grant: what is granted */
+	uint32_t in_use_milli_per_s; /* report: granted before, not ended */
 };
 
 struct peer_report {
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -343,6 +343,7 @@
 	for (uint32_t i = 0; !c->error && i < *count; i++) {
 		walk_u64(c, &rates[i].workspace, UINT64_MAX);
 		walk_u32(c, &rates[i].rate_milli_per_s, UINT32_MAX);
+		walk_u32(c, &rates[i].in_use_milli_per_s, UINT32_MAX);
 	}
 }
 
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -270,13 +270,17 @@
 	g_hash_table_iter_init(&it, q->rows);
 	while (g_hash_table_iter_next(&it, NULL, &row)) {
 		struct quota_row *r = row;
+		uint32_t in_use;
 
 		if (is_unlimited(r) || !r->known)
 			continue;
 		measure(r, now_us);
-		if (!r->demand_milli_per_s || n == max)
+		in_use = now_us < r->granted_until_us ? r->granted_milli_per_s :
+							0;
+		if ((!r->demand_milli_per_s && !in_use) || n == max)
 			continue;
 		out[n].workspace = r->number;
+		out[n].in_use_milli_per_s = in_use;
 		out[n++].demand_milli_per_s = r->demand_milli_per_s;
 	}
 	return n;
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -69,10 +69,11 @@
 typedef void (*quota_state_fn)(void *data, const struct quota_state *s);
 void quota_each(struct quota *q, int64_t now_us, quota_state_fn fn, void *data);
 
-/* What this instance could use, for the holder of the duty. */
+/* What this instance could use and was granted, for the duty's holder. */
 struct quota_need {
 	uint64_t workspace;
 	uint32_t demand_milli_per_s;
+	uint32_t in_use_milli_per_s;
 };
 
 /* Fills at most `max` needs, measured since the last call; returns how many. */
--- a/src/proxy/quota_division.c
+++ b/src/proxy/quota_division.c
@@ -114,6 +114,7 @@
 void quota_division_report(struct quota_division *d,
 			   const struct quota_report *report, int64_t now_us)
 {
+	bool first = !g_hash_table_contains(d->members, report->instance);
 	struct division_member *m = member_of(d, report->instance);
 
 	if (report->confirmed > m->confirmed &&
@@ -125,6 +126,11 @@
 
 		r->demand_milli_per_s = report->needs[i].demand_milli_per_s;
 		r->demand_us = now_us;
+		if (!first)
+			continue;
+		/* Of the holder before, who granted it lately. */
+		r->held = report->needs[i].in_use_milli_per_s;
+		r->held_until_us = now_us + GRANT_US;
 	}
 }
 
@@ -204,7 +210,8 @@
 	uint32_t n = 0;
 
 	*sequence = ++m->sequence;
-	if (now_us < d->grants_from_us)
+	if (now_us < d->grants_from_us &&
+	    g_hash_table_size(d->members) < instances)
 		return 0;
 	for (guint i = 0; i < c->workspaces->len && n < max; i++) {
 		const struct workspace_config *w =
--- a/src/proxy/quota_division.h
+++ b/src/proxy/quota_division.h
@@ -5,7 +5,8 @@
  * What an instance was granted counts as in use until it has confirmed a
  * smaller grant or the larger one has ended, so the sum of all grants in
  * use never exceeds the part that is granted. A new holder grants nothing
- * until the grants of the one before have ended.
+ * until every instance has told what it still uses of earlier grants, or
+ * those have ended.
  */
 #ifndef PROXY_QUOTA_DIVISION_H
 #define PROXY_QUOTA_DIVISION_H
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -45,6 +45,7 @@
 	for (uint32_t i = 0; i < r->rate_count; i++) {
 		r->rates[i].workspace = needs[i].workspace;
 		r->rates[i].rate_milli_per_s = needs[i].demand_milli_per_s;
+		r->rates[i].in_use_milli_per_s = needs[i].in_use_milli_per_s;
 	}
 	r->silent_count = silent_primaries(e, r->silent, PEER_SILENT_MAX,
 					   now_us);
@@ -65,6 +66,7 @@
 	for (uint32_t i = 0; i < r->rate_count; i++) {
 		needs[i].workspace = r->rates[i].workspace;
 		needs[i].demand_milli_per_s = r->rates[i].rate_milli_per_s;
+		needs[i].in_use_milli_per_s = r->rates[i].in_use_milli_per_s;
 	}
 	quota_division_report(e->division, &in, now_us);
 	if (strcmp(instance, e->opts.instance) != 0)
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -14,7 +14,10 @@
 	VIEW_PERCENT = 50,
 	STEP_US = 100 * 1000, /* a copy is asked again after this */
 	ANSWER_US = 1000 * 1000, /* a control connection is given up */
-	/* A copy that leads no more is given so long to send its log on. */
+	/*
+	 * A planned change waits so long for the primary to step down, and then
+	 * for its log to reach a copy, before the copies are stopped instead.
+	 */
 	CATCH_UP_US = 300 * 1000,
 	/* A service without a known primary is surveyed after this. */
 	UNKNOWN_US = 1000 * 1000,
@@ -439,7 +442,8 @@
 		end_round(t, now_us);
 		return;
 	}
-	if (t->stepped_down_us && now_us - t->stepped_down_us > CATCH_UP_US)
+	/* It may have died since, or its log does not get through. */
+	if (now_us - MAX(t->stepped_down_us, t->since_us) > CATCH_UP_US)
 		t->planned = false;
 	ask_copies(t, now_us);
 	if (choose(t, &chosen) != TAKEOVER_CHOSEN)
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -176,7 +176,9 @@
  */
 TEST(ProxyEngine, AnOldEntryDisplacesNoPrimary)
 {
-	ProxyModel m({});
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
 	ProxyEndpoint *old;
 
 	m.run(START_US);
@@ -390,6 +392,42 @@
 	}
 }
 
+/*
+ * After a loss of power everybody starts anew: the granted part is there as
+ * soon as all have reported.
+ */
+TEST(ProxyEngine, GrantsFollowAFullRestartAtOnce)
+{
+	ProxyModelOpts o;
+	int served = 0;
+	int asked = 0;
+
+	o.nodes = 5;
+	o.rate_per_s = 60;
+	o.burst = 10;
+	ProxyModel m(o);
+	m.run(START_US);
+	for (auto &n : m.nodes)
+		m.power_off(n.get());
+	m.run(800 * MS);
+	for (auto &n : m.nodes)
+		m.start(n.get());
+	m.run(700 * MS);
+	/* All at one instance, whose standing part is a tenth. */
+	for (int i = 0; i < 60; i++) {
+		ProxyCaller *c = m.connect(0, "bounded", "key-a");
+
+		m.send(c, "READ 1");
+		m.run(40 * MS);
+		if (i < 10)
+			continue;
+		asked++;
+		served += m.take(c, 1 * S).ok;
+	}
+	EXPECT_GE(served, asked * 95 / 100);
+	expect_sound(m);
+}
+
 /* Four fifths of its rate, spread unevenly, are served. */
 TEST(ProxyEngine, AWorkspaceBelowItsRateIsServed)
 {
