The duty lasts 1 s; a part of the tolerated overrun is granted

Ruled out: longer grants, more standing part (both waste more). Change: lease of 1 s for the duty; 40 % of the tolerated overrun is granted beyond the limit, the other 60 % stays the burst.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -31,7 +31,7 @@
 	 */
 	RESERVE_PERCENT = 45,
 	/* A dead holder of the duty keeps the others waiting so long. */
-	DUTY_TTL_US = 2000 * 1000,
+	DUTY_TTL_US = 1000 * 1000,
 	/* While something is under way, limits are looked at so often. */
 	BUSY_TICK_US = 10 * 1000,
 	IDLE_TICK_US = 50 * 1000,
@@ -216,6 +216,7 @@
 	e->closed_sessions = g_ptr_array_new();
 	e->quota = quota_new(&opts->tolerance);
 	e->division = quota_division_new();
+	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
 	e->takeovers = takeovers_new(e);
 	e->feed = new_feed(e);
 	e->duty = new_duty(e);
@@ -285,6 +286,7 @@
 	e->opts.grace_us = opts->grace_us;
 	e->opts.tolerance = opts->tolerance;
 	quota_set_tolerance(e->quota, &opts->tolerance);
+	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
 	engine_log(e, LOG_SETTINGS_RELOADED, 0, e->opts.instance,
 		   opts->key_limit_us / US_PER_MS, "key limit in ms");
 }
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -10,11 +10,8 @@
 	OPERATION_MILLI = 1000,
 	MILLI = 1000,
 	PERCENT = 100,
-	/*
-	 * Part of the tolerance that is used. The rest covers the moments in
-	 * which instances differ about their number, and clocks.
-	 */
-	TOLERANCE_PERCENT = 60,
+	/* Part of the tolerance that serves as burst. */
+	TOLERANCE_PERCENT = PERCENT - QUOTA_SURPLUS_PERCENT,
 	/*
 	 * A new process starts with half of it: the one before it may have
 	 * spent all of it in the same window.
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -8,9 +8,11 @@
  * nothing: the others then divide without it.
  *
  * So over all instances the rates never sum to more than the limit's, but
- * for the moment in which instances differ about their number. What the
- * platform tolerates beyond a limit serves as burst: it is divided evenly
- * and never grows back faster than the rate.
+ * for the moment in which instances differ about their number. Of what the
+ * platform tolerates beyond a limit, one part makes up for granted rates that
+ * are never used to the full, and the other serves as burst: it is divided
+ * evenly and never grows back faster than the rate. Both together stay below
+ * the tolerance in every window.
  */
 #ifndef PROXY_QUOTA_H
 #define PROXY_QUOTA_H
@@ -25,6 +27,9 @@
 /* Part of every limit that is divided evenly; the rest is granted. */
 enum { QUOTA_STANDING_PERCENT = 50 };
 
+/* Of the tolerated overrun, the part that is granted beyond the limit. */
+enum { QUOTA_SURPLUS_PERCENT = 40 };
+
 /* Returns a workspace's number in messages between instances. */
 uint64_t quota_workspace_number(const char *name);
 
--- a/src/proxy/quota_division.c
+++ b/src/proxy/quota_division.c
@@ -8,6 +8,7 @@
 	/* A few reports may be lost before an instance falls back. */
 	GRANT_US = 1500 * 1000,
 	PERCENT = 100,
+	MILLI = 1000,
 	/* Above the measured demand, which arrives in bunches. */
 	HEADROOM_PERCENT = 130,
 };
@@ -32,6 +33,7 @@
 struct quota_division {
 	GHashTable *members; /* name to struct division_member */
 	int64_t grants_from_us;
+	uint32_t surplus_milli;
 };
 
 int64_t quota_division_grant_us(void)
@@ -63,6 +65,12 @@
 	g_free(d);
 }
 
+void quota_division_set_overrun(struct quota_division *d,
+				uint32_t overrun_milli)
+{
+	d->surplus_milli = overrun_milli * QUOTA_SURPLUS_PERCENT / PERCENT;
+}
+
 void quota_division_start(struct quota_division *d, int64_t now_us)
 {
 	g_hash_table_remove_all(d->members);
@@ -222,7 +230,8 @@
 		uint32_t standing = (uint32_t)(rate * QUOTA_STANDING_PERCENT /
 					       PERCENT / MAX(instances, 1));
 		uint64_t pool =
-			rate * (PERCENT - QUOTA_STANDING_PERCENT) / PERCENT;
+			rate * (PERCENT - QUOTA_STANDING_PERCENT) / PERCENT +
+			rate * d->surplus_milli / MILLI;
 		struct division_sum sum;
 		uint64_t part;
 
--- a/src/proxy/quota_division.h
+++ b/src/proxy/quota_division.h
@@ -36,6 +36,10 @@
 void quota_division_report(struct quota_division *d,
 			   const struct quota_report *r, int64_t now_us);
 
+/* What may be granted beyond a limit's rate, in thousandths of it. */
+void quota_division_set_overrun(struct quota_division *d,
+				uint32_t overrun_milli);
+
 /*
  * Fills at most `max` grants for an instance and returns how many, with
  * *sequence set to the number that it confirms. `instances` divide the
