A test for the earlier send of a refused repeat; lint

Cause: the mutant that forgets an earlier send passed all tests. Change: a model run in which the first send ran, its answer was lost and the repeat is refused; the answer must say may_have_run. After: ARefusedRepeatDoesNotUndoTheFirstSend fails with it, passes without.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -149,10 +149,10 @@
 {
 	struct http_client *c = data;
 
-	loop_timer_set(c->timer, timeout_ms < 0 ?
-					 -1 :
-					 loop_now_us() + timeout_ms *
-								 US_PER_MILLI);
+	loop_timer_set(c->timer,
+		       timeout_ms < 0 ?
+			       -1 :
+			       loop_now_us() + timeout_ms * US_PER_MILLI);
 	return 0;
 }
 
@@ -241,12 +241,13 @@
 	k->data = data;
 	k->headers = curl_slist_append(NULL, "Expect:");
 	if (call->body)
-		k->headers = curl_slist_append(
-			k->headers, "Content-Type: application/json");
+		k->headers =
+			curl_slist_append(k->headers,
+					  "Content-Type: application/json");
 	for (int i = 0; i < HTTP_CALL_HEADERS_MAX; i++) {
 		if (call->headers[i])
-			k->headers = curl_slist_append(k->headers,
-						       call->headers[i]);
+			k->headers =
+				curl_slist_append(k->headers, call->headers[i]);
 	}
 	set_options(k, call);
 	g_hash_table_add(c->calls, k);
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -99,7 +99,7 @@
 
 /* Upper bounds in microseconds, in the usual steps of 1, 2.5 and 5. */
 static const int64_t bucket_bounds_us[] = {
-	1000,	 2500,	  5000,	  10000,   25000,   50000,   100000,
+	1000,	2500,	5000,	 10000,	  25000,   50000,    100000,
 	250000, 500000, 1000000, 2500000, 5000000, 10000000,
 };
 
--- a/src/proxy/admission.h
+++ b/src/proxy/admission.h
@@ -28,7 +28,8 @@
 #define ADMISSION_NOT_LOST (-1)
 
 /* Returns how long a statement of the route may wait from its arrival. */
-int64_t admission_hold_us(const struct route *r, const struct admission_load *l);
+int64_t admission_hold_us(const struct route *r,
+			  const struct admission_load *l);
 
 /* Returns the expected wait. */
 int64_t admission_wait_us(const struct admission_load *l);
--- a/src/proxy/answer_code.h
+++ b/src/proxy/answer_code.h
@@ -7,21 +7,21 @@
 #include <stdbool.h>
 
 /* X(name, slug, verdict) */
-#define ANSWER_CODE_TABLE(X)                              \
-	X(NONE, "ok", VERDICT_RAN)                        \
-	X(OVERLOADED, "overloaded", VERDICT_NOT_RUN)      \
-	X(ABORTED, "aborted", VERDICT_NOT_RUN)            \
-	X(BEHIND, "behind", VERDICT_NOT_RUN)              \
-	X(NOT_PRIMARY, "not-primary", VERDICT_NOT_RUN)    \
+#define ANSWER_CODE_TABLE(X)                                 \
+	X(NONE, "ok", VERDICT_RAN)                           \
+	X(OVERLOADED, "overloaded", VERDICT_NOT_RUN)         \
+	X(ABORTED, "aborted", VERDICT_NOT_RUN)               \
+	X(BEHIND, "behind", VERDICT_NOT_RUN)                 \
+	X(NOT_PRIMARY, "not-primary", VERDICT_NOT_RUN)       \
 	X(WRONG_ENDPOINT, "wrong-endpoint", VERDICT_NOT_RUN) \
-	X(LIMIT, "limit", VERDICT_NOT_RUN)                \
-	X(NO_STATEMENT, "no-statement", VERDICT_NOT_RUN)  \
-	X(BAD_KEY, "bad-key", VERDICT_NOT_RUN)            \
-	X(NO_DATABASE, "no-database", VERDICT_NOT_RUN)    \
-	X(TOO_LARGE, "too-large", VERDICT_NOT_RUN)        \
-	X(MALFORMED, "malformed", VERDICT_NOT_RUN)        \
-	X(FAILED, "failed", VERDICT_RAN)                  \
-	X(TIMEOUT, "timeout", VERDICT_MAY_HAVE_RUN)       \
+	X(LIMIT, "limit", VERDICT_NOT_RUN)                   \
+	X(NO_STATEMENT, "no-statement", VERDICT_NOT_RUN)     \
+	X(BAD_KEY, "bad-key", VERDICT_NOT_RUN)               \
+	X(NO_DATABASE, "no-database", VERDICT_NOT_RUN)       \
+	X(TOO_LARGE, "too-large", VERDICT_NOT_RUN)           \
+	X(MALFORMED, "malformed", VERDICT_NOT_RUN)           \
+	X(FAILED, "failed", VERDICT_RAN)                     \
+	X(TIMEOUT, "timeout", VERDICT_MAY_HAVE_RUN)          \
 	X(IN_DOUBT, "in-doubt", VERDICT_MAY_HAVE_RUN)
 
 #define ANSWER_CODE_ENUM(name, slug, verdict) ANSWER_##name,
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -31,8 +31,8 @@
 {
 	struct engine *e = s->engine;
 
-	metrics_add(e->opts.metrics, "statements_total",
-		    answer_code_name(code), 1);
+	metrics_add(e->opts.metrics, "statements_total", answer_code_name(code),
+		    1);
 	metrics_observe(e->opts.metrics, "statement_seconds",
 			query_kind_name(s->op.query.kind),
 			now_us - s->op.arrived_us);
@@ -117,8 +117,8 @@
 	g_string_free(out, TRUE);
 }
 
-void caller_refuse(struct session *s, enum answer_code code,
-		   const char *reason, int64_t retry_us, int64_t now_us)
+void caller_refuse(struct session *s, enum answer_code code, const char *reason,
+		   int64_t retry_us, int64_t now_us)
 {
 	char text[REASON_BYTES];
 	int64_t retry_ms = (retry_us + US_PER_MS - 1) / US_PER_MS;
@@ -358,18 +358,12 @@
 typedef void (*query_fn)(struct session *s, int64_t now_us);
 
 static const query_fn query_fns[] = {
-	[QUERY_BEGIN] = on_begin,
-	[QUERY_BEGIN_READ] = on_begin,
-	[QUERY_COMMIT] = on_commit,
-	[QUERY_ROLLBACK] = on_rollback,
-	[QUERY_READ] = run,
-	[QUERY_WRITE] = on_write,
-	[QUERY_SET] = on_set,
-	[QUERY_PREPARE] = on_prepare,
-	[QUERY_EXECUTE] = on_execute,
-	[QUERY_DEALLOCATE] = on_deallocate,
-	[QUERY_END] = on_end,
-	[QUERY_MALFORMED] = on_malformed,
+	[QUERY_BEGIN] = on_begin,     [QUERY_BEGIN_READ] = on_begin,
+	[QUERY_COMMIT] = on_commit,   [QUERY_ROLLBACK] = on_rollback,
+	[QUERY_READ] = run,	      [QUERY_WRITE] = on_write,
+	[QUERY_SET] = on_set,	      [QUERY_PREPARE] = on_prepare,
+	[QUERY_EXECUTE] = on_execute, [QUERY_DEALLOCATE] = on_deallocate,
+	[QUERY_END] = on_end,	      [QUERY_MALFORMED] = on_malformed,
 };
 
 static bool ends_transaction(enum query_kind kind)
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -18,8 +18,8 @@
 			 const char *reason, int64_t now_us);
 
 /* The same, for what was not run: tells when to come back. */
-void caller_refuse(struct session *s, enum answer_code code,
-		   const char *reason, int64_t retry_us, int64_t now_us);
+void caller_refuse(struct session *s, enum answer_code code, const char *reason,
+		   int64_t retry_us, int64_t now_us);
 
 /* The connection that carried the session's transaction is gone. */
 void caller_lose_transaction(struct session *s, const char *reason,
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -34,9 +34,8 @@
 static bool find_mark(const struct session *s, const struct route *r,
 		      struct service *svc, struct mark *out)
 {
-	int64_t since = s->transaction == TRANSACTION_NONE ?
-				s->op.arrived_us :
-				s->transaction_us;
+	int64_t since = s->transaction == TRANSACTION_NONE ? s->op.arrived_us :
+							     s->transaction_us;
 
 	if (!mark_ring_find(&svc->marks, since - r->max_age_us, out))
 		return false;
@@ -54,8 +53,8 @@
 {
 	struct operation *op = &s->op;
 	bool in_transaction = s->transaction != TRANSACTION_NONE;
-	bool reads_only = in_transaction ? s->transaction_reads_only :
-					   !op->writes;
+	bool reads_only =
+		in_transaction ? s->transaction_reads_only : !op->writes;
 
 	op->begins = in_transaction && !s->pinned;
 	op->need = NEED_PRIMARY;
@@ -133,8 +132,7 @@
 		return true;
 	if (op->need != NEED_READ || u == u->service->primary)
 		return false;
-	if (u->has_position &&
-	    position_covers(u->position, op->after.position))
+	if (u->has_position && position_covers(u->position, op->after.position))
 		return false;
 	return now_us < u->behind_until_us ||
 	       now_us - op->after.asked_us < u->lag_us;
@@ -387,8 +385,8 @@
 {
 	struct session *s = c->session;
 	const struct operation *op = &s->op;
-	const char *name = op->query.kind == QUERY_EXECUTE ? op->query.name :
-							     NULL;
+	const char *name =
+		op->query.kind == QUERY_EXECUTE ? op->query.name : NULL;
 	bool begins = op->begins || op->need == NEED_STRICT_READ;
 	bool setup;
 
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -146,8 +146,8 @@
 
 	d->calling = false;
 	d->drawing = false;
-	later(d, a->outcome == STORE_DONE ? d->opts.ttl_us / RENEWALS :
-					    RETRY_US);
+	later(d,
+	      a->outcome == STORE_DONE ? d->opts.ttl_us / RENEWALS : RETRY_US);
 	if (a->outcome == STORE_DONE) {
 		d->token = (uint64_t)a->revision;
 		d->revision = a->revision;
@@ -161,9 +161,8 @@
 	}
 	tell(d);
 	if (drew)
-		d->opts.on_token(d->opts.data, a->outcome == STORE_DONE ?
-						       d->token :
-						       0);
+		d->opts.on_token(d->opts.data,
+				 a->outcome == STORE_DONE ? d->token : 0);
 }
 
 static void put(struct duty *d)
@@ -206,8 +205,8 @@
 	}
 	if (a->outcome == STORE_DONE)
 		note_lease(d, a);
-	later(d, a->outcome == STORE_DONE ? d->opts.ttl_us / RENEWALS :
-					    RETRY_US);
+	later(d,
+	      a->outcome == STORE_DONE ? d->opts.ttl_us / RENEWALS : RETRY_US);
 	tell(d);
 }
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -80,16 +80,16 @@
 	return MAX(each + (e->instance_rank < rest), 1);
 }
 
-void engine_note_lead(struct engine *e, struct upstream *u,
-		      enum lead_word word, const char *why)
+void engine_note_lead(struct engine *e, struct upstream *u, enum lead_word word,
+		      const char *why)
 {
 	struct service *svc = u->service;
 
 	if (!service_note_lead(u, word, engine_now(e)))
 		return;
 	engine_log(e, LOG_PRIMARY_CHANGED, 0, svc->name, 0, "%s; %s %s",
-		   svc->primary ? svc->primary->entry.id : "none",
-		   u->entry.id, why);
+		   svc->primary ? svc->primary->entry.id : "none", u->entry.id,
+		   why);
 }
 
 void engine_conn_flush(struct upstream_conn *c)
@@ -202,15 +202,15 @@
 
 	e->opts = *opts;
 	e->rand = g_rand_new_with_seed((guint32)opts->seed);
-	e->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    NULL);
+	e->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
 	e->entries = g_hash_table_new(g_str_hash, g_str_equal);
 	e->sessions = g_hash_table_new(NULL, NULL);
 	e->busy = g_hash_table_new(NULL, NULL);
-	e->instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     g_free);
-	e->listed_names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						NULL);
+	e->instances =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->listed_names =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->instance_count = 1;
 	e->closed = g_ptr_array_new();
 	e->closed_sessions = g_ptr_array_new();
@@ -240,7 +240,8 @@
 		struct upstream *u = g_ptr_array_index(svc->upstreams, i);
 
 		while (u->conns->len) {
-			struct upstream_conn *c = g_ptr_array_index(u->conns, 0);
+			struct upstream_conn *c =
+				g_ptr_array_index(u->conns, 0);
 
 			c->control = false;
 			dispatch_close(c);
@@ -362,8 +363,7 @@
 	struct upstream_conn *c = s->conn;
 	bool keeps = s->op.query.kind == QUERY_COMMIT ?
 			     s->transaction_wrote :
-			     s->op.writes &&
-				     s->transaction == TRANSACTION_NONE;
+			     s->op.writes && s->transaction == TRANSACTION_NONE;
 
 	if (s->op.sent && keeps) {
 		caller_answer_error(s, ANSWER_TIMEOUT, "no answer in time",
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -74,8 +74,8 @@
 uint32_t engine_conns_limit(const struct engine *e, const struct service *s);
 
 /* Takes an endpoint's word about its role, and logs a change. */
-void engine_note_lead(struct engine *e, struct upstream *u,
-		      enum lead_word word, const char *why);
+void engine_note_lead(struct engine *e, struct upstream *u, enum lead_word word,
+		      const char *why);
 
 /* Writes out what was collected for a connection. */
 void engine_conn_flush(struct upstream_conn *c);
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -89,7 +89,8 @@
 		mark_ring_add(&svc->marks, asked_us, r->position);
 }
 
-static void note_write(struct session *s, const struct wire_reply *r, int64_t now_us)
+static void note_write(struct session *s, const struct wire_reply *r,
+		       int64_t now_us)
 {
 	if (!r->has_position)
 		return;
@@ -260,12 +261,9 @@
 			const struct wire_reply *ready, int64_t now_us);
 
 static const step_fn step_fns[STEP_KIND_COUNT] = {
-	[STEP_START] = on_start,
-	[STEP_SETUP] = on_setup,
-	[STEP_BEGIN] = on_begin,
-	[STEP_STATEMENT] = on_statement,
-	[STEP_ROLLBACK] = on_rollback,
-	[STEP_PROBE_BEGIN] = on_probe_begin,
+	[STEP_START] = on_start,       [STEP_SETUP] = on_setup,
+	[STEP_BEGIN] = on_begin,       [STEP_STATEMENT] = on_statement,
+	[STEP_ROLLBACK] = on_rollback, [STEP_PROBE_BEGIN] = on_probe_begin,
 	[STEP_REPORT] = on_report,
 };
 
--- a/src/proxy/fleet_config.c
+++ b/src/proxy/fleet_config.c
@@ -35,8 +35,8 @@
 	c->services = g_ptr_array_new_with_free_func(service_free);
 	c->workspaces = g_ptr_array_new_with_free_func(workspace_free);
 	c->by_database = g_hash_table_new(g_str_hash, g_str_equal);
-	c->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  NULL);
+	c->by_key =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return c;
 }
 
@@ -87,8 +87,8 @@
 	return key ? g_hash_table_lookup(c->by_key, key) : NULL;
 }
 
-const struct service_config *
-fleet_config_service(const struct fleet_config *c, const char *name)
+const struct service_config *fleet_config_service(const struct fleet_config *c,
+						  const char *name)
 {
 	for (guint i = 0; i < c->services->len; i++) {
 		const struct service_config *s =
--- a/src/proxy/fleet_config.h
+++ b/src/proxy/fleet_config.h
@@ -72,7 +72,7 @@
 				       const char *database);
 const struct workspace_config *fleet_config_key(const struct fleet_config *c,
 						const char *key);
-const struct service_config *
-fleet_config_service(const struct fleet_config *c, const char *name);
+const struct service_config *fleet_config_service(const struct fleet_config *c,
+						  const char *name);
 
 #endif
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -70,10 +70,10 @@
 	    now_us < u->open_after_us || is_starting(u) ||
 	    u->conns->len >= engine_conns_limit(e, u->service))
 		return;
-	w = g_ptr_array_index(e->config->workspaces,
-			      g_rand_int_range(e->rand, 0,
-					       (gint32)e->config->workspaces
-						       ->len));
+	w = g_ptr_array_index(
+		e->config->workspaces,
+		g_rand_int_range(e->rand, 0,
+				 (gint32)e->config->workspaces->len));
 	dispatch_open(e, u, w->name, false, now_us);
 }
 
@@ -130,8 +130,7 @@
 	if (svc->probing || now_us < svc->probe_due_us)
 		return;
 	if (!u->silent_since_us && svc->marks.count &&
-	    now_us - mark_ring_newest_us(&svc->marks) <
-		    interval_us(svc) / 2)
+	    now_us - mark_ring_newest_us(&svc->marks) < interval_us(svc) / 2)
 		return;
 	svc->probe_due_us = now_us + (u->silent_since_us ? SILENT_INTERVAL_US :
 							   interval_us(svc));
--- a/src/proxy/mark_ring.c
+++ b/src/proxy/mark_ring.c
@@ -2,8 +2,7 @@
 
 #include "core/sizes.h"
 
-static const struct mark *mark_at(const struct mark_ring *f,
-					    uint32_t i)
+static const struct mark *mark_at(const struct mark_ring *f, uint32_t i)
 {
 	return &f->marks[(f->first + i) % MARK_RING_SIZE];
 }
@@ -26,8 +25,8 @@
 	if (f->count && asked_us <= f->newest.asked_us)
 		return;
 	f->newest = m;
-	if (!f->count || asked_us - mark_at(f, f->count - 1)->asked_us >=
-				 MARK_SPACING_US)
+	if (!f->count ||
+	    asked_us - mark_at(f, f->count - 1)->asked_us >= MARK_SPACING_US)
 		ring_add(f, &m);
 }
 
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -56,8 +56,8 @@
 	struct quota *q = g_new0(struct quota, 1);
 
 	q->tolerance = *tolerance;
-	q->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					g_free);
+	q->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	q->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
 	q->instances = 1;
 	q->lease_until_us = INT64_MIN;
@@ -98,8 +98,8 @@
 static uint32_t rate_here(const struct quota *q, const struct quota_row *r,
 			  int64_t now_us)
 {
-	uint64_t rate = (uint64_t)r->rate_milli_per_s *
-			QUOTA_STANDING_PERCENT / PERCENT / q->instances;
+	uint64_t rate = (uint64_t)r->rate_milli_per_s * QUOTA_STANDING_PERCENT /
+			PERCENT / q->instances;
 
 	if (now_us < r->granted_until_us)
 		rate += r->granted_milli_per_s;
@@ -114,8 +114,8 @@
 
 	bucket_advance(&r->bucket, now_us);
 	if (r->rate_milli_per_s)
-		capacity += (uint64_t)r->burst_milli * rate /
-			    r->rate_milli_per_s;
+		capacity +=
+			(uint64_t)r->burst_milli * rate / r->rate_milli_per_s;
 	bucket_resize(&r->bucket, rate,
 		      (uint32_t)MIN(capacity, UINT32_MAX / 2));
 }
@@ -148,9 +148,8 @@
 		return;
 	refresh(q, r, now_us);
 	if (is_new)
-		bucket_add(&r->bucket,
-			   (uint32_t)(extra_milli(q, r) * START_PERCENT /
-				      PERCENT));
+		bucket_add(&r->bucket, (uint32_t)(extra_milli(q, r) *
+						  START_PERCENT / PERCENT));
 }
 
 void quota_configure(struct quota *q, const struct fleet_config *c,
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -56,8 +56,8 @@
 	       int64_t *retry_us);
 
 /* A grant of the duty's holder; it replaces the one before. */
-void quota_grant(struct quota *q, uint64_t workspace,
-		 uint32_t rate_milli_per_s, int64_t until_us, int64_t now_us);
+void quota_grant(struct quota *q, uint64_t workspace, uint32_t rate_milli_per_s,
+		 int64_t until_us, int64_t now_us);
 
 /* One workspace's bucket here, for log and metrics. */
 struct quota_state {
--- a/src/proxy/quota_division.c
+++ b/src/proxy/quota_division.c
@@ -129,8 +129,7 @@
 	    report->confirmed <= m->sequence)
 		confirm(m, report->confirmed);
 	for (uint32_t i = 0; i < report->need_count; i++) {
-		struct division_row *r =
-			row_of(m, report->needs[i].workspace);
+		struct division_row *r = row_of(m, report->needs[i].workspace);
 
 		r->demand_milli_per_s = report->needs[i].demand_milli_per_s;
 		r->demand_us = now_us;
@@ -208,43 +207,47 @@
 	r->held_until_us = r->until_us;
 }
 
-uint32_t quota_division_grants(struct quota_division *d, const char *instance,
-			       const struct fleet_config *c,
-			       uint32_t instances, struct quota_need *out,
-			       uint32_t max, uint64_t *sequence,
-			       int64_t now_us)
+/* What one instance may use of a workspace's granted part from now on. */
+static uint64_t part_of(const struct quota_division *d,
+			const struct division_row *r,
+			const struct workspace_config *w,
+			const struct quota_grants *g, int64_t now_us)
 {
-	struct division_member *m = member_of(d, instance);
-	uint32_t n = 0;
+	uint64_t rate = w->rate_milli_per_s;
+	uint32_t standing = (uint32_t)(rate * QUOTA_STANDING_PERCENT / PERCENT /
+				       MAX(g->instances, 1));
+	uint64_t pool = rate * (PERCENT - QUOTA_STANDING_PERCENT) / PERCENT +
+			rate * d->surplus_milli / MILLI;
+	struct division_sum sum = sum_of(d, quota_workspace_number(w->name),
+					 g->instance, standing, now_us);
+	uint64_t part = fair_part(pool, need_of(r, standing, now_us), &sum);
+
+	return MIN(part, pool - MIN(pool, sum.held_by_others));
+}
 
-	*sequence = ++m->sequence;
+void quota_division_grant(struct quota_division *d, struct quota_grants *g,
+			  int64_t now_us)
+{
+	struct division_member *m = member_of(d, g->instance);
+
+	g->sequence = ++m->sequence;
+	g->count = 0;
 	if (now_us < d->grants_from_us &&
-	    g_hash_table_size(d->members) < instances)
-		return 0;
-	for (guint i = 0; i < c->workspaces->len && n < max; i++) {
+	    g_hash_table_size(d->members) < g->instances)
+		return;
+	for (guint i = 0; i < g->config->workspaces->len && g->count < g->max;
+	     i++) {
 		const struct workspace_config *w =
-			g_ptr_array_index(c->workspaces, i);
+			g_ptr_array_index(g->config->workspaces, i);
 		uint64_t number = quota_workspace_number(w->name);
 		struct division_row *r = g_hash_table_lookup(m->rows, &number);
-		uint64_t rate = w->rate_milli_per_s;
-		uint32_t standing = (uint32_t)(rate * QUOTA_STANDING_PERCENT /
-					       PERCENT / MAX(instances, 1));
-		uint64_t pool =
-			rate * (PERCENT - QUOTA_STANDING_PERCENT) / PERCENT +
-			rate * d->surplus_milli / MILLI;
-		struct division_sum sum;
 		uint64_t part;
 
 		if (!r || w->rate_milli_per_s == UINT32_MAX)
 			continue;
-		sum = sum_of(d, number, instance, standing, now_us);
-		part = fair_part(pool, need_of(r, standing, now_us), &sum);
-		part = MIN(part, pool > sum.held_by_others ?
-					 pool - sum.held_by_others :
-					 0);
+		part = part_of(d, r, w, g, now_us);
 		grant(m, r, part, now_us);
-		out[n].workspace = number;
-		out[n++].demand_milli_per_s = (uint32_t)part;
+		g->out[g->count].workspace = number;
+		g->out[g->count++].demand_milli_per_s = (uint32_t)part;
 	}
-	return n;
 }
--- a/src/proxy/quota_division.h
+++ b/src/proxy/quota_division.h
@@ -40,15 +40,19 @@
 void quota_division_set_overrun(struct quota_division *d,
 				uint32_t overrun_milli);
 
-/*
- * Fills at most `max` grants for an instance and returns how many, with
- * *sequence set to the number that it confirms. `instances` divide the
- * standing part.
- */
-uint32_t quota_division_grants(struct quota_division *d, const char *instance,
-			       const struct fleet_config *c,
-			       uint32_t instances, struct quota_need *out,
-			       uint32_t max, uint64_t *sequence,
-			       int64_t now_us);
+/* Who is granted what, and by which limits. */
+struct quota_grants {
+	const char *instance;
+	const struct fleet_config *config;
+	uint32_t instances; /* that divide the standing part */
+	struct quota_need *out; /* .demand_milli_per_s is what is granted */
+	uint32_t max; /* of out */
+	uint32_t count; /* set: of out */
+	uint64_t sequence; /* set: what the instance confirms */
+};
+
+/* Divides anew for one instance. */
+void quota_division_grant(struct quota_division *d, struct quota_grants *g,
+			  int64_t now_us);
 
 #endif
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -47,8 +47,8 @@
 		r->rates[i].rate_milli_per_s = needs[i].demand_milli_per_s;
 		r->rates[i].in_use_milli_per_s = needs[i].in_use_milli_per_s;
 	}
-	r->silent_count = silent_primaries(e, r->silent, PEER_SILENT_MAX,
-					   now_us);
+	r->silent_count =
+		silent_primaries(e, r->silent, PEER_SILENT_MAX, now_us);
 	e->report_sent_us = now_us;
 }
 
@@ -62,6 +62,11 @@
 					 .confirmed = r->confirmed,
 					 .needs = needs,
 					 .need_count = r->rate_count };
+	struct quota_grants grants = { .instance = instance,
+				       .config = e->config,
+				       .instances = e->instance_count,
+				       .out = needs,
+				       .max = G_N_ELEMENTS(needs) };
 
 	for (uint32_t i = 0; i < r->rate_count; i++) {
 		needs[i].workspace = r->rates[i].workspace;
@@ -74,9 +79,9 @@
 			      r->silent_count, now_us);
 	g->report = r->sequence;
 	g->duration_us = quota_division_grant_us();
-	g->rate_count = quota_division_grants(
-		e->division, instance, e->config, e->instance_count, needs,
-		G_N_ELEMENTS(needs), &g->sequence, now_us);
+	quota_division_grant(e->division, &grants, now_us);
+	g->sequence = grants.sequence;
+	g->rate_count = grants.count;
 	for (uint32_t i = 0; i < g->rate_count; i++) {
 		g->rates[i].workspace = needs[i].workspace;
 		g->rates[i].rate_milli_per_s = needs[i].demand_milli_per_s;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -16,8 +16,8 @@
 
 	s->engine = e;
 	s->caller = caller;
-	s->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  g_free);
+	s->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    prepared_free);
 	s->signature = g_strdup("");
@@ -48,8 +48,8 @@
 
 static void renew_signature(struct session *s)
 {
-	GList *names = g_list_sort(g_hash_table_get_keys(s->values),
-				   compare_names);
+	GList *names =
+		g_list_sort(g_hash_table_get_keys(s->values), compare_names);
 	GString *out = g_string_new(NULL);
 
 	for (GList *l = names; l; l = l->next)
@@ -111,8 +111,8 @@
 	if (operation_avoids(op, u))
 		return;
 	if (op->avoid_count == OPERATION_AVOID_MAX) {
-		memmove(op->avoid, op->avoid + 1,
-			sizeof(op->avoid) - sizeof(op->avoid[0]));
+		for (uint32_t i = 1; i < OPERATION_AVOID_MAX; i++)
+			op->avoid[i - 1] = op->avoid[i];
 		op->avoid_count--;
 	}
 	op->avoid[op->avoid_count++] = u;
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -204,8 +204,8 @@
 {
 	int64_t ttl_us = a->ttl_us ? a->ttl_us : f->opts.lease_ttl_us;
 
-	f->lease_until_us = a->asked_us + ttl_us -
-			    ttl_us * CLOCK_MARGIN_PERCENT / 100;
+	f->lease_until_us =
+		a->asked_us + ttl_us - ttl_us * CLOCK_MARGIN_PERCENT / 100;
 }
 
 static void on_lease(void *data, const struct store_answer *a)
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -201,8 +201,8 @@
 static void say(const struct takeover *t, enum log_event event, int64_t value,
 		const char *what)
 {
-	engine_log(t->owner->engine, event, 0, t->service->name, value, "%s%s%s",
-		   what, t->chosen[0] ? " " : "", t->chosen);
+	engine_log(t->owner->engine, event, 0, t->service->name, value,
+		   "%s%s%s", what, t->chosen[0] ? " " : "", t->chosen);
 }
 
 static struct round_copy *copy_at(const struct takeover *t, guint i)
@@ -412,8 +412,8 @@
 					 c->report.role == ROLE_REPLICA;
 		copies[i].held = is_held(t, c);
 		copies[i].leaving = c->upstream->entry.leaving;
-		copies[i].local = !strcmp(c->upstream->entry.zone,
-					  e->opts.zone);
+		copies[i].local =
+			!strcmp(c->upstream->entry.zone, e->opts.zone);
 		copies[i].received = c->report.received;
 	}
 	return takeover_choose(copies, t->copies->len,
@@ -561,11 +561,9 @@
 				 "reports that it leads");
 	if (t->state == TAKEOVER_SURVEY && r->term >= t->term)
 		t->term = r->term + 1;
-	if (copy->was_primary && r->role == ROLE_REPLICA &&
-	    !t->stepped_down_us)
+	if (copy->was_primary && r->role == ROLE_REPLICA && !t->stepped_down_us)
 		t->stepped_down_us = now_us;
-	if (t->state == TAKEOVER_SURVEY &&
-	    (first || r->role == ROLE_PRIMARY))
+	if (t->state == TAKEOVER_SURVEY && (first || r->role == ROLE_PRIMARY))
 		ask(t, copy, now_us);
 }
 
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -18,6 +18,7 @@
 	OUTAGE_MOST_US = 6000 * 1000,
 	/* An average that nothing renews halves in this time. */
 	LATENCY_HALF_LIFE_US = 1000 * 1000,
+	LATENCY_FORGOTTEN_US = 8 * LATENCY_HALF_LIFE_US,
 };
 
 static void upstream_release(gpointer p)
@@ -121,7 +122,7 @@
 	int64_t idle_us = now_us - u->latency_at_us;
 
 	/* A slow endpoint is tried again once its figure is old. */
-	if (!u->latency_at_us || idle_us >= 8 * LATENCY_HALF_LIFE_US)
+	if (!u->latency_at_us || idle_us >= LATENCY_FORGOTTEN_US)
 		return MIN(u->latency_us, FIRST_LATENCY_US);
 	return MAX(u->latency_us >> (idle_us / LATENCY_HALF_LIFE_US), 1);
 }
@@ -174,8 +175,8 @@
 {
 	if (took_us < OUTAGE_LEAST_US)
 		return;
-	s->outage_us += (MIN(took_us, OUTAGE_MOST_US) - s->outage_us) /
-			OUTAGE_WEIGHT;
+	s->outage_us +=
+		(MIN(took_us, OUTAGE_MOST_US) - s->outage_us) / OUTAGE_WEIGHT;
 }
 
 bool service_note_lead(struct upstream *u, enum lead_word word, int64_t now_us)
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -18,31 +18,32 @@
 struct upstream {
 	struct upstream_entry entry;
 	struct service *service;
-	bool listed; /* the store has its entry */
 	int64_t missing_since_us; /* not listed; 0: it is */
 
 	/* Connections of this instance. */
 	GPtrArray *conns; /* struct upstream_conn */
-	uint32_t running; /* statements under way */
 	int64_t open_after_us; /* no new connection before */
-	uint32_t open_failures; /* in a row */
 	int64_t conn_denied_us; /* last time that it had no connection left */
 
 	/* What it last showed. */
-	bool has_position;
 	struct position position;
 	int64_t position_us;
 	int64_t silent_since_us; /* first question without an answer; 0 */
-	bool refused; /* and nothing listens at its address */
 	int64_t lag_us; /* estimate of how far it is behind */
 	int64_t behind_until_us; /* it said that it lacks a position */
 	int64_t busy_until_us; /* it said that it is overloaded */
-	bool leads; /* it said so, and has not denied it since */
 
 	/* Moving averages. */
 	int64_t latency_us; /* of a statement, waiting there included */
 	int64_t latency_at_us;
 	int64_t handshake_us; /* of opening a connection */
+
+	uint32_t running; /* statements under way */
+	uint32_t open_failures; /* in a row */
+	bool listed; /* the store has its entry */
+	bool has_position;
+	bool refused; /* silent, and nothing listens at its address */
+	bool leads; /* it said so, and has not denied it since */
 };
 
 struct service {
--- a/src/proxy/upstream_conn.c
+++ b/src/proxy/upstream_conn.c
@@ -15,8 +15,8 @@
 	c->opened_us = now_us;
 	c->used_us = now_us;
 	c->signature = g_strdup("");
-	c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    g_free);
+	c->prepared =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->out = g_string_new(NULL);
 	return c;
 }
@@ -110,8 +110,8 @@
 
 bool upstream_conn_put_setup(struct upstream_conn *c,
 			     const struct wire_ops *wire,
-			     const struct session *s,
-			     const char *prepared_name, int64_t now_us)
+			     const struct session *s, const char *prepared_name,
+			     int64_t now_us)
 {
 	const struct prepared *p =
 		prepared_name ? session_prepared(s, prepared_name) : NULL;
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -105,8 +105,8 @@
  */
 bool upstream_conn_put_setup(struct upstream_conn *c,
 			     const struct wire_ops *wire,
-			     const struct session *s,
-			     const char *prepared_name, int64_t now_us);
+			     const struct session *s, const char *prepared_name,
+			     int64_t now_us);
 
 /* Returns the endpoint's name for the session's prepared statement. */
 const char *upstream_conn_prepared(const struct upstream_conn *c,
--- a/src/serve/proxy_command.c
+++ b/src/serve/proxy_command.c
@@ -92,10 +92,8 @@
 int proxy_command(int argc, char **argv)
 {
 	static const struct argp argp = {
-		options, parse,
-		NULL,	 "Run an instance that serves sessions.",
-		NULL,	 NULL,
-		NULL
+		options, parse, NULL, "Run an instance that serves sessions.",
+		NULL,	 NULL,	NULL
 	};
 	struct proxy_args args = { .settings = getenv(SETTINGS_VARIABLE) };
 	struct proxy_settings *s = NULL;
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -331,8 +331,8 @@
 		.seed = incarnation,
 		.key_limit_us = s->keys.withdrawn_after_ms * US_PER_MS,
 		.grace_us = s->shutdown.grace_milli_s * US_PER_MS,
-		.tolerance = { .window_us = s->limits.window_milli_s *
-					    US_PER_MS,
+		.tolerance = { .window_us =
+				       s->limits.window_milli_s * US_PER_MS,
 			       .overrun_milli = s->limits.overrun_milli,
 			       .slack_milli = s->limits.slack * 1000 },
 		.sessions_max = s->sessions.max,
--- a/src/settings/proxy_settings.c
+++ b/src/settings/proxy_settings.c
@@ -8,26 +8,27 @@
 #define REQUIRED NULL
 /* A member designator takes no parentheses. */
 /* NOLINTBEGIN(bugprone-macro-parentheses) */
-#define ROW(sec, field)                     \
-	.section = #sec, .name = #field,    \
+#define ROW(sec, field)                  \
+	.section = #sec, .name = #field, \
 	.offset = offsetof(struct proxy_settings, sec.field)
-#define TEXT(sec, field, def, check_fn)                         \
-	{                                                       \
-		ROW(sec, field), .kind = FIELD_TEXT,            \
-			.text_default = (def), .check = (check_fn) \
+#define TEXT(sec, field, def, check_fn)                                     \
+	{                                                                   \
+		ROW(sec, field), .kind = FIELD_TEXT, .text_default = (def), \
+				 .check = (check_fn)                        \
 	}
-#define NUMBER(sec, field, def, lo, hi)                                 \
-	{                                                               \
-		ROW(sec, field), .kind = FIELD_NUMBER,                  \
-			.number_default = (def), .min = (lo), .max = (hi) \
+#define NUMBER(sec, field, def, lo, hi)                                \
+	{                                                              \
+		ROW(sec, field), .kind = FIELD_NUMBER,                 \
+				 .number_default = (def), .min = (lo), \
+				 .max = (hi)                           \
 	}
 /* In the file without the "milli": a decimal number of the plain unit. */
-#define MILLI(sec, file_name, field, def, lo, hi)                        \
-	{                                                                \
-		.section = #sec, .name = (file_name),                    \
-		.offset = offsetof(struct proxy_settings, sec.field),    \
+#define MILLI(sec, file_name, field, def, lo, hi)                          \
+	{                                                                  \
+		.section = #sec, .name = (file_name),                      \
+		.offset = offsetof(struct proxy_settings, sec.field),      \
 		.kind = FIELD_MILLI, .number_default = (def), .min = (lo), \
-		.max = (hi)                                              \
+		.max = (hi)                                                \
 	}
 /* NOLINTEND(bugprone-macro-parentheses) */
 
--- a/src/settings/settings_field.c
+++ b/src/settings/settings_field.c
@@ -120,9 +120,8 @@
 	}
 }
 
-static int open_file(const struct settings_table *t,
-		     struct settings_file **out, const char *path, char *why,
-		     size_t why_size)
+static int open_file(const struct settings_table *t, struct settings_file **out,
+		     const char *path, char *why, size_t why_size)
 {
 	struct settings_path paths[SETTINGS_PATHS_MAX];
 	const struct settings_file_opts opts = { .path = path,
@@ -163,8 +162,8 @@
 			g_free(*(char **)(void *)(base + f->offset));
 		} else if (f->kind == FIELD_LIST) {
 			char **list = *(char ***)(void *)(base + f->offset);
-			unsigned n = *(unsigned *)(void *)(base +
-							   f->count_offset);
+			unsigned n =
+				*(unsigned *)(void *)(base + f->count_offset);
 
 			for (unsigned k = 0; k < n; k++)
 				g_free(list[k]);
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -56,6 +56,35 @@
 	EXPECT_GE(m.oracle.replica_reads - before, ROUNDS * 95 / 100);
 }
 
+/*
+ * A write ran and its answer was lost; its second send is refused by an
+ * endpoint that leads no more. That refusal speaks of the second send only.
+ */
+TEST(Core, ARefusedRepeatDoesNotUndoTheFirstSend)
+{
+	Model m({});
+	int order;
+
+	m.run(START_US);
+	m.watch(
+		[](const Moment &x) {
+			return x.kind == MOMENT_EXECUTED &&
+			       x.detail == PLAN_WRITE_BY_ID;
+		},
+		[&m](const Moment &x) {
+			m.platform_outage(true);
+			m.reset(x.endpoint);
+			/* The log has been passed on by then. */
+			m.later(10 * MS, [&m, x] { m.demote(x.endpoint); });
+		});
+	order = m.write(0, 0, true, 600 * MS);
+	m.run(2 * S);
+	EXPECT_EQ(VERDICT_MAY_HAVE_RUN, m.oracle.calls[order].reply.verdict);
+	m.heal_all();
+	m.run(START_US);
+	expect_sound(m);
+}
+
 struct PrimaryFault {
 	const char *name;
 	void (*apply)(Model &m);
--- a/tests/model.h
+++ b/tests/model.h
@@ -159,6 +159,12 @@
 	{
 		cut_platforms_.insert(zone);
 	}
+	/* Somebody raised its term, and promotes nobody yet. */
+	void demote(int endpoint)
+	{
+		endpoints_[endpoint].primary = false;
+		endpoints_[endpoint].current_term++;
+	}
 	void set_lag(int endpoint, int64_t us);
 	void set_leaving(int endpoint, bool leaving);
 	void cut_zone(int zone)
