--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -119,9 +119,9 @@
 {
 	const struct engine *e = data;
 
-	metrics_add(e->opts.metrics, "quota_admitted_total", s->workspace,
+	metrics_add(e->opts.metrics, "workspace_admitted_total", s->workspace,
 		    s->admitted);
-	metrics_add(e->opts.metrics, "quota_refused_total", s->workspace,
+	metrics_add(e->opts.metrics, "workspace_refused_total", s->workspace,
 		    s->refused);
 	if (!s->refused)
 		return;
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -25,6 +25,9 @@
 	ORDER_AGAIN_US = 500 * 1000,
 	/* The platform's promotions take up to a few seconds to show. */
 	SETTLE_US = 4000 * 1000,
+	/* A check gives up on copies that do not answer, and comes back. */
+	CHECK_US = 1500 * 1000,
+	CHECK_AGAIN_US = 2000 * 1000,
 	/* After a round, until the next one of the service. */
 	PAUSE_US = 1000 * 1000,
 	PERCENT = 100,
@@ -35,6 +38,7 @@
 	TAKEOVER_DRAWING, /* a token */
 	TAKEOVER_SURVEY, /* asks, stops and compares the copies */
 	TAKEOVER_ORDERED, /* the promotion */
+	TAKEOVER_CHECKING, /* that no copy is still held by an earlier round */
 };
 
 /* One copy in the present round. */
@@ -46,6 +50,8 @@
 	bool reported;
 	struct upstream_report report;
 	bool was_primary;
+	bool demote_sent; /* in this round */
+	bool stepped_down; /* by that */
 };
 
 struct takeover {
@@ -63,6 +69,8 @@
 	bool ordering; /* a call is under way */
 	int64_t ordered_us;
 	int64_t not_before_us;
+	bool check_due; /* a round may have left copies that receive nothing */
+	int64_t check_from_us;
 };
 
 /* What another instance cannot reach. */
@@ -76,6 +84,7 @@
 	GHashTable *by_service; /* struct service to struct takeover */
 	GHashTable *views; /* instance to struct view */
 	struct takeover *drawing; /* one token is drawn at a time */
+	bool was_held; /* the duty, at the last run */
 };
 
 static void takeover_free(gpointer p)
@@ -307,6 +316,8 @@
 {
 	struct own_message m = { .statement = OWN_STATUS, .term = t->term };
 
+	if (t->state == TAKEOVER_CHECKING && c->reported && c->report.held_term)
+		m.statement = OWN_RELEASE;
 	if (!c->reported || t->state != TAKEOVER_SURVEY)
 		return m;
 	if (c->report.role == ROLE_PRIMARY)
@@ -325,6 +336,7 @@
 	if (conn->step_count || conn->state == CONN_STARTING)
 		return;
 	c->asked_us = now_us;
+	c->demote_sent |= m.statement == OWN_DEMOTE;
 	conn->state = CONN_PROBING;
 	upstream_conn_put(conn, t->owner->engine->opts.wire, &m, STEP_REPORT,
 			  now_us);
@@ -408,8 +420,7 @@
 		const struct round_copy *c = copy_at(t, i);
 
 		copies[i].was_primary = c->was_primary;
-		copies[i].stepped_down = c->was_primary && c->reported &&
-					 c->report.role == ROLE_REPLICA;
+		copies[i].stepped_down = c->stepped_down;
 		copies[i].held = is_held(t, c);
 		copies[i].leaving = c->upstream->entry.leaving;
 		copies[i].local =
@@ -427,19 +438,10 @@
 	if (!need_of(t->owner, t->service, now_us) && !t->stepped_down_us) {
 		say(t, LOG_PROMOTION_FAILED, now_us - t->since_us,
 		    "the primary is there again");
-		for (guint i = 0; i < t->copies->len; i++) {
-			struct round_copy *c = copy_at(t, i);
-			const struct own_message m = { .statement =
-							       OWN_RELEASE };
-
-			if (!c->conn || c->conn->step_count ||
-			    !c->report.held_term)
-				continue;
-			upstream_conn_put(c->conn, t->owner->engine->opts.wire,
-					  &m, STEP_REPORT, now_us);
-			engine_conn_flush(c->conn);
-		}
-		end_round(t, now_us);
+		/* The copies that were stopped have to receive again. */
+		for (guint i = 0; i < t->copies->len; i++)
+			copy_at(t, i)->reported = false;
+		enter(t, TAKEOVER_CHECKING, now_us);
 		return;
 	}
 	/* It may have died since, or its log does not get through. */
@@ -455,6 +457,38 @@
 	order(t, now_us);
 }
 
+static bool all_are_released(const struct takeover *t)
+{
+	for (guint i = 0; i < t->copies->len; i++) {
+		const struct round_copy *c = copy_at(t, i);
+
+		if (!c->reported || c->report.held_term)
+			return false;
+	}
+	return true;
+}
+
+/* Lets go of copies that an earlier round stopped and nobody promoted. */
+static void check(struct takeover *t, int64_t now_us)
+{
+	if (all_are_released(t)) {
+		t->check_due = false;
+		end_round(t, now_us);
+		t->not_before_us = now_us;
+		return;
+	}
+	if (need_of(t->owner, t->service, now_us) ||
+	    now_us - t->since_us >= CHECK_US) {
+		/* A takeover comes first; the rest is looked at again. */
+		end_round(t, now_us);
+		t->not_before_us = now_us;
+		t->check_due = true;
+		t->check_from_us = now_us + CHECK_AGAIN_US;
+		return;
+	}
+	ask_copies(t, now_us);
+}
+
 static bool chosen_leads(const struct takeover *t)
 {
 	const struct round_copy *c = copy_of(t, t->chosen);
@@ -488,6 +522,11 @@
 	switch (t->state) {
 	case TAKEOVER_IDLE:
 		t->reason = need_of(t->owner, t->service, now_us);
+		if (!t->reason && t->check_due && now_us >= t->check_from_us) {
+			add_copies(t);
+			enter(t, TAKEOVER_CHECKING, now_us);
+			break;
+		}
 		if (!t->reason || now_us < t->not_before_us || t->ordering)
 			break;
 		t->planned = t->service->primary &&
@@ -502,6 +541,9 @@
 	case TAKEOVER_ORDERED:
 		settle(t, now_us);
 		break;
+	case TAKEOVER_CHECKING:
+		check(t, now_us);
+		break;
 	}
 }
 
@@ -516,11 +558,14 @@
 	while (g_hash_table_iter_next(&it, NULL, &svc)) {
 		struct takeover *t = takeover_of(ts, svc);
 
+		if (held && !ts->was_held)
+			t->check_due = true;
 		if (held)
 			advance(t, now_us);
 		else if (t->state != TAKEOVER_IDLE)
 			end_round(t, now_us);
 	}
+	ts->was_held = held;
 }
 
 void takeover_conn_ready(struct takeovers *ts, struct upstream_conn *c,
@@ -543,6 +588,25 @@
 		copy->conn = NULL;
 }
 
+static void note_step_down(struct takeover *t, struct round_copy *c,
+			   int64_t now_us)
+{
+	if (!c->was_primary || c->report.role != ROLE_REPLICA)
+		return;
+	if (!c->demote_sent) {
+		/*
+		 * It led no more when the round began. Another may have led
+		 * since, so its last position says nothing of what that one
+		 * acknowledged: it counts as any replica.
+		 */
+		c->was_primary = false;
+		return;
+	}
+	c->stepped_down = true;
+	if (!t->stepped_down_us)
+		t->stepped_down_us = now_us;
+}
+
 void takeover_report(struct takeovers *ts, struct upstream_conn *c,
 		     const struct upstream_report *r, int64_t now_us)
 {
@@ -561,9 +625,10 @@
 				 "reports that it leads");
 	if (t->state == TAKEOVER_SURVEY && r->term >= t->term)
 		t->term = r->term + 1;
-	if (copy->was_primary && r->role == ROLE_REPLICA && !t->stepped_down_us)
-		t->stepped_down_us = now_us;
-	if (t->state == TAKEOVER_SURVEY && (first || r->role == ROLE_PRIMARY))
+	note_step_down(t, copy, now_us);
+	if ((t->state == TAKEOVER_SURVEY &&
+	     (first || r->role == ROLE_PRIMARY)) ||
+	    (t->state == TAKEOVER_CHECKING && r->held_term && first))
 		ask(t, copy, now_us);
 }
 
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -224,6 +224,39 @@
 	expect_sound(m);
 }
 
+/*
+ * The holder of the duty stopped the replicas and died before it chose; the
+ * primary is there again. Without replicas it could confirm nothing.
+ */
+TEST(ProxyEngine, CopiesThatWereStoppedReceiveAgain)
+{
+	ProxyModel m({});
+	ProxyEndpoint *p;
+	int holder = -1;
+
+	m.run(START_US);
+	p = m.primary();
+	for (int i = 0; i < 3; i++) {
+		if (metrics_get(m.nodes[i]->metrics, "duty_held", nullptr))
+			holder = i;
+	}
+	ASSERT_GE(holder, 0);
+	/* One replica cannot be reached, so the round waits. */
+	m.replica(1)->cut_nodes = { 0, 1, 2 };
+	p->cut_nodes = { 0, 1, 2 };
+	EXPECT_TRUE(m.run_until([&] { return m.replica(0)->held_term > 0; },
+				4 * S));
+	m.kill(m.nodes[holder].get());
+	p->cut_nodes.clear();
+	m.replica(1)->cut_nodes.clear();
+	m.replica(1)->cut_replication = true;
+	EXPECT_TRUE(m.run_until([&] { return m.replica(0)->held_term == 0; },
+				5 * S));
+	ProxyCaller *c = m.connect((holder + 1) % 3, "strict", "key-a");
+	EXPECT_TRUE(m.ask(c, "WRITE 1 x").ok);
+	expect_sound(m);
+}
+
 /* An order that is carried out late must not undo a later one. */
 TEST(ProxyEngine, LatePromotionsDoNoHarm)
 {
--- /dev/null
+++ b/tests/proxy_parts_test.cc
@@ -0,0 +1,522 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "../platform/line_wire.h"
+#include "../platform/record_json.h"
+#include "core/sizes.h"
+#include "proxy/admission.h"
+#include "proxy/mark_ring.h"
+#include "proxy/placement.h"
+#include "proxy/quota.h"
+#include "proxy/quota_division.h"
+#include "settings/proxy_settings.h"
+}
+
+#include <cstring>
+#include <unistd.h>
+
+namespace
+{
+
+constexpr int64_t MS = 1000;
+constexpr int64_t S = 1000000;
+
+/* Placement. */
+
+struct placement_candidate candidate(enum conn_way way, int64_t latency_us)
+{
+	struct placement_candidate c = {};
+
+	c.way = way;
+	c.slots = 4;
+	c.same_zone = true;
+	c.latency_us = latency_us;
+	c.handshake_us = 27 * MS;
+	return c;
+}
+
+struct PlacementCase {
+	const char *name;
+	struct placement_candidate a;
+	struct placement_candidate b;
+	int chosen;
+};
+
+struct placement_candidate with(struct placement_candidate c,
+				void (*change)(struct placement_candidate &c))
+{
+	change(c);
+	return c;
+}
+
+const PlacementCase placement_cases[] = {
+	{ "a free connection before a new one",
+	  candidate(CONN_WAY_OPEN, 20 * MS), candidate(CONN_WAY_IDLE, 30 * MS),
+	  1 },
+	{ "a new one before a much slower endpoint",
+	  candidate(CONN_WAY_OPEN, 20 * MS), candidate(CONN_WAY_IDLE, 90 * MS),
+	  0 },
+	{ "a new one before closing another's",
+	  candidate(CONN_WAY_EVICT, 20 * MS), candidate(CONN_WAY_OPEN, 30 * MS),
+	  1 },
+	{ "nothing free", candidate(CONN_WAY_NONE, 1),
+	  candidate(CONN_WAY_NONE, 1), -1 },
+	{ "the own availability zone",
+	  with(candidate(CONN_WAY_IDLE, 20 * MS),
+	       [](struct placement_candidate &c) { c.same_zone = false; }),
+	  candidate(CONN_WAY_IDLE, 21 * MS), 1 },
+	{ "reads leave the primary to those that need it",
+	  with(candidate(CONN_WAY_IDLE, 20 * MS),
+	       [](struct placement_candidate &c) { c.is_primary = true; }),
+	  candidate(CONN_WAY_IDLE, 40 * MS), 1 },
+	{ "but not for a much slower copy",
+	  with(candidate(CONN_WAY_IDLE, 20 * MS),
+	       [](struct placement_candidate &c) { c.is_primary = true; }),
+	  candidate(CONN_WAY_IDLE, 80 * MS), 0 },
+	{ "one that refused comes last",
+	  with(candidate(CONN_WAY_IDLE, 20 * MS),
+	       [](struct placement_candidate &c) { c.doubtful = true; }),
+	  candidate(CONN_WAY_EVICT, 200 * MS), 1 },
+	{ "own statements beyond the slots wait there",
+	  with(candidate(CONN_WAY_IDLE, 20 * MS),
+	       [](struct placement_candidate &c) { c.running = 8; }),
+	  candidate(CONN_WAY_IDLE, 30 * MS), 1 },
+};
+
+TEST(Placement, ChoosesTheSoonestAnswer)
+{
+	for (const PlacementCase &k : placement_cases) {
+		const struct placement_candidate both[] = { k.a, k.b };
+
+		EXPECT_EQ(k.chosen, placement_choose(both, 2)) << k.name;
+	}
+}
+
+/* Admission. */
+
+struct AdmissionCase {
+	const char *name;
+	struct admission_load load;
+	bool waits;
+};
+
+const AdmissionCase admission_cases[] = {
+	{ "nothing is ahead", { 0, 0, 20 * MS, ADMISSION_NOT_LOST, 0 }, true },
+	{ "a short queue", { 4, 8, 30 * MS, ADMISSION_NOT_LOST, 0 }, true },
+	{ "a long queue", { 4, 80, 30 * MS, ADMISSION_NOT_LOST, 0 }, false },
+	{ "an outage has just begun",
+	  { 0, 0, 20 * MS, 50 * MS, 1500 * MS },
+	  false },
+	{ "an outage is about to end",
+	  { 0, 0, 20 * MS, 1300 * MS, 1500 * MS },
+	  true },
+	{ "an outage lasts longer than usual",
+	  { 0, 0, 20 * MS, 1600 * MS, 1500 * MS },
+	  false },
+};
+
+TEST(Admission, LetsWaitWhatIsStillWorthIt)
+{
+	struct route r = {};
+
+	r.target_us = 400 * MS;
+	r.timeout_us = 1 * S;
+	for (const AdmissionCase &k : admission_cases) {
+		EXPECT_EQ(k.waits, admission_wait_us(&k.load) <=
+					   admission_hold_us(&r, &k.load))
+			<< k.name;
+	}
+}
+
+/* Marks. */
+
+TEST(MarkRing, FindsTheOldestThatIsYoungEnough)
+{
+	struct mark_ring r = {};
+	struct mark m;
+
+	EXPECT_FALSE(mark_ring_find(&r, 0, &m));
+	for (int i = 1; i <= 100; i++)
+		mark_ring_add(&r, i * 100 * MS, { 1, (uint64_t)i });
+	EXPECT_TRUE(mark_ring_find(&r, 9 * S, &m));
+	EXPECT_EQ(9 * S, m.asked_us);
+	EXPECT_EQ(90u, m.position.offset);
+	EXPECT_TRUE(mark_ring_find(&r, 9950 * MS, &m));
+	EXPECT_EQ(10 * S, m.asked_us);
+	EXPECT_FALSE(mark_ring_find(&r, 10 * S + 1, &m));
+	/* The ring has forgotten the first ones. */
+	EXPECT_TRUE(mark_ring_find(&r, 0, &m));
+	EXPECT_EQ((100 - MARK_RING_SIZE + 1) * 100 * MS, m.asked_us);
+	/* An answer that was overtaken changes nothing. */
+	mark_ring_add(&r, 5 * S, { 9, 9 });
+	EXPECT_EQ(10 * S, mark_ring_newest_us(&r));
+	EXPECT_EQ(0, mark_ring_lag_us(&r, { 1, 100 }, 11 * S));
+	EXPECT_EQ(2 * S, mark_ring_lag_us(&r, { 1, 89 }, 11 * S));
+}
+
+/* Limits. */
+
+struct fleet_config *limit_config(uint32_t rate_per_s)
+{
+	struct fleet_config *c = fleet_config_new();
+	struct workspace_config *w = g_new0(struct workspace_config, 1);
+
+	w->name = g_strdup("a");
+	w->rate_milli_per_s = rate_per_s * 1000;
+	w->burst_milli = rate_per_s * 1000;
+	fleet_config_add_workspace(c, w);
+	return c;
+}
+
+const struct quota_tolerance tolerance = { 5 * S, 100, 20000 };
+
+/* Any window of the tolerance's length, at one instance that is alone. */
+TEST(Quota, NoWindowExceedsTheLimitAndItsTolerance)
+{
+	for (uint32_t rate : { 1, 7, 200 }) {
+		struct fleet_config *c = limit_config(rate);
+		struct quota *q = quota_new(&tolerance);
+		std::vector<int64_t> admitted;
+		double most = (rate * 5.0 + rate) * 1.1 + 20;
+		int64_t retry_us = 0;
+
+		quota_configure(q, c, 0);
+		quota_set_fleet(q, 1, INT64_MAX, 0);
+		for (int64_t t = 0; t < 30 * S; t += 1 * MS) {
+			quota_grant(q, quota_workspace_number("a"), rate * 540,
+				    t + S, t);
+			if (!quota_take(q, "a", t, &retry_us))
+				admitted.push_back(t);
+			else
+				EXPECT_GT(retry_us, 0);
+		}
+		for (size_t i = 0, j = 0; i < admitted.size(); i++) {
+			while (admitted[i] - admitted[j] >= 5 * S)
+				j++;
+			ASSERT_LE((double)(i - j + 1), most) << rate;
+		}
+		/* And the rate itself is reached. */
+		EXPECT_GE((double)admitted.size(), rate * 30.0);
+		quota_free(q);
+		fleet_config_free(c);
+	}
+}
+
+TEST(Quota, AnInstanceWithoutLeaseUsesNothing)
+{
+	struct fleet_config *c = limit_config(100);
+	struct quota *q = quota_new(&tolerance);
+	int64_t retry_us;
+
+	quota_configure(q, c, 0);
+	quota_set_fleet(q, 2, 1 * S, 0);
+	EXPECT_EQ(0, quota_take(q, "a", 0, &retry_us));
+	EXPECT_EQ(0, quota_take(q, "a", 1 * S - 1, &retry_us));
+	EXPECT_NE(0, quota_take(q, "a", 1 * S, &retry_us));
+	EXPECT_EQ(0, quota_take(q, "unlimited", 1 * S, &retry_us));
+	quota_free(q);
+	fleet_config_free(c);
+}
+
+/* Grants that may be in use never sum to more than the granted part. */
+TEST(QuotaDivision, GrantsSumToThePool)
+{
+	struct fleet_config *c = limit_config(100);
+	struct quota_division *d = quota_division_new();
+	const char *names[] = { "x", "y", "z" };
+	uint64_t confirmed[3] = {};
+	/* Most that each may use, and until when. */
+	std::vector<std::pair<uint32_t, int64_t>> given[3];
+	unsigned seed = 7;
+	uint32_t served_most = 0;
+
+	quota_division_set_overrun(d, 0);
+	quota_division_start(d, 0);
+	for (int64_t t = 0; t < 60 * S; t += 83 * MS) {
+		int i = rand_r(&seed) % 3;
+		struct quota_need need = { quota_workspace_number("a"),
+					   (uint32_t)(rand_r(&seed) % 90000),
+					   0 };
+		const struct quota_report r = { names[i], confirmed[i], &need,
+						1 };
+		struct quota_need out[4];
+		struct quota_grants g = {};
+		uint64_t sum = 0;
+
+		quota_division_report(d, &r, t);
+		g.instance = names[i];
+		g.config = c;
+		g.instances = 3;
+		g.out = out;
+		g.max = 4;
+		quota_division_grant(d, &g, t);
+		/* Some grants are lost, some confirmations too. */
+		if (g.count && rand_r(&seed) % 4) {
+			given[i].clear();
+			confirmed[i] = g.sequence;
+		}
+		if (g.count)
+			given[i].push_back({ out[0].demand_milli_per_s,
+					     t + quota_division_grant_us() });
+		for (auto &list : given) {
+			uint32_t most = 0;
+
+			for (auto &x : list) {
+				if (t < x.second)
+					most = std::max(most, x.first);
+			}
+			sum += most;
+		}
+		served_most = std::max<uint32_t>(served_most, (uint32_t)sum);
+		ASSERT_LE(sum, 50000u) << t;
+	}
+	EXPECT_GT(served_most, 45000u);
+	quota_division_free(d);
+	fleet_config_free(c);
+}
+
+/* The line protocol. */
+
+struct QueryCase {
+	const char *line;
+	enum query_kind kind;
+	const char *sent; /* to an endpoint; NULL: not passed on */
+};
+
+const QueryCase query_cases[] = {
+	{ "QUERY 5c READ 1a4", QUERY_READ, "QUERY 5c AFTER 3.7 READ 1a4\r\n" },
+	{ "QUERY 5c READ 1 a b ", QUERY_READ,
+	  "QUERY 5c AFTER 3.7 READ 1 a b \r\n" },
+	{ "QUERY 5c WRITE 1a4 xy z", QUERY_WRITE,
+	  "QUERY 5c AFTER 3.7 WRITE 1a4 xy z\r\n" },
+	{ "QUERY 5c COMMIT", QUERY_COMMIT, "QUERY 5c AFTER 3.7 COMMIT\r\n" },
+	{ "QUERY 5c BEGIN", QUERY_BEGIN, nullptr },
+	{ "QUERY 5c BEGIN READ", QUERY_BEGIN_READ, nullptr },
+	{ "QUERY 5c BEGIN WRITE", QUERY_MALFORMED, nullptr },
+	{ "QUERY 5c ROLLBACK", QUERY_ROLLBACK, nullptr },
+	{ "QUERY 5c SET a b c", QUERY_SET, nullptr },
+	{ "QUERY 5c SET a", QUERY_MALFORMED, nullptr },
+	{ "QUERY 5c PREPARE s1 WRITE q2c", QUERY_PREPARE, nullptr },
+	{ "QUERY 5c PREPARE s1 q2c", QUERY_MALFORMED, nullptr },
+	{ "QUERY 5c EXECUTE s1 1a4 x", QUERY_EXECUTE,
+	  "QUERY 5c AFTER 3.7 EXECUTE p9 1a4 x\r\n" },
+	{ "QUERY 5c DEALLOCATE s1", QUERY_DEALLOCATE, nullptr },
+	{ "QUERY 5c READER 1", QUERY_MALFORMED, nullptr },
+	{ "QUERY 5c", QUERY_MALFORMED, nullptr },
+	{ "QUERY", QUERY_MALFORMED, nullptr },
+	{ "", QUERY_MALFORMED, nullptr },
+	{ "TERMINATE", QUERY_END, nullptr },
+};
+
+TEST(LineWire, ReadsAndPassesOnStatements)
+{
+	const struct position after = { 3, 7 };
+
+	for (const QueryCase &k : query_cases) {
+		struct query q;
+		GString *out = g_string_new(nullptr);
+
+		line_wire.read_query(k.line, &q);
+		EXPECT_EQ(k.kind, q.kind) << k.line;
+		if (k.sent) {
+			line_wire.put_query(out, &q, "p9", &after);
+			EXPECT_STREQ(k.sent, out->str);
+		}
+		g_string_free(out, TRUE);
+		query_clear(&q);
+	}
+}
+
+struct ReplyCase {
+	const char *line;
+	enum reply_kind kind;
+	enum answer_code code;
+	enum verdict verdict;
+	bool has_signature;
+};
+
+const ReplyCase reply_cases[] = {
+	{ "ROW abc", REPLY_ROW, ANSWER_NONE, VERDICT_RAN, false },
+	{ "COMPLETE -", REPLY_DONE, ANSWER_NONE, VERDICT_RAN, false },
+	{ "COMPLETE 7.1f3", REPLY_DONE, ANSWER_NONE, VERDICT_RAN, true },
+	{ "ERROR BUSY x", REPLY_ERROR, ANSWER_OVERLOADED, VERDICT_NOT_RUN,
+	  false },
+	{ "ERROR LAGGING x", REPLY_ERROR, ANSWER_BEHIND, VERDICT_NOT_RUN,
+	  false },
+	{ "ERROR READONLY", REPLY_ERROR, ANSWER_NOT_PRIMARY, VERDICT_NOT_RUN,
+	  false },
+	{ "ERROR FAILED x", REPLY_ERROR, ANSWER_FAILED, VERDICT_RAN, false },
+	{ "ERROR TIMEOUT x", REPLY_ERROR, ANSWER_TIMEOUT, VERDICT_MAY_HAVE_RUN,
+	  false },
+	{ "ERROR NEWCODE x", REPLY_ERROR, ANSWER_IN_DOUBT, VERDICT_MAY_HAVE_RUN,
+	  false },
+	{ "READY I 3.7", REPLY_READY, ANSWER_NONE, VERDICT_RAN, false },
+	{ "READY X 3.7", REPLY_MALFORMED, ANSWER_NONE, VERDICT_RAN, false },
+	{ "HELLO", REPLY_MALFORMED, ANSWER_NONE, VERDICT_RAN, false },
+	{ "", REPLY_MALFORMED, ANSWER_NONE, VERDICT_RAN, false },
+};
+
+TEST(LineWire, ReadsAnswers)
+{
+	for (const ReplyCase &k : reply_cases) {
+		struct wire_reply r;
+
+		line_wire.read_reply(k.line, &r);
+		EXPECT_EQ(k.kind, r.kind) << k.line;
+		EXPECT_EQ(k.code, r.code) << k.line;
+		EXPECT_EQ(k.has_signature, r.has_signature) << k.line;
+		if (k.kind == REPLY_ERROR) {
+			EXPECT_EQ(k.verdict, answer_code_verdict(r.code))
+				<< k.line;
+		}
+	}
+}
+
+TEST(LineWire, ReadsReports)
+{
+	struct upstream_report r;
+
+	EXPECT_TRUE(
+		line_wire.read_report("ROW replica 3 3.1209 4 12 2 17", &r));
+	EXPECT_EQ(ROLE_REPLICA, r.role);
+	EXPECT_EQ(3u, r.term);
+	EXPECT_EQ(1209u, r.received.offset);
+	EXPECT_EQ(4u, r.held_term);
+	EXPECT_EQ(12 * MS, r.lag_us);
+	EXPECT_FALSE(line_wire.read_report("ROW replica 3 - 4 12 2 17", &r));
+	EXPECT_FALSE(line_wire.read_report("ROW replica 3", &r));
+	EXPECT_FALSE(line_wire.read_report("", &r));
+}
+
+/* Entries of the store. */
+
+struct store_item read_item(const char *key, const std::string &value)
+{
+	g_autofree char *base64 =
+		g_base64_encode((const guchar *)value.data(), value.size());
+	json_t *o = json_pack("{s:s, s:s, s:i}", "key", key, "value", base64,
+			      "revision", 7);
+	struct store_item i;
+
+	record_read(o, &i);
+	json_decref(o);
+	return i;
+}
+
+#define ENTRY(more)                                                      \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"," \
+	"\"slots\":5,\"db_role\":\"replica\",\"sequence\":4" more "}"
+
+struct EntryCase {
+	const char *value;
+	bool readable;
+};
+
+const EntryCase entry_cases[] = {
+	{ ENTRY(",\"state\":\"ready\""), true },
+	{ ENTRY(",\"state\":\"ready\",\"born\":5,\"new\":[1]"), true },
+	{ ENTRY(",\"state\":\"draining\""), true },
+	{ ENTRY(",\"state\":\"sleeping\""), false },
+	{ ENTRY(",\"state\":7"), false },
+	{ ENTRY(""), false },
+	{ ENTRY(",\"state\":\"ready\",\"db_role\":\"king\""), false },
+	{ ENTRY(",\"state\":\"ready\",\"address\":9"), false },
+	{ ENTRY(",\"state\":\"ready\",\"slots\":\"5\""), false },
+	{ "", false },
+	{ "[1,2]", false },
+	{ "\xff\xfe{", false },
+};
+
+TEST(RecordJson, ReadsOnlyWholeEntries)
+{
+	for (const EntryCase &k : entry_cases) {
+		struct store_item i = read_item("servers/i-1", k.value);
+
+		EXPECT_EQ(ITEM_UPSTREAM, i.kind) << k.value;
+		EXPECT_EQ(k.readable, i.readable) << k.value;
+		EXPECT_STREQ("i-1", i.name);
+		EXPECT_EQ(7, i.revision);
+	}
+}
+
+TEST(RecordJson, ReadsTheConfiguration)
+{
+	struct store_item i = read_item(
+		"op/config",
+		"{\"version\":7,\"routes\":[{\"host\":\"db\",\"service\":\"s\","
+		"\"kind\":\"bounded_staleness\",\"max_staleness_ms\":1500,"
+		"\"timeout_ms\":900,\"target_latency_ms\":200,\"priority\":1,"
+		"\"public\":true},{\"host\":\"x\",\"service\":\"s\",\"kind\":"
+		"\"new_kind\"}],\"services\":[{\"name\":\"s\",\"max_conns\":33,"
+		"\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":2000},"
+		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
+		"\"rate_per_s\":12.5,\"burst\":3}]}");
+	const struct route *r = fleet_config_route(i.config, "db");
+
+	ASSERT_TRUE(i.readable);
+	EXPECT_EQ(7, i.config->version);
+	EXPECT_EQ(FRESH_BOUNDED, r->freshness);
+	EXPECT_EQ(1500 * MS, r->max_age_us);
+	EXPECT_EQ(900 * MS, r->timeout_us);
+	EXPECT_TRUE(r->open);
+	/* What is not known is served as strictly as can be. */
+	EXPECT_EQ(FRESH_STRICT, fleet_config_route(i.config, "x")->freshness);
+	EXPECT_EQ(12500u, fleet_config_key(i.config, "k2")->rate_milli_per_s);
+	EXPECT_EQ(nullptr, fleet_config_key(i.config, "k3"));
+	EXPECT_EQ(33u, fleet_config_service(i.config, "s")->conns_max);
+	EXPECT_EQ(2 * S, i.config->transaction_idle_us);
+	store_item_clear(&i);
+}
+
+/* Settings. */
+
+struct SettingsCase {
+	const char *more;
+	const char *why; /* "" if it is accepted */
+};
+
+const SettingsCase settings_cases[] = {
+	{ "", "" },
+	{ "limits:\n  overrun: 0.1\n  window_s: 5\n", "" },
+	{ "limits:\n  overrun: 1.5\n", "must be from 0 to 1" },
+	{ "limits:\n  window_s: five\n", "not a decimal number" },
+	{ "keys:\n  withdrawn_after_ms: 10\n", "must be from" },
+	{ "log:\n  level: loud\n", "log.level" },
+	{ "unknown:\n  x: 1\n", "unknown" },
+};
+
+TEST(ProxySettings, AreChecked)
+{
+	for (const SettingsCase &k : settings_cases) {
+		char path[] = "/tmp/zinnialine-settings-XXXXXX";
+		int fd = mkstemp(path);
+		std::string text = "instance:\n  name: n\n  zone: z\n"
+				   "listen:\n  callers: 127.0.0.1:1\n"
+				   "  ready: 127.0.0.1:2\n"
+				   "  metrics: 127.0.0.1:3\n"
+				   "  peers: 127.0.0.1:4\n"
+				   "platform:\n  store: 127.0.0.1:5\n"
+				   "  promotions: 127.0.0.1:6\n" +
+				   std::string(k.more);
+		struct proxy_settings *s = nullptr;
+		char why[256] = "";
+
+		ASSERT_EQ((ssize_t)text.size(),
+			  write(fd, text.data(), text.size()));
+		close(fd);
+		EXPECT_EQ(*k.why != 0,
+			  proxy_settings_load(path, &s, why, sizeof(why)) != 0)
+			<< k.more;
+		EXPECT_NE(nullptr, strstr(why, k.why)) << why;
+		if (s) {
+			EXPECT_EQ(5000u, s->limits.window_milli_s);
+			proxy_settings_free(s);
+		}
+		unlink(path);
+	}
+}
+
+} // namespace
