Tokens earned before a limit was lowered may be spent for a window

Ruled out: wrong division (24.3 of 25 a second are admitted). Change: the rate falls at once, tokens that were there stay for a window.

--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -31,6 +31,9 @@
 	struct bucket bucket;
 	uint32_t granted_milli_per_s;
 	int64_t granted_until_us;
+	/* Of before a limit was lowered; see keep_tokens(). */
+	uint32_t kept_milli;
+	int64_t kept_until_us;
 	uint64_t asked_milli; /* since the last report */
 	int64_t asked_since_us;
 	uint32_t demand_milli_per_s;
@@ -116,6 +119,8 @@
 	if (r->rate_milli_per_s)
 		capacity +=
 			(uint64_t)r->burst_milli * rate / r->rate_milli_per_s;
+	if (now_us < r->kept_until_us)
+		capacity = MAX(capacity, r->kept_milli);
 	bucket_resize(&r->bucket, rate,
 		      (uint32_t)MIN(capacity, UINT32_MAX / 2));
 }
@@ -133,6 +138,19 @@
 	return r;
 }
 
+/*
+ * A lower limit refills at its lower rate at once. What was earned under the
+ * earlier one may still be spent, for as long as a window of it lasts:
+ * callers in the middle of their work are not cut off.
+ */
+static void keep_tokens(const struct quota *q, struct quota_row *r,
+			int64_t now_us)
+{
+	refresh(q, r, now_us);
+	r->kept_milli = r->bucket.level_milli;
+	r->kept_until_us = now_us + q->tolerance.window_us;
+}
+
 static void configure_row(struct quota *q, const struct workspace_config *w,
 			  int64_t now_us)
 {
@@ -142,6 +160,8 @@
 	if (is_new)
 		r = row_new(q, w->name, now_us);
 	r->known = true;
+	if (!is_new && w->burst_milli < r->burst_milli && !is_unlimited(r))
+		keep_tokens(q, r, now_us);
 	r->rate_milli_per_s = w->rate_milli_per_s;
 	r->burst_milli = w->burst_milli;
 	if (is_unlimited(r))
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -205,6 +205,32 @@
 	}
 }
 
+/* What was earned before a limit was lowered may be spent for a window. */
+TEST(Quota, ALowerLimitLeavesEarnedTokensForAWindow)
+{
+	struct fleet_config *high = limit_config(100);
+	struct fleet_config *low = limit_config(10);
+	struct quota *q = quota_new(&tolerance);
+	int64_t retry_us;
+	int soon = 0;
+	int later = 0;
+
+	quota_configure(q, high, 0);
+	quota_set_fleet(q, 1, INT64_MAX, 0);
+	quota_configure(q, low, 10 * S);
+	for (int i = 0; i < 200; i++)
+		soon += !quota_take(q, "a", 10 * S + i * 10 * MS, &retry_us);
+	/* Half of the limit stands; the burst of half of it was there. */
+	EXPECT_GE(soon, 50);
+	/* A window later only the lower limit and its tolerance hold. */
+	for (int i = 0; i < 500; i++)
+		later += !quota_take(q, "a", 15 * S + i * 10 * MS, &retry_us);
+	EXPECT_LE(later, (10 * 5 + 10) * 1.1 + 20);
+	quota_free(q);
+	fleet_config_free(high);
+	fleet_config_free(low);
+}
+
 TEST(Quota, AnInstanceWithoutLeaseUsesNothing)
 {
 	struct fleet_config *c = limit_config(100);
