Close the free connection whose workspace asks least

Change: not the one that was free for longest is closed, but the one whose workspace asks least per connection.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -85,17 +85,49 @@
 	return found;
 }
 
-/* Returns the connection that has been free for longest, or NULL. */
-static struct upstream_conn *oldest_free(const struct upstream *u)
+static uint32_t conns_of(const struct upstream *u, const char *workspace)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < u->conns->len; i++) {
+		const struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+
+		n += !strcmp(c->workspace, workspace);
+	}
+	return n;
+}
+
+/* How soon a connection's workspace will ask for it again, on average. */
+static uint32_t demand_of(const struct upstream_conn *c)
+{
+	uint32_t demand =
+		quota_demand_milli_per_s(c->engine->quota, c->workspace);
+
+	return demand / MAX(conns_of(c->upstream, c->workspace), 1);
+}
+
+/*
+ * Returns the free connection that will be missed least, or NULL: opening
+ * one takes a slot of the endpoint for as long as several statements.
+ */
+static struct upstream_conn *least_needed(const struct upstream *u)
 {
 	struct upstream_conn *found = NULL;
+	uint32_t least = UINT32_MAX;
 
 	for (guint i = 0; i < u->conns->len; i++) {
 		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+		uint32_t demand;
 
-		if (c->state == CONN_FREE_TO_USE && !c->control &&
-		    (!found || c->used_us < found->used_us))
-			found = c;
+		if (c->state != CONN_FREE_TO_USE || c->control)
+			continue;
+		demand = demand_of(c);
+		if (found && demand > least)
+			continue;
+		if (found && demand == least && c->used_us >= found->used_us)
+			continue;
+		found = c;
+		least = demand;
 	}
 	return found;
 }
@@ -109,7 +141,7 @@
 		return CONN_WAY_NONE;
 	if (u->conns->len < engine_conns_limit(e, u->service))
 		return CONN_WAY_OPEN;
-	return oldest_free(u) ? CONN_WAY_EVICT : CONN_WAY_NONE;
+	return least_needed(u) ? CONN_WAY_EVICT : CONN_WAY_NONE;
 }
 
 static bool may_run(const struct session *s, const struct upstream *u)
@@ -199,7 +231,7 @@
 	if (way == CONN_WAY_IDLE)
 		return idle_conn(u, s);
 	if (way == CONN_WAY_EVICT)
-		dispatch_close(oldest_free(u));
+		dispatch_close(least_needed(u));
 	return dispatch_open(s->engine, u, s->workspace, false, now_us);
 }
 
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -223,6 +223,13 @@
 	return -EAGAIN;
 }
 
+uint32_t quota_demand_milli_per_s(const struct quota *q, const char *workspace)
+{
+	const struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+
+	return r ? r->demand_milli_per_s : 0;
+}
+
 void quota_grant(struct quota *q, uint64_t workspace, uint32_t rate_milli_per_s,
 		 int64_t until_us, int64_t now_us)
 {
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -55,6 +55,9 @@
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us);
 
+/* Returns how much of it was asked for here lately; 0 if not known. */
+uint32_t quota_demand_milli_per_s(const struct quota *q, const char *workspace);
+
 /* A grant of the duty's holder; it replaces the one before. */
 void quota_grant(struct quota *q, uint64_t workspace, uint32_t rate_milli_per_s,
 		 int64_t until_us, int64_t now_us);
