Workspaces spread over the copies

Cause: all copies of a service kept connections of the same workspaces. Change: at a copy, a workspace's demand counts per connection to any copy.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -97,13 +97,27 @@
 	return n;
 }
 
-/* How soon a connection's workspace will ask for it again, on average. */
+/*
+ * How soon a connection's workspace will ask for it again, on average. Reads
+ * go to any copy, so a workspace needs one connection to one of them: the
+ * workspaces spread over the copies.
+ */
 static uint32_t demand_of(const struct upstream_conn *c)
 {
+	const struct service *svc = c->upstream->service;
 	uint32_t demand =
 		quota_demand_milli_per_s(c->engine->quota, c->workspace);
+	uint32_t n = 0;
 
-	return demand / MAX(conns_of(c->upstream, c->workspace), 1);
+	if (c->upstream == svc->primary)
+		return demand / MAX(conns_of(c->upstream, c->workspace), 1);
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+
+		if (u != svc->primary)
+			n += conns_of(u, c->workspace);
+	}
+	return demand / MAX(n, 1);
 }
 
 /*
