At most 3 statements a slot are at an endpoint, over all instances

Change: an instance's part of 3 statements a slot limits what it sends; the rest waits here, by urgency, and can be refused.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -10,6 +10,7 @@
 
 enum {
 	SENDS_MAX = 6, /* of one statement, first ones included */
+	RUNNING_PER_SLOT = 3,
 	/* An endpoint that refused gets so long to change. */
 	AGAIN_DELAY_US = 10 * 1000,
 	/* No connection is opened sooner after one failed. */
@@ -146,14 +147,41 @@
 	return found;
 }
 
+/* Connections that are being opened for a statement take slots, too. */
+static uint32_t starting(const struct upstream *u)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < u->conns->len; i++) {
+		const struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+
+		n += c->state == CONN_STARTING;
+	}
+	return n;
+}
+
+/*
+ * An endpoint runs what waits there in the order of arrival. What waits here
+ * is ordered by urgency and can still be refused, so only this instance's
+ * part of the slots is filled, and of a short queue that keeps them busy.
+ */
+static uint32_t running_limit(const struct engine *e, const struct upstream *u)
+{
+	uint32_t all = u->entry.slots * RUNNING_PER_SLOT;
+
+	return MAX((all + e->instance_count / 2) / e->instance_count, 1);
+}
+
 static enum conn_way way_to(const struct engine *e, const struct upstream *u,
 			    const struct session *s, int64_t now_us)
 {
+	if (u->running + starting(u) >= running_limit(e, u))
+		return CONN_WAY_NONE;
 	if (idle_conn(u, s))
 		return CONN_WAY_IDLE;
 	if (now_us < u->open_after_us)
 		return CONN_WAY_NONE;
-	if (u->conns->len < engine_conns_limit(e, u->service))
+	if (u->conns->len < engine_conns_limit(e, u))
 		return CONN_WAY_OPEN;
 	return least_needed(u) ? CONN_WAY_EVICT : CONN_WAY_NONE;
 }
@@ -436,8 +464,7 @@
 	bool begins = op->begins || op->need == NEED_STRICT_READ;
 	bool setup;
 
-	if (c->state != CONN_HOLDING)
-		c->upstream->running++;
+	c->upstream->running++;
 	c->state = CONN_WORKING;
 	setup = upstream_conn_put_setup(c, c->engine->opts.wire, s, name,
 					now_us);
@@ -493,7 +520,7 @@
 	const struct upstream *u = c->upstream;
 
 	return !upstream_usable(u) || !u->listed ||
-	       u->conns->len > engine_conns_limit(c->engine, u->service) ||
+	       u->conns->len > engine_conns_limit(c->engine, u) ||
 	       g_hash_table_size(c->prepared) > PREPARED_MAX;
 }
 
@@ -507,7 +534,7 @@
 	}
 	if (c->closed || c->state == CONN_STARTING)
 		return;
-	if (c->state == CONN_WORKING || c->state == CONN_HOLDING)
+	if (c->state == CONN_WORKING)
 		c->upstream->running--;
 	if (c->step_count || c->in_transaction) {
 		clean(c, now_us);
@@ -548,7 +575,7 @@
 	if (c->closed)
 		return;
 	c->closed = true;
-	if (c->state == CONN_WORKING || c->state == CONN_HOLDING)
+	if (c->state == CONN_WORKING)
 		c->upstream->running--;
 	g_ptr_array_remove(c->upstream->conns, c);
 	e->opts.ops->conn_close(e->opts.host, c->stream);
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -69,8 +69,9 @@
 	       now_us - confirmed_us < e->opts.key_limit_us - KEY_MARGIN_US;
 }
 
-uint32_t engine_conns_limit(const struct engine *e, const struct service *s)
+uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u)
 {
+	const struct service *s = u->service;
 	uint32_t reserve = s->conns_max * RESERVE_PERCENT / PERCENT;
 	uint32_t usable = s->conns_max - reserve;
 	uint32_t each = usable / e->instance_count;
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -71,7 +71,7 @@
 bool engine_keys_are_fresh(const struct engine *e, int64_t now_us);
 
 /* Returns how many connections this instance may have to an endpoint. */
-uint32_t engine_conns_limit(const struct engine *e, const struct service *s);
+uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u);
 
 /* Takes an endpoint's word about its role, and logs a change. */
 void engine_note_lead(struct engine *e, struct upstream *u, enum lead_word word,
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -121,6 +121,7 @@
 	} else {
 		s->pinned = c;
 		c->state = CONN_HOLDING;
+		c->upstream->running--;
 		s->transaction_idle_us = now_us;
 	}
 	caller_answer_done(s, now_us);
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -68,7 +68,7 @@
 
 	if (!e->config || !e->config->workspaces->len ||
 	    now_us < u->open_after_us || is_starting(u) ||
-	    u->conns->len >= engine_conns_limit(e, u->service))
+	    u->conns->len >= engine_conns_limit(e, u))
 		return;
 	w = g_ptr_array_index(
 		e->config->workspaces,
