One glue between libcurl and the loop; slow statements and left-out lines are logged

Cause: the new HTTP client had its own copy of the etcd client's glue. Change: base/curl_loop serves both; a statement that missed its objective is logged with endpoint, sends and mark age; lines over the bound are counted and told, failed and slow statements are kept first. Before: two copies.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -1,6 +1,7 @@
 #include "base/http_client.h"
 
-#include <curl/curl.h>
+#include "base/curl_loop.h"
+
 #include <errno.h>
 #include <glib.h>
 #include <string.h>
@@ -26,18 +27,15 @@
 };
 
 struct http_client {
-	struct loop *loop;
 	char *address;
-	CURLM *multi;
-	struct loop_timer *timer;
+	struct curl_loop *transfers;
 	GHashTable *calls;
-	GHashTable *sockets; /* descriptors that are watched */
 	bool fresh_only; /* the last call failed: trust no old connection */
 };
 
 static void call_free(struct call *k)
 {
-	curl_multi_remove_handle(k->client->multi, k->curl);
+	curl_loop_remove(k->client->transfers, k->curl);
 	curl_easy_cleanup(k->curl);
 	curl_slist_free_all(k->headers);
 	g_free(k->url);
@@ -85,101 +83,24 @@
 	call_free(k);
 }
 
-static void reap(struct http_client *c)
-{
-	CURLMsg *m;
-	int left;
-
-	while ((m = curl_multi_info_read(c->multi, &left))) {
-		struct call *k = NULL;
-		CURLcode rc = m->data.result;
-
-		if (m->msg != CURLMSG_DONE)
-			continue;
-		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &k);
-		finish(k, rc);
-	}
-}
-
-struct socket_watch {
-	struct http_client *client;
-	curl_socket_t fd;
-};
-
-static void on_socket_ready(void *data, int events)
-{
-	struct socket_watch w = *(struct socket_watch *)data;
-	int running;
-	int mask = ((events & LOOP_READ) ? CURL_CSELECT_IN : 0) |
-		   ((events & LOOP_WRITE) ? CURL_CSELECT_OUT : 0) |
-		   ((events & LOOP_ERROR) ? CURL_CSELECT_ERR : 0);
-
-	curl_multi_socket_action(w.client->multi, w.fd, mask, &running);
-	reap(w.client);
-}
-
-static int on_socket(CURL *easy, curl_socket_t fd, int what, void *data,
-		     void *socket_data)
-{
-	struct http_client *c = data;
-	struct socket_watch *w;
-	int events = 0;
-
-	if (what == CURL_POLL_REMOVE) {
-		loop_unwatch(c->loop, fd);
-		g_hash_table_remove(c->sockets, GINT_TO_POINTER(fd));
-		return 0;
-	}
-	w = g_hash_table_lookup(c->sockets, GINT_TO_POINTER(fd));
-	if (!w) {
-		w = g_new(struct socket_watch, 1);
-		w->client = c;
-		w->fd = fd;
-		g_hash_table_insert(c->sockets, GINT_TO_POINTER(fd), w);
-	}
-	if (what & CURL_POLL_IN)
-		events |= LOOP_READ;
-	if (what & CURL_POLL_OUT)
-		events |= LOOP_WRITE;
-	loop_watch(c->loop, fd, events, on_socket_ready, w);
-	return 0;
-}
-
-static int on_curl_timer(CURLM *multi, long timeout_ms, void *data)
-{
-	struct http_client *c = data;
-
-	loop_timer_set(c->timer,
-		       timeout_ms < 0 ?
-			       -1 :
-			       loop_now_us() + timeout_ms * US_PER_MILLI);
-	return 0;
-}
-
-static void on_timer(void *data, int64_t now_us)
+static void on_done(void *data, CURL *easy, CURLcode code)
 {
-	struct http_client *c = data;
-	int running;
+	struct call *k = NULL;
 
-	curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-	reap(c);
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&k);
+	finish(k, code);
 }
 
 struct http_client *http_client_new(struct loop *loop, const char *address)
 {
 	struct http_client *c = g_new0(struct http_client, 1);
+	const struct curl_loop_opts transfers = { .loop = loop,
+						  .on_done = on_done,
+						  .data = c };
 
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	c->loop = loop;
 	c->address = g_strdup(address);
 	c->calls = g_hash_table_new(NULL, NULL);
-	c->sockets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	c->timer = loop_timer_add(loop, on_timer, c);
-	c->multi = curl_multi_init();
-	curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-	curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
-	curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
-	curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
+	c->transfers = curl_loop_new(&transfers);
 	return c;
 }
 
@@ -193,10 +114,8 @@
 		g_hash_table_iter_steal(&it);
 		call_free(k);
 	}
-	loop_timer_set(c->timer, -1);
-	curl_multi_cleanup(c->multi);
+	curl_loop_free(c->transfers);
 	g_hash_table_destroy(c->calls);
-	g_hash_table_destroy(c->sockets);
 	g_free(c->address);
 	g_free(c);
 }
@@ -251,7 +170,7 @@
 	}
 	set_options(k, call);
 	g_hash_table_add(c->calls, k);
-	curl_multi_add_handle(c->multi, k->curl);
+	curl_loop_add(c->transfers, k->curl);
 }
 
 char *http_client_encode(const char *text)
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -27,6 +27,7 @@
 	int64_t second; /* of the clock, that lines_in_second counts */
 	uint32_t lines_in_second;
 	uint64_t left_out;
+	uint64_t left_out_told;
 } opts = { .least = LOG_INFO };
 
 /* What one line shows. */
@@ -161,8 +162,20 @@
 
 enum { COLLECTED_MAX_BYTES = 256 * 1024 };
 
+/* Tells once a second how many lines are missing. */
+static void say_left_out(void)
+{
+	uint64_t before = opts.left_out_told;
+
+	if (opts.left_out == before)
+		return;
+	opts.left_out_told = opts.left_out;
+	log_event(LOG_LINES_LEFT_OUT, opts.instance,
+		  (int64_t)(opts.left_out - before), "-");
+}
+
 /* Returns true while the second's lines are not used up. */
-static bool fits_bound(enum log_level level)
+static bool fits_bound(bool kept_first)
 {
 	uint32_t most = opts.bound.lines_per_s;
 	int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
@@ -170,8 +183,9 @@
 	if (second != opts.second) {
 		opts.second = second;
 		opts.lines_in_second = 0;
+		say_left_out();
 	}
-	if (level >= LOG_WARNING)
+	if (kept_first)
 		most *= 2;
 	return opts.lines_in_second++ < most &&
 	       opts.collected->len < COLLECTED_MAX_BYTES;
@@ -188,11 +202,12 @@
 
 	if (l.level < opts.least)
 		return G_LOG_WRITER_HANDLED;
-	if (opts.bound.lines_per_s && !fits_bound(l.level)) {
+	read_fields(&l, fields, count);
+	if (opts.bound.lines_per_s &&
+	    !fits_bound(!l.entry || log_event_is_kept_first(l.entry->number))) {
 		opts.left_out++;
 		return G_LOG_WRITER_HANDLED;
 	}
-	read_fields(&l, fields, count);
 	format_time(l.time, sizeof(l.time));
 	text = formatters[opts.format](&l);
 	if (opts.bound.lines_per_s)
--- a/src/core/log_event.c
+++ b/src/core/log_event.c
@@ -11,6 +11,14 @@
 	return rows;
 }
 
+bool log_event_is_kept_first(int32_t number)
+{
+	const struct log_event_info *info = log_event_info(number);
+
+	return !info || info->level >= LOG_WARNING ||
+	       number == LOG_STATEMENT_FAILED || number == LOG_STATEMENT_SLOW;
+}
+
 const struct log_event_info *log_event_info(int32_t number)
 {
 	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -2,6 +2,7 @@
 #ifndef CORE_LOG_EVENT_H
 #define CORE_LOG_EVENT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARNING, LOG_ERROR };
@@ -82,6 +83,9 @@
 /* Returns all rows; *count is set to their number. */
 const struct log_event_info *log_event_rows(uint32_t *count);
 
+/* Returns true for lines that are kept first when there are too many. */
+bool log_event_is_kept_first(int32_t number);
+
 /* Returns the row of a number, or NULL. */
 const struct log_event_info *log_event_info(int32_t number);
 
--- a/src/etcd/etcd_call.c
+++ b/src/etcd/etcd_call.c
@@ -1,9 +1,9 @@
 #include "etcd/etcd_call.h"
 
+#include "base/curl_loop.h"
 #include "core/sizes.h"
 #include "etcd/etcd_json.h"
 
-#include <curl/curl.h>
 #include <errno.h>
 #include <glib.h>
 #include <string.h>
@@ -47,11 +47,9 @@
 struct etcd {
 	struct etcd_opts opts;
 	char **addresses; /* own copies */
-	CURLM *multi;
+	struct curl_loop *transfers;
 	struct curl_slist *headers;
-	struct loop_timer *timer;
 	GPtrArray *exchanges;
-	GPtrArray *sockets; /* struct socket_watch */
 	uint32_t address;
 	uint32_t failures; /* in a row */
 	enum reachability reachable;
@@ -60,14 +58,9 @@
 	uint64_t call_count;
 };
 
-struct socket_watch {
-	struct etcd *etcd;
-	curl_socket_t fd;
-};
-
 static void exchange_free(struct exchange *x)
 {
-	curl_multi_remove_handle(x->etcd->multi, x->curl);
+	curl_loop_remove(x->etcd->transfers, x->curl);
 	curl_easy_cleanup(x->curl);
 	g_free(x->path);
 	g_free(x->request);
@@ -80,19 +73,11 @@
 {
 	struct etcd *e = data;
 
-	loop_timer_set(e->timer, -1);
 	for (guint i = 0; i < e->exchanges->len; i++)
 		exchange_free(g_ptr_array_index(e->exchanges, i));
 	g_ptr_array_free(e->exchanges, TRUE);
-	curl_multi_cleanup(e->multi);
+	curl_loop_free(e->transfers);
 	curl_slist_free_all(e->headers);
-	for (guint i = 0; i < e->sockets->len; i++) {
-		struct socket_watch *w = g_ptr_array_index(e->sockets, i);
-
-		loop_unwatch(e->opts.loop, w->fd);
-		g_free(w);
-	}
-	g_ptr_array_free(e->sockets, TRUE);
 	g_strfreev(e->addresses);
 	g_free(e);
 	return APR_SUCCESS;
@@ -172,7 +157,7 @@
 				x->asked_us < e->distrust_until_us));
 	set_time_limits(x);
 	e->call_count++;
-	curl_multi_add_handle(e->multi, x->curl);
+	curl_loop_add(e->transfers, x->curl);
 }
 
 static struct exchange *exchange_new(struct etcd *e, const char *path,
@@ -263,8 +248,8 @@
 void etcd_stream_close(struct etcd_stream *s)
 {
 	s->closed = true;
-	/* Streams are freed by drive(), which may be on the stack now. */
-	loop_timer_set(s->exchange->etcd->timer, 0);
+	/* Streams are freed at the turn's end, which may be on the stack now. */
+	curl_loop_wake(s->exchange->etcd->transfers);
 }
 
 /* Returns the part that holds the header: streams wrap it in "result". */
@@ -332,7 +317,7 @@
 	e->newest_revision = MAX(e->newest_revision, a.revision);
 	if (a.error == -ECONNREFUSED && x->attempts < e->opts.address_count &&
 	    loop_now_us() < x->deadline_us) {
-		curl_multi_remove_handle(e->multi, x->curl);
+		curl_loop_remove(e->transfers, x->curl);
 		g_string_truncate(x->in, 0);
 		submit(x);
 		return;
@@ -372,8 +357,10 @@
 	}
 }
 
-static void read_streams(struct etcd *e)
+static void read_streams(void *data)
 {
+	struct etcd *e = data;
+
 	for (guint i = 0; i < e->exchanges->len; i++) {
 		struct exchange *x = g_ptr_array_index(e->exchanges, i);
 
@@ -382,8 +369,10 @@
 	}
 }
 
-static void remove_closed_streams(struct etcd *e)
+static void remove_closed_streams(void *data)
 {
+	struct etcd *e = data;
+
 	for (guint i = e->exchanges->len; i-- > 0;) {
 		struct exchange *x = g_ptr_array_index(e->exchanges, i);
 
@@ -392,131 +381,40 @@
 	}
 }
 
-static void finish_done(struct etcd *e)
+static void on_done(void *data, CURL *easy, CURLcode code)
 {
-	CURLMsg *m;
-	int left;
-
-	while ((m = curl_multi_info_read(e->multi, &left))) {
-		struct exchange *x = NULL;
-
-		if (m->msg != CURLMSG_DONE)
-			continue;
-		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE,
-				  (char **)&x);
-		if (x->stream)
-			finish_stream(x);
-		else
-			finish_call(x, m->data.result);
-	}
-}
+	struct exchange *x = NULL;
 
-static void set_timer(struct etcd *e, long timeout_ms)
-{
-	if (timeout_ms < 0)
-		loop_timer_set(e->timer, -1);
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&x);
+	if (x->stream)
+		finish_stream(x);
 	else
-		loop_timer_set(e->timer,
-			       loop_now_us() + timeout_ms * US_PER_MS);
-}
-
-/*
- * Lets libcurl work, then makes the callbacks; libcurl does not allow new
- * calls from within its own callbacks. The timer is read back, because
- * libcurl does not repeat a time that it announced before.
- */
-static void drive(struct etcd *e, curl_socket_t fd, int curl_events)
-{
-	long timeout_ms = -1;
-	int running;
-
-	curl_multi_socket_action(e->multi, fd, curl_events, &running);
-	read_streams(e);
-	finish_done(e);
-	remove_closed_streams(e);
-	curl_multi_timeout(e->multi, &timeout_ms);
-	set_timer(e, timeout_ms);
-}
-
-static void on_timer(void *data, int64_t now_us)
-{
-	drive(data, CURL_SOCKET_TIMEOUT, 0);
-}
-
-static void on_socket(void *data, int events)
-{
-	struct socket_watch *w = data;
-	int ready = 0;
-
-	if (events & LOOP_READ)
-		ready |= CURL_CSELECT_IN;
-	if (events & LOOP_WRITE)
-		ready |= CURL_CSELECT_OUT;
-	if (events & LOOP_ERROR)
-		ready |= CURL_CSELECT_ERR;
-	drive(w->etcd, w->fd, ready);
-}
-
-static int on_curl_timer(CURLM *multi, long timeout_ms, void *data)
-{
-	set_timer(data, timeout_ms);
-	return 0;
-}
-
-static int on_curl_socket(CURL *curl, curl_socket_t fd, int what, void *data,
-			  void *socket_data)
-{
-	struct etcd *e = data;
-	struct socket_watch *w = socket_data;
-	int events = 0;
-
-	if (what == CURL_POLL_REMOVE) {
-		loop_unwatch(e->opts.loop, fd);
-		curl_multi_assign(e->multi, fd, NULL);
-		if (w)
-			g_ptr_array_remove_fast(e->sockets, w);
-		g_free(w);
-		return 0;
-	}
-	if (!w) {
-		w = g_new0(struct socket_watch, 1);
-		w->etcd = e;
-		w->fd = fd;
-		g_ptr_array_add(e->sockets, w);
-		curl_multi_assign(e->multi, fd, w);
-	}
-	if (what & CURL_POLL_IN)
-		events |= LOOP_READ;
-	if (what & CURL_POLL_OUT)
-		events |= LOOP_WRITE;
-	loop_watch(e->opts.loop, fd, events, on_socket, w);
-	return 0;
+		finish_call(x, code);
 }
 
 int etcd_new(struct etcd **out, const struct etcd_opts *opts,
 	     apr_pool_t *parent)
 {
+	struct curl_loop_opts transfers = {
+		.on_done = on_done,
+		.on_progress = read_streams,
+		.on_turn_end = remove_closed_streams,
+	};
 	struct etcd *e;
 
 	if (!opts->address_count)
 		return -EINVAL;
-	if (curl_global_init(CURL_GLOBAL_DEFAULT))
-		return -ENOMEM;
 	e = g_new0(struct etcd, 1);
 	e->opts = *opts;
 	e->addresses = g_new0(char *, opts->address_count + 1);
 	for (uint32_t i = 0; i < opts->address_count; i++)
 		e->addresses[i] = g_strdup(opts->addresses[i]);
 	e->exchanges = g_ptr_array_new();
-	e->sockets = g_ptr_array_new();
-	e->timer = loop_timer_add(opts->loop, on_timer, e);
 	e->headers = curl_slist_append(NULL, "Content-Type: application/json");
 	e->headers = curl_slist_append(e->headers, "Expect:");
-	e->multi = curl_multi_init();
-	curl_multi_setopt(e->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
-	curl_multi_setopt(e->multi, CURLMOPT_SOCKETDATA, e);
-	curl_multi_setopt(e->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
-	curl_multi_setopt(e->multi, CURLMOPT_TIMERDATA, e);
+	transfers.loop = opts->loop;
+	transfers.data = e;
+	e->transfers = curl_loop_new(&transfers);
 	apr_pool_cleanup_register(parent, e, etcd_cleanup,
 				  apr_pool_cleanup_null);
 	*out = e;
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -69,9 +69,31 @@
 	end_statement(s, now_us);
 }
 
+/* Late for its route's objective; the line says where the time went. */
+static void log_slow(const struct session *s, int64_t now_us)
+{
+	const struct operation *op = &s->op;
+	const struct route *r =
+		fleet_config_route(s->engine->config, s->database);
+	int64_t took_us = now_us - op->arrived_us;
+
+	if (!r || took_us <= r->target_us)
+		return;
+	engine_log(s->engine, LOG_STATEMENT_SLOW, s->number, op->query.id,
+		   took_us,
+		   "%s at %s for %" G_GINT64_FORMAT
+		   " us, sends %u, workspace %s, mark age %" G_GINT64_FORMAT,
+		   query_kind_name(op->query.kind), op->endpoint,
+		   now_us - op->sent_us, op->sends,
+		   s->workspace ? s->workspace : "-",
+		   op->need == NEED_READ ? op->sent_us - op->after.asked_us :
+					   0);
+}
+
 void caller_answer_done(struct session *s, int64_t now_us)
 {
 	count_answer(s, ANSWER_NONE, now_us);
+	log_slow(s, now_us);
 	answer(s, s->op.rows, now_us);
 }
 
@@ -109,9 +131,12 @@
 	count_answer(s, code, now_us);
 	engine_log(s->engine, LOG_STATEMENT_FAILED, s->number,
 		   s->op.query.id ? s->op.query.id : "-",
-		   now_us - s->op.arrived_us, "%s %s: %s, sends %u",
+		   now_us - s->op.arrived_us,
+		   "%s %s: %s, sends %u, at %s, workspace %s",
 		   query_kind_name(s->op.query.kind), answer_code_name(code),
-		   reason, s->op.sends);
+		   reason, s->op.sends,
+		   s->op.endpoint[0] ? s->op.endpoint : "-",
+		   s->workspace ? s->workspace : "-");
 	s->engine->opts.wire->put_error(out, code, reason);
 	answer(s, out, now_us);
 	g_string_free(out, TRUE);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -494,9 +494,14 @@
 		after = &op->after.position;
 	wire->put_query(c->out, &op->query, name, after);
 	upstream_conn_expect(c, STEP_STATEMENT, now_us);
+	if (!op->sends)
+		metrics_observe(c->engine->opts.metrics, "queue_seconds",
+				c->upstream->service->name,
+				now_us - op->arrived_us);
 	op->sent = true;
 	op->sent_us = now_us;
 	op->sends++;
+	g_strlcpy(op->endpoint, c->upstream->entry.id, sizeof(op->endpoint));
 	if (op->need == NEED_STRICT_READ)
 		upstream_conn_put(c, wire, &rollback, STEP_ROLLBACK, now_us);
 	engine_conn_flush(c);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -7,6 +7,7 @@
 #ifndef PROXY_SESSION_H
 #define PROXY_SESSION_H
 
+#include "core/sizes.h"
 #include "proxy/answer_code.h"
 #include "proxy/fleet_config.h"
 #include "proxy/mark_ring.h"
@@ -54,6 +55,7 @@
 	uint32_t sends;
 	uint32_t refusals; /* by endpoints */
 	enum answer_code last_code; /* of the last refusal */
+	char endpoint[NAME_BYTES]; /* that it was sent to last, for the log */
 	struct upstream *avoid[OPERATION_AVOID_MAX]; /* refused or lost it */
 	uint32_t avoid_count;
 	struct mark after; /* NEED_READ */
