Silence of what takes no slot ends a connection; a lapsed lease is told as such

Ruled out: the queue (no statement waited there), the endpoint (60 ms). Change: what takes no slot has 250 ms to be answered, also beside statements; unacknowledged bytes end a connection after 0.6 s; a lapsed lease is answered as overloaded, with a real time to come back.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -4,6 +4,7 @@
 #include "proxy/drain.h"
 #include "proxy/engine_state.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -262,16 +263,20 @@
 	const char *reason = "";
 	enum answer_code code = check_access(s, &reason, now_us);
 	int64_t retry_us = RETRY_DEFAULT_US;
-
-	if (code) {
-		caller_refuse(s, code, reason, retry_us, now_us);
-		return false;
+	int rc = 0;
+
+	if (!code && new_operation)
+		rc = quota_take(e->quota, s->workspace, now_us, &retry_us);
+	if (rc == -ESTALE) {
+		code = ANSWER_OVERLOADED;
+		reason = "limits cannot be divided now";
+	} else if (rc) {
+		code = ANSWER_LIMIT;
+		reason = "over the workspace's rate";
 	}
-	if (!new_operation ||
-	    !quota_take(e->quota, s->workspace, now_us, &retry_us))
+	if (!code)
 		return true;
-	caller_refuse(s, ANSWER_LIMIT, "over the workspace's rate", retry_us,
-		      now_us);
+	caller_refuse(s, code, reason, retry_us, now_us);
 	return false;
 }
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -289,6 +289,7 @@
 		return;
 	}
 	step = *oldest;
+	c->answered_us = now_us;
 	upstream_conn_pop(c);
 	c->in_transaction = ready->state != TRANSACTION_NONE;
 	upstream_note_answer(c->upstream);
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -77,20 +77,31 @@
 	dispatch_open(e, u, w->name, false, now_us);
 }
 
+/* What takes no slot is answered at once, whatever the load. */
+static bool takes_no_slot(enum step_kind kind)
+{
+	return kind == STEP_SETUP || kind == STEP_BEGIN ||
+	       kind == STEP_ROLLBACK || kind == STEP_PROBE_BEGIN;
+}
+
+static bool is_silent(const struct upstream_conn *c, int64_t now_us)
+{
+	const struct step *step = upstream_conn_step(c);
+
+	/* Nothing was sent yet: it is not even connected. */
+	if (c->state == CONN_STARTING)
+		return c->out->len && now_us - c->opened_us >= CONNECT_US;
+	return step && takes_no_slot(step->kind) &&
+	       now_us - MAX(step->sent_us, c->answered_us) >= PATIENCE_US;
+}
+
 /* Gives up what is silent: questions, and connects that take too long. */
 static void check_silence(struct upstream *u, int64_t now_us)
 {
 	for (guint i = 0; i < u->conns->len; i++) {
 		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-		const struct step *step = upstream_conn_step(c);
-		bool silent = c->state == CONN_PROBING && !c->control && step &&
-			      now_us - step->sent_us >= PATIENCE_US;
-
-		/* Nothing was sent yet: it is not even connected. */
-		if (c->state == CONN_STARTING && c->out->len &&
-		    now_us - c->opened_us >= CONNECT_US)
-			silent = true;
-		if (!silent)
+
+		if (!is_silent(c, now_us))
 			continue;
 		exchange_lost(c, "silent", now_us);
 		i = (guint)-1; /* the list changed */
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -209,8 +209,9 @@
 		return 0;
 	r->asked_milli += OPERATION_MILLI;
 	refresh(q, r, now_us);
-	if (now_us < q->lease_until_us &&
-	    !bucket_take(&r->bucket, OPERATION_MILLI)) {
+	if (now_us >= q->lease_until_us)
+		return -ESTALE;
+	if (!bucket_take(&r->bucket, OPERATION_MILLI)) {
 		bucket_commit(&r->bucket, OPERATION_MILLI);
 		r->admitted++;
 		return 0;
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -49,8 +49,9 @@
 		     int64_t lease_until_us, int64_t now_us);
 
 /*
- * Takes one operation's worth. Returns 0, or -EAGAIN with *retry_us set to
- * when the next one is expected to fit.
+ * Takes one operation's worth. Returns 0; -EAGAIN with *retry_us set to when
+ * the next one is expected to fit; or -ESTALE when this instance's lease has
+ * ended and others divide the limit.
  */
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us);
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -67,6 +67,7 @@
 	bool closed;
 	int64_t opened_us;
 	int64_t used_us; /* end of the last statement */
+	int64_t answered_us; /* last whole answer */
 
 	char *signature; /* of the values it holds */
 	GHashTable *prepared; /* "W shape" or "R shape" to name */
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -28,10 +28,11 @@
 	HTTP_HEADER_MAX_BYTES = 8192,
 	HTTP_IDLE_US = 15 * 1000 * 1000,
 	/*
-	 * A dead machine's connections end after this. Within a second's
-	 * statement there is then time for another try.
+	 * A connection whose bytes nobody acknowledges ends after this: above
+	 * the half second that packets wait on a full link, and within a
+	 * second's statement there is time for another try.
 	 */
-	UNSENT_MAX_US = 1000 * 1000,
+	UNSENT_MAX_US = 600 * 1000,
 	IDLE_PROBE_US = 2000 * 1000,
 };
 
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -371,6 +371,37 @@
 	expect_sound(m);
 }
 
+/* Open connections go silent for good, new ones work. */
+TEST(ProxyEngine, SilentConnectionsAreReplacedInTime)
+{
+	const char *databases[] = { "strict", "bounded", "session" };
+
+	for (const char *database : databases) {
+		for (bool values : { false, true }) {
+			ProxyModel m({});
+			ProxyCaller *c;
+			ProxyAnswer a;
+
+			SCOPED_TRACE(std::string(database) +
+				     (values ? " with values" : ""));
+			m.run(START_US);
+			c = m.connect(0, database, "key-a");
+			EXPECT_TRUE(m.ask(c, "READ 1").ok);
+			if (values) {
+				EXPECT_TRUE(m.ask(c, "SET a 1").ok);
+			}
+			for (auto &e : m.endpoints)
+				m.silence_conns(e.get());
+			a = m.ask(c, "READ 1");
+			EXPECT_TRUE(a.ok) << a.text;
+			EXPECT_LT(a.took_us, 700 * MS);
+			m.run(1 * S);
+			EXPECT_EQ(0u, m.promotions);
+			expect_sound(m);
+		}
+	}
+}
+
 /* Idle sessions are closed and running statements answered. */
 TEST(ProxyEngine, DrainsWithoutCutting)
 {
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1,6 +1,7 @@
 #include "proxy_model.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <sstream>
 
@@ -917,7 +918,12 @@
 {
 	c->arrive_us = std::max(c->arrive_us, now_us_ + WIRE_US);
 	at(c->arrive_us - now_us_, [this, c, line] {
-		if (!c->open || c->silent || !c->endpoint->alive ||
+		if (c->silent) {
+			/* Bytes that nobody acknowledges end it. */
+			at(600 * MS, [this, c] { close_conn(c, -ETIMEDOUT); });
+			return;
+		}
+		if (!c->open || !c->endpoint->alive ||
 		    link_is_cut(*c->node, *c->endpoint))
 			return;
 		endpoint_line(c, line);
