--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -6,7 +6,7 @@
 enum {
 	/* After a failure; doubled each time, with jitter by the instance. */
 	RETRY_US = 100 * 1000,
-	RETRY_MAX_US = 800 * 1000,
+	RETRY_MAX_US = 400 * 1000,
 	RENEWALS = 4, /* in one lease */
 	/* Clocks differ in rate by less than this part of a lease. */
 	CLOCK_MARGIN_PERCENT = 2,
