A takeover waits for copies whose entries may come back

Ruled out: the model (the platform says that such entries come back within two seconds). Change: nothing is chosen until 2.5 s after the first list or the store's return; copies that appear during a round join it.

--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -257,16 +257,28 @@
 	t->since_us = now_us;
 }
 
+static struct round_copy *copy_of(const struct takeover *t, const char *id)
+{
+	for (guint i = 0; i < t->copies->len; i++) {
+		if (!strcmp(copy_at(t, i)->upstream->entry.id, id))
+			return copy_at(t, i);
+	}
+	return NULL;
+}
+
+/* Takes in the copies that are known by now; some come during a round. */
 static void add_copies(struct takeover *t)
 {
 	struct service *svc = t->service;
+	bool is_start = !t->copies->len;
 
-	g_array_set_size(t->copies, 0);
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		struct round_copy c = { 0 };
 
 		c.upstream = g_ptr_array_index(svc->upstreams, i);
-		c.was_primary = c.upstream == svc->primary;
+		if (copy_of(t, c.upstream->entry.id))
+			continue;
+		c.was_primary = is_start && c.upstream == svc->primary;
 		g_array_append_val(t->copies, c);
 	}
 }
@@ -301,15 +313,6 @@
 	say(t, LOG_PROMOTION_STARTED, (int64_t)token, t->reason);
 }
 
-static struct round_copy *copy_of(const struct takeover *t, const char *id)
-{
-	for (guint i = 0; i < t->copies->len; i++) {
-		if (!strcmp(copy_at(t, i)->upstream->entry.id, id))
-			return copy_at(t, i);
-	}
-	return NULL;
-}
-
 /* What a copy is told or asked next. */
 static struct own_message next_message(const struct takeover *t,
 				       const struct round_copy *c)
@@ -447,8 +450,11 @@
 	/* It may have died since, or its log does not get through. */
 	if (now_us - MAX(t->stepped_down_us, t->since_us) > CATCH_UP_US)
 		t->planned = false;
+	add_copies(t);
 	ask_copies(t, now_us);
-	if (choose(t, &chosen) != TAKEOVER_CHOSEN)
+	/* A copy whose entry lapsed with the store may still come back. */
+	if (now_us < t->owner->engine->entries_settle_us ||
+	    choose(t, &chosen) != TAKEOVER_CHOSEN)
 		return;
 	g_strlcpy(t->chosen, copy_at(t, chosen)->upstream->entry.id,
 		  sizeof(t->chosen));
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -224,6 +224,34 @@
 	expect_sound(m);
 }
 
+/*
+ * A copy's entry lapsed with the store and comes back a moment later. An
+ * instance that has just started cannot know of it, and must not choose
+ * among the others: that copy alone has the commit.
+ */
+TEST(ProxyEngine, ACopyWhoseEntryComesBackCounts)
+{
+	ProxyModel m({});
+	ProxyEndpoint *has_it;
+
+	m.run(START_US);
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+	m.replica(1)->cut_replication = true;
+	has_it = m.replica(0);
+	EXPECT_TRUE(m.ask(c, "WRITE 1 x").ok);
+	m.unlist(has_it);
+	for (auto &n : m.nodes)
+		m.kill(n.get());
+	for (auto &n : m.nodes)
+		m.start(n.get());
+	m.run(300 * MS);
+	m.crash(m.primary());
+	m.at(1500 * MS, [&m, has_it] { m.publish(has_it); });
+	m.run(8 * S);
+	EXPECT_EQ(has_it, m.primary());
+	expect_sound(m);
+}
+
 /*
  * The holder of the duty stopped the replicas and died before it chose; the
  * primary is there again. Without replicas it could confirm nothing.
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -533,7 +533,7 @@
 
 void ProxyModel::step()
 {
-	int64_t next = (now_us_ / TICK_US + 1) * TICK_US;
+	int64_t next = next_tick_us_;
 
 	if (!events_.empty() && events_.begin()->first <= next) {
 		auto first = events_.begin();
@@ -545,6 +545,7 @@
 		return;
 	}
 	now_us_ = next;
+	next_tick_us_ = next + TICK_US;
 	expire_leases();
 	replicate();
 	for (auto &n : nodes)
@@ -947,26 +948,30 @@
 	});
 }
 
+/* The last entry that reads at the endpoint see. */
+ProxyPosition ProxyModel::seen(const ProxyEndpoint &e) const
+{
+	size_t n = e.primary ? e.log.size() :
+			       std::min<size_t>(e.applied, e.log.size());
+
+	return n ? ProxyPosition{ e.log[n - 1].term, e.log[n - 1].number } :
+		   ProxyPosition{ 1, 0 };
+}
+
 std::string ProxyModel::ready(const ProxyConn &c) const
 {
-	const ProxyEndpoint &e = *c.endpoint;
-	uint64_t number = e.primary ?
-				  (e.log.empty() ? 0 : e.log.back().number) :
-			  e.applied ? e.log[e.applied - 1].number :
-				      0;
-
-	return std::string("READY ") + c.state + " " + std::to_string(e.term) +
-	       "." + std::to_string(number);
+	ProxyPosition at = seen(*c.endpoint);
+
+	return std::string("READY ") + c.state + " " + std::to_string(at.term) +
+	       "." + std::to_string(at.number);
 }
 
 bool ProxyModel::covers(const ProxyEndpoint &e, uint64_t term,
 			uint64_t number) const
 {
-	uint64_t have = e.primary ? (e.log.empty() ? 0 : e.log.back().number) :
-			e.applied ? e.log[e.applied - 1].number :
-				    0;
+	ProxyPosition at = seen(e);
 
-	return e.term > term || (e.term == term && have >= number);
+	return at.term > term || (at.term == term && at.number >= number);
 }
 
 void ProxyModel::endpoint_line(const std::shared_ptr<ProxyConn> &c,
@@ -1038,7 +1043,10 @@
 	} else if (w[0] == "PAUSE" || w[0] == "RESUME" || w[0] == "DEMOTE" ||
 		   w[0] == "STATUS") {
 		uint64_t term = w.size() > 1 ? std::stoull(w[1]) : 0;
-		uint64_t last = e->log.empty() ? 0 : e->log.back().number;
+		ProxyPosition last = { 1, 0 };
+
+		if (!e->log.empty())
+			last = { e->log.back().term, e->log.back().number };
 
 		if (w[0] == "PAUSE" && !e->primary && term > e->term)
 			e->held_term = term;
@@ -1046,13 +1054,14 @@
 			e->held_term = 0;
 		if (w[0] == "DEMOTE" && e->primary && term > e->term) {
 			e->primary = false;
+			e->applied = e->log.size();
 			publish(e);
 		}
 		reply(c, std::string("ROW ") +
 				 (e->primary ? "primary " : "replica ") +
 				 std::to_string(e->term) + " " +
-				 std::to_string(e->term) + "." +
-				 std::to_string(last) + " " +
+				 std::to_string(last.term) + "." +
+				 std::to_string(last.number) + " " +
 				 std::to_string(e->held_term) + " 0 0 1\n" +
 				 "COMPLETE -\n" + ready(*c));
 		return true;
@@ -1146,7 +1155,7 @@
 		violate("UNASKED: sent '" + s.text + "' ran '" + text + "'");
 	if (w[0] == "EXECUTE" && s.caller) {
 		std::vector<std::string> asked = words(s.text);
-		const std::string &want = s.caller->prepared[asked[1]];
+		const std::string &want = s.prepared.at(asked[1]);
 
 		if (c->prepared[w[1]] != want)
 			violate("PINNED: ran " + c->prepared[w[1]] +
@@ -1351,6 +1360,8 @@
 			continue;
 		bool led = e->primary;
 
+		if (led)
+			e->applied = e->log.size();
 		e->primary = e.get() == to;
 		e->held_term = 0;
 		/* What the leader lacks is rolled back. */
@@ -1361,6 +1372,8 @@
 			publish(e.get());
 	}
 	to->term = term + 1;
+	/* A term begins with an entry of its own. */
+	to->log.push_back({ to->term, ++last_number_, "" });
 	to->applied = to->log.size();
 	publish(to);
 }
@@ -1411,15 +1424,12 @@
 	c->last_text = text;
 	if (begins(text, "BEGIN"))
 		c->transaction_us = now_us_;
-	sent_[id] = { c,	c->transaction_us ? c->transaction_us : now_us_,
-		      text,	c->database,
-		      c->key,	c->own_number,
-		      c->values };
-	if (begins(text, "PREPARE")) {
-		std::vector<std::string> w = words(text);
-
-		c->prepared[w[1]] = w[2] + " " + w[3];
-	}
+	sent_[id] = {
+		c,	   c->transaction_us ? c->transaction_us : now_us_,
+		text,	   c->database,
+		c->key,	   c->own_number,
+		c->values, c->prepared
+	};
 	engine_caller_line(c->session, ("QUERY " + id + " " + text).c_str());
 }
 
@@ -1466,6 +1476,10 @@
 			c->values[w[1]] =
 				text.substr(text.find(w[1]) + w[1].size() + 1);
 		}
+		if (a.ok && begins(text, "PREPARE")) {
+			w = words(text);
+			c->prepared[w[1]] = w[2] + " " + w[3];
+		}
 		if (is_promise(a.code)) {
 			if (committed_.count(id))
 				violate("REFUSED: " + id + " " + a.code);
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -27,6 +27,11 @@
 struct ProxyStore;
 class ProxyModel;
 
+struct ProxyPosition {
+	uint64_t term;
+	uint64_t number;
+};
+
 /* One position of a service's log. */
 struct ProxyLogEntry {
 	uint64_t term;
@@ -241,6 +246,7 @@
 	void promote(const std::string &service, const std::string &id);
 	bool link_is_cut(const ProxyNode &n, const ProxyEndpoint &e) const;
 	bool reachable(const ProxyNode &n) const;
+	ProxyPosition seen(const ProxyEndpoint &e) const;
 	bool covers(const ProxyEndpoint &e, uint64_t term,
 		    uint64_t number) const;
 
@@ -257,6 +263,7 @@
 	void put_config();
 
 	int64_t now_us_ = 1000000000;
+	int64_t next_tick_us_ = 1000000000;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::map<std::string, Item> items_;
 	std::vector<struct store_item> removals_;
@@ -289,6 +296,7 @@
 		std::string key;
 		uint64_t own_number;
 		std::map<std::string, std::string> values;
+		std::map<std::string, std::string> prepared;
 	};
 	std::map<std::string, Sent> sent_;
 	std::map<std::string, std::vector<int64_t>> ran_; /* by workspace */
