What an instance forgot while it stood still is not gone

Change: an endpoint is forgotten only when a question asked after its time still finds no entry, said again it counts anew; a takeover chooses only with a store that confirmed within 2 s.

--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -114,10 +114,11 @@
 static void upstream_missing(struct engine *e, struct upstream *u,
 			     int64_t now_us)
 {
+	/* Said again, it has been there in between. */
+	u->missing_since_us = now_us;
 	if (!u->listed)
 		return;
 	u->listed = false;
-	u->missing_since_us = now_us;
 	engine_log(e, LOG_ENDPOINT_LEAVING, 0, u->entry.id, 0,
 		   "its entry is gone");
 	close_free_conns(u);
@@ -287,6 +288,7 @@
 
 void fleet_run(struct engine *e, int64_t now_us)
 {
+	int64_t confirmed_us = store_feed_confirmed_us(e->feed);
 	GList *all;
 
 	quota_set_fleet(e->quota, e->instance_count,
@@ -298,7 +300,9 @@
 	for (GList *l = all; l; l = l->next) {
 		struct upstream *u = l->data;
 
-		if (!u->listed && now_us >= u->missing_since_us + RETURN_US)
+		/* Asked after that time, the store still did not have it. */
+		if (!u->listed &&
+		    confirmed_us >= u->missing_since_us + RETURN_US)
 			forget_upstream(e, u, "its entry did not come back",
 					now_us);
 	}
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -23,6 +23,8 @@
 	UNKNOWN_US = 1000 * 1000,
 	/* An ordered promotion that does not show is ordered again. */
 	ORDER_AGAIN_US = 500 * 1000,
+	/* A little more than two watches of a store that answers. */
+	KNOWN_MAX_US = 2000 * 1000,
 	/* The platform's promotions take up to a few seconds to show. */
 	SETTLE_US = 4000 * 1000,
 	/* A check gives up on copies that do not answer, and comes back. */
@@ -434,6 +436,16 @@
 			       t->service->confirms_writes, chosen);
 }
 
+/*
+ * A copy whose entry lapsed with the store may still come back; and what an
+ * instance knew before it stood still is not what the store has.
+ */
+static bool knows_copies(const struct engine *e, int64_t now_us)
+{
+	return now_us >= e->entries_settle_us &&
+	       now_us - store_feed_confirmed_us(e->feed) <= KNOWN_MAX_US;
+}
+
 static void survey(struct takeover *t, int64_t now_us)
 {
 	uint32_t chosen = NO_INDEX;
@@ -452,8 +464,7 @@
 		t->planned = false;
 	add_copies(t);
 	ask_copies(t, now_us);
-	/* A copy whose entry lapsed with the store may still come back. */
-	if (now_us < t->owner->engine->entries_settle_us ||
+	if (!knows_copies(t->owner->engine, now_us) ||
 	    choose(t, &chosen) != TAKEOVER_CHOSEN)
 		return;
 	g_strlcpy(t->chosen, copy_at(t, chosen)->upstream->entry.id,
