--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1130,8 +1130,7 @@
 		}
 		writes = begins(c->prepared[w[1]], "WRITE");
 	}
-	if (writes && (!e->primary || c->read_only) && c->state == 'I' &&
-	    !e->primary) {
+	if (writes && (!e->primary || (c->state == 'T' && c->read_only))) {
 		refuse("READONLY");
 		return;
 	}
