--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -237,6 +237,19 @@
 		ADD_FAILURE() << v;
 }
 
+/*
+ * Two holders of the duty die one after the other, each with an order that
+ * has no answer. The first order is carried out, its choice acknowledges
+ * commits, then the second is carried out; no later token was used before.
+ * See KNOWN-RED.txt.
+ */
+TEST(ProxyFuzz, LateOrdersOfTwoDeadHoldersLoseNothing)
+{
+	std::string trail;
+
+	run_seed(29204, trail);
+}
+
 TEST(ProxyFuzz, NoRuleBreaksUnderRandomFaults)
 {
 	const char *more = getenv("PROXY_SEEDS");
