--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -9,13 +9,14 @@
 #include <string.h>
 
 enum {
-	SENDS_MAX = 6, /* of one statement, first ones included */
+	/* Of one statement: each copy twice, in services of three. */
+	SENDS_MAX = 6,
+	/* One runs and two wait, which keeps a slot busy; docs/MEASURES.md. */
 	RUNNING_PER_SLOT = 3,
 	/* An endpoint that refused gets so long to change. */
 	AGAIN_DELAY_US = 10 * 1000,
 	/* No connection is opened sooner after one failed. */
 	OPEN_PAUSE_US = 100 * 1000,
-	OPEN_PAUSE_MAX_US = 1000 * 1000,
 	PREPARED_MAX = 200, /* of one connection; then it is reset */
 };
 
@@ -241,6 +242,7 @@
 	out->handshake_us = u->handshake_us;
 }
 
+/* More endpoints of one service than any group has. */
 enum { CANDIDATES_MAX = 16 };
 
 static struct upstream *choose(const struct session *s,
