The age of a confirmation that never came is no number

Ruled out: the other differences of times (marks and leases are guarded). Change: store_feed_age_us() returns INT64_MAX while there is none.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -64,10 +64,8 @@
 
 bool engine_keys_are_fresh(const struct engine *e, int64_t now_us)
 {
-	int64_t confirmed_us = store_feed_confirmed_us(e->feed);
-
-	return confirmed_us != INT64_MIN &&
-	       now_us - confirmed_us < e->opts.key_limit_us - KEY_MARGIN_US;
+	return store_feed_age_us(e->feed, now_us) <
+	       e->opts.key_limit_us - KEY_MARGIN_US;
 }
 
 uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u)
@@ -435,8 +433,7 @@
 	if (fresh != e->keys_were_fresh)
 		engine_log(e, fresh ? LOG_KEYS_CONFIRMED : LOG_KEYS_UNCONFIRMED,
 			   0, "store",
-			   (now_us - store_feed_confirmed_us(e->feed)) /
-				   US_PER_MS,
+			   store_feed_age_us(e->feed, now_us) / US_PER_MS,
 			   "age of the last confirmation in ms");
 	if (ready != e->was_ready)
 		engine_log(e, LOG_READY_CHANGED, 0, e->opts.instance, ready,
@@ -516,8 +513,7 @@
 	metrics_set(m, "instances", NULL, e->instance_count);
 	metrics_set(m, "draining", NULL, e->drain_since_us != 0);
 	metrics_set(m, "store_confirmed_age_ms", NULL,
-		    (engine_now(e) - store_feed_confirmed_us(e->feed)) /
-			    US_PER_MS);
+		    store_feed_age_us(e->feed, engine_now(e)) / US_PER_MS);
 	if (e->config)
 		metrics_set(m, "config_version", NULL, e->config->version);
 	g_hash_table_iter_init(&it, e->entries);
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -277,6 +277,12 @@
 	return f->confirmed_us;
 }
 
+int64_t store_feed_age_us(const struct store_feed *f, int64_t now_us)
+{
+	return f->confirmed_us == INT64_MIN ? INT64_MAX :
+					      now_us - f->confirmed_us;
+}
+
 int64_t store_feed_lease_us(const struct store_feed *f)
 {
 	return f->lease_until_us;
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -40,6 +40,9 @@
 /* Returns when the last confirmation was asked for, or INT64_MIN. */
 int64_t store_feed_confirmed_us(const struct store_feed *f);
 
+/* Returns the age of that confirmation, INT64_MAX if there is none. */
+int64_t store_feed_age_us(const struct store_feed *f, int64_t now_us);
+
 /* Returns the end of the own lease, by the own clock. */
 int64_t store_feed_lease_us(const struct store_feed *f);
 
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -443,7 +443,7 @@
 static bool knows_copies(const struct engine *e, int64_t now_us)
 {
 	return now_us >= e->entries_settle_us &&
-	       now_us - store_feed_confirmed_us(e->feed) <= KNOWN_MAX_US;
+	       store_feed_age_us(e->feed, now_us) <= KNOWN_MAX_US;
 }
 
 static void survey(struct takeover *t, int64_t now_us)
