Drop two times and a search that nothing reads

Cause: read-through: upstream's conn_denied_us and position_us were only written, service_find() was never called. Change: removed; nothing else.

--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -311,8 +311,6 @@
 	note_refusal(c, code, now_us);
 	upstream_note_answer(u);
 	u->open_after_us = now_us + OPEN_PAUSE_US;
-	if (code == ANSWER_LIMIT)
-		u->conn_denied_us = now_us;
 	exchange_lost(c, answer_code_name(code), now_us);
 }
 
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -1,7 +1,5 @@
 #include "proxy/upstream.h"
 
-#include <string.h>
-
 enum {
 	AVERAGE_WEIGHT = 8, /* an answer counts for one eighth */
 	/* Assumed until the first answer; a few round trips and some work. */
@@ -48,17 +46,6 @@
 	g_free(s);
 }
 
-struct upstream *service_find(const struct service *s, const char *id)
-{
-	for (guint i = 0; i < s->upstreams->len; i++) {
-		struct upstream *u = g_ptr_array_index(s->upstreams, i);
-
-		if (!strcmp(u->entry.id, id))
-			return u;
-	}
-	return NULL;
-}
-
 struct upstream *upstream_new(struct service *s, const struct upstream_entry *e)
 {
 	struct upstream *u = g_new0(struct upstream, 1);
@@ -93,7 +80,6 @@
 
 	u->has_position = true;
 	u->position = p;
-	u->position_us = now_us;
 	u->lag_us = mark_ring_lag_us(&s->marks, p, now_us);
 	s->term = MAX(s->term, p.term);
 }
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -23,11 +23,9 @@
 	/* Connections of this instance. */
 	GPtrArray *conns; /* struct upstream_conn */
 	int64_t open_after_us; /* no new connection before */
-	int64_t conn_denied_us; /* last time that it had no connection left */
 
 	/* What it last showed. */
 	struct position position;
-	int64_t position_us;
 	int64_t silent_since_us; /* first question without an answer; 0 */
 	int64_t lag_us; /* estimate of how far it is behind */
 	int64_t behind_until_us; /* it said that it lacks a position */
@@ -66,9 +64,6 @@
 struct service *service_new(const char *name);
 void service_free(struct service *s);
 
-/* Returns NULL if there is none. */
-struct upstream *service_find(const struct service *s, const char *id);
-
 /* Adds an upstream to its service. */
 struct upstream *upstream_new(struct service *s,
 			      const struct upstream_entry *e);
