A takeover writes its choice down before it orders

Two holders of the duty died one after the other, each with a promotion order that had no answer. They had chosen different copies: the first one had seen the old primary step down and did not count its surplus, the second saw three replicas and chose the longest log, which held that surplus. The first order was carried out, its choice acknowledged commits, then the second order, of a higher token, was.

Ruled out: naming the service in the duty's entry, as planned: the entry ends with the holder's lease, and a fence can only be drawn once the next holder has the duty, so commits of the time before it stay in danger. Ordering the present primary again with a new token: the order itself may be late and put a primary back that was replaced since.

Change: the choice (endpoint, term) is put into the store without a lease, under the condition that the duty is still held, before the order. A choice whose term has not come is open: the next holder takes the round up, lets no copy receive again before the primary has told its term, and names the same endpoint where it has stopped, so both orders do the same. The choices and the views of other instances are files of their own; takeover.c is shorter by them.

A service is now checked when it becomes known.

A round whose named copy cannot be reached may still choose another one; two such orders both late are not covered.

--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -219,7 +219,8 @@
 
 void fleet_item(struct engine *e, struct store_item *item, int64_t now_us)
 {
-	if (e->listing && !item->removed)
+	if (e->listing && !item->removed &&
+	    (item->kind == ITEM_UPSTREAM || item->kind == ITEM_INSTANCE))
 		g_hash_table_add(e->listed_names, g_strdup(item->name));
 	switch (item->kind) {
 	case ITEM_CONFIG:
@@ -234,6 +235,9 @@
 	case ITEM_DUTY:
 		duty_observe(e->duty, item);
 		break;
+	case ITEM_CHOICE:
+		takeover_choice(e->takeovers, item);
+		break;
 	default:
 		break;
 	}
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -1,6 +1,7 @@
 #include "proxy/report.h"
 
 #include "proxy/engine_state.h"
+#include "proxy/silence_views.h"
 
 #include <string.h>
 
@@ -29,7 +30,7 @@
 		const struct service *svc = value;
 
 		if (svc->primary && upstream_is_silent(svc->primary, now_us))
-			out[n++] = takeover_upstream_number(svc->primary);
+			out[n++] = upstream_number(svc->primary);
 	}
 	return n;
 }
@@ -75,8 +76,8 @@
 	}
 	quota_division_report(e->division, &in, now_us);
 	if (strcmp(instance, e->opts.instance) != 0)
-		takeover_view(e->takeovers, instance, r->silent,
-			      r->silent_count, now_us);
+		silence_views_note(takeovers_views(e->takeovers), instance,
+				   r->silent, r->silent_count, now_us);
 	g->report = r->sequence;
 	g->duration_us = quota_division_grant_us();
 	quota_division_grant(e->division, &grants, now_us);
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -40,6 +40,8 @@
 struct store_change {
 	const struct instance_entry *put_instance;
 	const struct duty_entry *put_duty;
+	const struct choice_entry *put_choice; /* of `service`; no lease */
+	const char *service;
 	bool remove_duty;
 	bool remove_instance; /* the one of put name `instance` */
 	const char *instance;
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -37,18 +37,28 @@
 	uint64_t incarnation;
 };
 
+/*
+ * The last choice of a takeover, written before its order is given. Its
+ * order may still be carried out while the service's term is lower.
+ */
+struct choice_entry {
+	char endpoint[NAME_BYTES];
+	uint64_t term; /* that the endpoint would lead */
+};
+
 enum store_item_kind {
 	ITEM_CONFIG, /* .config; NULL if it cannot be read */
 	ITEM_UPSTREAM, /* .upstream */
 	ITEM_INSTANCE, /* .instance */
 	ITEM_DUTY, /* .duty */
+	ITEM_CHOICE, /* .choice */
 	ITEM_OTHER,
 	ITEM_KIND_COUNT,
 };
 
 struct store_item {
 	enum store_item_kind kind;
-	char name[NAME_BYTES]; /* of the endpoint or instance */
+	char name[NAME_BYTES]; /* of the endpoint, instance or service */
 	int64_t revision; /* of its last change */
 	bool removed;
 	bool readable; /* false: the value names nothing to use */
@@ -57,6 +67,7 @@
 		struct upstream_entry upstream;
 		struct instance_entry instance;
 		struct duty_entry duty;
+		struct choice_entry choice;
 	};
 };
 
--- a/src/proxy/takeover.c
+++ b/src/proxy/takeover.c
@@ -2,16 +2,13 @@
 
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
+#include "proxy/promotion_choices.h"
+#include "proxy/silence_views.h"
 #include "proxy/takeover_plan.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 enum {
-	/* Views of instances that reported lately count. */
-	VIEW_MAX_US = 1500 * 1000,
-	/* Half of the instances must miss the primary. */
-	VIEW_PERCENT = 50,
 	STEP_US = 100 * 1000, /* a copy is asked again after this */
 	ANSWER_US = 1000 * 1000, /* a control connection is given up */
 	/*
@@ -32,13 +29,13 @@
 	CHECK_AGAIN_US = 2000 * 1000,
 	/* After a round, until the next one of the service. */
 	PAUSE_US = 1000 * 1000,
-	PERCENT = 100,
 };
 
 enum takeover_state {
 	TAKEOVER_IDLE,
 	TAKEOVER_DRAWING, /* a token */
 	TAKEOVER_SURVEY, /* asks, stops and compares the copies */
+	TAKEOVER_NOTING, /* writes its choice to the store */
 	TAKEOVER_ORDERED, /* the promotion */
 	TAKEOVER_CHECKING, /* that no copy is still held by an earlier round */
 };
@@ -69,23 +66,21 @@
 	int64_t stepped_down_us; /* the earlier primary; 0: not yet */
 	char chosen[NAME_BYTES];
 	bool ordering; /* a call is under way */
+	bool noting; /* the same */
 	int64_t ordered_us;
 	int64_t not_before_us;
+	/* The primary told its term since the duty was taken. */
+	bool term_known;
 	bool check_due; /* a round may have left copies that receive nothing */
 	int64_t check_from_us;
 };
 
-/* What another instance cannot reach. */
-struct view {
-	int64_t at_us;
-	GArray *silent; /* numbers of endpoints */
-};
-
 struct takeovers {
 	struct engine *engine;
 	GHashTable *by_service; /* struct service to struct takeover */
-	GHashTable *views; /* instance to struct view */
-	struct takeover *drawing; /* one token is drawn at a time */
+	struct silence_views *views;
+	struct promotion_choices *choices;
+	struct takeover *storing; /* one call of a round at a time */
 	bool was_held; /* the duty, at the last run */
 };
 
@@ -97,87 +92,30 @@
 	g_free(t);
 }
 
-static void view_free(gpointer p)
-{
-	struct view *v = p;
-
-	g_array_free(v->silent, TRUE);
-	g_free(v);
-}
-
 struct takeovers *takeovers_new(struct engine *e)
 {
 	struct takeovers *t = g_new0(struct takeovers, 1);
 
 	t->engine = e;
 	t->by_service = g_hash_table_new_full(NULL, NULL, NULL, takeover_free);
-	t->views = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 view_free);
+	t->views = silence_views_new();
+	t->choices = promotion_choices_new();
 	return t;
 }
 
 void takeovers_free(struct takeovers *t)
 {
 	g_hash_table_destroy(t->by_service);
-	g_hash_table_destroy(t->views);
+	silence_views_free(t->views);
+	promotion_choices_free(t->choices);
 	g_free(t);
 }
 
-uint64_t takeover_upstream_number(const struct upstream *u)
-{
-	return XXH64(u->entry.id, strlen(u->entry.id), 0);
-}
-
-void takeover_view(struct takeovers *t, const char *instance,
-		   const uint64_t *silent, uint32_t count, int64_t now_us)
-{
-	struct view *v = g_hash_table_lookup(t->views, instance);
-
-	if (!v) {
-		v = g_new0(struct view, 1);
-		v->silent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-		g_hash_table_insert(t->views, g_strdup(instance), v);
-	}
-	v->at_us = now_us;
-	g_array_set_size(v->silent, 0);
-	g_array_append_vals(v->silent, silent, count);
-}
-
-static bool view_has(const struct view *v, uint64_t number)
-{
-	for (guint i = 0; i < v->silent->len; i++) {
-		if (g_array_index(v->silent, uint64_t, i) == number)
-			return true;
-	}
-	return false;
-}
-
-/* Most of the instances that reported lately get no answer from it. */
-static bool is_lost_to_most(const struct takeovers *t, const struct upstream *u,
-			    int64_t now_us)
-{
-	uint64_t number = takeover_upstream_number(u);
-	uint32_t asked = 1;
-	uint32_t silent = upstream_is_silent(u, now_us);
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, t->views);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct view *v = value;
-
-		if (now_us - v->at_us > VIEW_MAX_US)
-			continue;
-		asked++;
-		silent += view_has(v, number);
-	}
-	return silent * PERCENT >= asked * VIEW_PERCENT && silent;
-}
-
 /* Returns why the service needs another primary, or NULL. */
-static const char *need_of(const struct takeovers *t, const struct service *svc,
-			   int64_t now_us)
+static const char *need_of(const struct takeover *t, int64_t now_us)
 {
+	const struct takeovers *ts = t->owner;
+	const struct service *svc = t->service;
 	const struct upstream *u = svc->primary;
 
 	if (!svc->upstreams->len)
@@ -190,8 +128,11 @@
 		return "the primary's entry is gone";
 	if (u->entry.leaving)
 		return "the primary is leaving";
-	if (is_lost_to_most(t, u, now_us))
+	if (silence_views_miss(ts->views, u, now_us))
 		return "the primary does not answer";
+	if (t->term_known &&
+	    promotion_choices_open(ts->choices, svc->name, svc->term))
+		return "an earlier order may still be carried out";
 	return NULL;
 }
 
@@ -204,6 +145,8 @@
 	t = g_new0(struct takeover, 1);
 	t->owner = ts;
 	t->service = svc;
+	/* The duty may be held before the service is known. */
+	t->check_due = true;
 	t->copies = g_array_new(FALSE, TRUE, sizeof(struct round_copy));
 	g_hash_table_insert(ts->by_service, svc, t);
 	return t;
@@ -242,8 +185,8 @@
 
 static void end_round(struct takeover *t, int64_t now_us)
 {
-	if (t->owner->drawing == t)
-		t->owner->drawing = NULL;
+	if (t->state == TAKEOVER_DRAWING && t->owner->storing == t)
+		t->owner->storing = NULL;
 	for (guint i = 0; i < t->copies->len; i++)
 		drop_conn(copy_at(t, i));
 	g_array_set_size(t->copies, 0);
@@ -287,20 +230,20 @@
 
 static void draw(struct takeover *t, int64_t now_us)
 {
-	if (t->owner->drawing)
+	if (t->owner->storing)
 		return;
-	t->owner->drawing = t;
+	t->owner->storing = t;
 	enter(t, TAKEOVER_DRAWING, now_us);
 	duty_draw_token(t->owner->engine->duty);
 }
 
 void takeover_token(struct takeovers *ts, uint64_t token, int64_t now_us)
 {
-	struct takeover *t = ts->drawing;
+	struct takeover *t = ts->storing;
 
-	ts->drawing = NULL;
-	if (!t)
+	if (!t || t->noting)
 		return;
+	ts->storing = NULL;
 	if (!token) {
 		enter(t, TAKEOVER_IDLE, now_us);
 		t->not_before_us = now_us + STEP_US;
@@ -315,13 +258,23 @@
 	say(t, LOG_PROMOTION_STARTED, (int64_t)token, t->reason);
 }
 
+/*
+ * Copies stay stopped until the primary has told its term: while an earlier
+ * order is outstanding, nothing may be acknowledged that its choice lacks.
+ */
+static bool may_release(const struct takeover *t)
+{
+	return t->term_known || !t->service->confirms_writes;
+}
+
 /* What a copy is told or asked next. */
 static struct own_message next_message(const struct takeover *t,
 				       const struct round_copy *c)
 {
 	struct own_message m = { .statement = OWN_STATUS, .term = t->term };
 
-	if (t->state == TAKEOVER_CHECKING && c->reported && c->report.held_term)
+	if (t->state == TAKEOVER_CHECKING && c->reported &&
+	    c->report.held_term && may_release(t))
 		m.statement = OWN_RELEASE;
 	if (!c->reported || t->state != TAKEOVER_SURVEY)
 		return m;
@@ -409,6 +362,43 @@
 	e->opts.promoter->ops->order(e->opts.promoter, &o, on_order, t);
 }
 
+static void on_noted(void *data, const struct store_answer *a)
+{
+	struct takeover *t = data;
+	int64_t now_us = engine_now(t->owner->engine);
+
+	t->noting = false;
+	t->owner->storing = NULL;
+	if (t->state != TAKEOVER_NOTING)
+		return;
+	if (a->outcome == STORE_DONE) {
+		enter(t, TAKEOVER_ORDERED, now_us);
+		order(t, now_us);
+		return;
+	}
+	say(t, LOG_PROMOTION_FAILED, a->outcome, "the store did not take");
+	/* It may be written later; the next token keeps that from counting. */
+	end_round(t, now_us);
+	t->not_before_us = now_us + STEP_US;
+}
+
+/* Writes the choice down, so that a later holder makes the same one. */
+static void note_choice(struct takeover *t)
+{
+	struct engine *e = t->owner->engine;
+	struct choice_entry entry = { .term = t->term };
+	const struct store_change c = { .put_choice = &entry,
+					.service = t->service->name,
+					.if_duty = true,
+					.duty_revision =
+						(int64_t)duty_token(e->duty) };
+
+	g_strlcpy(entry.endpoint, t->chosen, sizeof(entry.endpoint));
+	t->noting = true;
+	t->owner->storing = t;
+	e->opts.store->ops->change(e->opts.store, &c, on_noted, t);
+}
+
 static bool is_held(const struct takeover *t, const struct round_copy *c)
 {
 	return c->reported && c->report.role == ROLE_REPLICA &&
@@ -418,6 +408,8 @@
 static enum takeover_verdict choose(struct takeover *t, uint32_t *chosen)
 {
 	const struct engine *e = t->owner->engine;
+	const char *named = promotion_choices_named(t->owner->choices,
+						    t->service->name, t->term);
 	struct takeover_copy *copies =
 		g_newa0(struct takeover_copy, t->copies->len);
 
@@ -428,6 +420,7 @@
 		copies[i].stepped_down = c->stepped_down;
 		copies[i].held = is_held(t, c);
 		copies[i].leaving = c->upstream->entry.leaving;
+		copies[i].named = !g_strcmp0(named, c->upstream->entry.id);
 		copies[i].local =
 			!strcmp(c->upstream->entry.zone, e->opts.zone);
 		copies[i].received = c->report.received;
@@ -450,7 +443,7 @@
 {
 	uint32_t chosen = NO_INDEX;
 
-	if (!need_of(t->owner, t->service, now_us) && !t->stepped_down_us) {
+	if (!need_of(t, now_us) && !t->stepped_down_us) {
 		say(t, LOG_PROMOTION_FAILED, now_us - t->since_us,
 		    "the primary is there again");
 		/* The copies that were stopped have to receive again. */
@@ -464,14 +457,14 @@
 		t->planned = false;
 	add_copies(t);
 	ask_copies(t, now_us);
-	if (!knows_copies(t->owner->engine, now_us) ||
+	if (t->owner->storing || !knows_copies(t->owner->engine, now_us) ||
 	    choose(t, &chosen) != TAKEOVER_CHOSEN)
 		return;
 	g_strlcpy(t->chosen, copy_at(t, chosen)->upstream->entry.id,
 		  sizeof(t->chosen));
 	say(t, LOG_PROMOTION_STEP, now_us - t->since_us, "chose");
-	enter(t, TAKEOVER_ORDERED, now_us);
-	order(t, now_us);
+	enter(t, TAKEOVER_NOTING, now_us);
+	note_choice(t);
 }
 
 static bool all_are_released(const struct takeover *t)
@@ -494,8 +487,7 @@
 		t->not_before_us = now_us;
 		return;
 	}
-	if (need_of(t->owner, t->service, now_us) ||
-	    now_us - t->since_us >= CHECK_US) {
+	if (need_of(t, now_us) || now_us - t->since_us >= CHECK_US) {
 		/* A takeover comes first; the rest is looked at again. */
 		end_round(t, now_us);
 		t->not_before_us = now_us;
@@ -541,13 +533,14 @@
 {
 	switch (t->state) {
 	case TAKEOVER_IDLE:
-		t->reason = need_of(t->owner, t->service, now_us);
+		t->reason = need_of(t, now_us);
 		if (!t->reason && t->check_due && now_us >= t->check_from_us) {
 			add_copies(t);
 			enter(t, TAKEOVER_CHECKING, now_us);
 			break;
 		}
-		if (!t->reason || now_us < t->not_before_us || t->ordering)
+		if (!t->reason || now_us < t->not_before_us || t->ordering ||
+		    t->noting)
 			break;
 		t->planned = t->service->primary &&
 			     !t->service->primary->silent_since_us;
@@ -558,6 +551,8 @@
 	case TAKEOVER_SURVEY:
 		survey(t, now_us);
 		break;
+	case TAKEOVER_NOTING:
+		break;
 	case TAKEOVER_ORDERED:
 		settle(t, now_us);
 		break;
@@ -567,6 +562,16 @@
 	}
 }
 
+struct silence_views *takeovers_views(struct takeovers *ts)
+{
+	return ts->views;
+}
+
+void takeover_choice(struct takeovers *ts, const struct store_item *item)
+{
+	promotion_choices_observe(ts->choices, item);
+}
+
 void takeovers_run(struct takeovers *ts, int64_t now_us)
 {
 	struct engine *e = ts->engine;
@@ -578,8 +583,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &svc)) {
 		struct takeover *t = takeover_of(ts, svc);
 
-		if (held && !ts->was_held)
+		if (held && !ts->was_held) {
 			t->check_due = true;
+			t->term_known = false;
+		}
 		if (held)
 			advance(t, now_us);
 		else if (t->state != TAKEOVER_IDLE)
@@ -640,6 +647,7 @@
 	copy->reported = true;
 	copy->report = *r;
 	t->service->term = MAX(t->service->term, r->term);
+	t->term_known |= r->role == ROLE_PRIMARY;
 	if (!copy->was_primary && r->role == ROLE_PRIMARY)
 		engine_note_lead(ts->engine, c->upstream, LEAD_TAKEN,
 				 "reports that it leads");
--- a/src/proxy/takeover.h
+++ b/src/proxy/takeover.h
@@ -3,9 +3,10 @@
  *
  * Run by the holder of the duty. A round draws a fencing token, asks every
  * copy for its state, stops what could still acknowledge commits, chooses
- * by takeover_plan.h and orders the promotion. An order without an answer
- * may be carried out later, so the round stays with its choice until the
- * choice leads or a new token has fenced it off.
+ * by takeover_plan.h, writes the choice to the store and orders the
+ * promotion. An order without an answer may be carried out later, also one
+ * of a holder that died: a choice in the store whose term has not come is
+ * open, and the next round names the same endpoint again if it can.
  */
 #ifndef PROXY_TAKEOVER_H
 #define PROXY_TAKEOVER_H
@@ -17,17 +18,17 @@
 #include <stdint.h>
 
 struct engine;
+struct silence_views;
 struct takeovers;
 
 struct takeovers *takeovers_new(struct engine *e);
 void takeovers_free(struct takeovers *t);
 
-/* Another instance's view: which primaries it cannot reach. */
-void takeover_view(struct takeovers *t, const char *instance,
-		   const uint64_t *silent, uint32_t count, int64_t now_us);
+/* Returns the table of what other instances cannot reach. */
+struct silence_views *takeovers_views(struct takeovers *t);
 
-/* Returns the endpoint's number in messages between instances. */
-uint64_t takeover_upstream_number(const struct upstream *u);
+/* A choice was read from the store. */
+void takeover_choice(struct takeovers *t, const struct store_item *item);
 
 /* Starts and advances rounds. */
 void takeovers_run(struct takeovers *t, int64_t now_us);
--- a/src/proxy/takeover_plan.c
+++ b/src/proxy/takeover_plan.c
@@ -10,6 +10,8 @@
 {
 	int order = position_cmp(a->received, b->received);
 
+	if (a->named != b->named)
+		return a->named;
 	if (order)
 		return order > 0;
 	if (a->leaving != b->leaving)
--- a/src/proxy/takeover_plan.h
+++ b/src/proxy/takeover_plan.h
@@ -6,6 +6,11 @@
  * receiving and told what it has, and the longest log has everything; or the
  * earlier primary leads no more and told its last position, and any log
  * that covers it has everything.
+ *
+ * The copy that an earlier order of the same term names comes first: had
+ * another been chosen, the two orders could be carried out one after the
+ * other, and what the first one's leader acknowledged would be lost. It had
+ * everything when it was named, and nothing was acknowledged since.
  */
 #ifndef PROXY_TAKEOVER_PLAN_H
 #define PROXY_TAKEOVER_PLAN_H
@@ -21,6 +26,8 @@
 	bool stepped_down; /* the earlier primary: leads no more */
 	bool held; /* a replica: receives nothing any more */
 	bool leaving;
+	/* An earlier order, which may still be carried out, names it. */
+	bool named;
 	bool local; /* in the availability zone of this instance */
 	struct position received;
 };
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -16,9 +16,10 @@
 /*
  * Seeds that failed once, and what for: copies unknown to a new instance; a
  * copy forgotten by a frozen one; replicas left stopped by a round that an
- * earlier order overtook.
+ * earlier order overtook; the same, where the next holder of the duty learned
+ * of the service only after it had the duty.
  */
-const uint64_t failed_seeds[] = { 1380, 3272, 12045 };
+const uint64_t failed_seeds[] = { 1380, 3272, 12045, 20535 };
 
 int pick(ProxyModel &m, int n)
 {
@@ -241,7 +242,6 @@
  * Two holders of the duty die one after the other, each with an order that
  * has no answer. The first order is carried out, its choice acknowledges
  * commits, then the second is carried out; no later token was used before.
- * See KNOWN-RED.txt.
  */
 TEST(ProxyFuzz, LateOrdersOfTwoDeadHoldersLoseNothing)
 {
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -162,6 +162,14 @@
 			i.duty = *c->put_duty;
 			m->put(DUTY_KEY, i, c->lease);
 		}
+		if (c->put_choice) {
+			memset(&i, 0, sizeof(i));
+			i.kind = ITEM_CHOICE;
+			i.readable = true;
+			i.choice = *c->put_choice;
+			g_strlcpy(i.name, c->service, sizeof(i.name));
+			m->put("choice/" + std::string(c->service), i, 0);
+		}
 		a.revision = m->revision_;
 		if (m->store_loses_ && m->now() < m->store_down_until_us_)
 			a.outcome = STORE_UNKNOWN;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -456,6 +456,24 @@
 	{ "\xff\xfe{", false },
 };
 
+TEST(RecordJson, ReadsTheChoiceThatItWrote)
+{
+	const struct choice_entry c = { "i-7", 12 };
+	g_autofree char *base64 = record_choice_value(&c);
+	gsize len = 0;
+	g_autofree guchar *bytes = g_base64_decode(base64, &len);
+	std::string value((const char *)bytes, len);
+	struct store_item i = read_item(CHOICE_PREFIX "svc", value);
+
+	EXPECT_EQ(ITEM_CHOICE, i.kind);
+	EXPECT_TRUE(i.readable);
+	EXPECT_STREQ("svc", i.name);
+	EXPECT_STREQ("i-7", i.choice.endpoint);
+	EXPECT_EQ(12u, i.choice.term);
+	i = read_item(CHOICE_PREFIX "svc", "{\"term\":12}");
+	EXPECT_FALSE(i.readable);
+}
+
 TEST(RecordJson, ReadsOnlyWholeEntries)
 {
 	for (const EntryCase &k : entry_cases) {
--- a/tests/takeover_plan_test.cc
+++ b/tests/takeover_plan_test.cc
@@ -34,6 +34,14 @@
 	return c;
 }
 
+struct takeover_copy named_copy(bool held, uint64_t offset)
+{
+	struct takeover_copy c = replica_copy(held, offset);
+
+	c.named = true;
+	return c;
+}
+
 struct PlanCase {
 	const char *name;
 	std::vector<struct takeover_copy> copies;
@@ -108,6 +116,28 @@
 	  true,
 	  TAKEOVER_CHOSEN,
 	  2 },
+	{ "an earlier order names one: it had everything when it was named",
+	  { named_copy(true, 7), replica_copy(true, 9) },
+	  true,
+	  TAKEOVER_CHOSEN,
+	  0 },
+	{ "the one that an earlier order names has not stopped",
+	  { named_copy(false, 7), replica_copy(true, 9) },
+	  true,
+	  TAKEOVER_WAIT,
+	  0 },
+	{ "the primary stepped down past the one that is named",
+	  { primary_copy(true, 9), named_copy(false, 8),
+	    replica_copy(false, 9) },
+	  true,
+	  TAKEOVER_CHOSEN,
+	  2 },
+	{ "two cover the primary, one of them is named",
+	  { primary_copy(true, 9), replica_copy(false, 9, false, true),
+	    named_copy(false, 9) },
+	  true,
+	  TAKEOVER_CHOSEN,
+	  2 },
 	{ "no primary was known",
 	  { replica_copy(true, 8), replica_copy(true, 9),
 	    replica_copy(true, 7) },
