The home of a small workspace gathers its parts

Cause: a small workspace has some 1.25 tokens of burst at each of eight instances. Tokens that fill one part up are lost while a request at another instance waits, and a request asked one random holder every 5 ms, mostly one that had nothing; fractions that two waiting requests got served neither and ended with their loan.

Change: while requests come, the home of a workspace whose part is less than four requests borrows the other holders' whole parts; requests ask the home for whole tokens, which it also lends out of what it borrowed if that outlasts the loan. A workspace whose requests mostly come to one other instance is left to that one as before.

--- a/src/core/borrow.c
+++ b/src/core/borrow.c
@@ -1,6 +1,7 @@
 #include "core/borrow.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 static const int64_t LOAN_DURATION_US = US_PER_S;
 
@@ -23,8 +24,45 @@
 	struct amount want; /* still to be asked for */
 	uint32_t sent;
 	int64_t ask_again_us; /* a peer that did not grant is left so long */
+	bool gathers; /* the home of a small workspace wants all parts */
 };
 
+static bool may_hold(const struct borrow_env *env, const struct share_holder *h)
+{
+	const struct member *m = member_find(env->members, h->instance);
+
+	if (!strcmp(h->instance, env->instance))
+		return h->ppm > 0;
+	return h->ppm && m && m->alive && m->incarnation == h->incarnation &&
+	       !m->report.draining;
+}
+
+const char *borrow_home(const struct limit_row *w, const struct borrow_env *env)
+{
+	const struct share_record *r = share_record_of(env->share, w->cell);
+	uint64_t name = XXH64(w->record.name, strlen(w->record.name), 0);
+	uint64_t best = 0;
+	const char *home = NULL;
+
+	for (uint32_t i = 0; i < r->holder_count; i++) {
+		const char *holder = r->holders[i].instance;
+		uint64_t score = XXH64(holder, strlen(holder), name);
+
+		if (!may_hold(env, &r->holders[i]) || (home && score <= best))
+			continue;
+		home = holder;
+		best = score;
+	}
+	return home;
+}
+
+static bool is_home(const struct limit_row *w, const struct borrow_env *env)
+{
+	const char *home = borrow_home(w, env);
+
+	return home && !strcmp(home, env->instance);
+}
+
 static void send_ask(struct asking *k, const char *peer, struct amount amount,
 		     uint64_t renews, int64_t duration_us)
 {
@@ -45,6 +83,12 @@
 	k->sent++;
 }
 
+static struct amount whole_of(const struct limit_row *w)
+{
+	return (struct amount){ w->record.rate_milli_per_s,
+				w->record.burst_milli };
+}
+
 /* Returns what the demand needs beyond what is there. */
 static struct amount wanted(const struct limit_row *w, struct amount have)
 {
@@ -65,13 +109,14 @@
 
 static struct amount available(const struct asking *k)
 {
-	return amount_add(limit_row_own(k->row, k->env->share, k->now_us),
-			  loan_borrowed(k->row->loans, k->now_us));
+	return limit_row_whole(k->row, k->env->share, k->now_us);
 }
 
 static bool is_needed(const struct asking *k, const struct loan *l,
 		      struct amount have)
 {
+	if (k->gathers)
+		return true;
 	if (!k->row->demand_milli_per_s)
 		return false;
 	return !amount_is_zero(wanted(k->row, amount_minus(have, l->amount)));
@@ -100,10 +145,8 @@
 
 static bool may_lend(const struct asking *k, const struct share_holder *h)
 {
-	const struct member *m = member_find(k->env->members, h->instance);
-
-	return h->ppm && m && m->alive && m->incarnation == h->incarnation &&
-	       !m->report.draining &&
+	return strcmp(h->instance, k->env->instance) != 0 &&
+	       may_hold(k->env, h) &&
 	       !loan_is_asked(k->row->loans, h->instance,
 			      k->now_us - k->ask_again_us);
 }
@@ -112,9 +155,8 @@
 static void ask_holder(struct asking *k, const struct share_holder *h,
 		       const struct loan *l)
 {
-	struct amount whole = { k->row->record.rate_milli_per_s,
-				k->row->record.burst_milli };
-	struct amount amount = amount_min(k->want, amount_part(whole, h->ppm));
+	struct amount amount =
+		amount_min(k->want, amount_part(whole_of(k->row), h->ppm));
 
 	if (amount_is_zero(amount))
 		return;
@@ -138,8 +180,7 @@
 
 		if (k->sent == BORROW_ASKS_MAX)
 			return;
-		if (!strcmp(h->instance, k->env->instance) ||
-		    (l != NULL) != lending || (l && !l->full) ||
+		if ((l != NULL) != lending || (l && !l->full && !k->gathers) ||
 		    !may_lend(k, h))
 			continue;
 		ask_holder(k, h, l);
@@ -162,14 +203,21 @@
 			    .env = env,
 			    .now_us = now_us,
 			    .ask_again_us = ASK_AGAIN_US };
+	bool small = limit_row_is_small(w, env->share);
 
-	if (w->deleted || !w->cost_max_milli)
+	if (w->deleted || (!w->cost_max_milli && !small))
+		return;
+	k.gathers =
+		limit_row_is_gathered(w, env->share, now_us) && is_home(w, env);
+	/* The requests themselves ask the home for tokens. */
+	if (small && !k.gathers && !limit_row_is_hot(w))
 		return;
 	renew_due(&k);
-	if (!is_short(w))
+	if (!k.gathers && !is_short(w))
 		return;
 	w->short_of_tokens = false;
-	k.want = wanted(w, available(&k));
+	k.want = k.gathers ? amount_minus(whole_of(w), available(&k)) :
+			     wanted(w, available(&k));
 	/* Tokens alone are asked for by the requests that wait for them. */
 	if (!k.want.rate_milli_per_s)
 		return;
@@ -187,14 +235,25 @@
 	const struct share_record *r = share_record_of(env->share, w->cell);
 	uint32_t start = r->holder_count ? g_rand_int(env->rand) : 0;
 	struct amount amount = { .burst_milli = missing_milli };
+	const char *home = NULL;
 
+	if (limit_row_is_small(w, env->share))
+		home = borrow_home(w, env);
+	for (uint32_t i = 0; home && i < r->holder_count; i++) {
+		const struct share_holder *h = &r->holders[i];
+
+		if (!strcmp(h->instance, home) && may_lend(&k, h)) {
+			send_ask(&k, home, amount, 0, LOAN_TOKENS_US);
+			return;
+		}
+	}
 	for (uint32_t i = 0; i < r->holder_count; i++) {
 		const struct share_holder *h =
 			&r->holders[(start + i) % r->holder_count];
 
 		if (k.sent == BORROW_TOKEN_ASKS_MAX)
 			return;
-		if (strcmp(h->instance, env->instance) != 0 && may_lend(&k, h))
+		if (may_lend(&k, h))
 			send_ask(&k, h->instance, amount, 0, LOAN_TOKENS_US);
 	}
 }
--- a/src/core/borrow.h
+++ b/src/core/borrow.h
@@ -27,9 +27,18 @@
 void borrow_run(struct limit_row *w, const struct borrow_env *env,
 		int64_t now_us);
 
+/*
+ * Returns the instance that gathers the parts of a small workspace while
+ * somebody wants them, chosen by hash among the holders that answer. Two
+ * instances may differ for a moment: then two gather a part each.
+ */
+const char *borrow_home(const struct limit_row *w,
+			const struct borrow_env *env);
+
 /*
  * Asks up to BORROW_TOKEN_ASKS_MAX holders for tokens that a waiting
- * request lacks, without any rate and for 100 ms only.
+ * request lacks, without any rate and for 100 ms only; the home of a small
+ * workspace first.
  */
 void borrow_tokens(struct limit_row *w, const struct borrow_env *env,
 		   uint32_t missing_milli, int64_t now_us);
--- a/src/core/limit.c
+++ b/src/core/limit.c
@@ -190,8 +190,7 @@
 		  uint32_t capacity_before, int64_t now_us)
 {
 	struct bucket *b = &w->bucket;
-	struct amount left = amount_add(limit_row_own(w, l->share, now_us),
-					loan_borrowed(w->loans, now_us));
+	struct amount left = limit_row_whole(w, l->share, now_us);
 
 	if (capacity_before > left.burst_milli)
 		loan->tokens_milli =
@@ -206,6 +205,32 @@
 	limit_row_refresh(w, l->share, now_us);
 }
 
+static struct borrow_env borrow_env_of(struct limits *l,
+				       struct action_queue *out)
+{
+	return (struct borrow_env){ .share = l->share,
+				    .members = l->members,
+				    .instance = l->name,
+				    .incarnation = l->incarnation,
+				    .last_loan_id = &l->last_loan_id,
+				    .rand = l->rand,
+				    .out = out };
+}
+
+/* The home of a small workspace gets the whole part. */
+static bool is_asked_by_home(struct limits *l, const struct limit_row *w,
+			     const struct peer_message *m,
+			     struct action_queue *out)
+{
+	struct borrow_env env = borrow_env_of(l, out);
+	const char *home;
+
+	if (!limit_row_is_small(w, l->share))
+		return false;
+	home = borrow_home(w, &env);
+	return home && !strcmp(home, m->peer);
+}
+
 static void take_ask(struct limits *l, const struct peer_message *m,
 		     int64_t now_us, struct action_queue *out)
 {
@@ -219,11 +244,20 @@
 		return;
 	limit_row_refresh(w, l->share, now_us);
 	may_lend = limit_row_spare(w, l->share, now_us, &spare);
+	if (is_asked_by_home(l, w, m, out))
+		may_lend = limit_row_spare_all(w, l->share, now_us, &spare);
 	if (loan_is_for_tokens(m->loan_ask.rate_milli_per_s,
 			       m->loan_ask.duration_us)) {
+		limit_row_note_wanted(w, now_us);
 		limit_row_spare_tokens(w, l->share, now_us, &spare);
-		may_lend = spare.burst_milli > 0;
+		/* Two that wait would share what serves neither. */
+		may_lend =
+			limit_row_is_small(w, l->share) ?
+				spare.burst_milli >= m->loan_ask.burst_milli :
+				spare.burst_milli > 0;
 	}
+	if (m->loan_ask.rate_milli_per_s && !m->loan_ask.renews)
+		limit_row_note_contested(w, now_us);
 	capacity = w->bucket.capacity_milli;
 	switch (loan_lend(w->loans, m, may_lend ? &spare : NULL,
 			  share_valid_until_us(l->share), now_us, &loan)) {
@@ -286,18 +320,6 @@
 	}
 }
 
-static struct borrow_env borrow_env_of(struct limits *l,
-				       struct action_queue *out)
-{
-	return (struct borrow_env){ .share = l->share,
-				    .members = l->members,
-				    .instance = l->name,
-				    .incarnation = l->incarnation,
-				    .last_loan_id = &l->last_loan_id,
-				    .rand = l->rand,
-				    .out = out };
-}
-
 static void run_row(struct limits *l, struct limit_row *w, int64_t now_us,
 		    struct action_queue *out)
 {
@@ -355,6 +377,7 @@
 		return ERR_NO_CONFIG;
 	limit_row_refresh(w, l->share, now_us);
 	w->arrived_milli += cost_milli;
+	limit_row_note_wanted(w, now_us);
 	w->cost_max_milli = MAX(w->cost_max_milli, cost_milli);
 	return limit_admit_again(l, workspace, cost_milli, now_us, retry_after);
 }
@@ -399,9 +422,12 @@
 	if (!w)
 		return;
 	limit_row_refresh(w, l->share, now_us);
-	if (w->bucket.level_milli < cost_milli)
-		borrow_tokens(w, &env, cost_milli - w->bucket.level_milli,
-			      now_us);
+	if (w->bucket.level_milli >= cost_milli)
+		return;
+	/* What is there of a small one may end with an earlier loan. */
+	if (!limit_row_is_small(w, l->share))
+		cost_milli -= w->bucket.level_milli;
+	borrow_tokens(w, &env, cost_milli, now_us);
 }
 
 void limit_stop_waiting(struct limits *l, const char *workspace, int64_t now_us)
--- a/src/core/limit_row.c
+++ b/src/core/limit_row.c
@@ -4,11 +4,26 @@
 
 static const int64_t DEMAND_INTERVAL_US = 100 * US_PER_MS;
 static const int64_t DEMAND_SPARSE_US = US_PER_S;
-enum { DEMAND_REQUESTS = 4 }; /* in an interval, to tell a rate */
+enum {
+	DEMAND_REQUESTS = 4, /* in an interval, to tell a rate */
+	HOT_INTERVALS = 3, /* one may be a chance of few requests */
+};
 
 /* A lender keeps this part of its own, and this much for one request. */
 enum { KEPT_PPM = SHARE_WHOLE_PPM / 16, KEPT_BURST_MILLI = 1000 };
 
+/* A part that holds fewer requests than this is better held in one place. */
+enum { SMALL_REQUESTS = 4, COST_MILLI = 1000 };
+
+/* The lender counts a loan of tokens 1% longer; clocks differ by another. */
+static const int64_t TOKENS_LENT_US = LOAN_TOKENS_US * 102 / 100;
+
+/* A home gathers a small workspace's parts so long after a request. */
+static const int64_t WANTED_US = 5 * US_PER_S;
+
+/* Two loans: the parts come back, and go to the one that asks. */
+static const int64_t CONTESTED_US = 2 * US_PER_S;
+
 struct limit_row *limit_row_new(const char *workspace, uint32_t cell,
 				int64_t now_us)
 {
@@ -43,10 +58,17 @@
 	return amount_minus(part_of(w, s, now_us), loan_lent(w->loans, now_us));
 }
 
+struct amount limit_row_whole(const struct limit_row *w, const struct share *s,
+			      int64_t now_us)
+{
+	return amount_minus(amount_add(part_of(w, s, now_us),
+				       loan_borrowed(w->loans, now_us)),
+			    loan_lent(w->loans, now_us));
+}
+
 static void resize(struct limit_row *w, const struct share *s, int64_t at_us)
 {
-	struct amount all = amount_add(limit_row_own(w, s, at_us),
-				       loan_borrowed(w->loans, at_us));
+	struct amount all = limit_row_whole(w, s, at_us);
 
 	bucket_resize(&w->bucket, all.rate_milli_per_s, all.burst_milli);
 }
@@ -115,13 +137,55 @@
 	return amount_covers(whole, used);
 }
 
+bool limit_row_spare_all(const struct limit_row *w, const struct share *s,
+			 int64_t now_us, struct amount *out)
+{
+	*out = limit_row_own(w, s, now_us);
+	return amount_covers(part_of(w, s, now_us),
+			     loan_lent(w->loans, now_us));
+}
+
+bool limit_row_is_small(const struct limit_row *w, const struct share *s)
+{
+	const struct share_record *r = share_record_of(s, w->cell);
+	uint32_t cost = MAX(w->cost_max_milli, COST_MILLI);
+
+	return r->holder_count > 1 &&
+	       w->record.burst_milli / r->holder_count < SMALL_REQUESTS * cost;
+}
+
+void limit_row_note_wanted(struct limit_row *w, int64_t now_us)
+{
+	w->wanted_until_us = now_us + WANTED_US;
+}
+
+void limit_row_note_contested(struct limit_row *w, int64_t now_us)
+{
+	w->contested_until_us = now_us + CONTESTED_US;
+}
+
+bool limit_row_is_hot(const struct limit_row *w)
+{
+	return w->hot_intervals >= HOT_INTERVALS;
+}
+
+bool limit_row_is_gathered(const struct limit_row *w, const struct share *s,
+			   int64_t now_us)
+{
+	return limit_row_is_small(w, s) && now_us < w->wanted_until_us &&
+	       (limit_row_is_hot(w) || now_us >= w->contested_until_us);
+}
+
 void limit_row_spare_tokens(const struct limit_row *w, const struct share *s,
 			    int64_t now_us, struct amount *out)
 {
-	struct amount own = limit_row_own(w, s, now_us);
+	struct amount all =
+		amount_add(part_of(w, s, now_us),
+			   loan_borrowed(w->loans, now_us + TOKENS_LENT_US));
+	struct amount left = amount_minus(all, loan_lent(w->loans, now_us));
 
 	out->rate_milli_per_s = 0;
-	out->burst_milli = MIN(own.burst_milli, w->bucket.level_milli);
+	out->burst_milli = MIN(left.burst_milli, w->bucket.level_milli);
 }
 
 static uint32_t ppm_for(uint32_t amount, uint32_t whole)
@@ -161,6 +225,9 @@
 	    w->arrived_milli < (uint64_t)DEMAND_REQUESTS * w->cost_max_milli)
 		return;
 	recent = w->arrived_milli * (uint64_t)US_PER_S / (uint64_t)elapsed;
+	w->hot_intervals = recent > w->record.rate_milli_per_s / 2 ?
+				   w->hot_intervals + 1 :
+				   0;
 	/* Rises at once to half, falls slowly: a lender must not be caught. */
 	if (recent > w->demand_milli_per_s)
 		recent = (recent + w->demand_milli_per_s) / 2;
