Small workspaces are counted by one home instance

Cause: on the grown fleet (73 instances, 79 workspaces) an even part of a limit is 0.1 to 0.3 operations a second with room for 0.2 tokens, and grants go by a demand of one operation every five seconds: two thirds of all operations inside their limits were refused.

Ruled out: more of each limit granted (a bucket below one token admits nothing at any rate); connections (33 % served, 1.1 connections for each instance and endpoint, 0.4 % refused by endpoints).

Change: a limit of which an even part of the tolerated overrun is less than two operations is not divided. Its home, by the highest hash among the instances in the store, counts it for all; other instances ask it for each operation and refuse after 200 ms, at once while it is known to be silent. No two instances count at the same time: an instance is home only when its entry is older than a lease and its knowledge of the store younger than one. A limit that comes to be divided or counted by a home rests for a lease; the fleet's size counts by classes of four, so that rarely happens. Small fleets (fewer than 12) go on as before.

Tests: a small workspace below its rate over 14 instances, floods, homes killed, frozen and cut off, a dead home.

A home that dies costs its workspaces up to a lease.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -63,6 +63,7 @@
 	X(SETTINGS_REFUSED, 107, LOG_ERROR, "changed settings not applied")  \
 	X(LINES_LEFT_OUT, 106, LOG_WARNING, "log lines were left out")       \
 	X(LIMIT_REACHED, 610, LOG_INFO, "workspace reached its limit here")  \
+	X(LIMIT_HOME_SILENT, 611, LOG_WARNING, "home of a limit is silent")  \
 	X(DUTY_TAKEN, 410, LOG_INFO, "singleton duty taken")                 \
 	X(DUTY_LOST, 411, LOG_WARNING, "singleton duty lost")                \
 	X(PEER_UP, 700, LOG_INFO, "peer answers")                            \
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -27,6 +27,8 @@
 	PEER_RECORD, /* a configuration record or its deletion */
 	PEER_REPORT, /* what an instance needs and misses; to the duty's holder */
 	PEER_GRANT, /* answers a report with parts of the limits */
+	PEER_QUOTA_ASK, /* one operation's worth of a small limit; to its home */
+	PEER_QUOTA_ANSWER,
 	PEER_MESSAGE_TYPE_COUNT,
 };
 
@@ -106,6 +108,24 @@
 	struct peer_rate rates[PEER_RATES_MAX];
 };
 
+struct peer_quota_ask {
+	uint64_t sequence; /* grows within the asking instance's process */
+	uint64_t workspace; /* a hash of its name */
+};
+
+enum peer_quota_verdict {
+	PEER_QUOTA_TAKEN,
+	PEER_QUOTA_OVER, /* the limit is used up */
+	PEER_QUOTA_NOT_HOME, /* not counted here now */
+	PEER_QUOTA_VERDICT_COUNT,
+};
+
+struct peer_quota_answer {
+	uint64_t sequence; /* of the ask */
+	enum peer_quota_verdict verdict;
+	int64_t retry_us; /* over: when the next one is expected to fit */
+};
+
 struct peer_message {
 	char peer[NAME_BYTES]; /* sender on receipt, receiver on sending */
 	uint64_t incarnation; /* sender's process; new at each start */
@@ -120,6 +140,8 @@
 		struct peer_record record;
 		struct peer_report report;
 		struct peer_grant grant;
+		struct peer_quota_ask quota_ask;
+		struct peer_quota_answer quota_answer;
 	};
 };
 
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -365,6 +365,22 @@
 	walk_rates(c, g->rates, &g->rate_count);
 }
 
+static void walk_quota_ask(struct codec *c, struct peer_quota_ask *a)
+{
+	walk_u64(c, &a->sequence, UINT64_MAX);
+	walk_u64(c, &a->workspace, UINT64_MAX);
+}
+
+static void walk_quota_answer(struct codec *c, struct peer_quota_answer *a)
+{
+	uint32_t verdict = a->verdict;
+
+	walk_u64(c, &a->sequence, UINT64_MAX);
+	walk_u32(c, &verdict, PEER_QUOTA_VERDICT_COUNT - 1);
+	a->verdict = verdict;
+	walk_i64(c, &a->retry_us);
+}
+
 static void walk_body(struct codec *c, struct peer_message *m)
 {
 	switch (m->type) {
@@ -395,6 +411,12 @@
 	case PEER_GRANT:
 		walk_grant(c, &m->grant);
 		break;
+	case PEER_QUOTA_ASK:
+		walk_quota_ask(c, &m->quota_ask);
+		break;
+	case PEER_QUOTA_ANSWER:
+		walk_quota_answer(c, &m->quota_answer);
+		break;
 	case PEER_MESSAGE_TYPE_COUNT:
 		fail(c, -EINVAL);
 		break;
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -174,6 +174,7 @@
 		return;
 	s->closing = true;
 	dispatch_forget(s);
+	quota_asks_forget(e->asks, s);
 	fail_transaction(s, true, now_us);
 	operation_end(&s->op);
 	g_hash_table_remove(e->busy, s);
@@ -256,8 +257,62 @@
 	g_string_free(out, TRUE);
 }
 
+/* Runs the admitted statement. */
+static void go(struct session *s, int64_t now_us)
+{
+	if (s->op.query.kind != QUERY_BEGIN &&
+	    s->op.query.kind != QUERY_BEGIN_READ) {
+		dispatch_start(s, now_us);
+		return;
+	}
+	s->transaction = TRANSACTION_OPEN;
+	s->transaction_reads_only = s->op.query.kind == QUERY_BEGIN_READ;
+	s->transaction_wrote = false;
+	s->transaction_us = now_us;
+	/* The endpoint's BEGIN goes with the first statement. */
+	answer_own(s, now_us);
+}
+
+/* The limit's word on the operation; see quota_take(). */
+static void take_quota(struct session *s, int rc, int64_t retry_us,
+		       int64_t now_us)
+{
+	switch (rc) {
+	case 0:
+		go(s, now_us);
+		break;
+	case -EAGAIN:
+		caller_refuse(s, ANSWER_LIMIT, "over the workspace's rate",
+			      retry_us, now_us);
+		break;
+	case -ETIMEDOUT:
+		caller_refuse(s, ANSWER_OVERLOADED,
+			      "the home of the limit does not answer",
+			      QUOTA_SILENT_US, now_us);
+		break;
+	default:
+		caller_refuse(s, ANSWER_OVERLOADED,
+			      "limits cannot be counted now", RETRY_DEFAULT_US,
+			      now_us);
+		break;
+	}
+}
+
+void caller_quota_answer(struct session *s, int rc, int64_t retry_us,
+			 int64_t now_us)
+{
+	const char *reason = "";
+	enum answer_code code = check_access(s, &reason, now_us);
+
+	/* A key may have been withdrawn meanwhile. */
+	if (code)
+		caller_refuse(s, code, reason, RETRY_DEFAULT_US, now_us);
+	else
+		take_quota(s, rc, retry_us, now_us);
+}
+
 /* Checks access and, for a new operation, takes one off the quota. */
-static bool admit(struct session *s, bool new_operation, int64_t now_us)
+static void admit(struct session *s, bool new_operation, int64_t now_us)
 {
 	struct engine *e = s->engine;
 	const char *reason = "";
@@ -265,19 +320,16 @@
 	int64_t retry_us = RETRY_DEFAULT_US;
 	int rc = 0;
 
-	if (!code && new_operation)
-		rc = quota_take(e->quota, s->workspace, now_us, &retry_us);
-	if (rc == -ESTALE) {
-		code = ANSWER_OVERLOADED;
-		reason = "limits cannot be divided now";
-	} else if (rc) {
-		code = ANSWER_LIMIT;
-		reason = "over the workspace's rate";
+	if (code) {
+		caller_refuse(s, code, reason, RETRY_DEFAULT_US, now_us);
+		return;
 	}
-	if (!code)
-		return true;
-	caller_refuse(s, code, reason, retry_us, now_us);
-	return false;
+	if (new_operation)
+		rc = quota_take(e->quota, s->workspace, now_us, &retry_us);
+	if (rc != -EINPROGRESS)
+		take_quota(s, rc, retry_us, now_us);
+	else if (!quota_asks_start(e->asks, s, now_us))
+		take_quota(s, -ETIMEDOUT, 0, now_us);
 }
 
 static void on_begin(struct session *s, int64_t now_us)
@@ -287,14 +339,7 @@
 				    "a transaction is open", now_us);
 		return;
 	}
-	if (!admit(s, true, now_us))
-		return;
-	s->transaction = TRANSACTION_OPEN;
-	s->transaction_reads_only = s->op.query.kind == QUERY_BEGIN_READ;
-	s->transaction_wrote = false;
-	s->transaction_us = now_us;
-	/* The endpoint's BEGIN goes with the first statement. */
-	answer_own(s, now_us);
+	admit(s, true, now_us);
 }
 
 static void on_rollback(struct session *s, int64_t now_us)
@@ -305,9 +350,7 @@
 
 static void run(struct session *s, int64_t now_us)
 {
-	if (!admit(s, s->transaction == TRANSACTION_NONE, now_us))
-		return;
-	dispatch_start(s, now_us);
+	admit(s, s->transaction == TRANSACTION_NONE, now_us);
 }
 
 static void on_commit(struct session *s, int64_t now_us)
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -21,6 +21,13 @@
 void caller_refuse(struct session *s, enum answer_code code, const char *reason,
 		   int64_t retry_us, int64_t now_us);
 
+/*
+ * The home of the workspace's limit answered: rc as of quota_take(), or
+ * -ETIMEDOUT if it did not.
+ */
+void caller_quota_answer(struct session *s, int rc, int64_t retry_us,
+			 int64_t now_us);
+
 /* The connection that carried the session's transaction is gone. */
 void caller_lose_transaction(struct session *s, const char *reason,
 			     int64_t now_us);
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -68,6 +68,11 @@
 	       e->opts.key_limit_us - KEY_MARGIN_US;
 }
 
+int64_t engine_lease_ttl_us(const struct engine *e)
+{
+	return e->opts.key_limit_us * LEASE_PERCENT / PERCENT;
+}
+
 uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u)
 {
 	const struct service *s = u->service;
@@ -165,7 +170,7 @@
 	const struct engine_opts *o = &e->opts;
 	struct store_feed_opts f = {
 		.store = o->store,
-		.lease_ttl_us = o->key_limit_us * LEASE_PERCENT / PERCENT,
+		.lease_ttl_us = engine_lease_ttl_us(e),
 		.watch_us = o->key_limit_us / WATCH_PARTS,
 		.on_item = on_item,
 		.on_list = on_list,
@@ -214,7 +219,8 @@
 	e->instance_count = 1;
 	e->closed = g_ptr_array_new();
 	e->closed_sessions = g_ptr_array_new();
-	e->quota = quota_new(&opts->tolerance);
+	e->quota = quota_new(&opts->tolerance, opts->instance);
+	e->asks = quota_asks_new(e);
 	e->division = quota_division_new();
 	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
 	e->takeovers = takeovers_new(e);
@@ -265,6 +271,7 @@
 	free_closed(e);
 	takeovers_free(e->takeovers);
 	quota_division_free(e->division);
+	quota_asks_free(e->asks);
 	quota_free(e->quota);
 	store_feed_free(e->feed);
 	duty_free(e->duty);
@@ -354,7 +361,10 @@
 
 void engine_peer_message(struct engine *e, const struct peer_message *m)
 {
-	report_message(e, m, engine_now(e));
+	if (m->type == PEER_QUOTA_ASK || m->type == PEER_QUOTA_ANSWER)
+		quota_asks_message(e->asks, m, engine_now(e));
+	else
+		report_message(e, m, engine_now(e));
 }
 
 /* The statement took all the time that its route allows. */
@@ -381,7 +391,7 @@
 {
 	struct upstream_conn *c = s->pinned;
 
-	if (s->op.active && !s->op.waiting &&
+	if (s->op.active && !s->op.waiting && !s->op.asking &&
 	    now_us >= s->op.deadline_us - DEADLINE_MARGIN_US) {
 		give_up(s, now_us);
 		return;
@@ -451,6 +461,7 @@
 	store_feed_run(e->feed, now_us);
 	duty_run(e->duty, e->instance_rank, now_us);
 	fleet_run(e, now_us);
+	quota_asks_run(e->asks, now_us);
 	check_sessions(e, now_us);
 	g_hash_table_iter_init(&it, e->services);
 	while (g_hash_table_iter_next(&it, NULL, &svc))
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -10,6 +10,7 @@
 #include "proxy/engine.h"
 #include "proxy/fleet_config.h"
 #include "proxy/quota.h"
+#include "proxy/quota_asks.h"
 #include "proxy/quota_division.h"
 #include "proxy/session.h"
 #include "proxy/store_feed.h"
@@ -38,6 +39,7 @@
 	struct duty *duty;
 	struct quota *quota;
 	struct quota_division *division;
+	struct quota_asks *asks;
 	struct takeovers *takeovers;
 	GPtrArray *closed; /* connections and sessions to be freed */
 	GPtrArray *closed_sessions;
@@ -70,6 +72,9 @@
 /* Returns true while withdrawn keys would be known. */
 bool engine_keys_are_fresh(const struct engine *e, int64_t now_us);
 
+/* Returns how long the own lease is asked for. */
+int64_t engine_lease_ttl_us(const struct engine *e);
+
 /* Returns how many connections this instance may have to an endpoint. */
 uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u);
 
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -168,6 +168,19 @@
 		engine_note_lead(e, u, word, "says so in its entry");
 }
 
+static void tell_quota(struct engine *e, int64_t now_us)
+{
+	const struct quota_fleet f = {
+		.instances = e->instance_count,
+		.lease_ttl_us = engine_lease_ttl_us(e),
+		.lease_until_us = store_feed_lease_us(e->feed),
+		.entered_us = store_feed_entered_us(e->feed),
+		.confirmed_us = store_feed_confirmed_us(e->feed),
+	};
+
+	quota_set_fleet(e->quota, &f, now_us);
+}
+
 static void count_instances(struct engine *e, int64_t now_us)
 {
 	GHashTableIter it;
@@ -184,7 +197,7 @@
 	}
 	e->instance_count = count;
 	e->instance_rank = rank;
-	quota_set_fleet(e->quota, count, store_feed_lease_us(e->feed), now_us);
+	tell_quota(e, now_us);
 }
 
 static void put_instance(struct engine *e, const struct store_item *item,
@@ -196,6 +209,8 @@
 		g_hash_table_replace(e->instances, g_strdup(item->name),
 				     g_memdup2(&item->instance,
 					       sizeof(item->instance)));
+	quota_note_instance(e->quota, item->name,
+			    !item->removed && item->readable);
 	e->opts.ops->peer_changed(e->opts.host, item->name,
 				  item->removed || !item->readable ?
 					  NULL :
@@ -253,6 +268,7 @@
 	while (g_hash_table_iter_next(&it, &name, NULL)) {
 		if (g_hash_table_contains(e->listed_names, name))
 			continue;
+		quota_note_instance(e->quota, name, false);
 		e->opts.ops->peer_changed(e->opts.host, name, NULL);
 		g_hash_table_iter_remove(&it);
 	}
@@ -295,8 +311,7 @@
 	int64_t confirmed_us = store_feed_confirmed_us(e->feed);
 	GList *all;
 
-	quota_set_fleet(e->quota, e->instance_count,
-			store_feed_lease_us(e->feed), now_us);
+	tell_quota(e, now_us);
 	if (now_us < e->entries_settle_us)
 		return;
 	/* What runs there has that long to end. */
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -1,6 +1,7 @@
 #include "proxy/quota.h"
 
 #include "core/bucket.h"
+#include "proxy/quota_homes.h"
 
 #include <errno.h>
 #include <string.h>
@@ -20,6 +21,18 @@
 	/* Demand is averaged over a few reports. */
 	DEMAND_WEIGHT = 4,
 	RETRY_MAX_US = 5000 * 1000,
+	/* An even part that holds less serves hardly any operation. */
+	HOME_TOKENS_MILLI = 2 * OPERATION_MILLI,
+	/*
+	 * A home answers so many asks a second in a few hundredths of a core;
+	 * larger limits are divided whatever the fleet's size.
+	 */
+	HOME_RATE_MAX_MILLI = 500 * MILLI,
+	/* Classes of the fleet's size: 3 to 11, 12 to 47, 48 to 191 ... */
+	SIZE_CLASS_FIRST = 3,
+	SIZE_CLASS_FACTOR = 4,
+	/* A new home may follow on one that spent everything. */
+	HOME_START_PERCENT = 20,
 };
 
 /* One workspace's bucket here. */
@@ -28,6 +41,9 @@
 	uint32_t rate_milli_per_s; /* of the whole limit */
 	uint32_t burst_milli;
 	bool known; /* by the present configuration */
+	bool homed; /* counted by its home; else divided */
+	int64_t homed_since_us; /* or divided since */
+	bool acting; /* this instance is the home, and counts */
 	struct bucket bucket;
 	uint32_t granted_milli_per_s;
 	int64_t granted_until_us;
@@ -45,8 +61,8 @@
 	struct quota_tolerance tolerance;
 	GHashTable *rows; /* name to struct quota_row */
 	GHashTable *by_number; /* &number to struct quota_row */
-	uint32_t instances;
-	int64_t lease_until_us;
+	struct quota_fleet fleet;
+	struct quota_homes *homes;
 };
 
 uint64_t quota_workspace_number(const char *name)
@@ -54,7 +70,8 @@
 	return XXH64(name, strlen(name), 0);
 }
 
-struct quota *quota_new(const struct quota_tolerance *tolerance)
+struct quota *quota_new(const struct quota_tolerance *tolerance,
+			const char *instance)
 {
 	struct quota *q = g_new0(struct quota, 1);
 
@@ -62,8 +79,11 @@
 	q->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	q->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
-	q->instances = 1;
-	q->lease_until_us = INT64_MIN;
+	q->homes = quota_homes_new(instance);
+	q->fleet.instances = 1;
+	q->fleet.lease_until_us = INT64_MIN;
+	q->fleet.entered_us = INT64_MAX;
+	q->fleet.confirmed_us = INT64_MIN;
 	return q;
 }
 
@@ -71,6 +91,7 @@
 {
 	g_hash_table_destroy(q->by_number);
 	g_hash_table_destroy(q->rows);
+	quota_homes_free(q->homes);
 	g_free(q);
 }
 
@@ -85,36 +106,133 @@
 	return r->rate_milli_per_s == UINT32_MAX;
 }
 
-/* This instance's part of what may be used beyond the limit. */
-static uint64_t extra_milli(const struct quota *q, const struct quota_row *r)
+/* What the platform tolerates beyond the limit in one window. */
+static uint64_t tolerated_milli(const struct quota *q,
+				const struct quota_row *r)
 {
 	uint64_t window_milli =
 		(uint64_t)r->rate_milli_per_s *
 			(uint64_t)(q->tolerance.window_us / US_PER_MS) / MILLI +
 		r->burst_milli;
-	uint64_t all = window_milli * q->tolerance.overrun_milli / MILLI +
-		       q->tolerance.slack_milli;
 
-	return all * TOLERANCE_PERCENT / PERCENT / q->instances;
+	return window_milli * q->tolerance.overrun_milli / MILLI +
+	       q->tolerance.slack_milli;
+}
+
+/* This instance's part of what may be used beyond the limit. */
+static uint64_t extra_milli(const struct quota *q, const struct quota_row *r)
+{
+	return tolerated_milli(q, r) * TOLERANCE_PERCENT / PERCENT /
+	       q->fleet.instances;
+}
+
+/* Returns a size in the middle of the class that the fleet is in. */
+static uint32_t size_class(uint32_t instances)
+{
+	uint32_t low = SIZE_CLASS_FIRST;
+
+	if (instances < low)
+		return 1;
+	while (instances / SIZE_CLASS_FACTOR >= low)
+		low *= SIZE_CLASS_FACTOR;
+	return low * SIZE_CLASS_FACTOR / 2;
+}
+
+static bool is_small(const struct quota *q, const struct quota_row *r)
+{
+	return r->rate_milli_per_s <= HOME_RATE_MAX_MILLI &&
+	       tolerated_milli(q, r) * TOLERANCE_PERCENT / PERCENT /
+			       size_class(q->fleet.instances) <
+		       HOME_TOKENS_MILLI;
+}
+
+static int64_t part_of_lease(const struct quota *q, int64_t percent)
+{
+	return q->fleet.lease_ttl_us * percent / PERCENT;
+}
+
+/* Nobody uses it the other way any more. */
+static bool is_settled(const struct quota *q, const struct quota_row *r,
+		       int64_t now_us)
+{
+	return r->homed_since_us == INT64_MIN ||
+	       now_us - r->homed_since_us >=
+		       part_of_lease(q, QUOTA_HOME_WAIT_PERCENT);
+}
+
+static bool acts_as_home(const struct quota *q, const struct quota_row *r,
+			 int64_t now_us)
+{
+	const struct quota_fleet *f = &q->fleet;
+
+	return r->homed && quota_homes_is_self(q->homes, r->number) &&
+	       is_settled(q, r, now_us) && now_us < f->lease_until_us &&
+	       f->entered_us != INT64_MAX &&
+	       now_us - f->entered_us >=
+		       part_of_lease(q, QUOTA_HOME_WAIT_PERCENT) &&
+	       f->confirmed_us != INT64_MIN &&
+	       now_us - f->confirmed_us <
+		       part_of_lease(q, QUOTA_HOME_VIEW_PERCENT);
 }
 
 static uint32_t rate_here(const struct quota *q, const struct quota_row *r,
 			  int64_t now_us)
 {
 	uint64_t rate = (uint64_t)r->rate_milli_per_s * QUOTA_STANDING_PERCENT /
-			PERCENT / q->instances;
+			PERCENT / q->fleet.instances;
 
 	if (now_us < r->granted_until_us)
 		rate += r->granted_milli_per_s;
 	return (uint32_t)MIN(rate, r->rate_milli_per_s);
 }
 
+static void refresh_home(const struct quota *q, struct quota_row *r,
+			 int64_t now_us)
+{
+	bool acted = r->acting;
+	uint64_t capacity = r->burst_milli +
+			    tolerated_milli(q, r) * TOLERANCE_PERCENT / PERCENT;
+
+	r->acting = acts_as_home(q, r, now_us);
+	bucket_advance(&r->bucket, now_us);
+	if (!r->acting) {
+		bucket_resize(&r->bucket, 0, 0);
+		return;
+	}
+	bucket_resize(&r->bucket, r->rate_milli_per_s,
+		      (uint32_t)MIN(capacity, UINT32_MAX / 2));
+	if (!acted)
+		bucket_add(&r->bucket,
+			   (uint32_t)(tolerated_milli(q, r) *
+				      HOME_START_PERCENT / PERCENT));
+}
+
+/* Takes note of whether the limit is divided, by what is known now. */
+static void choose_mode(const struct quota *q, struct quota_row *r,
+			int64_t now_us)
+{
+	bool homed = !is_unlimited(r) && is_small(q, r);
+
+	if (homed == r->homed)
+		return;
+	r->homed = homed;
+	r->homed_since_us = now_us;
+	r->granted_until_us = INT64_MIN;
+	r->kept_until_us = INT64_MIN;
+	bucket_clear(&r->bucket, now_us);
+}
+
 /* Brings rate and burst in line with limits, grants and the fleet. */
 static void refresh(const struct quota *q, struct quota_row *r, int64_t now_us)
 {
 	uint32_t rate = rate_here(q, r, now_us);
 	uint64_t capacity = extra_milli(q, r);
 
+	choose_mode(q, r, now_us);
+	if (r->homed) {
+		refresh_home(q, r, now_us);
+		return;
+	}
 	bucket_advance(&r->bucket, now_us);
 	if (r->rate_milli_per_s)
 		capacity +=
@@ -133,6 +251,7 @@
 	r->number = quota_workspace_number(name);
 	r->bucket.updated_us = now_us;
 	r->asked_since_us = now_us;
+	r->homed_since_us = INT64_MIN;
 	g_hash_table_insert(q->rows, g_strdup(name), r);
 	g_hash_table_insert(q->by_number, &r->number, r);
 	return r;
@@ -166,8 +285,10 @@
 	r->burst_milli = w->burst_milli;
 	if (is_unlimited(r))
 		return;
-	refresh(q, r, now_us);
 	if (is_new)
+		r->homed = is_small(q, r);
+	refresh(q, r, now_us);
+	if (is_new && !r->homed)
 		bucket_add(&r->bucket, (uint32_t)(extra_milli(q, r) *
 						  START_PERCENT / PERCENT));
 }
@@ -185,32 +306,36 @@
 		configure_row(q, g_ptr_array_index(c->workspaces, i), now_us);
 }
 
-void quota_set_fleet(struct quota *q, uint32_t instances,
-		     int64_t lease_until_us, int64_t now_us)
+void quota_set_fleet(struct quota *q, const struct quota_fleet *f,
+		     int64_t now_us)
 {
+	bool same = f->instances == q->fleet.instances;
 	GHashTableIter it;
 	gpointer row;
 
-	q->lease_until_us = lease_until_us;
-	if (instances == q->instances)
+	q->fleet = *f;
+	if (same)
 		return;
-	q->instances = MAX(instances, 1);
 	g_hash_table_iter_init(&it, q->rows);
 	while (g_hash_table_iter_next(&it, NULL, &row))
 		refresh(q, row, now_us);
 }
 
-int quota_take(struct quota *q, const char *workspace, int64_t now_us,
-	       int64_t *retry_us)
+void quota_note_instance(struct quota *q, const char *instance, bool present)
 {
-	struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+	if (present)
+		quota_homes_join(q->homes, instance);
+	else
+		quota_homes_leave(q->homes, instance);
+}
 
-	if (!r || is_unlimited(r))
-		return 0;
-	r->asked_milli += OPERATION_MILLI;
-	refresh(q, r, now_us);
-	if (now_us >= q->lease_until_us)
-		return -ESTALE;
+const char *quota_home(struct quota *q, const char *workspace)
+{
+	return quota_homes_of(q->homes, quota_workspace_number(workspace));
+}
+
+static int take(struct quota_row *r, int64_t *retry_us)
+{
 	if (!bucket_take(&r->bucket, OPERATION_MILLI)) {
 		bucket_commit(&r->bucket, OPERATION_MILLI);
 		r->admitted++;
@@ -224,6 +349,35 @@
 	return -EAGAIN;
 }
 
+int quota_take(struct quota *q, const char *workspace, int64_t now_us,
+	       int64_t *retry_us)
+{
+	struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+
+	if (!r || is_unlimited(r))
+		return 0;
+	r->asked_milli += OPERATION_MILLI;
+	refresh(q, r, now_us);
+	if (now_us >= q->fleet.lease_until_us)
+		return -ESTALE;
+	if (r->homed && !quota_homes_is_self(q->homes, r->number))
+		return -EINPROGRESS;
+	if (r->homed ? !r->acting : !is_settled(q, r, now_us))
+		return -ESTALE;
+	return take(r, retry_us);
+}
+
+int quota_take_for(struct quota *q, uint64_t workspace, int64_t now_us,
+		   int64_t *retry_us)
+{
+	struct quota_row *r = g_hash_table_lookup(q->by_number, &workspace);
+
+	if (!r || is_unlimited(r))
+		return -ESTALE;
+	refresh(q, r, now_us);
+	return r->acting ? take(r, retry_us) : -ESTALE;
+}
+
 uint32_t quota_demand_milli_per_s(const struct quota *q, const char *workspace)
 {
 	const struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
@@ -236,7 +390,7 @@
 {
 	struct quota_row *r = g_hash_table_lookup(q->by_number, &workspace);
 
-	if (!r)
+	if (!r || r->homed)
 		return;
 	bucket_advance(&r->bucket, now_us);
 	r->granted_milli_per_s = rate_milli_per_s;
@@ -296,7 +450,7 @@
 		struct quota_row *r = row;
 		uint32_t in_use;
 
-		if (is_unlimited(r) || !r->known)
+		if (is_unlimited(r) || !r->known || r->homed)
 			continue;
 		measure(r, now_us);
 		in_use = now_us < r->granted_until_us ? r->granted_milli_per_s :
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -13,6 +13,12 @@
  * are never used to the full, and the other serves as burst: it is divided
  * evenly and never grows back faster than the rate. Both together stay below
  * the tolerance in every window.
+ *
+ * A limit of which an even part of the tolerance is less than two operations
+ * is not divided: its home counts it for all; see quota_homes.h. A limit that
+ * comes to be divided, or no longer is, is used by nobody for longer than a
+ * lease. Which limits are small depends on a class of the fleet's size, so
+ * instances that come and go rarely change it.
  */
 #ifndef PROXY_QUOTA_H
 #define PROXY_QUOTA_H
@@ -34,7 +40,8 @@
 uint64_t quota_workspace_number(const char *name);
 
 /* Freed with quota_free(). */
-struct quota *quota_new(const struct quota_tolerance *tolerance);
+struct quota *quota_new(const struct quota_tolerance *tolerance,
+			const char *instance);
 void quota_free(struct quota *q);
 
 void quota_set_tolerance(struct quota *q,
@@ -44,18 +51,39 @@
 void quota_configure(struct quota *q, const struct fleet_config *c,
 		     int64_t now_us);
 
-/* How many instances divide the limits, and until when this one may. */
-void quota_set_fleet(struct quota *q, uint32_t instances,
-		     int64_t lease_until_us, int64_t now_us);
+/* What this instance knows of the fleet. */
+struct quota_fleet {
+	uint32_t instances; /* that the store lists; at least 1 */
+	int64_t lease_ttl_us;
+	int64_t lease_until_us; /* of the own lease */
+	int64_t entered_us; /* the own entry was there; INT64_MAX: it is not */
+	int64_t confirmed_us; /* nothing in the store was missed up to then */
+};
+void quota_set_fleet(struct quota *q, const struct quota_fleet *f,
+		     int64_t now_us);
+
+/* Another instance's entry came or left. */
+void quota_note_instance(struct quota *q, const char *instance, bool present);
 
 /*
  * Takes one operation's worth. Returns 0; -EAGAIN with *retry_us set to when
- * the next one is expected to fit; or -ESTALE when this instance's lease has
- * ended and others divide the limit.
+ * the next one is expected to fit; -ESTALE when others may be counting this
+ * limit; or -EINPROGRESS when quota_home() is to be asked.
  */
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us);
 
+/* Returns the instance that counts a small workspace for all. */
+const char *quota_home(struct quota *q, const char *workspace);
+
+/*
+ * Takes one operation's worth for another instance, as the workspace's home.
+ * Returns 0; -EAGAIN with *retry_us set; or -ESTALE when this instance is not
+ * its home now.
+ */
+int quota_take_for(struct quota *q, uint64_t workspace, int64_t now_us,
+		   int64_t *retry_us);
+
 /* Returns how much of it was asked for here lately; 0 if not known. */
 uint32_t quota_demand_milli_per_s(const struct quota *q, const char *workspace);
 
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -50,6 +50,7 @@
 	int64_t hold_until_us; /* refused if it still waits then */
 	int64_t resume_us; /* not sent before */
 	bool waiting; /* in its service's queue */
+	bool asking; /* the home of its workspace's limit */
 	bool sent; /* a statement of the caller's is at an endpoint */
 	int64_t sent_us;
 	uint32_t sends;
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -29,6 +29,7 @@
 	uint64_t lease; /* 0: none */
 	bool lease_calling;
 	bool entry_written;
+	int64_t entered_us; /* when it was known to be */
 	int64_t lease_until_us;
 	int64_t lease_due_us;
 	bool left;
@@ -196,6 +197,8 @@
 		lose_lease(f);
 	/* Written twice it stays the same, so a lost answer is no harm. */
 	f->entry_written = a->outcome == STORE_DONE;
+	if (f->entry_written)
+		f->entered_us = f->opts.now_us(f->opts.data);
 	lease_later(f, f->entry_written ? f->opts.lease_ttl_us / RENEWALS :
 					  RETRY_US);
 }
@@ -288,6 +291,11 @@
 	return f->lease_until_us;
 }
 
+int64_t store_feed_entered_us(const struct store_feed *f)
+{
+	return f->entry_written && !f->left ? f->entered_us : INT64_MAX;
+}
+
 static void on_left(void *data, const struct store_answer *a)
 {
 	/* If it was not done, the entry ends with its lease. */
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -46,6 +46,9 @@
 /* Returns the end of the own lease, by the own clock. */
 int64_t store_feed_lease_us(const struct store_feed *f);
 
+/* Returns when the own entry was known to be there; INT64_MAX: it is not. */
+int64_t store_feed_entered_us(const struct store_feed *f);
+
 /* Removes the own entry; nothing is renewed from now on. */
 void store_feed_leave(struct store_feed *f);
 
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -173,18 +173,28 @@
 
 const struct quota_tolerance tolerance = { 5 * S, 100, 20000 };
 
+/* An instance that has been in the store for long and knows all of it. */
+void set_fleet(struct quota *q, uint32_t instances, int64_t lease_until_us,
+	       int64_t now_us)
+{
+	const struct quota_fleet f = { instances, 4 * S, lease_until_us,
+				       now_us - 100 * S, now_us };
+
+	quota_set_fleet(q, &f, now_us);
+}
+
 /* Any window of the tolerance's length, at one instance that is alone. */
 TEST(Quota, NoWindowExceedsTheLimitAndItsTolerance)
 {
 	for (uint32_t rate : { 1, 7, 200 }) {
 		struct fleet_config *c = limit_config(rate);
-		struct quota *q = quota_new(&tolerance);
+		struct quota *q = quota_new(&tolerance, "self");
 		std::vector<int64_t> admitted;
 		double most = (rate * 5.0 + rate) * 1.1 + 20;
 		int64_t retry_us = 0;
 
 		quota_configure(q, c, 0);
-		quota_set_fleet(q, 1, INT64_MAX, 0);
+		set_fleet(q, 1, INT64_MAX, 0);
 		for (int64_t t = 0; t < 30 * S; t += 1 * MS) {
 			quota_grant(q, quota_workspace_number("a"), rate * 540,
 				    t + S, t);
@@ -210,13 +220,13 @@
 {
 	struct fleet_config *high = limit_config(100);
 	struct fleet_config *low = limit_config(10);
-	struct quota *q = quota_new(&tolerance);
+	struct quota *q = quota_new(&tolerance, "self");
 	int64_t retry_us;
 	int soon = 0;
 	int later = 0;
 
 	quota_configure(q, high, 0);
-	quota_set_fleet(q, 1, INT64_MAX, 0);
+	set_fleet(q, 1, INT64_MAX, 0);
 	quota_configure(q, low, 10 * S);
 	for (int i = 0; i < 200; i++)
 		soon += !quota_take(q, "a", 10 * S + i * 10 * MS, &retry_us);
@@ -234,11 +244,11 @@
 TEST(Quota, AnInstanceWithoutLeaseUsesNothing)
 {
 	struct fleet_config *c = limit_config(100);
-	struct quota *q = quota_new(&tolerance);
+	struct quota *q = quota_new(&tolerance, "self");
 	int64_t retry_us;
 
 	quota_configure(q, c, 0);
-	quota_set_fleet(q, 2, 1 * S, 0);
+	set_fleet(q, 2, 1 * S, 0);
 	EXPECT_EQ(0, quota_take(q, "a", 0, &retry_us));
 	EXPECT_EQ(0, quota_take(q, "a", 1 * S - 1, &retry_us));
 	EXPECT_NE(0, quota_take(q, "a", 1 * S, &retry_us));
