One long watch; the duty's holder tells the store's revision

Every instance asked for a watch each 0.7 s only to have its keys confirmed, and each entry that came at the start woke all 73 of them.

Change: a watch lasts 10 s. What it cannot say meanwhile, the duty's holder tells with its grants: the store's revision and how old that word is. One who has passed on all changes up to it has missed nothing up to then. Without such word an instance asks for the revision itself, the holder first. One who knows of a newer revision for 0.3 s gives its watch up, whose connection may be dead. After four answers in a row watches are half a second apart.

--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -104,6 +104,8 @@
 	uint64_t report; /* sequence of the report */
 	uint64_t sequence; /* to be confirmed */
 	int64_t duration_us; /* counted from the sending of the report */
+	int64_t store_revision; /* that the store had, or a lower one, ... */
+	int64_t store_age_us; /* ... so long before; -1: not known */
 	uint32_t rate_count;
 	struct peer_rate rates[PEER_RATES_MAX];
 };
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -362,6 +362,8 @@
 	walk_u64(c, &g->report, UINT64_MAX);
 	walk_u64(c, &g->sequence, UINT64_MAX);
 	walk_i64(c, &g->duration_us);
+	walk_i64(c, &g->store_revision);
+	walk_i64(c, &g->store_age_us);
 	walk_rates(c, g->rates, &g->rate_count);
 }
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -17,12 +17,16 @@
 enum {
 	/* Clocks differ in rate by less in the keys' time. */
 	KEY_MARGIN_US = 150 * 1000,
+	/* A watch without news ends after this; half of the history's time. */
+	WATCH_US = 10 * 1000 * 1000,
 	/*
-	 * A watch without news ends after this part of the keys' time. Its
-	 * answer vouches for the time of its question, so twice that is lost
-	 * when the store goes away.
+	 * Without a confirmation for this part of the keys' time the store is
+	 * asked. The answer vouches for the time of the question, so twice that
+	 * is lost when the store goes away.
 	 */
-	WATCH_PARTS = 7,
+	PROBE_PARTS = 7,
+	/* Longer than the adapter gives a call. */
+	CALL_US = 1500 * 1000,
 	/* The own entry lasts this part of the keys' time. */
 	LEASE_PERCENT = 80,
 	PERCENT = 100,
@@ -154,6 +158,7 @@
 	engine_log(e, held ? LOG_DUTY_TAKEN : LOG_DUTY_LOST, 0, "duty",
 		   (int64_t)duty_token(e->duty), "%s", e->opts.instance);
 	metrics_set(e->opts.metrics, "duty_held", NULL, held);
+	store_feed_lead(e->feed, held);
 	if (held)
 		quota_division_start(e->division, engine_now(e));
 }
@@ -171,7 +176,10 @@
 	struct store_feed_opts f = {
 		.store = o->store,
 		.lease_ttl_us = engine_lease_ttl_us(e),
-		.watch_us = o->key_limit_us / WATCH_PARTS,
+		.watch_us = WATCH_US,
+		.probe_us = o->key_limit_us / PROBE_PARTS,
+		.report_us = REPORT_US,
+		.call_us = CALL_US,
 		.on_item = on_item,
 		.on_list = on_list,
 		.on_confirmed = on_confirmed,
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -6,11 +6,6 @@
 #include <string.h>
 
 enum {
-	/*
-	 * A surge is answered by a grant within two of these; six fit into
-	 * the time that a grant lasts, so a few may be lost.
-	 */
-	REPORT_US = 250 * 1000,
 	/* Limits that were reached are logged once a second. */
 	REPORTS_PER_LINE = 4,
 	/* Clocks differ in rate by less. */
@@ -80,6 +75,10 @@
 				   r->silent, r->silent_count, now_us);
 	g->report = r->sequence;
 	g->duration_us = quota_division_grant_us();
+	g->store_revision = store_feed_revision(e->feed);
+	g->store_age_us = store_feed_age_us(e->feed, now_us);
+	if (g->store_age_us == INT64_MAX)
+		g->store_age_us = -1;
 	quota_division_grant(e->division, &grants, now_us);
 	g->sequence = grants.sequence;
 	g->rate_count = grants.count;
@@ -99,6 +98,10 @@
 
 	if (g->report != e->report_sequence)
 		return;
+	/* The grantor's age is as of its answer, which is later. */
+	if (g->store_age_us >= 0)
+		store_feed_hear(e->feed, g->store_revision,
+				e->report_sent_us - g->store_age_us, now_us);
 	g_strlcpy(e->grantor, grantor, sizeof(e->grantor));
 	e->grantor_incarnation = incarnation;
 	e->grant_confirmed = g->sequence;
--- a/src/proxy/report.h
+++ b/src/proxy/report.h
@@ -4,6 +4,12 @@
 
 #include "proxy/engine.h"
 
+/*
+ * A surge is answered by a grant within two of these; six fit into the time
+ * that a grant lasts, so a few may be lost.
+ */
+#define REPORT_US (250 * US_PER_MS)
+
 /* Reports when it is due. */
 void report_run(struct engine *e, int64_t now_us);
 
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -57,6 +57,8 @@
 		     void *data);
 	void (*watch)(struct store *s, int64_t after_revision, int64_t wait_us,
 		      store_answer_fn fn, void *data);
+	/* Asks for the present revision only. */
+	void (*probe)(struct store *s, store_answer_fn fn, void *data);
 	void (*change)(struct store *s, const struct store_change *c,
 		       store_answer_fn fn, void *data);
 	void (*lease)(struct store *s, int64_t ttl_us, store_answer_fn fn,
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -8,6 +8,15 @@
 	RETRY_US = 100 * 1000,
 	RETRY_MAX_US = 400 * 1000,
 	RENEWALS = 4, /* in one lease */
+	/*
+	 * All instances are woken by each change, and calls are limited and
+	 * priced. So after a few in a row changes are taken together: at most
+	 * half a second late, a fraction of the time to apply a configuration.
+	 */
+	WATCH_GAP_US = 500 * 1000,
+	WATCHES_IN_A_ROW = 4,
+	/* Of the leader, one of which may be lost. */
+	REPORTS_HEARD = 2,
 	/* Clocks differ in rate by less than this part of a lease. */
 	CLOCK_MARGIN_PERCENT = 2,
 };
@@ -15,6 +24,14 @@
 struct store_feed {
 	struct store_feed_opts opts;
 	bool calling; /* a list or watch is under way */
+	uint64_t call; /* its number; answers to earlier ones are void */
+	GHashTable *calls; /* set of struct feed_call without an answer */
+	int64_t watched_us; /* when the last watch was asked for */
+	int64_t paced_us; /* when it was due, had all been WATCH_GAP_US apart */
+	bool probing;
+	int64_t probed_us; /* when it asked last */
+	bool leads;
+	int64_t behind_since_us; /* the store had a newer revision; 0: no */
 	bool listed;
 	char list_after[256];
 	int64_t list_revision; /* of the first page */
@@ -40,6 +57,7 @@
 	struct store_feed *f = g_new0(struct store_feed, 1);
 
 	f->opts = *opts;
+	f->calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	f->confirmed_us = INT64_MIN;
 	f->lease_until_us = INT64_MIN;
 	return f;
@@ -47,6 +65,7 @@
 
 void store_feed_free(struct store_feed *f)
 {
+	g_hash_table_destroy(f->calls);
 	g_free(f);
 }
 
@@ -103,11 +122,42 @@
 	f->opts.on_confirmed(f->opts.data, f->confirmed_us);
 }
 
-static void on_list(void *data, const struct store_answer *a)
+/* Which call an answer belongs to; a watch may have been given up. */
+struct feed_call {
+	struct store_feed *feed;
+	uint64_t number;
+};
+
+static struct feed_call *begin_call(struct store_feed *f)
 {
-	struct store_feed *f = data;
+	struct feed_call *c = g_new0(struct feed_call, 1);
 
+	c->feed = f;
+	c->number = ++f->call;
+	g_hash_table_add(f->calls, c);
+	f->calling = true;
+	return c;
+}
+
+/* Returns NULL if the call was given up. */
+static struct store_feed *end_call(struct feed_call *c)
+{
+	struct store_feed *f = c->feed;
+	bool given_up = c->number != f->call;
+
+	g_hash_table_remove(f->calls, c);
+	if (given_up)
+		return NULL;
 	f->calling = false;
+	return f;
+}
+
+static void on_list(void *data, const struct store_answer *a)
+{
+	struct store_feed *f = end_call(data);
+
+	if (!f)
+		return;
 	if (a->outcome != STORE_DONE) {
 		f->list_after[0] = '\0';
 		failed(f, a->outcome);
@@ -142,9 +192,11 @@
 
 static void on_watch(void *data, const struct store_answer *a)
 {
-	struct store_feed *f = data;
+	struct store_feed *f = end_call(data);
 
-	f->calling = false;
+	if (!f)
+		return;
+	f->behind_since_us = 0;
 	if (a->outcome == STORE_GONE)
 		list_again(f);
 	if (a->outcome != STORE_DONE && a->outcome != STORE_GONE) {
@@ -164,17 +216,100 @@
 	confirm(f, a->asked_us);
 }
 
+static int64_t follow_due_us(const struct store_feed *f)
+{
+	int64_t ahead_us = (int64_t)WATCH_GAP_US * (WATCHES_IN_A_ROW - 1);
+
+	return f->listed ? MAX(f->due_us, f->paced_us - ahead_us) : f->due_us;
+}
+
+static int64_t probe_due_us(const struct store_feed *f)
+{
+	int64_t after_us = f->opts.probe_us;
+
+	/* What the leader asked for arrives with its next two answers. */
+	if (!f->leads)
+		after_us += REPORTS_HEARD * f->opts.report_us;
+	return MAX(f->due_us,
+		   MAX(MAX(f->confirmed_us, f->watched_us), f->probed_us) +
+			   after_us);
+}
+
 static void follow(struct store_feed *f, int64_t now_us)
 {
-	if (f->calling || now_us < f->due_us)
+	if (f->calling || now_us < follow_due_us(f))
 		return;
-	f->calling = true;
-	if (f->listed)
+	if (f->listed) {
+		f->watched_us = now_us;
+		f->paced_us = MAX(f->paced_us, now_us) + WATCH_GAP_US;
 		f->opts.store->ops->watch(f->opts.store, f->revision,
-					  f->opts.watch_us, on_watch, f);
-	else
+					  f->opts.watch_us, on_watch,
+					  begin_call(f));
+	} else {
 		f->opts.store->ops->list(f->opts.store, f->list_after, on_list,
-					 f);
+					 begin_call(f));
+	}
+}
+
+void store_feed_hear(struct store_feed *f, int64_t revision, int64_t at_us,
+		     int64_t now_us)
+{
+	if (!f->listed)
+		return;
+	/* One who lags as well is no proof against one who does not. */
+	if (revision <= f->revision)
+		confirm(f, at_us);
+	else if (!f->behind_since_us)
+		f->behind_since_us = now_us;
+}
+
+void store_feed_lead(struct store_feed *f, bool leads)
+{
+	f->leads = leads;
+}
+
+int64_t store_feed_revision(const struct store_feed *f)
+{
+	return f->revision;
+}
+
+static void on_probe(void *data, const struct store_answer *a)
+{
+	struct store_feed *f = data;
+
+	f->probing = false;
+	if (a->outcome != STORE_DONE) {
+		failed(f, a->outcome);
+		return;
+	}
+	succeeded(f);
+	store_feed_hear(f, a->revision, a->asked_us,
+			f->opts.now_us(f->opts.data));
+}
+
+/* When the watch under way should have told what is missing. */
+static int64_t give_up_us(const struct store_feed *f)
+{
+	return f->watched_us < f->behind_since_us ?
+		       f->behind_since_us + STORE_FEED_LAG_US :
+		       f->watched_us + f->opts.call_us;
+}
+
+/* A watch that waits says nothing of what it may have missed. */
+static void check_watch(struct store_feed *f, int64_t now_us)
+{
+	if (!f->listed || !f->calling)
+		return;
+	if (f->behind_since_us && now_us >= give_up_us(f)) {
+		f->call++;
+		f->calling = false;
+		return;
+	}
+	if (f->probing || now_us < probe_due_us(f))
+		return;
+	f->probing = true;
+	f->probed_us = now_us;
+	f->opts.store->ops->probe(f->opts.store, on_probe, f);
 }
 
 static void lease_later(struct store_feed *f, int64_t delay_us)
@@ -260,6 +395,7 @@
 
 void store_feed_run(struct store_feed *f, int64_t now_us)
 {
+	check_watch(f, now_us);
 	follow(f, now_us);
 	keep_entry(f, now_us);
 }
@@ -269,7 +405,9 @@
 	int64_t due = INT64_MAX;
 
 	if (!f->calling)
-		due = f->due_us;
+		due = follow_due_us(f);
+	else if (f->listed && !f->probing)
+		due = probe_due_us(f);
 	if (!f->left && !f->lease_calling)
 		due = MIN(due, f->lease_due_us);
 	return due;
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -4,12 +4,22 @@
  *
  * Lists everything once, then watches. What a watch leaves out is noticed
  * by the store's revision, and everything is listed again.
+ *
+ * A watch without news says nothing for long. Until then the duty's holder
+ * tells what revision the store had lately (store_feed_hear()); where it does
+ * not, a probe asks for that. Whoever has passed on all changes up to that
+ * revision has missed nothing up to that time. One who has not by
+ * STORE_FEED_LAG_US later gives up its watch: its connection may be dead. The
+ * watch that follows has news to bring, and gets as long as any call.
  */
 #ifndef PROXY_STORE_FEED_H
 #define PROXY_STORE_FEED_H
 
+#include "core/event.h"
 #include "proxy/store.h"
 
+#define STORE_FEED_LAG_US (300 * US_PER_MS)
+
 struct store_feed;
 
 struct store_feed_opts {
@@ -17,6 +27,10 @@
 	struct instance_entry self;
 	int64_t lease_ttl_us; /* of the own entry */
 	int64_t watch_us; /* a watch without news is answered after this */
+	/* Without a confirmation for so long, it asks; others a report later. */
+	int64_t probe_us;
+	int64_t report_us;
+	int64_t call_us; /* an answer that is there comes within this */
 	/* One item as it is now, or its removal. */
 	void (*on_item)(void *data, struct store_item *item);
 	/* Around the items of a list: what does not come is not there. */
@@ -37,6 +51,16 @@
 void store_feed_run(struct store_feed *f, int64_t now_us);
 int64_t store_feed_due_us(const struct store_feed *f);
 
+/* This instance tells the others, and is the first to ask. */
+void store_feed_lead(struct store_feed *f, bool leads);
+
+/* The store had this revision at that time, or a lower one. */
+void store_feed_hear(struct store_feed *f, int64_t revision, int64_t at_us,
+		     int64_t now_us);
+
+/* Returns the revision up to which all changes were passed on. */
+int64_t store_feed_revision(const struct store_feed *f);
+
 /* Returns when the last confirmation was asked for, or INT64_MIN. */
 int64_t store_feed_confirmed_us(const struct store_feed *f);
 
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -113,7 +113,7 @@
 		if (st->fails(fn, data))
 			return;
 		m->watches_.push_back({ st->node, st->life(), after, fn, data,
-					m->now(), number });
+					m->now(), number, false });
 		m->at(wait_us, [m, number] {
 			for (auto &w : m->watches_) {
 				if (w.number == number)
@@ -124,6 +124,22 @@
 		m->at(STORE_US, [m] { m->wake_watches(); });
 	}
 
+	static void probe(struct store *s, store_answer_fn fn, void *data)
+	{
+		ProxyStore *st = of(s);
+		struct store_answer a = {};
+
+		if (st->fails(fn, data))
+			return;
+		a.asked_us = st->model->now();
+		a.revision = st->model->revision_;
+		if (st->model->store_loses_ &&
+		    st->model->now() < st->model->store_down_until_us_)
+			a.outcome = STORE_UNKNOWN;
+		st->model->answer(st->node, st->life(), fn, data, a, {},
+				  STORE_US);
+	}
+
 	static void change(struct store *s, const struct store_change *c,
 			   store_answer_fn fn, void *data)
 	{
@@ -263,8 +279,9 @@
 };
 
 static const struct store_ops model_store_ops = {
-	ProxyStore::list,  ProxyStore::watch, ProxyStore::change,
-	ProxyStore::lease, ProxyStore::renew, ProxyStore::end_lease,
+	ProxyStore::list,      ProxyStore::watch, ProxyStore::probe,
+	ProxyStore::change,    ProxyStore::lease, ProxyStore::renew,
+	ProxyStore::end_lease,
 };
 
 static const struct promoter_ops model_promoter_ops = { ProxyStore::order };
@@ -738,7 +755,7 @@
 
 		if (w.life != nodes[w.node]->life)
 			continue;
-		if (!reachable(*nodes[w.node])) {
+		if (w.dead || !reachable(*nodes[w.node])) {
 			a.outcome = STORE_UNKNOWN;
 			a.asked_us = w.asked_us;
 			if (expired)
@@ -899,6 +916,8 @@
 {
 	store_down_until_us_ = now_us_ + for_us;
 	store_loses_ = lose_answers;
+	for (auto &w : watches_)
+		w.dead = w.number % 2;
 	at(for_us, [this] {
 		store_loses_ = false;
 		/* Leases paused: they run on from here. */
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -217,6 +217,7 @@
 		void *data;
 		int64_t asked_us;
 		uint64_t number;
+		bool dead; /* its connection went silent with the store */
 	};
 	void violate(const std::string &what);
 	void step();
