A process takes over the settled entry of the one before it

Besides, the configuration is listed before the instances, so each process first took itself for the only one, divided the limits, and then rested for another lease when it saw the others.

Ruled out: the restart itself (ready 0.1 s after the start).

Change: an entry that is older than a lease says so. The next process of that name replaces it under the condition that it is unchanged, and is settled at once: the name was in the store without a gap, so nobody else is home to its workspaces. Limits are not used before the first list ends. A new home starts with a tenth of the tolerance (was a fifth), since homes may now follow on each other within a window.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -7,6 +7,7 @@
 #include "proxy/exchange.h"
 #include "proxy/fleet.h"
 #include "proxy/mark_probe.h"
+#include "proxy/quota_homes.h"
 #include "proxy/report.h"
 
 #include <errno.h>
@@ -176,6 +177,8 @@
 	struct store_feed_opts f = {
 		.store = o->store,
 		.lease_ttl_us = engine_lease_ttl_us(e),
+		.settle_us = engine_lease_ttl_us(e) * QUOTA_HOME_WAIT_PERCENT /
+			     PERCENT,
 		.watch_us = WATCH_US,
 		.probe_us = o->key_limit_us / PROBE_PARTS,
 		.report_us = REPORT_US,
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -171,10 +171,11 @@
 static void tell_quota(struct engine *e, int64_t now_us)
 {
 	const struct quota_fleet f = {
-		.instances = e->instance_count,
+		.instances =
+			store_feed_revision(e->feed) ? e->instance_count : 0,
 		.lease_ttl_us = engine_lease_ttl_us(e),
 		.lease_until_us = store_feed_lease_us(e->feed),
-		.entered_us = store_feed_entered_us(e->feed),
+		.settled = store_feed_is_settled(e->feed, now_us),
 		.confirmed_us = store_feed_confirmed_us(e->feed),
 	};
 
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -31,8 +31,8 @@
 	/* Classes of the fleet's size: 3 to 11, 12 to 47, 48 to 191 ... */
 	SIZE_CLASS_FIRST = 3,
 	SIZE_CLASS_FACTOR = 4,
-	/* A new home may follow on one that spent everything. */
-	HOME_START_PERCENT = 20,
+	/* A new home may follow on some that spent everything. */
+	HOME_START_PERCENT = 10,
 };
 
 /* One workspace's bucket here. */
@@ -80,9 +80,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	q->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
 	q->homes = quota_homes_new(instance);
-	q->fleet.instances = 1;
 	q->fleet.lease_until_us = INT64_MIN;
-	q->fleet.entered_us = INT64_MAX;
+
 	q->fleet.confirmed_us = INT64_MIN;
 	return q;
 }
@@ -119,11 +118,15 @@
 	       q->tolerance.slack_milli;
 }
 
+static uint32_t divisor(const struct quota *q)
+{
+	return MAX(q->fleet.instances, 1);
+}
+
 /* This instance's part of what may be used beyond the limit. */
 static uint64_t extra_milli(const struct quota *q, const struct quota_row *r)
 {
-	return tolerated_milli(q, r) * TOLERANCE_PERCENT / PERCENT /
-	       q->fleet.instances;
+	return tolerated_milli(q, r) * TOLERANCE_PERCENT / PERCENT / divisor(q);
 }
 
 /* Returns a size in the middle of the class that the fleet is in. */
@@ -167,10 +170,7 @@
 
 	return r->homed && quota_homes_is_self(q->homes, r->number) &&
 	       is_settled(q, r, now_us) && now_us < f->lease_until_us &&
-	       f->entered_us != INT64_MAX &&
-	       now_us - f->entered_us >=
-		       part_of_lease(q, QUOTA_HOME_WAIT_PERCENT) &&
-	       f->confirmed_us != INT64_MIN &&
+	       f->settled && f->confirmed_us != INT64_MIN &&
 	       now_us - f->confirmed_us <
 		       part_of_lease(q, QUOTA_HOME_VIEW_PERCENT);
 }
@@ -179,7 +179,7 @@
 			  int64_t now_us)
 {
 	uint64_t rate = (uint64_t)r->rate_milli_per_s * QUOTA_STANDING_PERCENT /
-			PERCENT / q->fleet.instances;
+			PERCENT / divisor(q);
 
 	if (now_us < r->granted_until_us)
 		rate += r->granted_milli_per_s;
@@ -213,7 +213,7 @@
 {
 	bool homed = !is_unlimited(r) && is_small(q, r);
 
-	if (homed == r->homed)
+	if (homed == r->homed || !q->fleet.instances)
 		return;
 	r->homed = homed;
 	r->homed_since_us = now_us;
@@ -310,15 +310,22 @@
 		     int64_t now_us)
 {
 	bool same = f->instances == q->fleet.instances;
+	bool first = !q->fleet.instances;
 	GHashTableIter it;
-	gpointer row;
+	gpointer value;
 
 	q->fleet = *f;
 	if (same)
 		return;
 	g_hash_table_iter_init(&it, q->rows);
-	while (g_hash_table_iter_next(&it, NULL, &row))
-		refresh(q, row, now_us);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct quota_row *r = value;
+
+		refresh(q, r, now_us);
+		/* Nothing was taken of it before. */
+		if (first)
+			r->homed_since_us = INT64_MIN;
+	}
 }
 
 void quota_note_instance(struct quota *q, const char *instance, bool present)
@@ -358,7 +365,7 @@
 		return 0;
 	r->asked_milli += OPERATION_MILLI;
 	refresh(q, r, now_us);
-	if (now_us >= q->fleet.lease_until_us)
+	if (!q->fleet.instances || now_us >= q->fleet.lease_until_us)
 		return -ESTALE;
 	if (r->homed && !quota_homes_is_self(q->homes, r->number))
 		return -EINPROGRESS;
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -53,10 +53,10 @@
 
 /* What this instance knows of the fleet. */
 struct quota_fleet {
-	uint32_t instances; /* that the store lists; at least 1 */
+	uint32_t instances; /* that the store lists; 0: not known yet */
 	int64_t lease_ttl_us;
 	int64_t lease_until_us; /* of the own lease */
-	int64_t entered_us; /* the own entry was there; INT64_MAX: it is not */
+	bool settled; /* the own entry is; see store_feed.h */
 	int64_t confirmed_us; /* nothing in the store was missed up to then */
 };
 void quota_set_fleet(struct quota *q, const struct quota_fleet *f,
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -7,8 +7,8 @@
  * operation; see quota_asks.h.
  *
  * Two instances never count one workspace at the same time. An instance is
- * home to nothing before its entry has been in the store for longer than a
- * lease: by then every other one has seen the entry, or its knowledge of the
+ * home to nothing before an entry of its name has been in the store for
+ * longer than a lease: by then every other one has seen the entry, or its knowledge of the
  * store is too old to be home itself, or its lease has ended. Once another instance is seen that ranks higher, a home stops at
  * once; when that one leaves, it goes on at once.
  */
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -45,6 +45,8 @@
 	bool remove_duty;
 	bool remove_instance; /* the one of put name `instance` */
 	const char *instance;
+	bool if_instance; /* only if its entry's revision is the following */
+	int64_t instance_revision;
 	bool if_duty; /* only if the duty's revision is duty_revision */
 	int64_t duty_revision; /* 0: nobody holds it */
 	uint64_t lease; /* of the entries that are put */
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -23,33 +23,44 @@
 
 struct store_feed {
 	struct store_feed_opts opts;
-	bool calling; /* a list or watch is under way */
-	uint64_t call; /* its number; answers to earlier ones are void */
+
+	/* Following the store. */
 	GHashTable *calls; /* set of struct feed_call without an answer */
-	int64_t watched_us; /* when the last watch was asked for */
-	int64_t paced_us; /* when it was due, had all been WATCH_GAP_US apart */
-	bool probing;
-	int64_t probed_us; /* when it asked last */
-	bool leads;
-	int64_t behind_since_us; /* the store had a newer revision; 0: no */
-	bool listed;
-	char list_after[256];
+	uint64_t call; /* the last list or watch; earlier ones are void */
 	int64_t list_revision; /* of the first page */
 	int64_t list_asked_us;
 	int64_t revision; /* all changes up to it were passed on */
 	int64_t due_us;
-	uint32_t failures;
+	int64_t watched_us; /* when the last watch was asked for */
+	int64_t paced_us; /* when it was due, had all been WATCH_GAP_US apart */
+	int64_t probed_us; /* when it asked last */
+	int64_t behind_since_us; /* the store had a newer revision; 0: no */
 	int64_t confirmed_us;
-	bool reachable;
-	bool reported;
 
+	/* The own entry. */
 	uint64_t lease; /* 0: none */
-	bool lease_calling;
-	bool entry_written;
-	int64_t entered_us; /* when it was known to be */
 	int64_t lease_until_us;
 	int64_t lease_due_us;
+	int64_t entered_us; /* when the entry was known to be there */
+	int64_t entry_revision; /* as written by this process */
+	/* What another process of this name left; 0: nothing. */
+	int64_t left_revision;
+
+	uint32_t failures; /* in a row */
+	bool calling; /* a list or watch is under way */
+	bool listed;
+	bool listed_once;
+	bool probing;
+	bool leads;
+	bool reachable;
+	bool reported;
+	bool lease_calling;
+	bool entry_written;
+	bool settled; /* the entry says so */
+	bool left_settled; /* so did the one that was left */
+	bool taking_over; /* the write under way goes on from that */
 	bool left;
+	char list_after[256];
 };
 
 struct store_feed *store_feed_new(const struct store_feed_opts *opts)
@@ -110,10 +121,26 @@
 	report(f, true, "answers");
 }
 
+/* What a process of this name left is noted until this one writes. */
+static void note_own(struct store_feed *f, const struct store_item *i)
+{
+	if (i->kind != ITEM_INSTANCE || strcmp(i->name, f->opts.self.name) != 0)
+		return;
+	if (i->removed || !i->readable ||
+	    i->instance.incarnation == f->opts.self.incarnation) {
+		f->left_revision = 0;
+		return;
+	}
+	f->left_revision = i->revision;
+	f->left_settled = i->instance.settled;
+}
+
 static void pass_on(struct store_feed *f, const struct store_answer *a)
 {
-	for (uint32_t i = 0; i < a->item_count; i++)
+	for (uint32_t i = 0; i < a->item_count; i++) {
+		note_own(f, &a->items[i]);
 		f->opts.on_item(f->opts.data, &a->items[i]);
+	}
 }
 
 static void confirm(struct store_feed *f, int64_t asked_us)
@@ -176,6 +203,7 @@
 	if (a->more)
 		return;
 	f->listed = true;
+	f->listed_once = true;
 	f->revision = f->list_revision;
 	f->opts.on_list(f->opts.data, true);
 	confirm(f, f->list_asked_us);
@@ -321,6 +349,7 @@
 {
 	f->lease = 0;
 	f->entry_written = false;
+	f->settled = false;
 }
 
 static void on_entry(void *data, const struct store_answer *a)
@@ -330,14 +359,32 @@
 	f->lease_calling = false;
 	if (a->outcome == STORE_REFUSED)
 		lose_lease(f);
-	/* Written twice it stays the same, so a lost answer is no harm. */
+	/* Without an answer it is written anew, and settles again. */
 	f->entry_written = a->outcome == STORE_DONE;
-	if (f->entry_written)
+	f->settled = f->entry_written && f->taking_over;
+	f->left_revision = 0;
+	if (f->entry_written) {
 		f->entered_us = f->opts.now_us(f->opts.data);
+		f->entry_revision = a->revision;
+	}
 	lease_later(f, f->entry_written ? f->opts.lease_ttl_us / RENEWALS :
 					  RETRY_US);
 }
 
+static void on_settled(void *data, const struct store_answer *a)
+{
+	struct store_feed *f = data;
+
+	f->lease_calling = false;
+	if (a->outcome == STORE_DONE) {
+		f->settled = true;
+		f->entry_revision = a->revision;
+	} else if (a->outcome == STORE_REFUSED) {
+		lose_lease(f);
+	}
+	lease_later(f, RETRY_US);
+}
+
 static void note_lease(struct store_feed *f, const struct store_answer *a)
 {
 	int64_t ttl_us = a->ttl_us ? a->ttl_us : f->opts.lease_ttl_us;
@@ -374,20 +421,42 @@
 			       RETRY_US);
 }
 
-static void keep_entry(struct store_feed *f, int64_t now_us)
+static void write_entry(struct store_feed *f, store_answer_fn fn)
 {
-	const struct store_change put = { .put_instance = &f->opts.self,
-					  .instance = f->opts.self.name,
-					  .lease = f->lease };
+	struct instance_entry self = f->opts.self;
+	struct store_change put = { .put_instance = &self,
+				    .instance = self.name,
+				    .lease = f->lease };
 
-	if (f->left || f->lease_calling || now_us < f->lease_due_us)
+	f->taking_over =
+		!f->entry_written && f->left_revision && f->left_settled;
+	self.settled = f->entry_written || f->taking_over;
+	put.if_instance = self.settled;
+	put.instance_revision =
+		f->entry_written ? f->entry_revision : f->left_revision;
+	f->opts.store->ops->change(f->opts.store, &put, fn, f);
+}
+
+static bool settles_now(const struct store_feed *f, int64_t now_us)
+{
+	return f->entry_written && !f->settled &&
+	       now_us - f->entered_us >= f->opts.settle_us;
+}
+
+static void keep_entry(struct store_feed *f, int64_t now_us)
+{
+	/* The list tells what an earlier process left. */
+	if (f->left || !f->listed_once || f->lease_calling ||
+	    now_us < f->lease_due_us)
 		return;
 	f->lease_calling = true;
 	if (!f->lease)
 		f->opts.store->ops->lease(f->opts.store, f->opts.lease_ttl_us,
 					  on_lease, f);
 	else if (!f->entry_written)
-		f->opts.store->ops->change(f->opts.store, &put, on_entry, f);
+		write_entry(f, on_entry);
+	else if (settles_now(f, now_us))
+		write_entry(f, on_settled);
 	else
 		f->opts.store->ops->renew(f->opts.store, f->lease, on_renewed,
 					  f);
@@ -429,9 +498,10 @@
 	return f->lease_until_us;
 }
 
-int64_t store_feed_entered_us(const struct store_feed *f)
+bool store_feed_is_settled(const struct store_feed *f, int64_t now_us)
 {
-	return f->entry_written && !f->left ? f->entered_us : INT64_MAX;
+	return f->entry_written && !f->left &&
+	       (f->settled || now_us - f->entered_us >= f->opts.settle_us);
 }
 
 static void on_left(void *data, const struct store_answer *a)
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -22,10 +22,16 @@
 
 struct store_feed;
 
+/*
+ * The entry is settled once it is older than a lease: then every other
+ * instance has seen it, or knows too little. A process that takes over the
+ * settled entry of the one before it, without a gap, is settled at once.
+ */
 struct store_feed_opts {
 	struct store *store;
 	struct instance_entry self;
 	int64_t lease_ttl_us; /* of the own entry */
+	int64_t settle_us; /* longer than that by any clock */
 	int64_t watch_us; /* a watch without news is answered after this */
 	/* Without a confirmation for so long, it asks; others a report later. */
 	int64_t probe_us;
@@ -58,7 +64,7 @@
 void store_feed_hear(struct store_feed *f, int64_t revision, int64_t at_us,
 		     int64_t now_us);
 
-/* Returns the revision up to which all changes were passed on. */
+/* Returns the revision up to which all changes were passed on; 0: none. */
 int64_t store_feed_revision(const struct store_feed *f);
 
 /* Returns when the last confirmation was asked for, or INT64_MIN. */
@@ -70,8 +76,8 @@
 /* Returns the end of the own lease, by the own clock. */
 int64_t store_feed_lease_us(const struct store_feed *f);
 
-/* Returns when the own entry was known to be there; INT64_MAX: it is not. */
-int64_t store_feed_entered_us(const struct store_feed *f);
+/* Returns true while the own entry is there and settled. */
+bool store_feed_is_settled(const struct store_feed *f, int64_t now_us);
 
 /* Removes the own entry; nothing is renewed from now on. */
 void store_feed_leave(struct store_feed *f);
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -29,6 +29,7 @@
 	char zone[NAME_BYTES];
 	char address[ADDRESS_BYTES]; /* for peer messages */
 	uint64_t incarnation;
+	bool settled; /* an entry of this name is there for longer than a lease */
 };
 
 /* Who carries out the singleton duty; bound to that instance's lease. */
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -99,6 +99,11 @@
 		a.asked_us = st->model->now();
 		for (auto &i : st->model->items_)
 			items.push_back(i.second.value);
+		/* As the platform's keys are sorted. */
+		std::stable_partition(items.begin(), items.end(),
+				      [](const struct store_item &i) {
+					      return i.kind == ITEM_CONFIG;
+				      });
 		st->model->answer(st->node, st->life(), fn, data, a, items,
 				  STORE_US);
 	}
@@ -155,7 +160,13 @@
 		if (st->fails(fn, data))
 			return;
 		a.asked_us = m->now();
+		auto own = m->items_.find(
+			"instance/" +
+			std::string(c->instance ? c->instance : ""));
+		int64_t own_revision =
+			own == m->items_.end() ? 0 : own->second.value.revision;
 		if ((c->lease && !m->leases_.count(c->lease)) ||
+		    (c->if_instance && c->instance_revision != own_revision) ||
 		    (c->if_duty && c->duty_revision != held)) {
 			a.outcome = STORE_REFUSED;
 			m->answer(st->node, st->life(), fn, data, a, {},
