A home goes on while a higher instance settles

Change: callers' instances ask the best of the settled ones. That one goes on until a lease, less a margin, after the last moment at which it knew that the higher one was not there; the higher one counts from a lease, more a margin, after its entry. The margins are 3 % each way (were 7 %): clocks are taken to differ in rate by less than 2 %.

Ruled out: waiting for the settled entry alone (the higher one cannot tell when the home saw it); passing the right on by message (a message type more, for a gap of one second).

--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -204,14 +204,16 @@
 static void put_instance(struct engine *e, const struct store_item *item,
 			 int64_t now_us)
 {
-	if (item->removed || !item->readable)
+	if (item->removed || !item->readable) {
 		g_hash_table_remove(e->instances, item->name);
-	else
+		quota_drop_instance(e->quota, item->name);
+	} else {
 		g_hash_table_replace(e->instances, g_strdup(item->name),
 				     g_memdup2(&item->instance,
 					       sizeof(item->instance)));
-	quota_note_instance(e->quota, item->name,
-			    !item->removed && item->readable);
+		quota_put_instance(e->quota, &item->instance,
+				   store_feed_confirmed_us(e->feed));
+	}
 	e->opts.ops->peer_changed(e->opts.host, item->name,
 				  item->removed || !item->readable ?
 					  NULL :
@@ -269,7 +271,7 @@
 	while (g_hash_table_iter_next(&it, &name, NULL)) {
 		if (g_hash_table_contains(e->listed_names, name))
 			continue;
-		quota_note_instance(e->quota, name, false);
+		quota_drop_instance(e->quota, name);
 		e->opts.ops->peer_changed(e->opts.host, name, NULL);
 		g_hash_table_iter_remove(&it);
 	}
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -61,6 +61,7 @@
 	struct quota_tolerance tolerance;
 	GHashTable *rows; /* name to struct quota_row */
 	GHashTable *by_number; /* &number to struct quota_row */
+	char instance[NAME_BYTES]; /* this one */
 	struct quota_fleet fleet;
 	struct quota_homes *homes;
 };
@@ -79,6 +80,7 @@
 	q->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	q->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_strlcpy(q->instance, instance, sizeof(q->instance));
 	q->homes = quota_homes_new(instance);
 	q->fleet.lease_until_us = INT64_MIN;
 
@@ -168,7 +170,9 @@
 {
 	const struct quota_fleet *f = &q->fleet;
 
-	return r->homed && quota_homes_is_self(q->homes, r->number) &&
+	return r->homed &&
+	       now_us < quota_homes_until_us(q->homes, r->number,
+					     f->lease_ttl_us) &&
 	       is_settled(q, r, now_us) && now_us < f->lease_until_us &&
 	       f->settled && f->confirmed_us != INT64_MIN &&
 	       now_us - f->confirmed_us <
@@ -328,12 +332,15 @@
 	}
 }
 
-void quota_note_instance(struct quota *q, const char *instance, bool present)
+void quota_put_instance(struct quota *q, const struct instance_entry *e,
+			int64_t absent_us)
 {
-	if (present)
-		quota_homes_join(q->homes, instance);
-	else
-		quota_homes_leave(q->homes, instance);
+	quota_homes_put(q->homes, e->name, e->settled, absent_us);
+}
+
+void quota_drop_instance(struct quota *q, const char *instance)
+{
+	quota_homes_leave(q->homes, instance);
 }
 
 const char *quota_home(struct quota *q, const char *workspace)
@@ -367,11 +374,12 @@
 	refresh(q, r, now_us);
 	if (!q->fleet.instances || now_us >= q->fleet.lease_until_us)
 		return -ESTALE;
-	if (r->homed && !quota_homes_is_self(q->homes, r->number))
+	if (r->homed ? r->acting : is_settled(q, r, now_us))
+		return take(r, retry_us);
+	if (r->homed &&
+	    strcmp(quota_homes_of(q->homes, r->number), q->instance) != 0)
 		return -EINPROGRESS;
-	if (r->homed ? !r->acting : !is_settled(q, r, now_us))
-		return -ESTALE;
-	return take(r, retry_us);
+	return -ESTALE;
 }
 
 int quota_take_for(struct quota *q, uint64_t workspace, int64_t now_us,
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -25,6 +25,7 @@
 
 #include "proxy/engine.h"
 #include "proxy/fleet_config.h"
+#include "proxy/store_item.h"
 
 #include <stdint.h>
 
@@ -62,8 +63,13 @@
 void quota_set_fleet(struct quota *q, const struct quota_fleet *f,
 		     int64_t now_us);
 
-/* Another instance's entry came or left. */
-void quota_note_instance(struct quota *q, const char *instance, bool present);
+/*
+ * An instance's entry is in the store; it was not yet, or said nothing else,
+ * at absent_us. Or it left.
+ */
+void quota_put_instance(struct quota *q, const struct instance_entry *e,
+			int64_t absent_us);
+void quota_drop_instance(struct quota *q, const char *instance);
 
 /*
  * Takes one operation's worth. Returns 0; -EAGAIN with *retry_us set to when
--- a/src/proxy/quota_homes.c
+++ b/src/proxy/quota_homes.c
@@ -4,126 +4,186 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* The present home of one workspace. */
+struct candidate {
+	char *name;
+	bool settled;
+	int64_t absent_us;
+};
+
+/* The candidates for one workspace, as they are now. */
 struct home {
-	const char *instance; /* key of .instances */
-	uint64_t score;
+	uint64_t workspace;
+	const struct candidate *settled; /* the best of them; NULL: none */
+	const struct candidate *any; /* the best of all, this one included */
 };
 
 struct quota_homes {
-	const char *self; /* key of .instances */
-	GHashTable *instances; /* set of names */
-	GHashTable *homes; /* workspace to struct home, as it is asked for */
+	struct candidate *self; /* as if settled: others ask if it is */
+	GHashTable *candidates; /* name to struct candidate */
+	GHashTable *homes; /* &workspace to struct home, as asked for */
 };
 
+static void candidate_free(gpointer p)
+{
+	struct candidate *c = p;
+
+	g_free(c->name);
+	g_free(c);
+}
+
 struct quota_homes *quota_homes_new(const char *self)
 {
 	struct quota_homes *h = g_new0(struct quota_homes, 1);
-	char *name = g_strdup(self);
 
-	h->instances =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	h->homes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+	h->candidates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      candidate_free);
+	h->homes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
-	h->self = name;
-	g_hash_table_add(h->instances, name);
+	quota_homes_put(h, self, false, INT64_MIN);
+	h->self = g_hash_table_lookup(h->candidates, self);
 	return h;
 }
 
 void quota_homes_free(struct quota_homes *h)
 {
 	g_hash_table_destroy(h->homes);
-	g_hash_table_destroy(h->instances);
+	g_hash_table_destroy(h->candidates);
 	g_free(h);
 }
 
-static uint64_t score_of(const char *instance, uint64_t workspace)
+static uint64_t score_of(const struct candidate *c, uint64_t workspace)
 {
-	return XXH64(instance, strlen(instance), workspace);
+	return XXH64(c->name, strlen(c->name), workspace);
 }
 
 /* Of two with the same score the lower name is home, for everyone. */
-static bool ranks_higher(const struct home *a, const struct home *b)
+static const struct candidate *best_of(const struct candidate *a,
+				       const struct candidate *b,
+				       uint64_t workspace)
 {
-	if (a->score != b->score)
-		return a->score > b->score;
-	return strcmp(a->instance, b->instance) < 0;
+	uint64_t score_a;
+	uint64_t score_b;
+
+	if (!a || !b || a == b)
+		return a ? a : b;
+	score_a = score_of(a, workspace);
+	score_b = score_of(b, workspace);
+	if (score_a != score_b)
+		return score_a > score_b ? a : b;
+	return strcmp(a->name, b->name) < 0 ? a : b;
 }
 
-static struct home find(const struct quota_homes *h, uint64_t workspace)
+static void add_candidate(struct home *home, const struct candidate *c)
 {
-	struct home best = { h->self, score_of(h->self, workspace) };
-	GHashTableIter it;
-	gpointer name;
-
-	g_hash_table_iter_init(&it, h->instances);
-	while (g_hash_table_iter_next(&it, &name, NULL)) {
-		const struct home other = { name, score_of(name, workspace) };
-
-		if (ranks_higher(&other, &best))
-			best = other;
-	}
-	return best;
+	home->any = best_of(home->any, c, home->workspace);
+	if (c->settled)
+		home->settled = best_of(home->settled, c, home->workspace);
 }
 
-void quota_homes_join(struct quota_homes *h, const char *instance)
+void quota_homes_put(struct quota_homes *h, const char *instance, bool settled,
+		     int64_t absent_us)
 {
+	struct candidate *c = g_hash_table_lookup(h->candidates, instance);
 	GHashTableIter it;
-	gpointer number;
-	gpointer value;
-	char *name;
+	gpointer home;
 
-	if (g_hash_table_contains(h->instances, instance))
+	if (c && c->settled == settled)
 		return;
-	name = g_strdup(instance);
-	g_hash_table_add(h->instances, name);
-	g_hash_table_iter_init(&it, h->homes);
-	while (g_hash_table_iter_next(&it, &number, &value)) {
-		const struct home joined = {
-			name, score_of(name, *(const uint64_t *)number)
-		};
-
-		if (ranks_higher(&joined, value))
-			*(struct home *)value = joined;
+	if (c && !settled) {
+		/* It lost its settled entry: as if it had come anew. */
+		c->settled = false;
+		c->absent_us = absent_us;
+		g_hash_table_remove_all(h->homes);
+		return;
+	}
+	if (!c) {
+		c = g_new0(struct candidate, 1);
+		c->name = g_strdup(instance);
+		c->absent_us = absent_us;
+		g_hash_table_insert(h->candidates, c->name, c);
 	}
+	c->settled = settled;
+	g_hash_table_iter_init(&it, h->homes);
+	while (g_hash_table_iter_next(&it, NULL, &home))
+		add_candidate(home, c);
 }
 
 void quota_homes_leave(struct quota_homes *h, const char *instance)
 {
+	const struct candidate *c =
+		g_hash_table_lookup(h->candidates, instance);
 	GHashTableIter it;
 	gpointer value;
 
-	if (!strcmp(instance, h->self) ||
-	    !g_hash_table_contains(h->instances, instance))
+	if (!c || c == h->self)
 		return;
 	g_hash_table_iter_init(&it, h->homes);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct home *home = value;
+
 		/* Found again when it is asked for. */
-		if (!strcmp(((struct home *)value)->instance, instance))
+		if (home->settled == c || home->any == c)
 			g_hash_table_iter_remove(&it);
 	}
-	g_hash_table_remove(h->instances, instance);
+	g_hash_table_remove(h->candidates, instance);
 }
 
 static const struct home *home_of(struct quota_homes *h, uint64_t workspace)
 {
 	struct home *home = g_hash_table_lookup(h->homes, &workspace);
+	GHashTableIter it;
+	gpointer c;
 
 	if (home)
 		return home;
 	home = g_new0(struct home, 1);
-	*home = find(h, workspace);
-	g_hash_table_insert(h->homes, g_memdup2(&workspace, sizeof(workspace)),
-			    home);
+	home->workspace = workspace;
+	g_hash_table_iter_init(&it, h->candidates);
+	while (g_hash_table_iter_next(&it, NULL, &c))
+		add_candidate(home, c);
+	g_hash_table_insert(h->homes, &home->workspace, home);
 	return home;
 }
 
 const char *quota_homes_of(struct quota_homes *h, uint64_t workspace)
 {
-	return home_of(h, workspace)->instance;
+	const struct home *home = home_of(h, workspace);
+
+	return home->settled ? home->settled->name : home->any->name;
+}
+
+/* The first end that one of the higher, younger instances sets. */
+static int64_t first_end_us(const struct quota_homes *h, uint64_t workspace,
+			    int64_t lease_us)
+{
+	int64_t end_us = INT64_MAX;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->candidates);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct candidate *c = value;
+
+		if (c == h->self || best_of(c, h->self, workspace) == h->self)
+			continue;
+		if (c->absent_us == INT64_MIN)
+			return INT64_MIN;
+		end_us = MIN(end_us,
+			     c->absent_us +
+				     lease_us * QUOTA_HOME_VIEW_PERCENT / 100);
+	}
+	return end_us;
 }
 
-bool quota_homes_is_self(struct quota_homes *h, uint64_t workspace)
+int64_t quota_homes_until_us(struct quota_homes *h, uint64_t workspace,
+			     int64_t lease_us)
 {
-	return home_of(h, workspace)->instance == h->self;
+	const struct home *home = home_of(h, workspace);
+
+	if (home->any == h->self)
+		return INT64_MAX;
+	if (home->settled &&
+	    best_of(home->settled, h->self, workspace) != h->self)
+		return INT64_MIN;
+	return first_end_us(h, workspace, lease_us);
 }
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -6,11 +6,16 @@
  * one with the highest hash of both names. The others ask it for every
  * operation; see quota_asks.h.
  *
- * Two instances never count one workspace at the same time. An instance is
- * home to nothing before an entry of its name has been in the store for
- * longer than a lease: by then every other one has seen the entry, or its knowledge of the
- * store is too old to be home itself, or its lease has ended. Once another instance is seen that ranks higher, a home stops at
- * once; when that one leaves, it goes on at once.
+ * Two instances never count one workspace at the same time:
+ *  - An instance is home to nothing before its entry is settled, which takes
+ *    longer than a lease (store_feed.h). By then every other one has seen
+ *    the entry, or its knowledge of the store is too old to be home itself,
+ *    or its lease has ended.
+ *  - Until then the best of the settled ones stays home, but not for longer
+ *    than a lease after the last moment at which it knew that the higher one
+ *    was not there.
+ *  - When the home's entry leaves the store, its lease has ended, and the
+ *    next one counts at once.
  */
 #ifndef PROXY_QUOTA_HOMES_H
 #define PROXY_QUOTA_HOMES_H
@@ -19,11 +24,11 @@
 #include <stdint.h>
 
 /*
- * Parts of a lease: an entry's age before its instance is a home, and the
- * oldest knowledge that a home acts on. Clocks differ by less than what lies
+ * Parts of a lease: until an entry is settled, and how old the knowledge may
+ * be that a home acts on. Clocks differ in rate by less than what lies
  * between.
  */
-enum { QUOTA_HOME_WAIT_PERCENT = 107, QUOTA_HOME_VIEW_PERCENT = 93 };
+enum { QUOTA_HOME_WAIT_PERCENT = 103, QUOTA_HOME_VIEW_PERCENT = 97 };
 
 struct quota_homes;
 
@@ -31,14 +36,22 @@
 struct quota_homes *quota_homes_new(const char *self);
 void quota_homes_free(struct quota_homes *h);
 
-/* An instance's entry came to the store, or left it. */
-void quota_homes_join(struct quota_homes *h, const char *instance);
+/*
+ * An instance's entry is in the store; it was not yet, or said nothing else,
+ * at absent_us. Or it left.
+ */
+void quota_homes_put(struct quota_homes *h, const char *instance, bool settled,
+		     int64_t absent_us);
 void quota_homes_leave(struct quota_homes *h, const char *instance);
 
-/* Returns the home of a workspace; this instance if it knows no other. */
+/* Returns whom to ask: the best of the settled, or of all if none is. */
 const char *quota_homes_of(struct quota_homes *h, uint64_t workspace);
 
-/* Returns true if that is this instance. */
-bool quota_homes_is_self(struct quota_homes *h, uint64_t workspace);
+/*
+ * Returns until when this instance is home, by what it knows of the others,
+ * if it is settled itself: INT64_MIN: it is not; INT64_MAX: no end is known.
+ */
+int64_t quota_homes_until_us(struct quota_homes *h, uint64_t workspace,
+			     int64_t lease_us);
 
 #endif
