--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -11,9 +11,9 @@
 	/*
 	 * All instances are woken by each change, and calls are limited and
 	 * priced. So after a few in a row changes are taken together: at most
-	 * half a second late, a fraction of the time to apply a configuration.
+	 * a second late, a fraction of the time to apply a configuration.
 	 */
-	WATCH_GAP_US = 500 * 1000,
+	WATCH_GAP_US = 1000 * 1000,
 	WATCHES_IN_A_ROW = 4,
 	/* Of the leader, one of which may be lost. */
 	REPORTS_HEARD = 2,
