--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -332,6 +332,27 @@
 	}
 }
 
+/*
+ * Without a limit nothing else stops an instance that is cut off: it must not
+ * use a key that it cannot confirm.
+ */
+TEST(ProxyEngine, AKeyWithoutALimitStopsAsWell)
+{
+	ProxyModelOpts o;
+	ProxyCaller *c;
+
+	o.unlimited = true;
+	ProxyModel m(o);
+	m.run(START_US);
+	c = m.connect(0, "strict", "key-a");
+	EXPECT_TRUE(m.ask(c, "READ 1").ok);
+	m.nodes[0]->cut_from_store = true;
+	m.revoke_key("key-a");
+	m.run(5 * S);
+	EXPECT_FALSE(m.ask(c, "READ 1").ok);
+	expect_sound(m);
+}
+
 /* The routes open to all go on while keys cannot be confirmed. */
 TEST(ProxyEngine, OpenRoutesOutliveTheStore)
 {
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -660,7 +660,8 @@
 		std::string key = std::string("key-") + name;
 
 		w->name = g_strdup(name);
-		w->rate_milli_per_s = rate_per_s_ * 1000;
+		w->rate_milli_per_s =
+			opts.unlimited ? UINT32_MAX : rate_per_s_ * 1000;
 		w->burst_milli = burst_ * 1000;
 		fleet_config_add_workspace(c, w);
 		if (keys_.count(key))
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -133,6 +133,7 @@
 	int64_t promote_us = 300000;
 	uint32_t rate_per_s = 100;
 	uint32_t burst = 100;
+	bool unlimited = false; /* no workspace has a limit */
 	bool log = false;
 };
 
