Read-through: halves are called halves, refusals are counted once

Cause: quota_homes spoke of workspaces where it ranks halves of limits. Both halves of a small limit counted a refusal, and one half did though the other one admitted the operation; workspace_refused_total was too high for small workspaces.

Change: names, and the refusal is counted where the caller is refused.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -282,6 +282,7 @@
 		go(s, now_us);
 		break;
 	case -EAGAIN:
+		quota_note_refused(s->engine->quota, s->workspace);
 		caller_refuse(s, ANSWER_LIMIT, "over the workspace's rate",
 			      retry_us, now_us);
 		break;
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -376,7 +376,6 @@
 		r->admitted++;
 		return 0;
 	}
-	r->refused++;
 	*retry_us = bucket_wait_us(b, OPERATION_MILLI, b->rate_milli_per_s);
 	if (*retry_us < 0 || *retry_us > RETRY_MAX_US)
 		*retry_us = RETRY_MAX_US;
@@ -436,6 +435,14 @@
 	return -ESTALE;
 }
 
+void quota_note_refused(struct quota *q, const char *workspace)
+{
+	struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+
+	if (r)
+		r->refused++;
+}
+
 uint32_t quota_demand_milli_per_s(const struct quota *q, const char *workspace)
 {
 	const struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -96,6 +96,9 @@
 int quota_take_for(struct quota *q, uint64_t half, int64_t now_us,
 		   int64_t *retry_us);
 
+/* An operation was refused because the limit was used up. */
+void quota_note_refused(struct quota *q, const char *workspace);
+
 /* Returns how much of it was asked for here lately; 0 if not known. */
 uint32_t quota_demand_milli_per_s(const struct quota *q, const char *workspace);
 
--- a/src/proxy/quota_homes.c
+++ b/src/proxy/quota_homes.c
@@ -10,9 +10,9 @@
 	int64_t absent_us;
 };
 
-/* The candidates for one workspace, as they are now. */
+/* The candidates for one half, as they are now. */
 struct home {
-	uint64_t workspace;
+	uint64_t half;
 	const struct candidate *settled; /* the best of them; NULL: none */
 	const struct candidate *any; /* the best of all, this one included */
 };
@@ -20,7 +20,7 @@
 struct quota_homes {
 	struct candidate *self; /* as if settled: others ask if it is */
 	GHashTable *candidates; /* name to struct candidate */
-	GHashTable *homes; /* &workspace to struct home, as asked for */
+	GHashTable *homes; /* &half to struct home, as asked for */
 };
 
 static void candidate_free(gpointer p)
@@ -51,23 +51,22 @@
 	g_free(h);
 }
 
-static uint64_t score_of(const struct candidate *c, uint64_t workspace)
+static uint64_t score_of(const struct candidate *c, uint64_t half)
 {
-	return XXH64(c->name, strlen(c->name), workspace);
+	return XXH64(c->name, strlen(c->name), half);
 }
 
 /* Of two with the same score the lower name is home, for everyone. */
 static const struct candidate *best_of(const struct candidate *a,
-				       const struct candidate *b,
-				       uint64_t workspace)
+				       const struct candidate *b, uint64_t half)
 {
 	uint64_t score_a;
 	uint64_t score_b;
 
 	if (!a || !b || a == b)
 		return a ? a : b;
-	score_a = score_of(a, workspace);
-	score_b = score_of(b, workspace);
+	score_a = score_of(a, half);
+	score_b = score_of(b, half);
 	if (score_a != score_b)
 		return score_a > score_b ? a : b;
 	return strcmp(a->name, b->name) < 0 ? a : b;
@@ -75,9 +74,9 @@
 
 static void add_candidate(struct home *home, const struct candidate *c)
 {
-	home->any = best_of(home->any, c, home->workspace);
+	home->any = best_of(home->any, c, home->half);
 	if (c->settled)
-		home->settled = best_of(home->settled, c, home->workspace);
+		home->settled = best_of(home->settled, c, home->half);
 }
 
 void quota_homes_put(struct quota_homes *h, const char *instance, bool settled,
@@ -128,32 +127,32 @@
 	g_hash_table_remove(h->candidates, instance);
 }
 
-static const struct home *home_of(struct quota_homes *h, uint64_t workspace)
+static const struct home *home_of(struct quota_homes *h, uint64_t half)
 {
-	struct home *home = g_hash_table_lookup(h->homes, &workspace);
+	struct home *home = g_hash_table_lookup(h->homes, &half);
 	GHashTableIter it;
 	gpointer c;
 
 	if (home)
 		return home;
 	home = g_new0(struct home, 1);
-	home->workspace = workspace;
+	home->half = half;
 	g_hash_table_iter_init(&it, h->candidates);
 	while (g_hash_table_iter_next(&it, NULL, &c))
 		add_candidate(home, c);
-	g_hash_table_insert(h->homes, &home->workspace, home);
+	g_hash_table_insert(h->homes, &home->half, home);
 	return home;
 }
 
-const char *quota_homes_of(struct quota_homes *h, uint64_t workspace)
+const char *quota_homes_of(struct quota_homes *h, uint64_t half)
 {
-	const struct home *home = home_of(h, workspace);
+	const struct home *home = home_of(h, half);
 
 	return home->settled ? home->settled->name : home->any->name;
 }
 
 /* The first end that one of the higher, younger instances sets. */
-static int64_t first_end_us(const struct quota_homes *h, uint64_t workspace,
+static int64_t first_end_us(const struct quota_homes *h, uint64_t half,
 			    int64_t lease_us)
 {
 	int64_t end_us = INT64_MAX;
@@ -164,7 +163,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct candidate *c = value;
 
-		if (c == h->self || best_of(c, h->self, workspace) == h->self)
+		if (c == h->self || best_of(c, h->self, half) == h->self)
 			continue;
 		if (c->absent_us == INT64_MIN)
 			return INT64_MIN;
@@ -175,15 +174,14 @@
 	return end_us;
 }
 
-int64_t quota_homes_until_us(struct quota_homes *h, uint64_t workspace,
+int64_t quota_homes_until_us(struct quota_homes *h, uint64_t half,
 			     int64_t lease_us)
 {
-	const struct home *home = home_of(h, workspace);
+	const struct home *home = home_of(h, half);
 
 	if (home->any == h->self)
 		return INT64_MAX;
-	if (home->settled &&
-	    best_of(home->settled, h->self, workspace) != h->self)
+	if (home->settled && best_of(home->settled, h->self, half) != h->self)
 		return INT64_MIN;
-	return first_end_us(h, workspace, lease_us);
+	return first_end_us(h, half, lease_us);
 }
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -1,12 +1,12 @@
 /*
- * quota_homes.h - which instance counts a small workspace for all others.
+ * quota_homes.h - which instance counts half of a small limit for all others.
  *
  * Divided among many instances a small limit leaves less than an operation
- * to each. Such a workspace has a home: of the instances in the store the
- * one with the highest hash of both names. The others ask it for every
- * operation; see quota_asks.h.
+ * to each. Such a limit is counted in halves, and each half has a home: of
+ * the instances in the store the one with the highest hash of its name and
+ * the half. The others ask it for every operation; see quota_asks.h.
  *
- * Two instances never count one workspace at the same time:
+ * Two instances never count one half at the same time:
  *  - An instance is home to nothing before its entry is settled, which takes
  *    longer than a lease (store_feed.h). By then every other one has seen
  *    the entry, or its knowledge of the store is too old to be home itself,
@@ -45,13 +45,13 @@
 void quota_homes_leave(struct quota_homes *h, const char *instance);
 
 /* Returns whom to ask: the best of the settled, or of all if none is. */
-const char *quota_homes_of(struct quota_homes *h, uint64_t workspace);
+const char *quota_homes_of(struct quota_homes *h, uint64_t half);
 
 /*
  * Returns until when this instance is home, by what it knows of the others,
  * if it is settled itself: INT64_MIN: it is not; INT64_MAX: no end is known.
  */
-int64_t quota_homes_until_us(struct quota_homes *h, uint64_t workspace,
+int64_t quota_homes_until_us(struct quota_homes *h, uint64_t half,
 			     int64_t lease_us);
 
 #endif
