--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -18,7 +18,7 @@
 enum {
 	/* Clocks differ in rate by less in the keys' time. */
 	KEY_MARGIN_US = 150 * 1000,
-	/* A watch without news ends after this; half of the history's time. */
+	/* A watch without news ends after this; a store allows three times it. */
 	WATCH_US = 10 * 1000 * 1000,
 	/*
 	 * Without a confirmation for this part of the keys' time the store is
@@ -177,8 +177,7 @@
 	struct store_feed_opts f = {
 		.store = o->store,
 		.lease_ttl_us = engine_lease_ttl_us(e),
-		.settle_us = engine_lease_ttl_us(e) * QUOTA_HOME_WAIT_PERCENT /
-			     PERCENT,
+		.settle_us = quota_home_wait_us(engine_lease_ttl_us(e)),
 		.watch_us = WATCH_US,
 		.probe_us = o->key_limit_us / PROBE_PARTS,
 		.report_us = REPORT_US,
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -163,18 +163,13 @@
 		       HOME_TOKENS_MILLI;
 }
 
-static int64_t part_of_lease(const struct quota *q, int64_t percent)
-{
-	return q->fleet.lease_ttl_us * percent / PERCENT;
-}
-
 /* Nobody uses it the other way any more. */
 static bool is_settled(const struct quota *q, const struct quota_row *r,
 		       int64_t now_us)
 {
 	return r->homed_since_us == INT64_MIN ||
 	       now_us - r->homed_since_us >=
-		       part_of_lease(q, QUOTA_HOME_WAIT_PERCENT);
+		       quota_home_wait_us(q->fleet.lease_ttl_us);
 }
 
 static bool acts_as_home(const struct quota *q, const struct quota_row *r,
@@ -187,8 +182,7 @@
 					     f->lease_ttl_us) &&
 	       is_settled(q, r, now_us) && now_us < f->lease_until_us &&
 	       f->settled && f->confirmed_us != INT64_MIN &&
-	       now_us - f->confirmed_us <
-		       part_of_lease(q, QUOTA_HOME_VIEW_PERCENT);
+	       now_us - f->confirmed_us < quota_home_view_us(f->lease_ttl_us);
 }
 
 static uint32_t rate_here(const struct quota *q, const struct quota_row *r,
@@ -244,8 +238,8 @@
 /* Brings rate and burst in line with limits, grants and the fleet. */
 static void refresh(const struct quota *q, struct quota_row *r, int64_t now_us)
 {
-	uint32_t rate = rate_here(q, r, now_us);
-	uint64_t capacity = extra_milli(q, r);
+	uint64_t capacity;
+	uint32_t rate;
 
 	choose_mode(q, r, now_us);
 	if (r->homed) {
@@ -253,6 +247,8 @@
 			refresh_half(q, r, &r->halves[i], now_us);
 		return;
 	}
+	rate = rate_here(q, r, now_us);
+	capacity = extra_milli(q, r);
 	bucket_advance(&r->bucket, now_us);
 	if (r->rate_milli_per_s)
 		capacity +=
--- a/src/proxy/quota_homes.c
+++ b/src/proxy/quota_homes.c
@@ -4,6 +4,13 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum {
+	/* Of a lease; clocks differ in rate by less than what lies between. */
+	WAIT_PERCENT = 103,
+	VIEW_PERCENT = 97,
+	PERCENT = 100,
+};
+
 struct candidate {
 	char *name;
 	bool settled;
@@ -31,6 +38,16 @@
 	g_free(c);
 }
 
+int64_t quota_home_wait_us(int64_t lease_us)
+{
+	return lease_us * WAIT_PERCENT / PERCENT;
+}
+
+int64_t quota_home_view_us(int64_t lease_us)
+{
+	return lease_us * VIEW_PERCENT / PERCENT;
+}
+
 struct quota_homes *quota_homes_new(const char *self)
 {
 	struct quota_homes *h = g_new0(struct quota_homes, 1);
@@ -168,8 +185,7 @@
 		if (c->absent_us == INT64_MIN)
 			return INT64_MIN;
 		end_us = MIN(end_us,
-			     c->absent_us +
-				     lease_us * QUOTA_HOME_VIEW_PERCENT / 100);
+			     c->absent_us + quota_home_view_us(lease_us));
 	}
 	return end_us;
 }
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -24,11 +24,11 @@
 #include <stdint.h>
 
 /*
- * Parts of a lease: until an entry is settled, and how old the knowledge may
- * be that a home acts on. Clocks differ in rate by less than what lies
- * between.
+ * Returns how old an entry is once it is settled, and how old the knowledge
+ * may be that a home acts on: a little more and a little less than a lease.
  */
-enum { QUOTA_HOME_WAIT_PERCENT = 103, QUOTA_HOME_VIEW_PERCENT = 97 };
+int64_t quota_home_wait_us(int64_t lease_us);
+int64_t quota_home_view_us(int64_t lease_us);
 
 struct quota_homes;
 
--- a/src/proxy/silence_views.c
+++ b/src/proxy/silence_views.c
@@ -2,9 +2,6 @@
 
 #include "proxy/upstream.h"
 
-#include <string.h>
-#include <xxhash.h>
-
 enum {
 	/* Six reports of an instance; it is gone or cut off then. */
 	VIEW_MAX_US = 1500 * 1000,
@@ -46,11 +43,6 @@
 	g_free(v);
 }
 
-uint64_t upstream_number(const struct upstream *u)
-{
-	return XXH64(u->entry.id, strlen(u->entry.id), 0);
-}
-
 void silence_views_note(struct silence_views *vs, const char *instance,
 			const uint64_t *silent, uint32_t count, int64_t now_us)
 {
--- a/src/proxy/silence_views.h
+++ b/src/proxy/silence_views.h
@@ -24,7 +24,4 @@
 bool silence_views_miss(const struct silence_views *v, const struct upstream *u,
 			int64_t now_us);
 
-/* Returns the endpoint's number in messages between instances. */
-uint64_t upstream_number(const struct upstream *u);
-
 #endif
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -33,7 +33,8 @@
 	uint64_t call; /* the last list or watch; earlier ones are void */
 	int64_t list_revision; /* of the first page */
 	int64_t list_asked_us;
-	int64_t revision; /* all changes up to it were passed on */
+	/* All changes up to it were passed on; 0 until the first list ends. */
+	int64_t revision;
 	int64_t due_us;
 	int64_t watched_us; /* when the last watch was asked for */
 	int64_t watch_gap_us;
@@ -54,7 +55,6 @@
 	uint32_t failures; /* in a row */
 	bool calling; /* a list or watch is under way */
 	bool listed;
-	bool listed_once;
 	bool probing;
 	bool leads;
 	bool reachable;
@@ -209,7 +209,6 @@
 	if (a->more)
 		return;
 	f->listed = true;
-	f->listed_once = true;
 	f->revision = f->list_revision;
 	f->opts.on_list(f->opts.data, true);
 	confirm(f, f->list_asked_us);
@@ -458,7 +457,7 @@
 static void keep_entry(struct store_feed *f, int64_t now_us)
 {
 	/* The list tells what an earlier process left. */
-	if (f->left || !f->listed_once || f->lease_calling ||
+	if (f->left || !f->revision || f->lease_calling ||
 	    now_us < f->lease_due_us)
 		return;
 	f->lease_calling = true;
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -1,5 +1,8 @@
 #include "proxy/upstream.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 enum {
 	AVERAGE_WEIGHT = 8, /* an answer counts for one eighth */
 	/* Assumed until the first answer; a few round trips and some work. */
@@ -68,6 +71,11 @@
 	g_ptr_array_remove(s->upstreams, u);
 }
 
+uint64_t upstream_number(const struct upstream *u)
+{
+	return XXH64(u->entry.id, strlen(u->entry.id), 0);
+}
+
 bool upstream_usable(const struct upstream *u)
 {
 	return u->listed && !u->entry.leaving;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -71,6 +71,9 @@
 /* Removes it from its service; it must have no connections. */
 void upstream_free(struct upstream *u);
 
+/* Returns its number in messages between instances. */
+uint64_t upstream_number(const struct upstream *u);
+
 /* Returns true when new work may be sent to it. */
 bool upstream_usable(const struct upstream *u);
 
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -402,11 +402,7 @@
 			m.disconnect(c);
 		}
 	}
-	for (auto &n : m.nodes)
-		m.power_off(n.get());
-	m.run(500 * MS);
-	for (auto &n : m.nodes)
-		m.start(n.get());
+	m.restart_all(500 * MS);
 	m.run(300 * MS);
 	for (int i = 0; i < 70; i++) {
 		ProxyCaller *c = m.connect(i % 7, "strict", "key-a");
@@ -520,11 +516,7 @@
 	o.burst = 10;
 	ProxyModel m(o);
 	m.run(START_US);
-	for (auto &n : m.nodes)
-		m.power_off(n.get());
-	m.run(800 * MS);
-	for (auto &n : m.nodes)
-		m.start(n.get());
+	m.restart_all(800 * MS);
 	m.run(700 * MS);
 	/* All at one instance, whose standing part is a tenth. */
 	for (int i = 0; i < 60; i++) {
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -924,6 +924,15 @@
 	put_config();
 }
 
+void ProxyModel::restart_all(int64_t dark_us)
+{
+	for (auto &n : nodes)
+		power_off(n.get());
+	run(dark_us);
+	for (auto &n : nodes)
+		start(n.get());
+}
+
 void ProxyModel::store_down(int64_t for_us, bool lose_answers)
 {
 	store_down_until_us_ = now_us_ + for_us;
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -178,6 +178,8 @@
 	void kill(ProxyNode *n); /* its connections close */
 	void power_off(ProxyNode *n); /* they stay open for a while */
 	void start(ProxyNode *n);
+	/* All lose power, and start so much later. */
+	void restart_all(int64_t dark_us);
 	void revoke_key(const std::string &key);
 	void set_limit(uint32_t rate_per_s, uint32_t burst);
 	void store_down(int64_t for_us, bool lose_answers);
--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -76,7 +76,7 @@
 TEST(QuotaHomes, StayUntilAHigherOneIsSettled)
 {
 	struct quota_homes *h = quota_homes_new("self");
-	int64_t until_us = ABSENT + LEASE * QUOTA_HOME_VIEW_PERCENT / 100;
+	int64_t until_us = ABSENT + quota_home_view_us(LEASE);
 	int seen = 0;
 
 	quota_homes_put(h, "self", true, ABSENT);
@@ -99,7 +99,7 @@
 		EXPECT_EQ(until_us + 9 * S, quota_homes_until_us(h, w, LEASE));
 	}
 	EXPECT_GT(seen, 10);
-	EXPECT_LT(until_us, ABSENT + LEASE * QUOTA_HOME_WAIT_PERCENT / 100);
+	EXPECT_LT(until_us, ABSENT + quota_home_wait_us(LEASE));
 	quota_homes_free(h);
 }
 
@@ -301,11 +301,7 @@
 	Load l;
 
 	m.run(START_US);
-	for (auto &n : m.nodes)
-		m.power_off(n.get());
-	m.run(1 * S);
-	for (auto &n : m.nodes)
-		m.start(n.get());
+	m.restart_all(1 * S);
 	m.run(700 * MS);
 	l = ask_for(m, 3 * S, 150 * MS);
 	EXPECT_GE(l.served, l.asked - 1) << l.asked;
