Log what a promotion rests on

Change: 406: each endpoint that a choice counted, with role, term, end of its log, pause, and whether the store has its entry. 407: commands sent. 408: once a second, what a round waits for. 303 and 305 name the service. No change of behaviour.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -36,6 +36,9 @@
 	X(PROMOTION_STEP, 403, LOG_INFO, "promotion reached next step")       \
 	X(PROMOTION_DONE, 404, LOG_INFO, "promotion completed")               \
 	X(PROMOTION_FAILED, 405, LOG_WARNING, "promotion abandoned")          \
+	X(PROMOTION_ENDPOINT, 406, LOG_INFO, "endpoint counted by promotion") \
+	X(PROMOTION_COMMAND, 407, LOG_INFO, "promotion commands endpoint")    \
+	X(PROMOTION_WAITING, 408, LOG_INFO, "promotion waiting")              \
 	X(CONFIG_APPLIED, 500, LOG_INFO, "configuration record applied")      \
 	X(CONFIG_STALE, 501, LOG_WARNING, "outdated record ignored")          \
 	X(KEYS_UNCONFIRMED, 502, LOG_WARNING, "API keys cannot be confirmed") \
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -6,6 +6,7 @@
 #include "proxy/failure_reports.h"
 #include "proxy/failover_plan.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 enum {
@@ -42,6 +43,7 @@
 	RESUME_RETRY_US = 2000 * 1000,
 	/* Minimum time between the end of a round and the next one. */
 	NEXT_ROUND_DELAY_US = 1000 * 1000,
+	WAIT_LOG_INTERVAL_US = 1000 * 1000,
 };
 
 enum failover_state {
@@ -60,9 +62,11 @@
 	int64_t sent_us; /* last message, or opening of the connection */
 	int64_t conn_opened_us;
 	bool has_report;
+	int64_t reported_us; /* when the latest report came */
 	struct upstream_report report; /* the latest */
 	bool was_primary; /* when the round began */
 	bool demote_sent; /* DEMOTE was sent in this round */
+	enum proxy_statement logged_command; /* the last one that was logged */
 	bool stepped_down; /* reported to be a replica after DEMOTE */
 };
 
@@ -77,6 +81,7 @@
 	uint64_t term; /* of the new primary: above every known term */
 	GArray *endpoints; /* struct round_endpoint */
 	int64_t state_since_us;
+	int64_t wait_logged_us; /* last PROMOTION_WAITING of the round */
 	/* When the previous primary stepped down; 0: not yet. */
 	int64_t stepped_down_us;
 	char chosen[NAME_BYTES]; /* endpoint; "": none yet */
@@ -181,6 +186,56 @@
 		   "%s%s%s", what, f->chosen[0] ? " " : "", f->chosen);
 }
 
+static const char *get_command_name(enum proxy_statement command)
+{
+	switch (command) {
+	case PROXY_STATEMENT_DEMOTE:
+		return "demote";
+	case PROXY_STATEMENT_PAUSE:
+		return "pause";
+	case PROXY_STATEMENT_RESUME:
+		return "resume";
+	default:
+		return NULL;
+	}
+}
+
+/* Logs a command once, however often it is repeated in a round. */
+static void log_command(const struct failover *f, struct round_endpoint *ep,
+			enum proxy_statement command)
+{
+	const char *name = get_command_name(command);
+
+	if (!name || ep->logged_command == command)
+		return;
+	ep->logged_command = command;
+	engine_log(f->failovers->engine, LOG_PROMOTION_COMMAND, 0,
+		   ep->upstream->entry.id, (int64_t)f->term, "%s: %s",
+		   f->service->name, name);
+}
+
+static void log_counted_endpoint(const struct failover *f,
+				 const struct round_endpoint *ep,
+				 int64_t now_us)
+{
+	const struct upstream_report *r = &ep->report;
+
+	engine_log(f->failovers->engine, LOG_PROMOTION_ENDPOINT, 0,
+		   ep->upstream->entry.id,
+		   ep->has_report ? now_us - ep->reported_us : -1,
+		   "%s: %s, term %" PRIu64 ", log %" PRIu64 ".%" PRIu64
+		   ", paused %" PRIu64 "%s%s%s%s",
+		   f->service->name,
+		   !ep->has_report	   ? "no report" :
+		   r->role == ROLE_PRIMARY ? "primary" :
+					     "replica",
+		   r->term, r->received.term, r->received.offset,
+		   r->paused_below_term, ep->was_primary ? ", was primary" : "",
+		   ep->stepped_down ? ", stepped down" : "",
+		   ep->upstream->entry.leaving ? ", leaving" : "",
+		   ep->upstream->listed ? "" : ", unlisted");
+}
+
 static struct round_endpoint *get_round_endpoint(const struct failover *f,
 						 guint i)
 {
@@ -332,6 +387,7 @@
 		return;
 	ep->sent_us = now_us;
 	ep->demote_sent |= m.statement == PROXY_STATEMENT_DEMOTE;
+	log_command(f, ep, m.statement);
 	conn->state = CONN_STATE_PROBING;
 	upstream_conn_put_message(conn, f->failovers->engine->opts.wire, &m,
 				  CONN_REQUEST_REPORT, now_us);
@@ -490,6 +546,31 @@
 	       store_feed_age_us(e->feed, now_us) <= STORE_AGE_MAX_US;
 }
 
+/* Logs from time to time what a round that cannot choose yet waits for. */
+static void log_wait(struct failover *f, int64_t now_us)
+{
+	if (now_us - MAX(f->state_since_us, f->wait_logged_us) <
+	    WAIT_LOG_INTERVAL_US)
+		return;
+	f->wait_logged_us = now_us;
+	if (!endpoint_list_is_current(f->failovers->engine, now_us))
+		log_failover(f, LOG_PROMOTION_WAITING,
+			     now_us - f->state_since_us,
+			     "the list of endpoints is not confirmed");
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		const struct round_endpoint *ep = get_round_endpoint(f, i);
+
+		if (ep->was_primary || is_paused(f, ep))
+			continue;
+		engine_log(f->failovers->engine, LOG_PROMOTION_WAITING, 0,
+			   f->service->name, now_us - f->state_since_us,
+			   "%s of %s%s",
+			   ep->has_report ? "pause" : "status report",
+			   ep->upstream->entry.id,
+			   ep->upstream->listed ? "" : ", unlisted");
+	}
+}
+
 static void collect_reports(struct failover *f, int64_t now_us)
 {
 	uint32_t chosen = NO_INDEX;
@@ -512,10 +593,14 @@
 	poll_endpoints(f, now_us);
 	if (f->failovers->using_store ||
 	    !endpoint_list_is_current(f->failovers->engine, now_us) ||
-	    choose_primary(f, &chosen) != FAILOVER_CHOSEN)
+	    choose_primary(f, &chosen) != FAILOVER_CHOSEN) {
+		log_wait(f, now_us);
 		return;
+	}
 	g_strlcpy(f->chosen, get_round_endpoint(f, chosen)->upstream->entry.id,
 		  sizeof(f->chosen));
+	for (guint i = 0; i < f->endpoints->len; i++)
+		log_counted_endpoint(f, get_round_endpoint(f, i), now_us);
 	log_failover(f, LOG_PROMOTION_STEP, now_us - f->state_since_us,
 		     "chose new primary");
 	set_state(f, FAILOVER_SAVING_CHOICE, now_us);
@@ -709,6 +794,7 @@
 		return;
 	first_report = !ep->has_report;
 	ep->has_report = true;
+	ep->reported_us = now_us;
 	ep->report = *r;
 	f->service->term = MAX(f->service->term, r->term);
 	f->term_known |= r->role == ROLE_PRIMARY;
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -85,7 +85,8 @@
 static void remove_upstream(struct engine *e, struct upstream *u,
 			    const char *reason, int64_t now_us)
 {
-	engine_log(e, LOG_ENDPOINT_DOWN, 0, u->entry.id, 0, "%s", reason);
+	engine_log(e, LOG_ENDPOINT_DOWN, 0, u->entry.id, 0, "%s: %s",
+		   u->entry.service, reason);
 	g_hash_table_remove(e->upstreams_by_id, u->entry.id);
 	failover_remove_upstream(e->failovers, u);
 	close_conns(u, reason, now_us);
@@ -126,7 +127,7 @@
 		return;
 	u->listed = false;
 	engine_log(e, LOG_ENDPOINT_LEAVING, 0, u->entry.id, 0,
-		   "its entry is missing from the store");
+		   "%s: its entry is missing from the store", u->entry.service);
 	close_idle_conns(u);
 }
 
@@ -170,8 +171,8 @@
 	u->listed = true;
 	u->missing_since_us = 0;
 	if (begins_leaving) {
-		engine_log(e, LOG_ENDPOINT_LEAVING, 0, entry->id, 0, "%s",
-			   entry->service);
+		engine_log(e, LOG_ENDPOINT_LEAVING, 0, entry->id, 0,
+			   "%s: it announced its shutdown", entry->service);
 		close_idle_conns(u);
 	}
 	if (!same_role)
