--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -262,6 +262,88 @@
 	expect_no_violations(m);
 }
 
+struct ExpiredEntryCase {
+	const char *name;
+	void (*apply)(ProxyModel &m);
+};
+
+/* In each case an endpoint that lives and receives has had no entry for 5 s. */
+const ExpiredEntryCase expired_entry_cases[] = {
+	{ "the other replica lacks its commits",
+	  [](ProxyModel &m) {
+		  m.remove_entry(m.replica(1));
+		  m.run(5 * S);
+		  m.replica(0)->cut_replication = true;
+		  ProxyCaller *c = m.connect(0, "strict", "key-a");
+		  EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+		  m.crash(m.primary());
+	  } },
+	{ "the primary acknowledges commits through it during the round",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *first = m.replica(0);
+
+		  m.remove_entry(first);
+		  m.remove_entry(m.replica(1));
+		  m.run(5 * S);
+		  m.primary()->cut_nodes = { 0, 1 };
+		  m.run(2 * S);
+		  m.write_entry(first);
+		  for (int i = 0; i < 40; i++) {
+			  ProxyCaller *c = m.connect(2, "strict", "key-a");
+
+			  m.run_statement(c, "WRITE 1 x", 100 * MS);
+			  m.disconnect(c);
+			  m.run(10 * MS);
+		  }
+	  } },
+	{ "all instances started after its entry had expired",
+	  [](ProxyModel &m) {
+		  m.remove_entry(m.replica(1));
+		  m.run(5 * S);
+		  m.replica(0)->cut_replication = true;
+		  ProxyCaller *c = m.connect(0, "strict", "key-a");
+		  EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+		  for (auto &n : m.nodes)
+			  m.kill(n.get());
+		  for (auto &n : m.nodes)
+			  m.start(n.get());
+		  m.run(3 * S);
+		  m.crash(m.primary());
+	  } },
+	{ "the previous primary, which has stepped down",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *old = m.primary();
+
+		  m.remove_entry(old);
+		  EXPECT_TRUE(
+			  m.run_until([&] { return !old->primary; }, 6 * S));
+		  if (old->listed)
+			  m.remove_entry(old);
+		  m.run(5 * S);
+		  for (auto &e : m.endpoints)
+			  e->cut_replication = !e->primary && e.get() != old;
+		  ProxyCaller *c = m.connect(0, "strict", "key-a");
+		  EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+		  m.crash(m.primary());
+	  } },
+};
+
+/* Guards against promoting an endpoint that lacks acknowledged commits. */
+TEST(ProxyEngine, LosesNoCommitOfEndpointWithExpiredEntry)
+{
+	for (const ExpiredEntryCase &k : expired_entry_cases) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		k.apply(m);
+		EXPECT_LT(wait_for_write(m, 10 * S), 6 * S);
+		expect_no_violations(m);
+	}
+}
+
 /*
  * The holder of the duty pauses replication on the replicas and dies before it
  * chooses an endpoint, and the primary can be reached again. The next holder
