Interface of the replica set: a store entry and a bound of the wait

Change: replica_set_entry names the endpoints of a service that may hold its log, for the store; engine_opts.replica_wait_us bounds how long a failover waits for one of them. Not used yet.

--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -74,6 +74,11 @@
 	uint64_t seed;
 	int64_t key_limit_us; /* a withdrawn key stops working within this */
 	int64_t grace_us; /* duration of a shutdown */
+	/*
+	 * A failover waits this long for an endpoint that may hold acknowledged
+	 * commits, has no entry in the store and does not answer.
+	 */
+	int64_t replica_wait_us;
 	struct quota_tolerance tolerance;
 	uint32_t sessions_max;
 };
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -42,6 +42,8 @@
 	const struct instance_entry *put_instance;
 	const struct duty_entry *put_duty;
 	const struct choice_entry *put_choice; /* of `service`; no lease */
+	/* Of `service`, without a lease. */
+	const struct replica_set_entry *put_replica_set;
 	const char *service;
 	bool remove_duty;
 	bool remove_instance; /* the entry of `instance` */
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -49,12 +49,23 @@
 	uint64_t term; /* in which the endpoint is to be the primary */
 };
 
+/*
+ * The endpoints of a service that may hold its log, with the state in which
+ * they were last seen. Unlike an endpoint's own entry, it stays when they
+ * cannot reach the store.
+ */
+struct replica_set_entry {
+	struct upstream_entry *members; /* NULL: none */
+	uint32_t count;
+};
+
 enum store_item_kind {
 	ITEM_CONFIG, /* .config; NULL if it cannot be read */
 	ITEM_UPSTREAM, /* .upstream */
 	ITEM_INSTANCE, /* .instance */
 	ITEM_DUTY, /* .duty */
 	ITEM_CHOICE, /* .choice */
+	ITEM_REPLICA_SET, /* .replica_set */
 	ITEM_OTHER, /* not used by the proxy */
 	ITEM_KIND_COUNT,
 };
@@ -71,10 +82,11 @@
 		struct instance_entry instance;
 		struct duty_entry duty;
 		struct choice_entry choice;
+		struct replica_set_entry replica_set; /* owned by the item */
 	};
 };
 
-/* Frees the configuration if the item still owns one. */
+/* Frees the configuration or the members if the item still owns them. */
 void store_item_clear(struct store_item *i);
 
 #endif
