Keep a service's replica set in the store

Change: platform/ reads and writes zinnialine/replica-set/SERVICE: the members with the state in which they were last seen, without a lease. A set is unreadable as a whole if a member is malformed, an id appears twice, or there are more than 64 (REPLICA_SET_MAX). put_replica_set goes into a change like put_choice. The model's store keeps sets and copies the members into each answer. What an endpoint's entry and a member have in common is read by one function. Nothing writes a set yet.

--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -49,6 +49,8 @@
 	uint64_t term; /* in which the endpoint is to be the primary */
 };
 
+enum { REPLICA_SET_MAX = 64 }; /* members; a larger set is unreadable */
+
 /*
  * The endpoints of a service that may hold its log, with the state in which
  * they were last seen. Unlike an endpoint's own entry, it stays when they
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -49,6 +49,13 @@
 	       code == "READONLY" || code == "MISROUTED" || code == "TOOMANY";
 }
 
+/* Replaces the store's members by a copy that the item owns. */
+void copy_members(struct replica_set_entry *s)
+{
+	s->members = static_cast<struct upstream_entry *>(
+		g_memdup2(s->members, s->count * sizeof(*s->members)));
+}
+
 } // namespace
 
 /* A node's access to the store and to promotions. */
@@ -201,6 +208,20 @@
 			g_strlcpy(i.name, c->service, sizeof(i.name));
 			m->put_item("choice/" + std::string(c->service), i, 0);
 		}
+		if (c->put_replica_set) {
+			const struct replica_set_entry *r = c->put_replica_set;
+
+			m->replica_sets_.emplace_back(r->members,
+						      r->members + r->count);
+			memset(&i, 0, sizeof(i));
+			i.kind = ITEM_REPLICA_SET;
+			i.readable = true;
+			i.replica_set = { m->replica_sets_.back().data(),
+					  r->count };
+			g_strlcpy(i.name, c->service, sizeof(i.name));
+			m->put_item("replica-set/" + std::string(c->service), i,
+				    0);
+		}
 		a.revision = m->revision_;
 		if (m->store_loses_answers_ &&
 		    m->now() < m->store_down_until_us_)
@@ -756,6 +777,8 @@
 			  for (auto &i : items) {
 				  if (i.kind == ITEM_CONFIG && !i.removed)
 					  i.config = build_config();
+				  if (i.kind == ITEM_REPLICA_SET)
+					  copy_members(&i.replica_set);
 			  }
 			  a.items = items.data();
 			  a.item_count = (uint32_t)items.size();
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -22,6 +22,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <random>
@@ -314,6 +315,8 @@
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::map<std::string, Item> items_;
 	std::vector<struct store_item> removals_;
+	/* Every set that was put: answers under way refer to older ones. */
+	std::list<std::vector<struct upstream_entry>> replica_sets_;
 	std::map<uint64_t, Lease> leases_;
 	std::vector<Watch> watches_;
 	int64_t revision_ = 10;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -485,14 +485,21 @@
 	{ "\xff\xfe{", false },
 };
 
-TEST(RecordJson, ReadsBackAPromotionChoice)
+/* Takes ownership of `base64`. */
+std::string decode_value(char *base64)
 {
-	const struct choice_entry c = { "i-7", 12 };
-	g_autofree char *base64 = record_encode_choice(&c);
 	gsize len = 0;
 	g_autofree guchar *bytes = g_base64_decode(base64, &len);
-	std::string value((const char *)bytes, len);
-	struct store_item i = read_item(CHOICE_PREFIX "svc", value);
+
+	g_free(base64);
+	return std::string((const char *)bytes, len);
+}
+
+TEST(RecordJson, ReadsBackAPromotionChoice)
+{
+	const struct choice_entry c = { "i-7", 12 };
+	struct store_item i = read_item(CHOICE_PREFIX "svc",
+					decode_value(record_encode_choice(&c)));
 
 	EXPECT_EQ(ITEM_CHOICE, i.kind);
 	EXPECT_TRUE(i.readable);
@@ -515,6 +522,140 @@
 	}
 }
 
+const struct upstream_entry set_members[] = {
+	{ "i-1", "svc", "10.0.0.1:80", "z1", 4, false, ROLE_PRIMARY, 1700 },
+	{ "i-2", "svc", "10.0.0.2:80", "z2", 1, true, ROLE_REPLICA, 1 },
+	{ "i-3", "svc", "10.0.0.3:80", "z3", UINT32_MAX, false, ROLE_REPLICA,
+	  INT64_MAX },
+};
+
+TEST(RecordJson, ReadsBackAReplicaSet)
+{
+	for (uint32_t count : { 0, 1, 3 }) {
+		std::vector<struct upstream_entry> members(set_members,
+							   set_members + count);
+		const struct replica_set_entry s = { members.data(), count };
+		struct store_item i =
+			read_item(REPLICA_SET_PREFIX "svc",
+				  decode_value(record_encode_replica_set(&s)));
+
+		SCOPED_TRACE(count);
+		EXPECT_EQ(ITEM_REPLICA_SET, i.kind);
+		ASSERT_TRUE(i.readable);
+		EXPECT_STREQ("svc", i.name);
+		ASSERT_EQ(count, i.replica_set.count);
+		EXPECT_EQ(count == 0, i.replica_set.members == nullptr);
+		for (uint32_t n = 0; n < count; n++) {
+			const struct upstream_entry *e =
+				&i.replica_set.members[n];
+
+			EXPECT_STREQ(members[n].id, e->id);
+			EXPECT_STREQ("svc", e->service);
+			EXPECT_STREQ(members[n].address, e->address);
+			EXPECT_STREQ(members[n].zone, e->zone);
+			EXPECT_EQ(members[n].slots, e->slots);
+			EXPECT_EQ(members[n].leaving, e->leaving);
+			EXPECT_EQ(members[n].role, e->role);
+			EXPECT_EQ(members[n].started_ms, e->started_ms);
+		}
+		store_item_clear(&i);
+	}
+}
+
+std::string format_member(int n)
+{
+	return "{\"id\":\"i-" + std::to_string(n) +
+	       "\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":4,"
+	       "\"leaving\":false,\"role\":\"replica\",\"started_ms\":5}";
+}
+
+/* Replaces `from` by `to` in the second of two members. */
+struct MemberCase {
+	const char *from;
+	const char *to;
+	bool readable;
+};
+
+const MemberCase member_cases[] = {
+	{ "", "", true },
+	{ "\"replica\"", "\"primary\"", true },
+	{ "\"started_ms\":5", "\"started_ms\":5,\"new\":[1]", true },
+	{ "\"id\":", "\"x\":", false },
+	{ "\"i-2\"", "2", false },
+	{ "\"i-2\"", "\"\"", false },
+	{ "\"i-2\"", "\"i-1\"", false },
+	{ "i-2", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", false },
+	{ "\"address\":", "\"x\":", false },
+	{ "\"10.0.0.1:80\"", "[1]", false },
+	{ "10.0.0.1:80",
+	  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	  false },
+	{ "\"zone\":", "\"x\":", false },
+	{ "\"z\"", "null", false },
+	{ "\"z\"", "\"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\"",
+	  false },
+	{ "\"slots\":", "\"x\":", false },
+	{ "\"slots\":4", "\"slots\":\"4\"", false },
+	{ "\"slots\":4", "\"slots\":4.5", false },
+	{ "\"leaving\":", "\"x\":", false },
+	{ "false", "0", false },
+	{ "\"role\":", "\"x\":", false },
+	{ "\"replica\"", "\"king\"", false },
+	{ "\"replica\"", "1", false },
+	{ "\"started_ms\":", "\"x\":", false },
+	{ "\"started_ms\":5", "\"started_ms\":\"5\"", false },
+};
+
+TEST(RecordJson, RejectsReplicaSetsWithAMalformedMember)
+{
+	for (const MemberCase &k : member_cases) {
+		std::string member = format_member(2);
+		size_t at = member.find(k.from);
+
+		SCOPED_TRACE(std::string(k.from) + " becomes " + k.to);
+		ASSERT_NE(std::string::npos, at);
+		member.replace(at, strlen(k.from), k.to);
+		struct store_item i =
+			read_item(REPLICA_SET_PREFIX "svc",
+				  "{\"members\":[" + format_member(1) + "," +
+					  member + "]}");
+		EXPECT_EQ(ITEM_REPLICA_SET, i.kind);
+		EXPECT_EQ(k.readable, i.readable);
+		EXPECT_EQ(k.readable ? 2u : 0u, i.replica_set.count);
+		EXPECT_EQ(k.readable, i.replica_set.members != nullptr);
+		store_item_clear(&i);
+	}
+}
+
+TEST(RecordJson, RejectsMalformedReplicaSets)
+{
+	for (const char *value :
+	     { "{}", "{\"members\":null}", "{\"members\":{}}",
+	       "{\"members\":[7]}", "{\"members\":[[]]}", "[]", "" }) {
+		struct store_item i =
+			read_item(REPLICA_SET_PREFIX "svc", value);
+
+		EXPECT_EQ(ITEM_REPLICA_SET, i.kind) << value;
+		EXPECT_FALSE(i.readable) << value;
+		store_item_clear(&i);
+	}
+}
+
+TEST(RecordJson, LimitsTheMembersOfAReplicaSet)
+{
+	std::string members = format_member(1);
+
+	for (int n = 2; n <= REPLICA_SET_MAX + 1; n++) {
+		members += "," + format_member(n);
+		struct store_item i =
+			read_item(REPLICA_SET_PREFIX "svc",
+				  "{\"members\":[" + members + "]}");
+
+		EXPECT_EQ(n <= REPLICA_SET_MAX, i.readable) << n;
+		store_item_clear(&i);
+	}
+}
+
 TEST(RecordJson, ReadsTheConfiguration)
 {
 	struct store_item i = read_item(
