Setting failover.replica_wait_s

Change: how long a failover waits for an endpoint that may hold acknowledged commits, has no entry in the store and does not answer: 12 s, from 1 s to 10 min, also on reload; engine_opts.replica_wait_us. A test renders the template and loads the result. An empty `keys:` is refused with "Expecting MAPPING, got event: SCALAR", so a platform without revoke_ms, grace_s or all quota bounds could not start an instance with this template; that was so before and is not changed here.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -312,6 +312,7 @@
 {
 	e->opts.key_limit_us = opts->key_limit_us;
 	e->opts.grace_us = opts->grace_us;
+	e->opts.replica_wait_us = opts->replica_wait_us;
 	e->opts.tolerance = opts->tolerance;
 	quota_set_tolerance(e->quota, &opts->tolerance);
 	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -338,6 +338,7 @@
 		.seed = incarnation,
 		.key_limit_us = s->keys.withdrawn_after_ms * US_PER_MS,
 		.grace_us = s->shutdown.grace_milli_s * US_PER_MS,
+		.replica_wait_us = s->failover.replica_wait_milli_s * US_PER_MS,
 		.tolerance = { .window_us =
 				       s->limits.window_milli_s * US_PER_MS,
 			       .overrun_milli = s->limits.overrun_milli,
@@ -417,8 +418,8 @@
 		return;
 	}
 	/*
-	 * Only the sections keys, limits and shutdown are reloaded; all other
-	 * settings, such as names and addresses, need a restart.
+	 * Only the sections keys, limits, failover and shutdown are reloaded;
+	 * all other settings, such as names and addresses, need a restart.
 	 */
 	o = make_engine_opts(h, s, 0);
 	h->grace_us = o.grace_us;
--- a/src/settings/proxy_settings.c
+++ b/src/settings/proxy_settings.c
@@ -52,6 +52,7 @@
 	MILLI(limits, "window_s", window_milli_s, 5 * SECOND_MS, 100, MINUTE_MS),
 	MILLI(limits, "overrun", overrun_milli, 0, 0, 1000),
 	NUMBER(limits, slack, 0, 0, 1000000),
+	MILLI(failover, "replica_wait_s", replica_wait_milli_s, 12 * SECOND_MS, SECOND_MS, 10 * MINUTE_MS),
 	NUMBER(sessions, max, 3500, 1, 100000),
 	NUMBER(sessions, line_max_bytes, 1024 * KIB, 256, 16 * 1024 * KIB),
 	MILLI(shutdown, "grace_s", grace_milli_s, 30 * SECOND_MS, 1, 10 * MINUTE_MS),
--- a/src/settings/proxy_settings.h
+++ b/src/settings/proxy_settings.h
@@ -39,6 +39,14 @@
 		uint32_t overrun_milli;
 		uint32_t slack;
 	} limits;
+	struct {
+		/*
+		 * A failover waits this long for an endpoint that may hold
+		 * acknowledged commits, has no entry in the store and does not
+		 * answer.
+		 */
+		uint32_t replica_wait_milli_s;
+	} failover;
 	struct {
 		uint32_t max; /* open sessions of callers */
 		uint32_t line_max_bytes; /* a longer line closes its session */
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -540,6 +540,7 @@
 	o.seed = opts.seed * 100 + n->index;
 	o.key_limit_us = KEY_LIMIT_US;
 	o.grace_us = 6 * S;
+	o.replica_wait_us = 12 * S;
 	o.tolerance.window_us = QUOTA_WINDOW_US;
 	o.tolerance.overrun_milli = 100;
 	o.tolerance.slack_milli = QUOTA_SLACK * 1000;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -16,6 +16,8 @@
 }
 
 #include <cstring>
+#include <fstream>
+#include <sstream>
 #include <unistd.h>
 
 namespace
@@ -701,14 +703,32 @@
 	{ "limits:\n  window_s: five\n", "not a decimal number" },
 	{ "keys:\n  withdrawn_after_ms: 10\n", "must be from" },
 	{ "log:\n  level: loud\n", "log.level" },
+	{ "failover:\n  replica_wait_s: 600\n", "" },
+	{ "failover:\n  replica_wait_s: 0.9\n", "must be from 1 to 600" },
+	{ "failover:\n  replica_wait_s: 600.1\n", "must be from 1 to 600" },
+	{ "failover:\n  replica_wait_s: long\n", "not a decimal number" },
+	{ "failover:\n  replica_wait: 12\n", "unknown" },
 	{ "unknown:\n  x: 1\n", "unknown" },
 };
 
+/* Returns the result of loading a file with this text. */
+int load_settings(const std::string &text, struct proxy_settings **out,
+		  char *why, size_t why_size)
+{
+	char path[] = "/tmp/zinnialine-settings-XXXXXX";
+	int fd = mkstemp(path);
+	int rc;
+
+	EXPECT_EQ((ssize_t)text.size(), write(fd, text.data(), text.size()));
+	close(fd);
+	rc = proxy_settings_load(path, out, why, why_size);
+	unlink(path);
+	return rc;
+}
+
 TEST(ProxySettings, RejectsInvalidSettings)
 {
 	for (const SettingsCase &k : settings_cases) {
-		char path[] = "/tmp/zinnialine-settings-XXXXXX";
-		int fd = mkstemp(path);
 		std::string text = "instance:\n  name: n\n  zone: z\n"
 				   "listen:\n  callers: 127.0.0.1:1\n"
 				   "  ready: 127.0.0.1:2\n"
@@ -720,18 +740,89 @@
 		struct proxy_settings *s = nullptr;
 		char why[256] = "";
 
-		ASSERT_EQ((ssize_t)text.size(),
-			  write(fd, text.data(), text.size()));
-		close(fd);
 		EXPECT_EQ(*k.why != 0,
-			  proxy_settings_load(path, &s, why, sizeof(why)) != 0)
+			  load_settings(text, &s, why, sizeof(why)) != 0)
 			<< k.more;
 		EXPECT_NE(nullptr, strstr(why, k.why)) << why;
 		if (s) {
 			EXPECT_EQ(5000u, s->limits.window_milli_s);
 			proxy_settings_free(s);
 		}
-		unlink(path);
+	}
+}
+
+/* Replaces all matches of a Perl regular expression. */
+std::string replace_tags(const std::string &text, const std::string &pattern,
+			 const char *to)
+{
+	g_autoptr(GRegex) r =
+		g_regex_new(pattern.c_str(), (GRegexCompileFlags)0,
+			    (GRegexMatchFlags)0, nullptr);
+	g_autofree char *out =
+		g_regex_replace_literal(r, text.c_str(), -1, 0, to,
+					(GRegexMatchFlags)0, nullptr);
+
+	return out;
+}
+
+/*
+ * Renders the template as the platform does, with each bound 7 but for ones
+ * that need another value, and without one bound unless it is "".
+ */
+std::string render_template(const std::string &absent_bound)
+{
+	std::ifstream f("deploy/proxy.yaml.in");
+	std::stringstream in;
+	int port = 0;
+
+	in << f.rdbuf();
+	std::string text = in.str();
+	if (!absent_bound.empty())
+		text = replace_tags(text,
+				    "{{#bounds\\." + absent_bound +
+					    "}}[^{]*{{\\.}}\\n{{/bounds\\." +
+					    absent_bound + "}}",
+				    "");
+	text = replace_tags(text, "{{[#/][^}]*}}", "");
+	text = replace_tags(text, "_ms: {{\\.}}", "_ms: 2007");
+	text = replace_tags(text, "overrun: {{\\.}}", "overrun: 0.7");
+	text = replace_tags(text, "{{\\.}}", "7");
+	text = replace_tags(text, "{{(node_name|zone)}}", "n");
+	text = replace_tags(text, "{{ip}}:(9464|{{[^}]*}})", "{{address}}");
+	for (size_t at; (at = text.find("{{")) != std::string::npos;)
+		text.replace(at, text.find("}}") + 2 - at,
+			     "127.0.0.1:" + std::to_string(++port));
+	return text;
+}
+
+struct TemplateCase {
+	const char *absent_bound;
+	uint32_t wait_milli_s;
+};
+
+const TemplateCase template_cases[] = {
+	{ "", 7000 },
+	{ "recover_s", 12000 },
+};
+
+TEST(ProxySettings, AcceptsTheRenderedTemplate)
+{
+	for (const TemplateCase &k : template_cases) {
+		std::string text = render_template(k.absent_bound);
+		struct proxy_settings *s = nullptr;
+		char why[256] = "";
+
+		SCOPED_TRACE(k.absent_bound);
+		ASSERT_EQ(0, load_settings(text, &s, why, sizeof(why)))
+			<< why << "\n"
+			<< text;
+		EXPECT_EQ(2007u, s->keys.withdrawn_after_ms);
+		EXPECT_EQ(7000u, s->limits.window_milli_s);
+		EXPECT_EQ(700u, s->limits.overrun_milli);
+		EXPECT_EQ(7u, s->limits.slack);
+		EXPECT_EQ(k.wait_milli_s, s->failover.replica_wait_milli_s);
+		EXPECT_EQ(7000u, s->shutdown.grace_milli_s);
+		proxy_settings_free(s);
 	}
 }
 
