Count endpoints without an entry in a promotion

Cause: a round took the endpoints that the store lists as all that may hold the log. An entry expires when its endpoint cannot reach the store; 2.5 s later the endpoint was forgotten. It could still receive and let the primary acknowledge, so the round promoted another one that lacked those commits. Nothing else named it, so an instance that started later never knew it. Change: replica_set.[ch]: an endpoint stays a member of its service when its entry is gone. The holder of the duty checks it each second, rounds pause and count it, and it is released only when it has ended and another has as much of the log, or has not answered for failover.replica_wait_s. The set is kept in the store for instances that start later. An expired endpoint gets no work, as before, and is promoted only if no listed one has as much of the log. An entry with an empty name is ignored; a set with it could not be read. How long a service waits is bounded and tested (PromotesAlthoughLostReplicaNeverReturns).

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -30,6 +30,9 @@
 	X(ENDPOINT_UP, 304, LOG_INFO, "endpoint responding")                  \
 	X(ENDPOINT_LEAVING, 305, LOG_INFO, "endpoint taken out of service")   \
 	X(CROSSED_RESULT, 306, LOG_WARNING, "result matches no exchange")     \
+	X(ENDPOINT_RELEASED, 307, LOG_INFO,                                   \
+	  "endpoint released from its replica set")                           \
+	X(REPLICA_SET_WRITTEN, 308, LOG_INFO, "replica set written")          \
 	X(PRIMARY_SUSPECTED, 400, LOG_WARNING, "primary suspected down")      \
 	X(PRIMARY_CHANGED, 401, LOG_INFO, "primary changed")                  \
 	X(PROMOTION_STARTED, 402, LOG_INFO, "promotion started")              \
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -223,7 +223,8 @@
 	const struct service *svc = u->service;
 
 	if (!upstream_is_usable(u))
-		return s->op.need != NEED_READ && u == svc->primary;
+		return s->op.need != NEED_READ && u == svc->primary &&
+		       !u->expired;
 	return s->op.need == NEED_READ || u == svc->primary;
 }
 
@@ -647,6 +648,8 @@
 	if (c->state == CONN_STATE_RUNNING)
 		c->upstream->running--;
 	g_ptr_array_remove(c->upstream->conns, c);
+	if (c->upstream->check_conn == c)
+		c->upstream->check_conn = NULL;
 	e->opts.ops->conn_close(e->opts.host, c->stream);
 	if (c->control)
 		failover_handle_conn_lost(e->failovers, c, engine_now(e));
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -244,6 +244,7 @@
 	e->division = quota_division_new();
 	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
 	e->failovers = failovers_new(e);
+	e->replica_sets = replica_sets_new(e);
 	e->feed = create_feed(e);
 	e->duty = create_duty(e);
 	e->keys_were_fresh = true;
@@ -290,6 +291,7 @@
 		free_service(e, svc);
 	free_closed(e);
 	failovers_free(e->failovers);
+	replica_sets_free(e->replica_sets);
 	quota_division_free(e->division);
 	quota_requests_free(e->quota_requests);
 	quota_free(e->quota);
@@ -494,6 +496,7 @@
 	store_feed_run(e->feed, now_us);
 	duty_run(e->duty, e->instance_rank, now_us);
 	fleet_run(e, now_us);
+	replica_sets_run(e->replica_sets, now_us);
 	quota_requests_check_timeouts(e->quota_requests, now_us);
 	enforce_timeouts(e, now_us);
 	g_hash_table_iter_init(&it, e->services);
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -15,6 +15,7 @@
 #include "proxy/session.h"
 #include "proxy/store_feed.h"
 #include "proxy/failover.h"
+#include "proxy/replica_set.h"
 #include "proxy/upstream.h"
 #include "proxy/upstream_conn.h"
 
@@ -42,6 +43,7 @@
 	struct quota_division *division;
 	struct quota_requests *quota_requests;
 	struct failovers *failovers;
+	struct replica_sets *replica_sets;
 	GPtrArray *closed_conns; /* freed at the end of a tick */
 	GPtrArray *closed_sessions; /* likewise */
 	uint64_t last_session_number;
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -327,7 +327,7 @@
 	c->answered_us = now_us;
 	upstream_conn_pop_request(c);
 	c->in_transaction = ready->state != TRANSACTION_NONE;
-	upstream_record_answer(c->upstream);
+	upstream_record_own_answer(c->upstream);
 	if (ready->has_position)
 		upstream_record_position(c->upstream, ready->position, now_us);
 	answer_fns[request.kind](c, &request, ready, now_us);
@@ -344,7 +344,10 @@
 	engine_log(c->engine, LOG_CONN_DENIED, 0, u->entry.id, u->conns->len,
 		   "%s", answer_code_name(code));
 	record_refusal(c, code, now_us);
-	upstream_record_answer(u);
+	if (code == ANSWER_WRONG_ENDPOINT)
+		u->replaced = true;
+	else
+		upstream_record_own_answer(u);
 	u->open_after_us = now_us + OPEN_BACKOFF_US;
 	exchange_handle_loss(c, answer_code_name(code), now_us);
 }
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -133,6 +133,18 @@
 	g_free(fs);
 }
 
+/* Returns true if an endpoint other than the primary could serve. */
+static bool has_candidate(const struct service *svc)
+{
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+
+		if (u != svc->primary && u->listed)
+			return true;
+	}
+	return false;
+}
+
 /* Returns the reason to replace the service's primary, or NULL. */
 static const char *find_failover_reason(const struct failover *f,
 					int64_t now_us)
@@ -141,7 +153,7 @@
 	const struct service *svc = f->service;
 	const struct upstream *u = svc->primary;
 
-	if (!svc->upstreams->len)
+	if (!has_candidate(svc))
 		return NULL;
 	if (!u)
 		return now_us - svc->primary_lost_us >= NO_PRIMARY_DELAY_US ?
@@ -293,6 +305,23 @@
 	return NULL;
 }
 
+/*
+ * Returns the primary that the round replaces, or NULL. A primary whose entry
+ * has expired is one only if no other endpoint may have been promoted since.
+ */
+static const struct upstream *find_replaced_primary(const struct failover *f)
+{
+	const struct service *svc = f->service;
+	const char *last =
+		promotion_choices_last(f->failovers->choices, svc->name);
+
+	if (svc->primary || !svc->expired_primary)
+		return svc->primary;
+	return !last || !strcmp(last, svc->expired_primary->entry.id) ?
+		       svc->expired_primary :
+		       NULL;
+}
+
 /*
  * Adds the endpoints of the service that are not in the round yet; new ones
  * may become known during a round.
@@ -300,7 +329,8 @@
 static void add_round_endpoints(struct failover *f)
 {
 	struct service *svc = f->service;
-	bool round_begins = !f->endpoints->len;
+	const struct upstream *replaced =
+		f->endpoints->len ? NULL : find_replaced_primary(f);
 
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		struct round_endpoint ep = { 0 };
@@ -308,7 +338,7 @@
 		ep.upstream = g_ptr_array_index(svc->upstreams, i);
 		if (find_round_endpoint(f, ep.upstream->entry.id))
 			continue;
-		ep.was_primary = round_begins && ep.upstream == svc->primary;
+		ep.was_primary = ep.upstream == replaced;
 		g_array_append_val(f->endpoints, ep);
 	}
 }
@@ -525,6 +555,7 @@
 		candidates[i].stepped_down = ep->stepped_down;
 		candidates[i].paused = is_paused(f, ep);
 		candidates[i].leaving = ep->upstream->entry.leaving;
+		candidates[i].unlisted = !ep->upstream->listed;
 		candidates[i].is_pending_choice =
 			!g_strcmp0(pending, ep->upstream->entry.id);
 		candidates[i].local =
@@ -720,6 +751,12 @@
 	promotion_choices_update(fs->choices, item);
 }
 
+const char *failovers_get_last_choice(const struct failovers *fs,
+				      const char *service)
+{
+	return promotion_choices_last(fs->choices, service);
+}
+
 void failovers_run(struct failovers *fs, int64_t now_us)
 {
 	struct engine *e = fs->engine;
@@ -796,6 +833,8 @@
 	ep->has_report = true;
 	ep->reported_us = now_us;
 	ep->report = *r;
+	ep->upstream->received =
+		position_max(ep->upstream->received, r->received);
 	f->service->term = MAX(f->service->term, r->term);
 	f->term_known |= r->role == ROLE_PRIMARY;
 	if (!ep->was_primary && r->role == ROLE_PRIMARY)
--- a/src/proxy/failover.h
+++ b/src/proxy/failover.h
@@ -37,6 +37,13 @@
 void failover_handle_choice(struct failovers *fs,
 			    const struct store_item *item);
 
+/*
+ * Returns the id of the endpoint of the service that was chosen last, by any
+ * instance, or NULL. Owned by `fs`.
+ */
+const char *failovers_get_last_choice(const struct failovers *fs,
+				      const char *service);
+
 /* Starts and advances rounds while this instance holds the duty. */
 void failovers_run(struct failovers *fs, int64_t now_us);
 
--- a/src/proxy/failover_plan.c
+++ b/src/proxy/failover_plan.c
@@ -14,6 +14,8 @@
 		return a->is_pending_choice;
 	if (order)
 		return order > 0;
+	if (a->unlisted != b->unlisted)
+		return !a->unlisted;
 	if (a->leaving != b->leaving)
 		return !a->leaving;
 	return a->local && !b->local;
@@ -46,8 +48,8 @@
 }
 
 /*
- * Returns a replica that is not leaving and whose log covers that of the
- * previous primary after it stepped down, or NO_INDEX.
+ * Returns a replica that is to stay and whose log covers that of the previous
+ * primary after it stepped down, or NO_INDEX.
  */
 static uint32_t
 find_covering_replica(const struct failover_candidate *candidates,
@@ -64,6 +66,7 @@
 		const struct failover_candidate *c = &candidates[i];
 
 		if (c->was_primary || c->leaving ||
+		    (c->unlisted && !c->is_pending_choice) ||
 		    !position_covers(c->received, old->received))
 			continue;
 		if (best == NO_INDEX || is_better(c, &candidates[best]))
@@ -76,11 +79,11 @@
 failover_choose_primary(const struct failover_candidate *candidates,
 			uint32_t count, bool confirms_writes, uint32_t *chosen)
 {
-	uint32_t others = 0;
+	uint32_t listed = 0;
 
 	for (uint32_t i = 0; i < count; i++)
-		others += !candidates[i].was_primary;
-	if (!others)
+		listed += !candidates[i].was_primary && !candidates[i].unlisted;
+	if (!listed)
 		return FAILOVER_NO_CANDIDATE;
 	*chosen = find_covering_replica(candidates, count);
 	if (*chosen != NO_INDEX)
--- a/src/proxy/failover_plan.h
+++ b/src/proxy/failover_plan.h
@@ -29,6 +29,8 @@
 	bool stepped_down; /* the previous primary is a replica now */
 	bool paused; /* a replica whose replication is paused */
 	bool leaving; /* its shutdown has been announced */
+	/* No entry in the store: it gets no work as long as it has none. */
+	bool unlisted;
 	/* Named by an earlier order that may still be carried out. */
 	bool is_pending_choice;
 	bool local; /* in this instance's availability zone */
@@ -38,7 +40,7 @@
 enum failover_decision {
 	FAILOVER_CHOSEN,
 	FAILOVER_WAIT, /* the position of a relevant log is not known yet */
-	FAILOVER_NO_CANDIDATE, /* there is no other endpoint */
+	FAILOVER_NO_CANDIDATE, /* no other endpoint could serve */
 };
 
 /*
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -15,7 +15,7 @@
 	ENTRY_RETURN_US = 2500 * 1000,
 };
 
-static struct service *get_or_create_service(struct engine *e, const char *name)
+struct service *fleet_get_or_create_service(struct engine *e, const char *name)
 {
 	struct service *svc = engine_find_service(e, name);
 
@@ -34,7 +34,7 @@
 	for (guint i = 0; i < c->services->len; i++) {
 		const struct service_config *s =
 			g_ptr_array_index(c->services, i);
-		struct service *svc = get_or_create_service(e, s->name);
+		struct service *svc = fleet_get_or_create_service(e, s->name);
 
 		svc->conns_max = MAX(s->conns_max, 1);
 		svc->confirms_writes = s->confirms_writes;
@@ -82,11 +82,12 @@
 				     now_us);
 }
 
-static void remove_upstream(struct engine *e, struct upstream *u,
-			    const char *reason, int64_t now_us)
+void fleet_remove_upstream(struct engine *e, struct upstream *u,
+			   const char *reason, int64_t now_us)
 {
-	engine_log(e, LOG_ENDPOINT_DOWN, 0, u->entry.id, 0, "%s: %s",
-		   u->entry.service, reason);
+	engine_log(e, LOG_ENDPOINT_RELEASED, 0, u->entry.id,
+		   u->missing_since_us ? now_us - u->missing_since_us : 0,
+		   "%s: %s", u->entry.service, reason);
 	g_hash_table_remove(e->upstreams_by_id, u->entry.id);
 	failover_remove_upstream(e->failovers, u);
 	close_conns(u, reason, now_us);
@@ -94,16 +95,24 @@
 	upstream_free(u);
 }
 
-/* Returns what a newly read entry claims about its endpoint's role. */
+/*
+ * Returns what a newly read entry claims about its endpoint's role. `before`
+ * is the entry that it replaces, or NULL if the store had none.
+ */
 static enum primary_claim
-classify_entry_role(const struct upstream_entry *entry,
+classify_entry_role(const struct engine *e, const struct upstream_entry *entry,
 		    const struct upstream_entry *before)
 {
+	const char *last;
+
 	if (entry->role != ROLE_PRIMARY)
 		return PRIMARY_CLAIM_DENIED;
-	return before && before->role == ROLE_REPLICA ?
-		       PRIMARY_CLAIM_CONFIRMED :
-		       PRIMARY_CLAIM_ENTRY;
+	if (before)
+		return before->role == ROLE_REPLICA ? PRIMARY_CLAIM_CONFIRMED :
+						      PRIMARY_CLAIM_ENTRY;
+	last = failovers_get_last_choice(e->failovers, entry->service);
+	return !g_strcmp0(last, entry->id) ? PRIMARY_CLAIM_CONFIRMED :
+					     PRIMARY_CLAIM_ENTRY;
 }
 
 static void close_idle_conns(struct upstream *u)
@@ -139,6 +148,21 @@
 	       u->entry.started_ms == entry->started_ms;
 }
 
+/* Marks endpoints that ended before this one started at their address. */
+static void mark_predecessors(const struct upstream *u)
+{
+	const GPtrArray *upstreams = u->service->upstreams;
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		struct upstream *other = g_ptr_array_index(upstreams, i);
+
+		if (other != u &&
+		    !strcmp(other->entry.address, u->entry.address) &&
+		    other->entry.started_ms < u->entry.started_ms)
+			other->replaced = true;
+	}
+}
+
 static void put_upstream(struct engine *e, const struct upstream_entry *entry,
 			 int64_t now_us)
 {
@@ -149,27 +173,28 @@
 	bool begins_leaving;
 
 	if (u && !is_same_process(u, entry)) {
-		remove_upstream(e, u, "it was started again", now_us);
+		fleet_remove_upstream(e, u, "it was started again", now_us);
 		u = NULL;
 	}
-	known = u != NULL;
+	known = u && u->listed;
 	if (!u) {
-		u = upstream_new(get_or_create_service(e, entry->service),
+		u = upstream_new(fleet_get_or_create_service(e, entry->service),
 				 entry);
 		g_hash_table_insert(e->upstreams_by_id, u->entry.id, u);
+		mark_predecessors(u);
+	}
+	if (!known)
 		engine_log(e, LOG_ENDPOINT_UP, 0, entry->id, entry->slots,
 			   "%s %s", entry->service, entry->address);
-	}
 	begins_leaving = entry->leaving && !u->entry.leaving;
 	/*
 	 * An unchanged role is not counted again: the endpoint may have denied
 	 * it since the entry was written.
 	 */
 	same_role = known && u->entry.role == entry->role;
-	claim = classify_entry_role(entry, known ? &u->entry : NULL);
+	claim = classify_entry_role(e, entry, known ? &u->entry : NULL);
 	u->entry = *entry;
-	u->listed = true;
-	u->missing_since_us = 0;
+	upstream_set_listed(u);
 	if (begins_leaving) {
 		engine_log(e, LOG_ENDPOINT_LEAVING, 0, entry->id, 0,
 			   "%s: it announced its shutdown", entry->service);
@@ -270,6 +295,9 @@
 	case ITEM_CHOICE:
 		failover_handle_choice(e->failovers, item);
 		break;
+	case ITEM_REPLICA_SET:
+		replica_sets_handle_item(e->replica_sets, item, now_us);
+		break;
 	default:
 		break;
 	}
@@ -326,27 +354,57 @@
 	e->entries_settle_us = reachable ? now_us + ENTRY_RETURN_US : INT64_MAX;
 }
 
+static void expire_upstream(struct engine *e, struct upstream *u,
+			    int64_t now_us)
+{
+	engine_log(e, LOG_ENDPOINT_DOWN, 0, u->entry.id,
+		   now_us - u->missing_since_us,
+		   "%s: its entry did not come back", u->entry.service);
+	upstream_expire(u, now_us);
+	close_conns(u, "its entry did not come back", now_us);
+}
+
 void fleet_run(struct engine *e, int64_t now_us)
 {
 	int64_t confirmed_us = store_feed_confirmed_us(e->feed);
-	GList *all;
+	GHashTableIter it;
+	gpointer value;
 
 	update_quota(e, now_us);
 	if (now_us < e->entries_settle_us)
 		return;
 	/*
-	 * An endpoint without an entry is kept for ENTRY_RETURN_US: its entry
+	 * An endpoint without an entry is used for ENTRY_RETURN_US: its entry
 	 * may come back, and statements that run there may end.
 	 */
-	all = g_hash_table_get_values(e->upstreams_by_id);
-	for (GList *l = all; l; l = l->next) {
-		struct upstream *u = l->data;
+	g_hash_table_iter_init(&it, e->upstreams_by_id);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct upstream *u = value;
 
 		/* The store has confirmed this after the end of the period. */
-		if (!u->listed &&
+		if (!u->listed && !u->expired &&
 		    confirmed_us >= u->missing_since_us + ENTRY_RETURN_US)
-			remove_upstream(e, u, "its entry did not come back",
-					now_us);
+			expire_upstream(e, u, now_us);
 	}
-	g_list_free(all);
+}
+
+void fleet_add_unlisted_upstream(struct engine *e,
+				 const struct upstream_entry *entry,
+				 int64_t now_us)
+{
+	struct service *svc = fleet_get_or_create_service(e, entry->service);
+	struct upstream *u;
+
+	if (g_hash_table_contains(e->upstreams_by_id, entry->id))
+		return;
+	u = upstream_new(svc, entry);
+	g_hash_table_insert(e->upstreams_by_id, u->entry.id, u);
+	u->listed = false;
+	u->expired = true;
+	u->missing_since_us = now_us;
+	if (entry->role == ROLE_PRIMARY && !svc->primary)
+		svc->expired_primary = u;
+	engine_log(e, LOG_ENDPOINT_DOWN, 0, entry->id, 0,
+		   "%s: in the replica set, but without an entry",
+		   entry->service);
 }
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -139,6 +139,8 @@
 		struct upstream *u = g_ptr_array_index(svc->upstreams, i);
 		struct upstream_conn *c = find_any_idle_conn(u);
 
+		if (u->expired)
+			continue;
 		if (c)
 			send_probe(svc, c, now_us);
 		else
--- a/src/proxy/promotion_choices.c
+++ b/src/proxy/promotion_choices.c
@@ -54,6 +54,15 @@
 	return c && c->entry.term == term ? c->entry.endpoint : NULL;
 }
 
+const char *promotion_choices_last(const struct promotion_choices *p,
+				   const char *service)
+{
+	const struct stored_choice *c =
+		g_hash_table_lookup(p->by_service, service);
+
+	return c ? c->entry.endpoint : NULL;
+}
+
 bool promotion_choices_is_pending(const struct promotion_choices *p,
 				  const char *service, uint64_t term)
 {
--- a/src/proxy/promotion_choices.h
+++ b/src/proxy/promotion_choices.h
@@ -31,6 +31,12 @@
 const char *promotion_choices_find(const struct promotion_choices *p,
 				   const char *service, uint64_t term);
 
+/*
+ * Returns the id of the endpoint chosen last, or NULL. Owned by `p`.
+ */
+const char *promotion_choices_last(const struct promotion_choices *p,
+				   const char *service);
+
 /*
  * Returns true if an order for a term after `term` may still be carried out.
  */
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -74,6 +74,8 @@
 	struct service *s = u->service;
 
 	g_assert(s->primary != u);
+	if (s->expired_primary == u)
+		s->expired_primary = NULL;
 	g_ptr_array_remove(s->upstreams, u);
 }
 
@@ -82,6 +84,11 @@
 	return XXH64(u->entry.id, strlen(u->entry.id), 0);
 }
 
+const struct upstream *service_last_primary(const struct service *s)
+{
+	return s->primary ? s->primary : s->expired_primary;
+}
+
 bool upstream_is_usable(const struct upstream *u)
 {
 	return u->listed && !u->entry.leaving;
@@ -94,6 +101,7 @@
 
 	u->has_position = true;
 	u->position = p;
+	u->received = position_max(u->received, p);
 	u->lag_us = mark_ring_min_lag_us(&s->marks, p, now_us);
 	s->term = MAX(s->term, p.term);
 }
@@ -104,6 +112,33 @@
 	u->connection_refused = false;
 }
 
+void upstream_record_own_answer(struct upstream *u)
+{
+	upstream_record_answer(u);
+	u->unanswered_since_us = 0;
+}
+
+void upstream_expire(struct upstream *u, int64_t now_us)
+{
+	struct service *s = u->service;
+	bool was_primary = s->primary == u;
+
+	u->expired = true;
+	service_update_primary(u, PRIMARY_CLAIM_DENIED, now_us);
+	if (was_primary && !s->primary)
+		s->expired_primary = u;
+}
+
+void upstream_set_listed(struct upstream *u)
+{
+	if (!u->listed)
+		u->replaced = false;
+	u->listed = true;
+	u->expired = false;
+	u->missing_since_us = 0;
+	u->unanswered_since_us = 0;
+}
+
 void upstream_record_latency(struct upstream *u, int64_t took_us,
 			     int64_t now_us)
 {
@@ -154,6 +189,8 @@
 	if (u && since_us)
 		service_record_recovery(s, now_us - since_us);
 	s->primary = u;
+	if (u)
+		s->expired_primary = NULL;
 	/* An outage that began with a silent primary keeps its start. */
 	s->primary_lost_us = u ? 0 : since_us ? since_us : now_us;
 	return true;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -20,6 +20,17 @@
 	struct upstream_entry entry;
 	struct service *service;
 	int64_t missing_since_us; /* its entry in the store; 0: it is there */
+	/*
+	 * Its entry did not come back in time, so it gets no more work. It may
+	 * still hold the log; see replica_set.h.
+	 */
+	bool expired;
+	bool stored; /* the stored replica set names it */
+	bool replaced; /* another process runs at its address */
+	/* First check without an answer since the last one; 0: none. */
+	int64_t unanswered_since_us;
+	int64_t checked_us;
+	struct upstream_conn *check_conn; /* of the last check; may be NULL */
 
 	/* Connections of this instance to the endpoint. */
 	GPtrArray *conns; /* struct upstream_conn */
@@ -27,6 +38,7 @@
 
 	/* State of the endpoint, as its last answers show. */
 	struct position position;
+	struct position received; /* furthest known end of its log */
 	int64_t silent_since_us; /* first request without an answer; 0: none */
 	int64_t lag_us; /* estimated replication lag */
 	int64_t behind_until_us; /* it refused because it lacks a position */
@@ -51,6 +63,10 @@
 	uint32_t conns_max; /* to one endpoint, over all instances */
 	bool confirms_writes;
 	struct upstream *primary; /* NULL: none is known */
+	/*
+	 * The primary whose entry expired, unless another has been known since.
+	 */
+	struct upstream *expired_primary;
 	uint64_t term; /* highest term seen */
 	/* Since when there is no primary; 0: there is one. */
 	int64_t primary_lost_us;
@@ -81,6 +97,9 @@
 /* Returns the hash of its id that names it in messages between instances. */
 uint64_t upstream_id_hash(const struct upstream *u);
 
+/* Returns the primary, or else the last one if its entry has expired. */
+const struct upstream *service_last_primary(const struct service *s);
+
 /* Returns true if new work may be sent to it. */
 bool upstream_is_usable(const struct upstream *u);
 
@@ -91,6 +110,15 @@
 /* Records that the endpoint answered or accepted a connection. */
 void upstream_record_answer(struct upstream *u);
 
+/* Records an answer that no other process at its address can have given. */
+void upstream_record_own_answer(struct upstream *u);
+
+/* Records that its entry did not come back in time. */
+void upstream_expire(struct upstream *u, int64_t now_us);
+
+/* Records that the store has its entry. */
+void upstream_set_listed(struct upstream *u);
+
 /* Add the duration of a statement or handshake to the moving average. */
 void upstream_record_latency(struct upstream *u, int64_t took_us,
 			     int64_t now_us);
--- a/tests/failover_plan_test.cc
+++ b/tests/failover_plan_test.cc
@@ -43,6 +43,14 @@
 	return c;
 }
 
+struct failover_candidate unlisted_candidate(bool paused, uint64_t offset)
+{
+	struct failover_candidate c = replica_candidate(paused, offset);
+
+	c.unlisted = true;
+	return c;
+}
+
 struct PlanCase {
 	const char *name;
 	std::vector<struct failover_candidate> candidates;
@@ -140,6 +148,36 @@
 	  true,
 	  FAILOVER_CHOSEN,
 	  2 },
+	{ "an unlisted replica is not paused: its log may be longer",
+	  { primary_candidate(false, 0), unlisted_candidate(false, 7),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_WAIT,
+	  0 },
+	{ "an unlisted replica has the longest log: it leads for a while",
+	  { primary_candidate(false, 0), unlisted_candidate(true, 9),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  1 },
+	{ "an unlisted replica has the same log as a listed one",
+	  { primary_candidate(false, 0), unlisted_candidate(true, 8),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  2 },
+	{ "the old primary stepped down and an unlisted replica covers its log",
+	  { primary_candidate(true, 8), unlisted_candidate(false, 8),
+	    replica_candidate(false, 7) },
+	  true,
+	  FAILOVER_WAIT,
+	  0 },
+	{ "only unlisted replicas, which could not serve",
+	  { primary_candidate(false, 0), unlisted_candidate(true, 8),
+	    unlisted_candidate(true, 8) },
+	  true,
+	  FAILOVER_NO_CANDIDATE,
+	  0 },
 	{ "no primary was known",
 	  { replica_candidate(true, 8), replica_candidate(true, 9),
 	    replica_candidate(true, 7) },
@@ -173,7 +211,7 @@
 {
 	int chosen_cases = 0;
 
-	for (unsigned bits = 0; bits < 1u << 9; bits++) {
+	for (unsigned bits = 0; bits < 1u << 11; bits++) {
 		struct failover_candidate candidates[3] = {};
 		bool acked_on[3] = { true, (bits & 1) != 0, (bits & 2) != 0 };
 		uint32_t chosen = NO_INDEX;
@@ -186,6 +224,7 @@
 		for (int i = 1; i < 3; i++) {
 			candidates[i].paused = bits & (8u << i);
 			candidates[i].leaving = bits & (32u << i);
+			candidates[i].unlisted = bits & (256u << i);
 			candidates[i].received = { TERM,
 						   acked_on[i] ? 10u : 9u };
 		}
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -9,6 +9,8 @@
 constexpr int64_t S = 1000000;
 /* After this time a new fleet has its configuration and a duty holder. */
 constexpr int64_t START_US = 3 * S;
+/* As in the model's engine_opts. */
+constexpr int64_t REPLICA_WAIT_US = 12 * S;
 
 void expect_no_violations(ProxyModel &m)
 {
@@ -339,11 +341,70 @@
 		SCOPED_TRACE(k.name);
 		m.run(START_US);
 		k.apply(m);
+		m.run(2 * S);
+		for (auto &e : m.endpoints)
+			e->cut_replication = false;
 		EXPECT_LT(wait_for_write(m, 10 * S), 6 * S);
 		expect_no_violations(m);
 	}
 }
 
+struct LostReplicaCase {
+	const char *name;
+	void (*lose)(ProxyModel &m, ProxyEndpoint *e);
+	/* Maximum time until the next write, after both are lost. */
+	int64_t write_us;
+};
+
+const LostReplicaCase lost_replica_cases[] = {
+	{ "silent: it may be cut off, with commits that no other has",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.make_unresponsive(e);
+		  m.remove_entry(e);
+	  },
+	  REPLICA_WAIT_US + 2 * S },
+	{ "refuses connections: it may start again with its log",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.crash(e);
+		  m.remove_entry(e);
+	  },
+	  REPLICA_WAIT_US + 2 * S },
+	{ "shut down as announced",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.set_leaving(e, true);
+		  m.run(1 * S);
+		  m.crash(e);
+		  m.remove_entry(e);
+		  m.run(4 * S);
+	  },
+	  2 * S },
+	{ "silent for longer than a promotion waits",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.make_unresponsive(e);
+		  m.remove_entry(e);
+		  m.run(REPLICA_WAIT_US + 4 * S);
+	  },
+	  2 * S },
+};
+
+/* Guards against a service without a primary after a replica is lost. */
+TEST(ProxyEngine, PromotesAlthoughLostReplicaNeverReturns)
+{
+	for (const LostReplicaCase &k : lost_replica_cases) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		o.endpoints_per_service = 4;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		k.lose(m, m.replica(2));
+		m.crash(m.primary());
+		EXPECT_LT(wait_for_write(m, 30 * S), k.write_us);
+		expect_no_violations(m);
+	}
+}
+
 /*
  * The holder of the duty pauses replication on the replicas and dies before it
  * chooses an endpoint, and the primary can be reached again. The next holder
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -12,6 +12,7 @@
 #include "proxy/placement.h"
 #include "proxy/quota.h"
 #include "proxy/quota_division.h"
+#include "proxy/replica_set.h"
 #include "settings/proxy_settings.h"
 }
 
@@ -826,4 +827,70 @@
 	}
 }
 
+struct ReleaseCase {
+	const char *name;
+	bool replaced;
+	bool leaving;
+	bool refuses; /* connections */
+	int64_t unanswered_us; /* 0: it answered the last check */
+	uint64_t received; /* end of its log; another endpoint is at 8 */
+	bool released;
+};
+
+const ReleaseCase release_cases[] = {
+	{ "it answers", false, false, false, 0, 8, false },
+	{ "it is leaving and answers", false, true, false, 0, 8, false },
+	{ "no answer for less than the wait", false, false, false, 9999999, 8,
+	  false },
+	{ "no answer for as long as the wait", false, false, false, 10000000, 9,
+	  true },
+	{ "it refuses connections: it may start again with its log", false,
+	  false, true, 1, 8, false },
+	{ "it was leaving and refuses connections", false, true, true, 1, 8,
+	  true },
+	{ "it was leaving and refuses connections, with more of the log", false,
+	  true, true, 1, 9, false },
+	{ "another process runs at its address", true, false, false, 0, 8,
+	  true },
+	{ "another process runs at its address; it had more of the log", true,
+	  false, false, 0, 9, false },
+};
+
+TEST(RecordJson, IgnoresEntryWithEmptyName)
+{
+	struct store_item i =
+		read_item("servers/",
+			  "{\"service\":\"svc\",\"state\":\"ready\","
+			  "\"address\":\"a:1\",\"zone\":\"z\","
+			  "\"slots\":4,\"sequence\":1,"
+			  "\"db_role\":\"replica\"}");
+
+	EXPECT_EQ(ITEM_OTHER, i.kind);
+}
+
+TEST(ReplicaSet, ReleasesOnlyEndpointsWhoseLogIsGone)
+{
+	const struct upstream_entry entry = {};
+	const int64_t now_us = 1000000000;
+	struct service *svc = service_new("svc");
+
+	upstream_new(svc, &entry)->received = { 1, 8 };
+	for (const ReleaseCase &k : release_cases) {
+		struct upstream *u = upstream_new(svc, &entry);
+
+		SCOPED_TRACE(k.name);
+		u->listed = false;
+		u->received = { 1, k.received };
+		u->replaced = k.replaced;
+		u->entry.leaving = k.leaving;
+		u->connection_refused = k.refuses;
+		if (k.unanswered_us)
+			u->unanswered_since_us = now_us - k.unanswered_us;
+		EXPECT_EQ(k.released,
+			  replica_set_find_release_reason(u, 10000000,
+							  now_us) != nullptr);
+	}
+	service_free(svc);
+}
+
 } // namespace
