Let no commit rest on leaving replicas alone

Cause: a leaving replica counts towards the confirmation of a commit until it ends, and its log ends with it. While the replicas that stay receive nothing, commits are confirmed by it alone; when the primary then fails, no endpoint left has them. The same where a leaving endpoint has the longest log and becomes the primary: the other leaving ones confirm what it acknowledges. Of the class of this incident: what an acknowledgement rests on was taken from the list of endpoints, without asking how long they stay. Change: between rounds the holder of the duty pauses replication to leaving replicas as long as another one can confirm (FAILOVER_ADJUSTING, which resumed replication before). An endpoint that becomes primary while it is leaving gets no work, and leads only until one that stays has its log. Before: ProxyEngine.LosesNoCommitOfLeavingReplica: 'LOST: commit 1 is missing at promoted endpoint e02', InterimPrimaryAcknowledgesNoCommit: 'LOST: commit 3 is missing at promoted endpoint e00'. After: both pass. While the replicas that stay receive nothing, writes wait during a release instead of being confirmed by what is about to end.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -220,12 +220,9 @@
 
 static bool can_run(const struct session *s, const struct upstream *u)
 {
-	const struct service *svc = u->service;
-
-	if (!upstream_is_usable(u))
-		return s->op.need != NEED_READ && u == svc->primary &&
-		       !u->expired;
-	return s->op.need == NEED_READ || u == svc->primary;
+	if (s->op.need == NEED_READ)
+		return upstream_is_usable(u);
+	return upstream_is_usable_primary(u);
 }
 
 /*
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -36,11 +36,11 @@
 	/* The platform may take a few seconds to carry out a promotion. */
 	PROMOTION_TIMEOUT_US = 4000 * 1000,
 	/*
-	 * Resuming replication stops after this if an endpoint does not answer,
-	 * and is tried again after RESUME_RETRY_US.
+	 * Adjusting replication stops after this if an endpoint does not
+	 * answer, and is tried again after ADJUST_RETRY_US.
 	 */
-	RESUME_TIMEOUT_US = 1500 * 1000,
-	RESUME_RETRY_US = 2000 * 1000,
+	ADJUST_TIMEOUT_US = 1500 * 1000,
+	ADJUST_RETRY_US = 2000 * 1000,
 	/* Minimum time between the end of a round and the next one. */
 	NEXT_ROUND_DELAY_US = 1000 * 1000,
 	WAIT_LOG_INTERVAL_US = 1000 * 1000,
@@ -52,7 +52,11 @@
 	FAILOVER_COLLECTING, /* collects reports and pauses replication */
 	FAILOVER_SAVING_CHOICE, /* writes its choice to the store */
 	FAILOVER_PROMOTING, /* waits until the chosen endpoint is primary */
-	FAILOVER_RESUMING, /* resumes replication that a round left paused */
+	/*
+	 * Between rounds: resumes replication that a round left paused, and
+	 * pauses it to leaving replicas.
+	 */
+	FAILOVER_ADJUSTING,
 };
 
 /* An endpoint of the service in the current round. */
@@ -68,6 +72,7 @@
 	bool demote_sent; /* DEMOTE was sent in this round */
 	enum proxy_statement logged_command; /* the last one that was logged */
 	bool stepped_down; /* reported to be a replica after DEMOTE */
+	bool pause_wanted; /* between rounds */
 };
 
 /* The failover of one service, which runs one round at a time. */
@@ -91,8 +96,10 @@
 	int64_t not_before_us; /* earliest start of the next round */
 	/* A primary has reported its term since the duty was taken. */
 	bool term_known;
-	bool resume_due; /* a round may have left replication paused */
-	int64_t resume_not_before_us;
+	/* Replication may have to be paused or resumed somewhere. */
+	bool adjust_due;
+	int64_t adjust_not_before_us;
+	uint64_t adjusted_state; /* see hash_replication_state() */
 };
 
 /* The failovers of all services. */
@@ -185,7 +192,7 @@
 	 * A previous holder of the duty may have left replication paused, and
 	 * this instance may have taken the duty before it knew the service.
 	 */
-	f->resume_due = true;
+	f->adjust_due = true;
 	f->endpoints = g_array_new(FALSE, TRUE, sizeof(struct round_endpoint));
 	g_hash_table_insert(fs->by_service, svc, f);
 	return f;
@@ -383,6 +390,24 @@
 	return f->term_known || !f->service->confirms_writes;
 }
 
+/*
+ * Returns true if replication to the endpoint is paused or not, as it should be
+ * between rounds.
+ */
+static bool is_adjusted(const struct failover *f,
+			const struct round_endpoint *ep)
+{
+	const struct upstream_report *r = &ep->report;
+
+	/* One that cannot be reached is adjusted when its entry returns. */
+	if (!ep->has_report)
+		return ep->upstream->expired;
+	if (r->role == ROLE_PRIMARY)
+		return true;
+	return ep->pause_wanted ? r->paused_below_term >= f->term :
+				  !r->paused_below_term;
+}
+
 /* Returns the next command or status request for an endpoint. */
 static struct proxy_message choose_next_message(const struct failover *f,
 						const struct round_endpoint *ep)
@@ -390,9 +415,13 @@
 	struct proxy_message m = { .statement = PROXY_STATEMENT_STATUS,
 				   .term = f->term };
 
-	if (f->state == FAILOVER_RESUMING && ep->has_report &&
-	    ep->report.paused_below_term && may_resume(f))
-		m.statement = PROXY_STATEMENT_RESUME;
+	if (f->state == FAILOVER_ADJUSTING && ep->has_report &&
+	    !is_adjusted(f, ep)) {
+		if (ep->pause_wanted)
+			m.statement = PROXY_STATEMENT_PAUSE;
+		else if (may_resume(f))
+			m.statement = PROXY_STATEMENT_RESUME;
+	}
 	if (!ep->has_report || f->state != FAILOVER_COLLECTING)
 		return m;
 	if (ep->report.role == ROLE_PRIMARY)
@@ -613,7 +642,7 @@
 		/* Replication may have been paused on some replicas. */
 		for (guint i = 0; i < f->endpoints->len; i++)
 			get_round_endpoint(f, i)->has_report = false;
-		set_state(f, FAILOVER_RESUMING, now_us);
+		set_state(f, FAILOVER_ADJUSTING, now_us);
 		return;
 	}
 	/* The primary may have failed, or replicas cannot get its log. */
@@ -638,33 +667,87 @@
 	save_choice(f);
 }
 
-static bool all_have_resumed(const struct failover *f)
+/* Returns true if a replica that stays can confirm commits. */
+static bool has_staying_replica(const struct service *svc, int64_t now_us)
 {
-	for (guint i = 0; i < f->endpoints->len; i++) {
-		const struct round_endpoint *ep = get_round_endpoint(f, i);
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+
+		if (u != svc->primary && upstream_is_usable(u) &&
+		    !upstream_is_silent(u, now_us))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns true if replication to the endpoint is to be paused between rounds. A
+ * leaving replica takes its log with it, so it must not be the only one that
+ * confirms a commit.
+ */
+static bool should_be_paused(const struct service *svc,
+			     const struct upstream *u, int64_t now_us)
+{
+	return svc->confirms_writes && u->entry.leaving && u != svc->primary &&
+	       has_staying_replica(svc, now_us);
+}
 
-		if (!ep->has_report || ep->report.paused_below_term)
+/*
+ * Returns a hash that changes with the endpoints that are to be paused and
+ * those that cannot be reached; they are adjusted again then.
+ */
+static uint64_t hash_replication_state(const struct service *svc,
+				       int64_t now_us)
+{
+	uint64_t hash = 0;
+
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+
+		if (u->expired)
+			hash += 2 * upstream_id_hash(u);
+		else if (should_be_paused(svc, u, now_us))
+			hash += upstream_id_hash(u);
+	}
+	return hash;
+}
+
+static void schedule_adjustment(struct failover *f, int64_t at_us)
+{
+	f->adjust_due = true;
+	f->adjust_not_before_us = at_us;
+}
+
+static bool all_are_adjusted(const struct failover *f)
+{
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		if (!is_adjusted(f, get_round_endpoint(f, i)))
 			return false;
 	}
 	return true;
 }
 
-/* Resumes replication where a round paused it and no promotion followed. */
-static void resume_replicas(struct failover *f, int64_t now_us)
+/* Pauses and resumes replication as it should be between rounds. */
+static void adjust_replication(struct failover *f, int64_t now_us)
 {
-	if (all_have_resumed(f)) {
-		f->resume_due = false;
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		struct round_endpoint *ep = get_round_endpoint(f, i);
+
+		ep->pause_wanted =
+			should_be_paused(f->service, ep->upstream, now_us);
+	}
+	if (all_are_adjusted(f)) {
+		f->adjust_due = false;
 		end_round(f, now_us);
 		f->not_before_us = now_us;
 		return;
 	}
 	if (find_failover_reason(f, now_us) ||
-	    now_us - f->state_since_us >= RESUME_TIMEOUT_US) {
-		/* A failover has priority; the rest is resumed later. */
+	    now_us - f->state_since_us >= ADJUST_TIMEOUT_US) {
+		/* A failover has priority; the rest is adjusted later. */
 		end_round(f, now_us);
 		f->not_before_us = now_us;
-		f->resume_due = true;
-		f->resume_not_before_us = now_us + RESUME_RETRY_US;
+		schedule_adjustment(f, now_us + ADJUST_RETRY_US);
 		return;
 	}
 	poll_endpoints(f, now_us);
@@ -691,8 +774,7 @@
 		 * The endpoint may have been promoted by an earlier order while
 		 * replication was paused for this round.
 		 */
-		f->resume_due = true;
-		f->resume_not_before_us = now_us + POLL_INTERVAL_US;
+		schedule_adjustment(f, now_us + POLL_INTERVAL_US);
 		return;
 	}
 	poll_endpoints(f, now_us);
@@ -707,15 +789,26 @@
 	}
 }
 
+static bool adjustment_is_due(struct failover *f, int64_t now_us)
+{
+	uint64_t state = hash_replication_state(f->service, now_us);
+
+	if (state != f->adjusted_state) {
+		f->adjusted_state = state;
+		schedule_adjustment(f, now_us);
+	}
+	return f->adjust_due && now_us >= f->adjust_not_before_us;
+}
+
 static void run_failover(struct failover *f, int64_t now_us)
 {
 	switch (f->state) {
 	case FAILOVER_IDLE:
 		f->reason = find_failover_reason(f, now_us);
-		if (!f->reason && f->resume_due &&
-		    now_us >= f->resume_not_before_us) {
+		if (!f->reason && adjustment_is_due(f, now_us)) {
 			add_round_endpoints(f);
-			set_state(f, FAILOVER_RESUMING, now_us);
+			f->term = f->service->term + 1;
+			set_state(f, FAILOVER_ADJUSTING, now_us);
 			break;
 		}
 		if (!f->reason || now_us < f->not_before_us ||
@@ -735,8 +828,8 @@
 	case FAILOVER_PROMOTING:
 		wait_for_promotion(f, now_us);
 		break;
-	case FAILOVER_RESUMING:
-		resume_replicas(f, now_us);
+	case FAILOVER_ADJUSTING:
+		adjust_replication(f, now_us);
 		break;
 	}
 }
@@ -769,7 +862,7 @@
 		struct failover *f = get_or_create_failover(fs, svc);
 
 		if (has_duty && !fs->had_duty) {
-			f->resume_due = true;
+			f->adjust_due = true;
 			f->term_known = false;
 		}
 		if (has_duty)
@@ -841,13 +934,15 @@
 		engine_update_primary(fs->engine, c->upstream,
 				      PRIMARY_CLAIM_CONFIRMED,
 				      "reports primary role");
-	if (f->state == FAILOVER_COLLECTING && r->term >= f->term)
+	if ((f->state == FAILOVER_COLLECTING ||
+	     f->state == FAILOVER_ADJUSTING) &&
+	    r->term >= f->term)
 		f->term = r->term + 1;
 	record_step_down(f, ep, now_us);
 	if ((f->state == FAILOVER_COLLECTING &&
 	     (first_report || r->role == ROLE_PRIMARY)) ||
-	    (f->state == FAILOVER_RESUMING && r->paused_below_term &&
-	     first_report))
+	    (f->state == FAILOVER_ADJUSTING && first_report &&
+	     !is_adjusted(f, ep)))
 		send_next_message(f, ep, now_us);
 }
 
--- a/src/proxy/failover.h
+++ b/src/proxy/failover.h
@@ -8,6 +8,9 @@
  * rules of failover_plan.h, writes the choice to the store and sends the
  * promotion order to the platform.
  *
+ * Between rounds, replication to leaving replicas is paused as long as others
+ * can confirm commits.
+ *
  * An order that got no answer may still be carried out later, even after the
  * instance that sent it has died. So a choice in the store is pending until
  * the service has reached the term in it, and the next round chooses the same
--- a/src/proxy/replica_set.c
+++ b/src/proxy/replica_set.c
@@ -12,6 +12,8 @@
 	/* Endpoints that start together are written together. */
 	WRITE_DELAY_US = 1000 * 1000,
 	WRITE_RETRY_US = 200 * 1000,
+	/* A leaving endpoint without an entry or an answer has shut down. */
+	SHUTDOWN_SILENCE_US = 1000 * 1000,
 };
 
 /* The set of one service: its upstreams, and what the store has of them. */
@@ -221,14 +223,17 @@
 const char *replica_set_find_release_reason(const struct upstream *u,
 					    int64_t wait_us, int64_t now_us)
 {
-	if (u->unanswered_since_us &&
-	    now_us - u->unanswered_since_us >= wait_us)
+	int64_t silence_us =
+		u->unanswered_since_us ? now_us - u->unanswered_since_us : 0;
+
+	if (silence_us >= wait_us)
 		return "it has not answered for too long";
 	if (!log_is_covered(u))
 		return NULL;
 	if (u->replaced)
 		return "another process runs at its address";
-	if (u->entry.leaving && u->connection_refused)
+	if (u->entry.leaving &&
+	    (u->connection_refused || silence_us >= SHUTDOWN_SILENCE_US))
 		return "it has shut down";
 	return NULL;
 }
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -94,6 +94,11 @@
 	return u->listed && !u->entry.leaving;
 }
 
+bool upstream_is_usable_primary(const struct upstream *u)
+{
+	return u == u->service->primary && !u->expired && !u->interim_primary;
+}
+
 void upstream_record_position(struct upstream *u, struct position p,
 			      int64_t now_us)
 {
@@ -189,8 +194,10 @@
 	if (u && since_us)
 		service_record_recovery(s, now_us - since_us);
 	s->primary = u;
-	if (u)
+	if (u) {
 		s->expired_primary = NULL;
+		u->interim_primary = u->entry.leaving;
+	}
 	/* An outage that began with a silent primary keeps its start. */
 	s->primary_lost_us = u ? 0 : since_us ? since_us : now_us;
 	return true;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -55,6 +55,11 @@
 	bool has_position;
 	bool connection_refused; /* silent, and refuses connections */
 	bool claims_primary; /* claimed it and has not denied it since */
+	/*
+	 * It was leaving already when it became the primary: it leads only
+	 * until a replica that stays has its log, and gets no work.
+	 */
+	bool interim_primary;
 };
 
 struct service {
@@ -103,6 +108,9 @@
 /* Returns true if new work may be sent to it. */
 bool upstream_is_usable(const struct upstream *u);
 
+/* Returns true if work that needs the primary may be sent to it. */
+bool upstream_is_usable_primary(const struct upstream *u);
+
 /* Records the log position in an answer, and the replication lag it implies. */
 void upstream_record_position(struct upstream *u, struct position p,
 			      int64_t now_us);
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -349,6 +349,110 @@
 	}
 }
 
+struct LeavingCase {
+	const char *name;
+	void (*apply)(ProxyModel &m, ProxyEndpoint *leaving);
+};
+
+const LeavingCase leaving_cases[] = {
+	{ "a replica is leaving, the other receives nothing",
+	  [](ProxyModel &m, ProxyEndpoint *leaving) {
+		  m.set_leaving(leaving, true);
+		  m.run(500 * MS);
+		  m.replica(1)->cut_replication = true;
+	  } },
+	{ "the primary is leaving and is replaced",
+	  [](ProxyModel &m, ProxyEndpoint *leaving) {
+		  ProxyEndpoint *old = m.primary();
+
+		  m.set_leaving(old, true);
+		  EXPECT_TRUE(
+			  m.run_until([&] { return !old->primary; }, 6 * S));
+		  m.run(1 * S);
+		  for (auto &e : m.endpoints)
+			  e->cut_replication = !e->primary && e.get() != old;
+	  } },
+};
+
+/* Guards against commits that only endpoints which then shut down have. */
+TEST(ProxyEngine, LosesNoCommitOfLeavingReplica)
+{
+	for (const LeavingCase &k : leaving_cases) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		k.apply(m, m.replica(0));
+		for (int i = 0; i < 10; i++) {
+			ProxyCaller *c = m.connect(0, "strict", "key-a");
+
+			m.run_statement(c, "WRITE 1 x", 100 * MS);
+			m.disconnect(c);
+		}
+		for (auto &e : m.endpoints) {
+			if (!e->leaving)
+				continue;
+			m.crash(e.get());
+			m.remove_entry(e.get());
+		}
+		m.run(1 * S);
+		m.crash(m.primary());
+		m.run(6 * S);
+		for (auto &e : m.endpoints) {
+			e->cut_replication = false;
+			e->leaving = false;
+			m.restore(e.get());
+		}
+		EXPECT_LT(wait_for_write(m, 10 * S), 6 * S);
+		expect_no_violations(m);
+	}
+}
+
+/*
+ * Guards against commits that only leaving endpoints have: one of them is the
+ * primary for a while, another could confirm its commits.
+ */
+TEST(ProxyEngine, InterimPrimaryAcknowledgesNoCommit)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	o.endpoints_per_service = 4;
+	ProxyModel m(o);
+	ProxyEndpoint *old;
+
+	m.run(START_US);
+	old = m.primary();
+	m.replica(2)->cut_replication = true;
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+	EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+	m.set_leaving(m.replica(0), true);
+	m.set_leaving(m.replica(1), true);
+	m.run(500 * MS);
+	m.crash(old);
+	EXPECT_TRUE(m.run_until([&] { return m.primary() != old; }, 6 * S));
+	for (int i = 0; i < 20; i++) {
+		c = m.connect(i % 3, "strict", "key-a");
+		m.run_statement(c, "WRITE 1 x", 100 * MS);
+		m.disconnect(c);
+		m.run(50 * MS);
+	}
+	for (auto &e : m.endpoints) {
+		if (!e->leaving)
+			continue;
+		m.crash(e.get());
+		m.remove_entry(e.get());
+	}
+	m.run(1 * S);
+	m.restore(old);
+	m.run(6 * S);
+	for (auto &e : m.endpoints)
+		e->cut_replication = false;
+	EXPECT_LT(wait_for_write(m, 20 * S), 15 * S);
+	expect_no_violations(m);
+}
+
 struct LostReplicaCase {
 	const char *name;
 	void (*lose)(ProxyModel &m, ProxyEndpoint *e);
