Use the log of a primary that stepped down; demote only when one is near

Cause: a planned change demoted the primary although no replica that stays was near its log. When none caught up, the round paused all and took the longest log of the others; the stepped-down primary, which had reported the complete log, was never a candidate. A primary that has stepped down and is paused is a candidate, and its log is known to be complete, so that no other endpoint has to be waited for. Before: FailoverPlan: two new rows fail (chosen 2 instead of 0; WAIT). ProxyEngine.PlannedChangeWaitsForReplicaWithWholeLog fails. After: all pass.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -408,9 +408,38 @@
 				  !r->paused_below_term;
 }
 
+/*
+ * Returns true if a replica that stays lags so little that it will soon have
+ * the whole log of a primary that steps down.
+ */
+static bool has_near_replica(const struct failover *f, int64_t now_us)
+{
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		const struct round_endpoint *ep = get_round_endpoint(f, i);
+
+		if (!ep->was_primary && ep->has_report &&
+		    upstream_is_usable(ep->upstream) &&
+		    mark_ring_min_lag_us(&f->service->marks,
+					 ep->report.received,
+					 now_us) <= CATCH_UP_TIMEOUT_US)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A planned change demotes the primary only if another can take over soon; the
+ * primary serves until then.
+ */
+static bool may_demote(const struct failover *f, int64_t now_us)
+{
+	return !f->planned || has_near_replica(f, now_us);
+}
+
 /* Returns the next command or status request for an endpoint. */
 static struct proxy_message choose_next_message(const struct failover *f,
-						const struct round_endpoint *ep)
+						const struct round_endpoint *ep,
+						int64_t now_us)
 {
 	struct proxy_message m = { .statement = PROXY_STATEMENT_STATUS,
 				   .term = f->term };
@@ -429,8 +458,9 @@
 		 * A primary that was a replica when the round began is the new
 		 * primary; its report ends the round.
 		 */
-		m.statement = ep->was_primary ? PROXY_STATEMENT_DEMOTE :
-						PROXY_STATEMENT_STATUS;
+		m.statement = ep->was_primary && may_demote(f, now_us) ?
+				      PROXY_STATEMENT_DEMOTE :
+				      PROXY_STATEMENT_STATUS;
 	else if (!f->planned)
 		m.statement = PROXY_STATEMENT_PAUSE;
 	return m;
@@ -440,7 +470,7 @@
 			      int64_t now_us)
 {
 	struct upstream_conn *conn = ep->conn;
-	const struct proxy_message m = choose_next_message(f, ep);
+	const struct proxy_message m = choose_next_message(f, ep, now_us);
 
 	if (conn->request_count || conn->state == CONN_STATE_STARTING)
 		return;
@@ -606,6 +636,20 @@
 	       store_feed_age_us(e->feed, now_us) <= STORE_AGE_MAX_US;
 }
 
+/* Returns true if the primary reported lately, and not that it stepped down. */
+static bool primary_still_leads(const struct failover *f, int64_t now_us)
+{
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		const struct round_endpoint *ep = get_round_endpoint(f, i);
+
+		if (ep->was_primary)
+			return ep->has_report &&
+			       ep->report.role == ROLE_PRIMARY &&
+			       now_us - ep->reported_us <= REPORT_TIMEOUT_US;
+	}
+	return false;
+}
+
 /* Logs from time to time what a round that cannot choose yet waits for. */
 static void log_wait(struct failover *f, int64_t now_us)
 {
@@ -647,7 +691,8 @@
 	}
 	/* The primary may have failed, or replicas cannot get its log. */
 	if (now_us - MAX(f->stepped_down_us, f->state_since_us) >
-	    CATCH_UP_TIMEOUT_US)
+		    CATCH_UP_TIMEOUT_US &&
+	    !primary_still_leads(f, now_us))
 		f->planned = false;
 	add_round_endpoints(f);
 	poll_endpoints(f, now_us);
@@ -913,6 +958,13 @@
 		f->stepped_down_us = now_us;
 }
 
+static bool is_to_step_down(const struct failover *f,
+			    const struct round_endpoint *ep, int64_t now_us)
+{
+	return choose_next_message(f, ep, now_us).statement ==
+	       PROXY_STATEMENT_DEMOTE;
+}
+
 void failover_handle_report(struct failovers *fs, struct upstream_conn *c,
 			    const struct upstream_report *r, int64_t now_us)
 {
@@ -940,7 +992,7 @@
 		f->term = r->term + 1;
 	record_step_down(f, ep, now_us);
 	if ((f->state == FAILOVER_COLLECTING &&
-	     (first_report || r->role == ROLE_PRIMARY)) ||
+	     (first_report || is_to_step_down(f, ep, now_us))) ||
 	    (f->state == FAILOVER_ADJUSTING && first_report &&
 	     !is_adjusted(f, ep)))
 		send_next_message(f, ep, now_us);
--- a/src/proxy/failover_plan.c
+++ b/src/proxy/failover_plan.c
@@ -14,6 +14,8 @@
 		return a->is_pending_choice;
 	if (order)
 		return order > 0;
+	if (a->was_primary != b->was_primary)
+		return !a->was_primary;
 	if (a->unlisted != b->unlisted)
 		return !a->unlisted;
 	if (a->leaving != b->leaving)
@@ -21,14 +23,27 @@
 	return a->local && !b->local;
 }
 
-/* Returns the paused replica with the longest log, or NO_INDEX. */
+/*
+ * Returns true if the log of the previous primary is complete: it has stepped
+ * down, and receives nothing from another primary.
+ */
+static bool has_complete_log(const struct failover_candidate *c)
+{
+	return c->was_primary && c->stepped_down && c->paused;
+}
+
+/*
+ * Returns the paused endpoint with the longest log, or NO_INDEX. This may be
+ * the previous primary if it has stepped down.
+ */
 static uint32_t find_longest_log(const struct failover_candidate *candidates,
 				 uint32_t count)
 {
 	uint32_t best = NO_INDEX;
 
 	for (uint32_t i = 0; i < count; i++) {
-		if (candidates[i].was_primary || !candidates[i].paused)
+		if (!candidates[i].paused ||
+		    (candidates[i].was_primary && !candidates[i].stepped_down))
 			continue;
 		if (best == NO_INDEX ||
 		    is_better(&candidates[i], &candidates[best]))
@@ -37,14 +52,18 @@
 	return best;
 }
 
-static bool all_replicas_paused(const struct failover_candidate *candidates,
+/* Returns true if the longest log contains every acknowledged commit. */
+static bool longest_log_is_safe(const struct failover_candidate *candidates,
 				uint32_t count)
 {
+	bool all_paused = true;
+
 	for (uint32_t i = 0; i < count; i++) {
-		if (!candidates[i].was_primary && !candidates[i].paused)
-			return false;
+		if (has_complete_log(&candidates[i]))
+			return true;
+		all_paused &= candidates[i].was_primary || candidates[i].paused;
 	}
-	return true;
+	return all_paused;
 }
 
 /*
@@ -88,7 +107,7 @@
 	*chosen = find_covering_replica(candidates, count);
 	if (*chosen != NO_INDEX)
 		return FAILOVER_CHOSEN;
-	if (confirms_writes && !all_replicas_paused(candidates, count))
+	if (confirms_writes && !longest_log_is_safe(candidates, count))
 		return FAILOVER_WAIT;
 	*chosen = find_longest_log(candidates, count);
 	return *chosen == NO_INDEX ? FAILOVER_WAIT : FAILOVER_CHOSEN;
--- a/src/proxy/failover_plan.h
+++ b/src/proxy/failover_plan.h
@@ -7,7 +7,7 @@
  *  - Replication is paused on every replica and each has reported its log
  *    position: the longest log contains all of them.
  *  - The previous primary has stepped down and reported its last position: any
- *    log that covers it contains all of them.
+ *    log that covers it contains all of them, and so does its own.
  *
  * The endpoint named in an earlier order for the same term is preferred. If
  * another one were chosen, both orders could be carried out one after the
@@ -27,7 +27,7 @@
 struct failover_candidate {
 	bool was_primary; /* when the round began */
 	bool stepped_down; /* the previous primary is a replica now */
-	bool paused; /* a replica whose replication is paused */
+	bool paused; /* it is a replica, and receives nothing */
 	bool leaving; /* its shutdown has been announced */
 	/* No entry in the store: it gets no work as long as it has none. */
 	bool unlisted;
--- a/tests/failover_plan_test.cc
+++ b/tests/failover_plan_test.cc
@@ -43,6 +43,15 @@
 	return c;
 }
 
+/* The old primary, a replica now, to which replication is paused. */
+struct failover_candidate stepped_down_candidate(uint64_t offset)
+{
+	struct failover_candidate c = primary_candidate(true, offset);
+
+	c.paused = true;
+	return c;
+}
+
 struct failover_candidate unlisted_candidate(bool paused, uint64_t offset)
 {
 	struct failover_candidate c = replica_candidate(paused, offset);
@@ -101,6 +110,18 @@
 	  true,
 	  FAILOVER_CHOSEN,
 	  2 },
+	{ "the old primary stepped down and has the longest log: it leads again",
+	  { stepped_down_candidate(9), replica_candidate(true, 7),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  0 },
+	{ "the old primary has stepped down; its log covers a silent replica's",
+	  { stepped_down_candidate(9), replica_candidate(false, 0),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  0 },
 	{ "a leaving replica has the longest log: it leads for a while",
 	  { primary_candidate(false, 0), replica_candidate(true, 9, true),
 	    replica_candidate(true, 8) },
@@ -211,7 +232,7 @@
 {
 	int chosen_cases = 0;
 
-	for (unsigned bits = 0; bits < 1u << 11; bits++) {
+	for (unsigned bits = 0; bits < 1u << 12; bits++) {
 		struct failover_candidate candidates[3] = {};
 		bool acked_on[3] = { true, (bits & 1) != 0, (bits & 2) != 0 };
 		uint32_t chosen = NO_INDEX;
@@ -220,6 +241,7 @@
 			continue;
 		candidates[0].was_primary = true;
 		candidates[0].stepped_down = bits & 4;
+		candidates[0].paused = (bits & 4) && (bits & 2048);
 		candidates[0].received = { TERM, 10 };
 		for (int i = 1; i < 3; i++) {
 			candidates[i].paused = bits & (8u << i);
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -453,6 +453,36 @@
 	expect_no_violations(m);
 }
 
+/*
+ * Guards against replacing a leaving primary that has the only complete log. A
+ * replica that has its commits is lost, the other one receives nothing.
+ */
+TEST(ProxyEngine, PlannedChangeWaitsForReplicaWithWholeLog)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+	ProxyEndpoint *behind;
+	ProxyEndpoint *old;
+
+	m.run(START_US);
+	old = m.primary();
+	behind = m.replica(1);
+	behind->cut_replication = true;
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+	EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+	ProxyEndpoint *lost = m.replica(0);
+	m.crash(lost);
+	m.remove_entry(lost);
+	m.run(REPLICA_WAIT_US + 4 * S);
+	m.set_leaving(old, true);
+	m.run(5 * S);
+	EXPECT_EQ(old, m.primary());
+	behind->cut_replication = false;
+	EXPECT_TRUE(m.run_until([&] { return m.primary() == behind; }, 6 * S));
+	expect_no_violations(m);
+}
+
 struct LostReplicaCase {
 	const char *name;
 	void (*lose)(ProxyModel &m, ProxyEndpoint *e);
