Proxy model: troubles of the platform's endpoints

No endpoint started again quickly, ended for good or joined. Change: cuts from the store, quick restarts, replacement at the same address, loss of one endpoint, and mixes of them, in a table and a test of their own: the old seeds keep their faults. An order for an endpoint that is not running is refused there. A commit that is acknowledged and in no log counts as LOST too. LOST names the endpoints that have the commit.

--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -12,7 +12,9 @@
 constexpr int64_t START_US = 3 * S;
 /* Seeds that CI runs; PROXY_SEEDS=N runs N seeds, from PROXY_SEED on. */
 constexpr int SEED_COUNT = 40;
+constexpr int PLATFORM_SEED_COUNT = 12;
 constexpr int STEP_COUNT = 120;
+constexpr int PLATFORM_STEP_COUNT = 300;
 /*
  * Seeds that failed once. Causes, in this order:
  *  - a new instance did not know of replicas;
@@ -31,7 +33,28 @@
 
 ProxyEndpoint *pick_endpoint(ProxyModel &m)
 {
-	return m.endpoints[random_below(m, (int)m.endpoints.size())].get();
+	ProxyEndpoint *e;
+
+	do
+		e = m.endpoints[random_below(m, (int)m.endpoints.size())].get();
+	while (e->gone);
+	return e;
+}
+
+/* Returns another endpoint than e. */
+ProxyEndpoint *pick_other_endpoint(ProxyModel &m, const ProxyEndpoint *e)
+{
+	ProxyEndpoint *other;
+
+	do
+		other = pick_endpoint(m);
+	while (other == e);
+	return other;
+}
+
+int64_t random_us(ProxyModel &m, int64_t from_us, int64_t to_us)
+{
+	return from_us + random_below(m, (int)((to_us - from_us) / MS)) * MS;
 }
 
 ProxyNode *pick_node(ProxyModel &m)
@@ -44,10 +67,39 @@
 	int n = 0;
 
 	for (auto &e : m.endpoints)
-		n += !e->alive || e->unresponsive;
+		n += !e->gone && (!e->alive || e->unresponsive);
 	return n;
 }
 
+/* Cuts it off from the store; its entry comes back some time after the cut. */
+void cut_from_store(ProxyModel &m, ProxyEndpoint *e, int64_t from_us,
+		    int64_t to_us)
+{
+	m.cut_from_store(e, random_us(m, from_us, to_us) +
+				    random_us(m, 300 * MS, 1500 * MS));
+}
+
+void restart_if_running(ProxyModel &m, ProxyEndpoint *e, int64_t off_us)
+{
+	if (e->alive && !e->gone)
+		m.restart(e, off_us);
+}
+
+void stop_receiving(ProxyModel &m, ProxyEndpoint *e, int64_t duration_us)
+{
+	e->cut_replication = true;
+	m.run_later(duration_us, [e] { e->cut_replication = false; });
+}
+
+bool has_lost_endpoint(const ProxyModel &m)
+{
+	for (auto &e : m.endpoints) {
+		if (e->gone && e->log.empty())
+			return true;
+	}
+	return false;
+}
+
 struct Fault {
 	const char *name;
 	void (*apply)(ProxyModel &m);
@@ -177,6 +229,133 @@
 	{ "key is withdrawn", [](ProxyModel &m) { m.withdraw_key("key-c"); } },
 };
 
+/*
+ * Troubles of the platform's endpoints. They have their own table, as a seed
+ * plays the same faults only while its table is unchanged.
+ */
+const Fault platform_faults[] = {
+	{ "endpoint is cut off from the store",
+	  [](ProxyModel &m) {
+		  cut_from_store(m, pick_endpoint(m), 2 * S, 14 * S);
+	  } },
+	{ "primary is cut off from the store",
+	  [](ProxyModel &m) {
+		  if (m.primary())
+			  cut_from_store(m, m.primary(), 2 * S, 14 * S);
+	  } },
+	{ "two endpoints are cut off from the store",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = pick_endpoint(m);
+
+		  cut_from_store(m, e, 2 * S, 14 * S);
+		  cut_from_store(m, pick_other_endpoint(m, e), 2 * S, 14 * S);
+	  } },
+	{ "endpoint is cut off from the store and some instances",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = pick_endpoint(m);
+		  int64_t duration_us = random_us(m, 2 * S, 8 * S);
+
+		  cut_from_store(m, e, duration_us, duration_us + MS);
+		  for (int i = 0; i < m.opts.nodes; i++) {
+			  if (random_below(m, 2))
+				  e->cut_nodes.insert(i);
+		  }
+		  m.run_later(duration_us, [e] { e->cut_nodes.clear(); });
+	  } },
+	{ "endpoint starts again",
+	  [](ProxyModel &m) {
+		  restart_if_running(m, pick_endpoint(m),
+				     random_us(m, 200 * MS, 2 * S));
+	  } },
+	{ "primary starts again, then a replica",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = m.primary();
+
+		  if (!e || !e->alive)
+			  return;
+		  restart_if_running(m, e, random_us(m, 200 * MS, 2 * S));
+		  m.run_later(random_us(m, 100 * MS, 2 * S), [&m, e] {
+			  restart_if_running(m, pick_other_endpoint(m, e),
+					     random_us(m, 200 * MS, 500 * MS));
+		  });
+	  } },
+	{ "primary is cut off from some instances, then a replica starts again",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = m.primary();
+
+		  if (!e || !e->alive)
+			  return;
+		  for (int i = 0; i < m.opts.nodes - 1; i++)
+			  e->cut_nodes.insert(i);
+		  m.run_later(4 * S, [e] { e->cut_nodes.clear(); });
+		  m.run_later(random_us(m, 500 * MS, 3 * S), [&m, e] {
+			  restart_if_running(m, pick_other_endpoint(m, e),
+					     random_us(m, 200 * MS, 500 * MS));
+		  });
+	  } },
+	{ "endpoint crashes until its entry has expired",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = pick_endpoint(m);
+
+		  if (count_failed_endpoints(m))
+			  return;
+		  restart_if_running(m, e, random_us(m, 3 * S, 8 * S));
+	  } },
+	{ "endpoint is replaced at its address",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = pick_endpoint(m);
+
+		  if (!e->alive || e->leaving || e->cut_from_store)
+			  return;
+		  m.set_leaving(e, true);
+		  m.run_later(random_us(m, 2 * S, 6 * S), [&m, e] {
+			  if (!e->gone && e->leaving && e->alive)
+				  m.replace(e, random_us(m, 200 * MS, 2 * S));
+		  });
+	  } },
+	{ "endpoint crashes for good",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = pick_endpoint(m);
+
+		  if (count_failed_endpoints(m) || has_lost_endpoint(m))
+			  return;
+		  m.lose(e);
+	  } },
+	{ "replica receives nothing, and the primary crashes",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *p = m.primary();
+		  int64_t duration_us = random_us(m, 2 * S, 6 * S);
+
+		  if (!p || !p->alive)
+			  return;
+		  stop_receiving(m, pick_other_endpoint(m, p), duration_us);
+		  m.run_later(duration_us / 2, [&m, p] {
+			  if (!count_failed_endpoints(m))
+				  restart_if_running(m, p, 4 * S);
+		  });
+	  } },
+	{ "replica receives nothing, another has no entry, primary crashes",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *p = m.primary();
+		  ProxyEndpoint *deaf;
+		  ProxyEndpoint *cut;
+
+		  if (!p || !p->alive || has_lost_endpoint(m))
+			  return;
+		  deaf = pick_other_endpoint(m, p);
+		  do
+			  cut = pick_other_endpoint(m, p);
+		  while (cut == deaf);
+		  cut_from_store(m, cut, 8 * S, 14 * S);
+		  m.run_later(random_us(m, 5 * S, 8 * S), [&m, deaf, p] {
+			  stop_receiving(m, deaf, random_us(m, 2 * S, 6 * S));
+			  m.run_later(random_us(m, 300 * MS, 2 * S), [&m, p] {
+				  restart_if_running(m, p, 4 * S);
+			  });
+		  });
+	  } },
+};
+
 const char *const statements[] = {
 	"READ 1",     "READ 2",
 	"WRITE 1 x",  "BEGIN",
@@ -215,21 +394,36 @@
 	}
 }
 
-void run_seed(uint64_t seed, std::string &fault_log)
+/* Seeds with platform faults mix both tables. */
+const Fault &pick_fault(ProxyModel &m, bool has_platform_faults)
+{
+	int count = (int)std::size(faults);
+	int i;
+
+	if (!has_platform_faults)
+		return faults[random_below(m, count)];
+	i = random_below(m, count + 2 * (int)std::size(platform_faults));
+	return i < count ? faults[i] : platform_faults[(i - count) / 2];
+}
+
+void run_seed(uint64_t seed, bool has_platform_faults, std::string &fault_log)
 {
 	ProxyModelOpts o;
 
 	o.seed = seed;
 	o.nodes = 4;
+	o.refuse_ended_endpoint = has_platform_faults;
+	if (has_platform_faults && seed % 3 == 0)
+		o.promotion_duration_us = 1 * S;
 	o.log = getenv("PROXY_LOG") != nullptr;
 	ProxyModel m(o);
 	std::vector<ProxyCaller *> callers(12, nullptr);
+	int step_count = has_platform_faults ? PLATFORM_STEP_COUNT : STEP_COUNT;
 
 	m.run(START_US);
-	for (int i = 0; i < STEP_COUNT; i++) {
-		if (random_below(m, 8) == 0) {
-			const Fault &f =
-				faults[random_below(m, (int)std::size(faults))];
+	for (int i = 0; i < step_count; i++) {
+		if (random_below(m, has_platform_faults ? 20 : 8) == 0) {
+			const Fault &f = pick_fault(m, has_platform_faults);
 
 			fault_log += std::to_string(m.now() / MS) + " ms " +
 				     f.name + "\n";
@@ -238,7 +432,7 @@
 		send_statements(m, callers);
 	}
 	/* All faults have ended, so a write must succeed again. */
-	m.run(14 * S);
+	m.run(has_platform_faults ? 30 * S : 14 * S);
 	bool served = false;
 	for (int i = 0; i < 20 && !served; i++) {
 		ProxyCaller *c = m.connect(i % 4, "strict", "key-a");
@@ -263,27 +457,16 @@
 {
 	std::string fault_log;
 
-	run_seed(29204, fault_log);
+	run_seed(29204, false, fault_log);
 }
 
-TEST(ProxyFuzz, NoViolationsUnderRandomFaults)
+/* Runs until a seed fails, and prints that one's faults. */
+void run_seeds(const std::vector<uint64_t> &seeds, bool has_platform_faults)
 {
-	const char *count_text = getenv("PROXY_SEEDS");
-	const char *first_text = getenv("PROXY_SEED");
-	uint64_t from = first_text ? strtoull(first_text, nullptr, 10) : 1;
-	uint64_t count =
-		count_text ? strtoull(count_text, nullptr, 10) : SEED_COUNT;
-
-	std::vector<uint64_t> seeds;
-
-	if (!first_text)
-		seeds.assign(std::begin(failed_seeds), std::end(failed_seeds));
-	for (uint64_t seed = from; seed < from + count; seed++)
-		seeds.push_back(seed);
 	for (uint64_t seed : seeds) {
 		std::string fault_log;
 
-		run_seed(seed, fault_log);
+		run_seed(seed, has_platform_faults, fault_log);
 		if (::testing::Test::HasFailure()) {
 			printf("seed %llu:\n%s", (unsigned long long)seed,
 			       fault_log.c_str());
@@ -292,4 +475,35 @@
 	}
 }
 
+/* Appends the seeds that the environment asks for, or 1 to `count`. */
+void append_seeds(std::vector<uint64_t> &seeds, uint64_t count)
+{
+	const char *count_text = getenv("PROXY_SEEDS");
+	const char *first_text = getenv("PROXY_SEED");
+	uint64_t from = first_text ? strtoull(first_text, nullptr, 10) : 1;
+
+	if (count_text)
+		count = strtoull(count_text, nullptr, 10);
+	for (uint64_t seed = from; seed < from + count; seed++)
+		seeds.push_back(seed);
+}
+
+TEST(ProxyFuzz, NoViolationsUnderRandomFaults)
+{
+	std::vector<uint64_t> seeds;
+
+	if (!getenv("PROXY_SEED"))
+		seeds.assign(std::begin(failed_seeds), std::end(failed_seeds));
+	append_seeds(seeds, SEED_COUNT);
+	run_seeds(seeds, false);
+}
+
+TEST(ProxyFuzz, NoViolationsUnderPlatformFaults)
+{
+	std::vector<uint64_t> seeds;
+
+	append_seeds(seeds, PLATFORM_SEED_COUNT);
+	run_seeds(seeds, true);
+}
+
 } // namespace
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -24,6 +24,8 @@
 constexpr int64_t DEAD_CONN_TIMEOUT_US = 3 * S;
 constexpr int64_t QUOTA_WINDOW_US = 5 * S;
 constexpr uint32_t QUOTA_SLACK = 20;
+/* An endpoint's entry is removed after three heartbeats are missing. */
+constexpr int64_t ENTRY_EXPIRY_US = 3600 * MS;
 const char DUTY_KEY[] = "duty";
 
 std::vector<std::string> split_words(const std::string &text)
@@ -277,6 +279,9 @@
 			if (token < highest)
 				return false;
 			highest = token;
+			if (m->opts.refuse_ended_endpoint &&
+			    m->has_ended(service, id))
+				return false;
 			m->run_later(m->opts.promotion_duration_us,
 				     [m, service, id] {
 					     m->promote_endpoint(service, id);
@@ -817,6 +822,8 @@
 {
 	struct store_item i;
 
+	if (e->gone || e->cut_from_store)
+		return;
 	memset(&i, 0, sizeof(i));
 	i.kind = ITEM_UPSTREAM;
 	i.readable = true;
@@ -830,7 +837,7 @@
 	i.upstream.slots = opts.slots;
 	i.upstream.leaving = e->leaving;
 	i.upstream.role = strcmp(role, "primary") ? ROLE_REPLICA : ROLE_PRIMARY;
-	i.upstream.started_ms = 1;
+	i.upstream.started_ms = e->started_ms;
 	e->listed = true;
 	put_item("servers/" + e->id, i, 0);
 }
@@ -902,6 +909,8 @@
 
 void ProxyModel::restore(ProxyEndpoint *e)
 {
+	if (e->gone)
+		return;
 	e->alive = true;
 	e->unresponsive = false;
 	e->paused_below_term = 0;
@@ -909,6 +918,71 @@
 	write_entry(e);
 }
 
+void ProxyModel::expire_entry(ProxyEndpoint *e)
+{
+	if (e->listed)
+		remove_entry(e);
+}
+
+void ProxyModel::restart(ProxyEndpoint *e, int64_t off_us)
+{
+	int64_t started_ms = (now_us_ + off_us) / MS;
+
+	crash(e);
+	run_later(ENTRY_EXPIRY_US, [this, e] {
+		if (!e->alive)
+			expire_entry(e);
+	});
+	run_later(off_us, [this, e, started_ms] {
+		e->started_ms = started_ms;
+		restore(e);
+	});
+}
+
+void ProxyModel::lose(ProxyEndpoint *e)
+{
+	crash(e);
+	e->gone = true;
+	e->log.clear();
+	run_later(ENTRY_EXPIRY_US, [this, e] { expire_entry(e); });
+}
+
+void ProxyModel::replace(ProxyEndpoint *e, int64_t off_us)
+{
+	crash(e);
+	e->gone = true;
+	expire_entry(e);
+	run_later(off_us, [this, e] {
+		auto n = std::make_unique<ProxyEndpoint>();
+
+		n->id = e->id + "n";
+		n->service = e->service;
+		n->zone = e->zone;
+		n->address = e->address;
+		n->term = e->term;
+		n->log = e->log;
+		n->applied_count = n->log.size();
+		n->started_ms = now_us_ / MS;
+		n->slot_free_us.assign(opts.slots, 0);
+		write_entry(n.get());
+		endpoints.push_back(std::move(n));
+	});
+}
+
+void ProxyModel::cut_from_store(ProxyEndpoint *e, int64_t duration_us)
+{
+	if (e->gone || e->cut_from_store)
+		return;
+	e->cut_from_store = true;
+	if (duration_us >= ENTRY_EXPIRY_US)
+		run_later(ENTRY_EXPIRY_US, [this, e] { expire_entry(e); });
+	run_later(duration_us, [this, e] {
+		e->cut_from_store = false;
+		if (e->alive)
+			write_entry(e);
+	});
+}
+
 void ProxyModel::set_leaving(ProxyEndpoint *e, bool leaving)
 {
 	e->leaving = leaving;
@@ -1358,6 +1432,7 @@
 					 " was committed after " + refused_[w]);
 	}
 	c->pending_writes.clear();
+	committed_ids_.insert(id);
 	e->log.push_back({ e->term, number, id });
 	unconfirmed_commits_.push_back({ c, id, number, e->service });
 }
@@ -1419,6 +1494,35 @@
 	}
 }
 
+bool ProxyModel::has_ended(const std::string &service,
+			   const std::string &id) const
+{
+	for (auto &e : endpoints) {
+		if (e->service == service && e->id == id)
+			return !e->alive;
+	}
+	return true;
+}
+
+std::string ProxyModel::describe_holders(const std::string &service,
+					 uint64_t number) const
+{
+	std::string out;
+
+	for (auto &e : endpoints) {
+		for (auto &l : e->log) {
+			if (e->service != service || l.number != number)
+				continue;
+			out += "; in the log of " + e->id;
+			out += e->primary ? ", primary" : "";
+			out += e->gone ? ", ended" : !e->alive ? ", down" : "";
+			out += e->listed ? "" : ", without an entry";
+			out += e->paused_below_term ? ", paused" : "";
+		}
+	}
+	return out;
+}
+
 void ProxyModel::promote_endpoint(const std::string &service,
 				  const std::string &id)
 {
@@ -1445,7 +1549,8 @@
 			continue;
 		}
 		record_violation("LOST: commit " + std::to_string(a->first) +
-				 " is missing at promoted endpoint " + id);
+				 " is missing at promoted endpoint " + id +
+				 describe_holders(service, a->first));
 		a = ack_times.erase(a);
 	}
 	for (auto &e : endpoints) {
@@ -1532,6 +1637,17 @@
 	engine_caller_line(c->session, ("QUERY " + id + " " + text).c_str());
 }
 
+bool ProxyModel::is_in_a_log(const std::string &write_id) const
+{
+	for (auto &e : endpoints) {
+		for (auto &l : e->log) {
+			if (l.write_id == write_id)
+				return true;
+		}
+	}
+	return false;
+}
+
 ProxyAnswer ProxyModel::wait_for_answer(ProxyCaller *c, int64_t timeout_us)
 {
 	ProxyAnswer a;
@@ -1590,6 +1706,9 @@
 					a.code);
 			refused_[id] = a.code;
 		}
+		if (a.ok && committed_ids_.count(id) && !is_in_a_log(id))
+			record_violation("LOST: " + id +
+					 " was acknowledged and is in no log");
 		if (a.ok && commit_counts_.count(id) &&
 		    starts_with(text, "WRITE") && !c->transaction_began_us) {
 			for (auto &e : endpoints) {
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -90,6 +90,9 @@
 	std::set<int> cut_nodes; /* nodes that cannot reach it */
 	bool cut_replication = false; /* neither sends nor receives the log */
 	bool listed = true; /* the store has its entry */
+	bool cut_from_store = false; /* its entry is not written */
+	bool gone = false; /* it has ended and never starts again */
+	int64_t started_ms = 1;
 	std::set<std::shared_ptr<ProxyConn>> conns;
 };
 
@@ -147,6 +150,8 @@
 	int64_t statement_duration_us = 8000;
 	int64_t handshake_duration_us = 10000;
 	int64_t promotion_duration_us = 300000;
+	/* Orders for an endpoint that is not running are refused. */
+	bool refuse_ended_endpoint = true;
 	uint32_t rate_per_s = 100;
 	uint32_t burst = 100;
 	bool unlimited = false; /* no workspace has a limit */
@@ -196,6 +201,17 @@
 	void make_unresponsive(ProxyEndpoint *e);
 	/* Starts a crashed or unresponsive endpoint again, with its log. */
 	void restore(ProxyEndpoint *e);
+	/* Crashes it; starts it again after off_us as another process. */
+	void restart(ProxyEndpoint *e, int64_t off_us);
+	/* Crashes it for good; its log is lost. */
+	void lose(ProxyEndpoint *e);
+	/*
+	 * Ends it. After off_us a new endpoint at its address has its log and
+	 * registers as a replica.
+	 */
+	void replace(ProxyEndpoint *e, int64_t off_us);
+	/* Its entry expires if this is longer than three heartbeats. */
+	void cut_from_store(ProxyEndpoint *e, int64_t duration_us);
 	void set_leaving(ProxyEndpoint *e, bool leaving);
 	/* Write the endpoint's entry, with its current or with another role. */
 	void write_entry(ProxyEndpoint *e);
@@ -289,6 +305,12 @@
 	void replicate();
 	void promote_endpoint(const std::string &service,
 			      const std::string &id);
+	/* Also true while there is no endpoint of that name. */
+	bool has_ended(const std::string &service, const std::string &id) const;
+	void expire_entry(ProxyEndpoint *e);
+	std::string describe_holders(const std::string &service,
+				     uint64_t number) const;
+	bool is_in_a_log(const std::string &write_id) const;
 	bool is_link_cut(const ProxyNode &n, const ProxyEndpoint &e) const;
 	bool can_reach_store(const ProxyNode &n) const;
 	ProxyPosition get_visible_position(const ProxyEndpoint &e) const;
@@ -353,6 +375,7 @@
 	/* By service: commit number to the time of the answer. */
 	std::map<std::string, std::map<uint64_t, int64_t>> acknowledged_us_;
 	std::map<std::string, int> commit_counts_; /* by statement id */
+	std::set<std::string> committed_ids_; /* of committing statements */
 	std::vector<std::unique_ptr<ProxyCaller>> callers_;
 	std::vector<std::unique_ptr<ProxyStore>> stores_;
 	/* A commit that is not yet in the log of another endpoint. */
