Failing tests: other causes of lost commits and of lost service

Cause: found by NoViolationsUnderPlatformFaults: a paused replica that starts again, or a new one, receives before the order takes effect; a choice behind the primary that stepped down; a round that never ends because the primary started again during it; a pause that is never ended because the round lost all endpoints.

--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -344,6 +344,186 @@
 	}
 }
 
+/* Writes through one instance, each with its own session. */
+void write_for(ProxyModel &m, int node, int64_t duration_us)
+{
+	int64_t until_us = m.now() + duration_us;
+
+	while (m.now() < until_us) {
+		ProxyCaller *c = m.connect(node, "strict", "key-a");
+
+		m.run_statement(c, "WRITE 1 x", 100 * MS);
+		m.disconnect(c);
+		m.run(10 * MS);
+	}
+}
+
+void wait_for_pauses(ProxyModel &m, int replica_count)
+{
+	EXPECT_TRUE(m.run_until(
+		[&m, replica_count] {
+			int n = 0;
+
+			for (auto &e : m.endpoints)
+				n += e->paused_below_term > 0;
+			return n == replica_count;
+		},
+		5 * S));
+}
+
+struct ReceivingCase {
+	const char *name;
+	int endpoints;
+	void (*apply)(ProxyModel &m);
+};
+
+/*
+ * Only instance 2 can reach the primary, and writes there. A promotion takes
+ * effect one second after its order.
+ */
+const ReceivingCase receiving_cases[] = {
+	{ "a paused replica starts again after the choice", 3,
+	  [](ProxyModel &m) {
+		  m.primary()->cut_nodes = { 0, 1 };
+		  wait_for_pauses(m, 2);
+		  m.run(100 * MS);
+		  m.restart(m.replica(1), 200 * MS);
+	  } },
+	{ "a paused replica ends before the choice and starts again after it",
+	  4,
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *silent = m.replica(2);
+
+		  m.make_unresponsive(silent);
+		  m.primary()->cut_nodes = { 0, 1 };
+		  wait_for_pauses(m, 2);
+		  m.run(100 * MS);
+		  m.restart(m.replica(1), 700 * MS);
+		  m.restore(silent);
+	  } },
+	{ "a replica joins after the choice", 3,
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *ended = m.replica(1);
+
+		  m.set_leaving(ended, true);
+		  m.run(500 * MS);
+		  m.primary()->cut_nodes = { 0, 1 };
+		  wait_for_pauses(m, 2);
+		  m.run(100 * MS);
+		  m.replace(ended, 200 * MS);
+	  } },
+	{ "a paused replica starts again; the order has no answer and no effect",
+	  3,
+	  [](ProxyModel &m) {
+		  m.delay_promotions(4 * S, 60 * S);
+		  m.primary()->cut_nodes = { 0, 1 };
+		  wait_for_pauses(m, 2);
+		  m.run(100 * MS);
+		  m.restart(m.replica(1), 200 * MS);
+	  } },
+};
+
+/* Guards against promoting an endpoint while another one still receives. */
+TEST(ProxyEngine, LosesNoCommitOfReplicaThatReceivesAgain)
+{
+	for (const ReceivingCase &k : receiving_cases) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		o.endpoints_per_service = k.endpoints;
+		o.promotion_duration_us = 1 * S;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		k.apply(m);
+		write_for(m, 2, 6 * S);
+		for (auto &e : m.endpoints)
+			e->cut_nodes.clear();
+		EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
+		expect_no_violations(m);
+	}
+}
+
+struct ReturnCase {
+	const char *name;
+	void (*apply)(ProxyModel &m);
+};
+
+const ReturnCase return_cases[] = {
+	{ "the primary starts again during a round after a refused order",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *p = m.primary();
+		  ProxyEndpoint *replicas[] = { m.replica(0), m.replica(1) };
+
+		  m.crash(p);
+		  wait_for_pauses(m, 2);
+		  m.run(50 * MS);
+		  m.crash(replicas[0]);
+		  m.crash(replicas[1]);
+		  m.run(1 * S);
+		  m.restart(p, 10 * MS);
+		  m.run(300 * MS);
+		  m.restart(replicas[0], 10 * MS);
+		  m.restart(replicas[1], 10 * MS);
+	  } },
+	{ "all endpoints are cut off after the replicas were paused",
+	  [](ProxyModel &m) {
+		  m.primary()->cut_nodes = { 0, 1, 2 };
+		  for (auto &e : m.endpoints)
+			  e->cut_nodes = { 0, 1, 2 };
+		  m.replica(0)->cut_nodes.clear();
+		  wait_for_pauses(m, 1);
+		  for (auto &e : m.endpoints) {
+			  e->cut_nodes = { 0, 1, 2 };
+			  m.cut_from_store(e.get(), 18 * S);
+		  }
+		  m.run(18 * S);
+		  for (auto &e : m.endpoints)
+			  e->cut_nodes.clear();
+		  m.replica(1)->cut_replication = true;
+	  } },
+};
+
+/* Guards against a service that stays without writes. */
+TEST(ProxyEngine, ServesAfterEndpointsReturn)
+{
+	for (const ReturnCase &k : return_cases) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		k.apply(m);
+		m.run(3 * S);
+		EXPECT_LT(wait_for_write(m, 20 * S), 10 * S);
+		expect_no_violations(m);
+	}
+}
+
+/*
+ * Guards against promoting an endpoint that is known to lack commits. Only the
+ * primary and a replica that has ended have them, and the primary steps down.
+ */
+TEST(ProxyEngine, PromotesNoEndpointBehindTheOneThatSteppedDown)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	m.replica(0)->cut_replication = true;
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+	EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+	m.lose(m.replica(1));
+	m.cut_from_store(m.primary(), 30 * S);
+	m.run(25 * S);
+	for (auto &e : m.endpoints)
+		e->cut_replication = false;
+	EXPECT_LT(wait_for_write(m, 20 * S), 10 * S);
+	expect_no_violations(m);
+}
+
 /*
  * The holder of the duty pauses replication on the replicas and dies before it
  * chooses an endpoint, and the primary can be reached again. The next holder
