--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -421,6 +421,16 @@
 		  m.run(100 * MS);
 		  m.restart(m.replica(1), 200 * MS);
 	  } },
+	{ "a paused replica starts again after an order without effect", 3,
+	  [](ProxyModel &m) {
+		  m.primary()->cut_nodes = { 0, 1 };
+		  wait_for_pauses(m, 2);
+		  m.run(50 * MS);
+		  /* The first replica is the chosen one. */
+		  m.restart(m.replica(0), 3 * S);
+		  m.replica(0)->cut_replication = true;
+		  m.restart(m.replica(1), 500 * MS);
+	  } },
 };
 
 /* Guards against promoting an endpoint while another one still receives. */
@@ -439,6 +449,7 @@
 		write_for(m, 2, 6 * S);
 		for (auto &e : m.endpoints)
 			e->cut_nodes.clear();
+		m.endpoints[1]->cut_replication = false;
 		EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
 		expect_no_violations(m);
 	}
