Stop commits at the old primary when another one is promoted

Cause: a round pauses the replicas and then takes it that nothing is acknowledged until its order takes effect, 0.3 to 1 s later and at times many seconds. But a replica that starts again has lost its pause, and a new one never had it; through it a primary that some instances still reach acknowledges commits that the chosen endpoint lacks. After the choice rounds only asked for status. Ruled out: pausing newcomers alone: in the trace a commit was confirmed 10 ms before the new replica's entry could be seen. Change: the choice in the store, which is written before the order, is a fence: an instance that has read it sends nothing to the replaced primary and ends the connections that wait for its answers, so commits are answered 'in doubt' (service_is_fenced). Until the chosen endpoint leads, rounds go on adding and pausing replicas and demoting the old primary. An instance that does not hear from the store, but reaches the primary, is not fenced.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -2,6 +2,7 @@
 
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
+#include "proxy/exchange.h"
 #include "proxy/promotion_choices.h"
 #include "proxy/failure_reports.h"
 #include "proxy/failover_plan.h"
@@ -436,6 +437,21 @@
 	return !f->planned || has_near_replica(f, now_us);
 }
 
+/*
+ * Returns true if the endpoint must stop confirming or acknowledging commits:
+ * until the chosen endpoint leads, also one that starts or joins only now.
+ */
+static bool stops_commits(const struct failover *f,
+			  const struct round_endpoint *ep)
+{
+	if (f->state == FAILOVER_COLLECTING)
+		return true;
+	return (f->state == FAILOVER_SAVING_CHOICE ||
+		f->state == FAILOVER_PROMOTING) &&
+	       strcmp(ep->upstream->entry.id, f->chosen) != 0 &&
+	       ep->report.term < f->term;
+}
+
 /* Returns the next command or status request for an endpoint. */
 static struct proxy_message choose_next_message(const struct failover *f,
 						const struct round_endpoint *ep,
@@ -451,7 +467,7 @@
 		else if (may_resume(f))
 			m.statement = PROXY_STATEMENT_RESUME;
 	}
-	if (!ep->has_report || f->state != FAILOVER_COLLECTING)
+	if (!ep->has_report || !stops_commits(f, ep))
 		return m;
 	if (ep->report.role == ROLE_PRIMARY)
 		/*
@@ -822,6 +838,7 @@
 		schedule_adjustment(f, now_us + POLL_INTERVAL_US);
 		return;
 	}
+	add_round_endpoints(f);
 	poll_endpoints(f, now_us);
 	if (!f->order_pending && now_us - f->ordered_us >= ORDER_RETRY_US)
 		send_order(f, now_us);
@@ -884,9 +901,34 @@
 	return fs->failure_reports;
 }
 
-void failover_handle_choice(struct failovers *fs, const struct store_item *item)
+/* Closes the primary's connections that wait for an answer. */
+static void close_waiting_conns(struct upstream *u, int64_t now_us)
 {
+	for (guint i = 0; i < u->conns->len; i++) {
+		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+
+		if (c->control || (!c->request_count && !c->in_transaction))
+			continue;
+		exchange_handle_loss(c, "another endpoint is promoted", now_us);
+		i = (guint)-1; /* start over: the list changed */
+	}
+}
+
+void failover_handle_choice(struct failovers *fs, const struct store_item *item,
+			    int64_t now_us)
+{
+	struct service *svc = engine_find_service(fs->engine, item->name);
+
 	promotion_choices_update(fs->choices, item);
+	if (!svc || item->removed || !item->readable ||
+	    item->choice.term < svc->ordered_term)
+		return;
+	svc->ordered_term = item->choice.term;
+	svc->ordered_us = now_us;
+	g_strlcpy(svc->ordered_endpoint, item->choice.endpoint,
+		  sizeof(svc->ordered_endpoint));
+	if (service_is_fenced(svc))
+		close_waiting_conns(svc->primary, now_us);
 }
 
 const char *failovers_get_last_choice(const struct failovers *fs,
--- a/src/proxy/failover.h
+++ b/src/proxy/failover.h
@@ -36,9 +36,12 @@
 /* Returns the failure reports of other instances; owned by `fs`. */
 struct failure_reports *failovers_get_reports(struct failovers *fs);
 
-/* Handles a choice that was read from the store. */
-void failover_handle_choice(struct failovers *fs,
-			    const struct store_item *item);
+/*
+ * Handles a choice that was read from the store. From then on this instance
+ * neither uses the replaced primary nor passes on what it acknowledges.
+ */
+void failover_handle_choice(struct failovers *fs, const struct store_item *item,
+			    int64_t now_us);
 
 /*
  * Returns the id of the endpoint of the service that was chosen last, by any
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -293,7 +293,7 @@
 		duty_handle_entry(e->duty, item);
 		break;
 	case ITEM_CHOICE:
-		failover_handle_choice(e->failovers, item);
+		failover_handle_choice(e->failovers, item, now_us);
 		break;
 	case ITEM_REPLICA_SET:
 		replica_sets_handle_item(e->replica_sets, item, now_us);
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -89,6 +89,12 @@
 	return s->primary ? s->primary : s->expired_primary;
 }
 
+bool service_is_fenced(const struct service *s)
+{
+	return s->primary && s->ordered_term > s->term &&
+	       strcmp(s->primary->entry.id, s->ordered_endpoint) != 0;
+}
+
 bool upstream_is_usable(const struct upstream *u)
 {
 	return u->listed && !u->entry.leaving;
@@ -96,7 +102,8 @@
 
 bool upstream_is_usable_primary(const struct upstream *u)
 {
-	return u == u->service->primary && !u->expired && !u->interim_primary;
+	return u == u->service->primary && !u->expired && !u->interim_primary &&
+	       !service_is_fenced(u->service);
 }
 
 void upstream_record_position(struct upstream *u, struct position p,
@@ -214,6 +221,8 @@
 {
 	if (!s->primary)
 		return s->primary_lost_us;
+	if (service_is_fenced(s))
+		return s->ordered_us;
 	return upstream_is_silent(s->primary, now_us) ?
 		       s->primary->silent_since_us :
 		       0;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -73,6 +73,13 @@
 	 */
 	struct upstream *expired_primary;
 	uint64_t term; /* highest term seen */
+	/*
+	 * An order was sent to promote this endpoint to this term; see
+	 * service_is_fenced(). 0: none is known.
+	 */
+	uint64_t ordered_term;
+	char ordered_endpoint[NAME_BYTES];
+	int64_t ordered_us; /* when this instance learned of it */
 	/* Since when there is no primary; 0: there is one. */
 	int64_t primary_lost_us;
 	/* Average duration of outages of the primary. */
@@ -105,6 +112,12 @@
 /* Returns the primary, or else the last one if its entry has expired. */
 const struct upstream *service_last_primary(const struct service *s);
 
+/*
+ * Returns true while another endpoint is being promoted. What the primary
+ * acknowledges from now on may be missing there, so nothing is sent to it.
+ */
+bool service_is_fenced(const struct service *s);
+
 /* Returns true if new work may be sent to it. */
 bool upstream_is_usable(const struct upstream *u);
 
@@ -145,8 +158,8 @@
 bool upstream_is_silent(const struct upstream *u, int64_t now_us);
 
 /*
- * Returns since when there is no primary or it does not answer; 0: there is no
- * outage.
+ * Returns since when there is no primary, or it is fenced or does not answer;
+ * 0: there is no outage.
  */
 int64_t service_outage_since_us(const struct service *s, int64_t now_us);
 
