Forget a status report with the connection that it came on

Callers could lose acknowledged writes.

Cause: a round kept what an endpoint had reported when its control connection was lost. A process that started again has no pause, and a primary that stepped down may lead again; while it couldn't be reached, its old report counted. In the trace the choice rested on a report that was 1.6 s old. Change: a report, a pause and a step down hold only as long as the connection on which they were reported. Before: PROXY_SEED=907 ProxyFuzz.NoViolationsUnderPlatformFaults: 'LOST: commit 29 is missing at promoted endpoint e02'.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -273,11 +273,23 @@
 	return NULL;
 }
 
+/*
+ * Forgets what was reported on a connection that is lost: a process that has
+ * started again is neither paused nor has it stepped down.
+ */
+static void handle_control_conn_loss(struct round_endpoint *ep)
+{
+	ep->conn = NULL;
+	ep->has_report = false;
+	ep->demote_sent = false;
+	ep->stepped_down = false;
+}
+
 static void close_control_conn(struct round_endpoint *ep)
 {
 	struct upstream_conn *conn = ep->conn;
 
-	ep->conn = NULL;
+	handle_control_conn_loss(ep);
 	if (conn)
 		dispatch_close_conn(conn);
 }
@@ -977,7 +989,7 @@
 	struct round_endpoint *ep = find_round_endpoint_by_conn(f, c);
 
 	if (ep)
-		ep->conn = NULL;
+		handle_control_conn_loss(ep);
 }
 
 static void record_step_down(struct failover *f, struct round_endpoint *ep,
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -33,9 +33,10 @@
  *  - a primary that had stepped down was ahead of the chosen endpoint;
  *  - an earlier choice was preferred to a longer log;
  *  - the primary started again during a round, which never ended;
- *  - a pause was never ended, as all endpoints had left the round.
+ *  - a pause was never ended, as all endpoints had left the round;
+ *  - a report counted although its connection, and the pause, had ended.
  */
-const uint64_t failed_platform_seeds[] = { 5, 731, 66, 2390, 684, 447 };
+const uint64_t failed_platform_seeds[] = { 5, 731, 66, 2390, 684, 447, 907 };
 
 int random_below(ProxyModel &m, int n)
 {
