End a promotion when an endpoint of its group is deleted

Deleting the record of a primary that failed is what an operator does just then. Change: a deletion ends a promotion that raises the term or promotes; the next attempt counts anew.

--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -131,8 +131,10 @@
 	if (row == NO_INDEX)
 		return;
 	e = world_endpoint(w, row);
-	if (e->exists)
+	if (e->exists) {
 		remove_from_group(world_group(w, e->group), row);
+		promotion_handle_endpoint_removed(w, e->group, now_us);
+	}
 	e->exists = false;
 	e->has_status = false;
 	close_conns(w, row, now_us);
--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -445,6 +445,16 @@
 			MAX(p->next_try_us, now_us + OTHER_PROMOTER_WAIT_US);
 }
 
+void promotion_handle_endpoint_removed(struct world *w, uint32_t group,
+				       int64_t now_us)
+{
+	const struct promotion *p = get_promotion(w, group);
+
+	if (p->state == PROMOTION_RAISING_TERM ||
+	    p->state == PROMOTION_PROMOTING)
+		abort_promotion(w, group, "an endpoint was removed", now_us);
+}
+
 static void handle_term_allocated(struct world *w, uint32_t group,
 				  const struct platform_result *r,
 				  int64_t now_us)
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -85,4 +85,11 @@
 void promotion_handle_record(struct world *w, const struct record *r,
 			     int64_t now_us);
 
+/*
+ * To be called when an endpoint was removed from the group. Ends a promotion
+ * whose progress is kept by index in the group's endpoints.
+ */
+void promotion_handle_endpoint_removed(struct world *w, uint32_t group,
+				       int64_t now_us);
+
 #endif
--- /dev/null
+++ b/tests/promotion_choice_test.cc
@@ -0,0 +1,308 @@
+/*
+ * Promotions of one instance whose endpoints hold a commit, answer or leave in
+ * every combination. The chosen endpoint must have each commit that a majority
+ * had.
+ */
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <map>
+#include <vector>
+
+extern "C" {
+#include "core/world.h"
+}
+
+namespace
+{
+
+constexpr int64_t TICK_US = 5 * US_PER_MS;
+constexpr int64_t WARM_UP_US = 150 * US_PER_MS;
+constexpr int64_t PROMOTION_US = 1500 * US_PER_MS;
+constexpr uint64_t BEFORE_COMMIT = 9;
+constexpr uint64_t WITH_COMMIT = 10;
+
+struct Server {
+	struct endpoint_status status = { 1,
+					  { 1, BEFORE_COMMIT },
+					  ROLE_REPLICA };
+	bool answers = true;
+};
+
+/* Runs one instance on a group whose endpoint 0 is the primary of term 1. */
+class Group
+{
+      public:
+	explicit Group(int size);
+	~Group()
+	{
+		world_free(world_);
+	}
+	Group(const Group &) = delete;
+	Group &operator=(const Group &) = delete;
+
+	void run(int64_t duration_us);
+	/* Sets the state of the record. */
+	void put_endpoint(int i, enum endpoint_state state);
+	void delete_endpoint(int i);
+
+	std::vector<Server> servers;
+	int raised_ticks = -1; /* since the first PLAN_RAISE_TERM; -1: none */
+	int promoted = -1; /* first endpoint that got PLAN_PROMOTE */
+
+      private:
+	struct record make_record(int i) const;
+	void send(struct event e);
+	void execute(const struct action &a);
+	void answer_exchange(const struct exchange_start &x);
+	void answer_platform(const struct platform_start &p);
+
+	struct world *world_;
+	int64_t now_ = 1000 * US_PER_S;
+	int64_t revision_ = 0;
+	std::map<uint32_t, int> conn_servers_; /* index by connection */
+};
+
+Group::Group(int size) : servers(size)
+{
+	struct world_opts o = world_opts_default();
+	struct event e = {};
+
+	snprintf(o.instance, sizeof(o.instance), "node0");
+	snprintf(o.zone, sizeof(o.zone), "zone0");
+	o.incarnation = 1;
+	o.requests_max = 4;
+	world_ = world_new(&o, now_);
+	servers[0].status.role = ROLE_PRIMARY;
+	for (int i = 0; i < size; i++)
+		put_endpoint(i, ENDPOINT_LIVE);
+	e.type = EVENT_CONFIG_SYNCED;
+	e.synced = { revision_, now_ };
+	send(e);
+	run(WARM_UP_US);
+}
+
+struct record Group::make_record(int i) const
+{
+	struct record r = {};
+
+	r.kind = RECORD_ENDPOINT;
+	snprintf(r.endpoint.name, NAME_BYTES, "db%d", i);
+	snprintf(r.endpoint.group, NAME_BYTES, "yard");
+	snprintf(r.endpoint.zone, NAME_BYTES, "zone0");
+	snprintf(r.endpoint.address, ADDRESS_BYTES, "db%d", i);
+	r.endpoint.slots = 5;
+	r.endpoint.connections_max = 35;
+	return r;
+}
+
+void Group::put_endpoint(int i, enum endpoint_state state)
+{
+	struct record r = make_record(i);
+	struct event e = {};
+
+	r.endpoint.state = state;
+	r.revision = ++revision_;
+	e.type = EVENT_RECORD_PUT;
+	e.record = &r;
+	send(e);
+}
+
+void Group::delete_endpoint(int i)
+{
+	struct record r = make_record(i);
+	struct event e = {};
+
+	r.revision = ++revision_;
+	e.type = EVENT_RECORD_DELETED;
+	e.record = &r;
+	send(e);
+}
+
+void Group::send(struct event e)
+{
+	struct action a;
+
+	world_handle_event(world_, &e, now_);
+	while (world_next_action(world_, &a))
+		execute(a);
+}
+
+void Group::run(int64_t duration_us)
+{
+	for (int64_t end = now_ + duration_us; now_ < end && promoted < 0;) {
+		struct action a;
+
+		now_ += TICK_US;
+		if (raised_ticks >= 0)
+			raised_ticks++;
+		world_tick(world_, now_);
+		while (world_next_action(world_, &a))
+			execute(a);
+	}
+}
+
+void Group::execute(const struct action &a)
+{
+	struct event e = {};
+
+	switch (a.type) {
+	case ACTION_CONN_OPEN:
+		conn_servers_[a.open.conn_id] = a.open.endpoint[2] - '0';
+		e.type = EVENT_CONN_OPENED;
+		e.conn_id = a.open.conn_id;
+		if (servers[a.open.endpoint[2] - '0'].answers)
+			send(e);
+		break;
+	case ACTION_EXCHANGE:
+		answer_exchange(a.exchange);
+		break;
+	case ACTION_PLATFORM:
+		answer_platform(*a.platform);
+		break;
+	default:
+		break;
+	}
+}
+
+void Group::answer_exchange(const struct exchange_start &x)
+{
+	int i = conn_servers_[x.conn_id];
+	Server &s = servers[i];
+	struct event e = {};
+
+	if (x.plan == PLAN_PROMOTE && promoted < 0)
+		promoted = i;
+	if (x.plan == PLAN_RAISE_TERM && raised_ticks < 0)
+		raised_ticks = 0;
+	if (!s.answers)
+		return;
+	e.type = EVENT_EXCHANGE_RESULT;
+	e.result.conn_id = x.conn_id;
+	e.result.exchange = x.exchange;
+	e.result.before = s.status;
+	if (x.plan == PLAN_RAISE_TERM && x.term > s.status.current_term) {
+		s.status.current_term = x.term;
+		s.status.role = ROLE_REPLICA;
+	}
+	e.result.after = s.status;
+	send(e);
+}
+
+void Group::answer_platform(const struct platform_start &p)
+{
+	struct platform_result r = {};
+	struct event e = {};
+
+	if (p.operation != PLATFORM_CAS_TERM)
+		return;
+	r.operation_id = p.operation_id;
+	r.outcome = PLATFORM_APPLIED;
+	r.record = p.record;
+	r.record.revision = ++revision_;
+	e.type = EVENT_PLATFORM_RESULT;
+	e.platform = &r;
+	send(e);
+}
+
+/* Returns true when the primary and, with it, a majority hold the commit. */
+bool is_acknowledged(int size, unsigned holders)
+{
+	return (holders & 1) && __builtin_popcount(holders) >= size / 2 + 1;
+}
+
+void place_commit(Group &g, unsigned holders)
+{
+	for (size_t i = 0; i < g.servers.size(); i++) {
+		if (holders & 1u << i)
+			g.servers[i].status.position.offset = WITH_COMMIT;
+	}
+}
+
+/*
+ * Guards against preferring an endpoint that stays to a leaving one that alone
+ * has the commit.
+ */
+TEST(PromotionChoice, LosesNoAcknowledgedCommit)
+{
+	for (int size = 3; size <= 5; size++) {
+		unsigned all = (1u << size) - 1;
+		int chosen = 0;
+
+		for (unsigned bits = 0; bits < 1u << 3 * size; bits++) {
+			unsigned holders = bits & all;
+			unsigned silent = bits >> size & all;
+			unsigned leaving = bits >> 2 * size & all;
+
+			if (!is_acknowledged(size, holders) ||
+			    !((silent | leaving) & 1))
+				continue;
+			Group g(size);
+			place_commit(g, holders);
+			for (int i = 0; i < size; i++) {
+				g.servers[i].answers = !(silent & 1u << i);
+				if (leaving & 1u << i)
+					g.put_endpoint(i, ENDPOINT_LEAVING);
+			}
+			g.run(PROMOTION_US);
+			if (g.promoted < 0)
+				continue;
+			chosen++;
+			EXPECT_TRUE(holders & 1u << g.promoted)
+				<< size << " endpoints: holders " << holders
+				<< ", silent " << silent << ", leaving "
+				<< leaving << ": db" << g.promoted;
+		}
+		EXPECT_GE(chosen, 3 * size);
+		printf("%d endpoints: %d promotions\n", size, chosen);
+	}
+}
+
+/*
+ * Guards against counting one endpoint's answer as another's: a record is
+ * deleted while the term is raised or before the chosen endpoint is told.
+ */
+TEST(PromotionChoice, LosesNoCommitWhenAnEndpointIsDeleted)
+{
+	constexpr int STEPS_MAX = 14;
+
+	for (int size = 3; size <= 4; size++) {
+		unsigned all = (1u << size) - 1;
+		int chosen = 0;
+
+		for (unsigned bits = 0; bits < 1u << 2 * size; bits++) {
+			unsigned holders = bits & all;
+			unsigned silent = bits >> size & all;
+
+			if (!is_acknowledged(size, holders) || !(silent & 1))
+				continue;
+			for (int row = 0; row < size * STEPS_MAX; row++) {
+				int deleted = row % size;
+				Group g(size);
+
+				place_commit(g, holders);
+				for (int i = 0; i < size; i++)
+					g.servers[i].answers =
+						!(silent & 1u << i);
+				for (int i = 0;
+				     i < 200 && g.raised_ticks < row / size;
+				     i++)
+					g.run(TICK_US);
+				g.delete_endpoint(deleted);
+				g.run(PROMOTION_US);
+				if (g.promoted < 0)
+					continue;
+				chosen++;
+				EXPECT_TRUE(holders & 1u << g.promoted)
+					<< size << " endpoints: holders "
+					<< holders << ", silent " << silent
+					<< ", db" << deleted << " deleted at "
+					<< row / size << ": db" << g.promoted;
+			}
+		}
+		EXPECT_GT(chosen, 20);
+		printf("%d endpoints: %d promotions\n", size, chosen);
+	}
+}
+
+} // namespace
