Change a group's endpoints only when its last change is settled

Sets that differ by two records can have majorities without a common endpoint. Deleting B of A, B, C and adding D that is behind is enough, or an instance that is cut off from the platform only. Ruled out: one change, also when an instance has not heard of it: loses nothing in six cases (CoreMembership.OneChangeLosesNoConfirmedWrite). Change: the operators' interface refuses a change of the set (not-yet, which the commands repeat) until every known instance was synced after the last one was applied here, and a majority has the log that the primary had after that. An instance that is killed or cut off from the platform delays the next change until its lease ends. Red and listed: CoreMembership.ConcurrentChangesLoseNoConfirmedWrite, two changes through two instances before either heard of the other's.

--- a/src/admin/operator_api.c
+++ b/src/admin/operator_api.c
@@ -200,6 +200,9 @@
 	struct change *ch;
 	int32_t error = a->opts.check_writable(a->opts.data);
 
+	if (!error && r->kind == RECORD_ENDPOINT)
+		error = a->opts.check_endpoint(a->opts.data, &r->endpoint,
+					       deleted);
 	if (error) {
 		send_reply(a, c->operator_id, error, NULL);
 		return;
--- a/src/admin/operator_api.h
+++ b/src/admin/operator_api.h
@@ -56,6 +56,12 @@
 	void (*drain)(void *data);
 	/* Returns ERR_NONE, or the error to refuse changes with for now. */
 	int32_t (*check_writable)(void *data);
+	/*
+	 * Returns ERR_NONE, or the error to refuse the change of an endpoint's
+	 * record with for now.
+	 */
+	int32_t (*check_endpoint)(void *data, const struct endpoint_record *r,
+				  bool deleted);
 	void *data;
 };
 
--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -1,6 +1,7 @@
 #include "core/apply.h"
 
 #include "core/admission.h"
+#include "core/endpoint_set.h"
 #include "core/exchange.h"
 #include "core/observe.h"
 #include "core/promotion.h"
@@ -112,11 +113,14 @@
 	if (e->exists && strcmp(e->record.address, r->address) != 0) {
 		close_conns(w, row, now_us);
 		e->has_status = false;
+		endpoint_set_note_changed(w, e->group, now_us);
 	}
 	e->record = *r;
 	e->local = !strcmp(r->zone, w->opts.zone);
-	if (!e->exists)
+	if (!e->exists) {
 		add_to_group(world_group(w, e->group), row);
+		endpoint_set_note_changed(w, e->group, now_us);
+	}
 	e->exists = true;
 	endpoint_set_limits(e, w->instances);
 	handle_endpoint_change(w, row, was_leaving, now_us);
@@ -134,6 +138,7 @@
 	if (e->exists) {
 		remove_from_group(world_group(w, e->group), row);
 		promotion_handle_endpoint_removed(w, e->group, now_us);
+		endpoint_set_note_changed(w, e->group, now_us);
 	}
 	e->exists = false;
 	e->has_status = false;
--- a/src/core/group.h
+++ b/src/core/group.h
@@ -42,6 +42,12 @@
 	struct list unconfirmed; /* requests that wait for a quorum */
 	int64_t no_primary_since_us; /* 0: there is a primary */
 
+	/* Changes of the set of endpoints; see endpoint_set.h. */
+	bool set_settled;
+	int64_t set_changed_us;
+	int64_t set_known_us; /* since when all instances know it; 0: no */
+	struct position set_position; /* of the primary, after set_known_us */
+
 	struct term_record term_record; /* as stored in the platform */
 	int64_t term_revision; /* of term_record; 0: none is stored */
 };
--- a/src/core/world.c
+++ b/src/core/world.c
@@ -4,6 +4,7 @@
 #include "core/answer.h"
 #include "core/apply.h"
 #include "core/dispatch.h"
+#include "core/endpoint_set.h"
 #include "core/exchange.h"
 #include "core/expiry.h"
 #include "core/probe.h"
@@ -275,8 +276,9 @@
 
 /* The order in which systems run in each tick. */
 static const system_fn systems[] = {
-	members_run,   limits_system_run, admission_run, probe_run,
-	promotion_run, expiry_run,	  dispatch_run,	 drain_run,
+	members_run, limits_system_run, admission_run,
+	probe_run,   promotion_run,	endpoint_set_run,
+	expiry_run,  dispatch_run,	drain_run,
 };
 
 void world_tick(struct world *w, int64_t now_us)
--- a/src/core/world_report.c
+++ b/src/core/world_report.c
@@ -1,5 +1,6 @@
 #include "core/world_report.h"
 
+#include "core/endpoint_set.h"
 #include "core/world_state.h"
 
 struct world_report world_report(const struct world *w, int64_t now_us)
@@ -73,6 +74,12 @@
 	return key_guard_may_accept(w->keys, now_us);
 }
 
+bool world_may_change_endpoint(const struct world *w,
+			       const struct endpoint_record *r, bool deleted)
+{
+	return endpoint_set_may_change(w, r, deleted);
+}
+
 void world_record_accepted_change(struct world *w, int64_t revision)
 {
 	key_guard_note_accepted(w->keys, revision);
--- a/src/core/world_report.h
+++ b/src/core/world_report.h
@@ -59,6 +59,13 @@
 /* Returns true when configuration changes may be accepted now. */
 bool world_may_accept_changes(const struct world *w, int64_t now_us);
 
+/*
+ * Returns true when the endpoint's record may be put, or deleted, now; see
+ * endpoint_set.h.
+ */
+bool world_may_change_endpoint(const struct world *w,
+			       const struct endpoint_record *r, bool deleted);
+
 /*
  * Records the revision of a configuration change that was stored through this
  * instance. To be called before the operator gets the answer.
--- a/src/serve/operator_interface.c
+++ b/src/serve/operator_interface.c
@@ -96,6 +96,15 @@
 	return ERR_NONE;
 }
 
+static int32_t
+check_endpoint_change(void *data, const struct endpoint_record *r, bool deleted)
+{
+	const struct instance *in = data;
+
+	return world_may_change_endpoint(in->world, r, deleted) ? ERR_NONE :
+								  ERR_NOT_YET;
+}
+
 static void set_record_gauges(struct instance *in)
 {
 	static const struct {
@@ -145,6 +154,7 @@
 		.config_status = get_config_status,
 		.drain = start_drain,
 		.check_writable = check_write_allowed,
+		.check_endpoint = check_endpoint_change,
 		.data = in,
 	};
 	struct operator_listener_opts o = {
--- a/tests/cli_flow_test.cc
+++ b/tests/cli_flow_test.cc
@@ -57,6 +57,7 @@
 		a.config_status = config_status;
 		a.drain = drain;
 		a.check_writable = check_writable;
+		a.check_endpoint = check_endpoint;
 		a.data = this;
 		api_ = operator_api_new(&a);
 		l.loop = loop_;
@@ -176,6 +177,13 @@
 		instance_from_data(data)->drains++;
 	}
 
+	static int32_t check_endpoint(void *data,
+				      const struct endpoint_record *r,
+				      bool deleted)
+	{
+		return ERR_NONE;
+	}
+
 	static int32_t check_writable(void *data)
 	{
 		return instance_from_data(data)->fault == FAULT_PLATFORM ?
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -167,11 +167,11 @@
 
 Model::Model(const ModelOpts &opts) : opts_(opts), rand_(opts.seed)
 {
-	for (int i = 0; i < 3; i++) {
+	for (int i = 0; i < opts.endpoints; i++) {
 		ModelEndpoint e;
 
 		e.name = "db" + std::to_string(i);
-		e.zone = i;
+		e.zone = i % 3;
 		e.primary = i == 0;
 		if (e.primary)
 			e.append({ 1, 0, "" });
@@ -191,8 +191,8 @@
 		put_record(make_workspace_record(
 			("marker" + std::to_string(i)).c_str(), 1, 1));
 	put_record(make_marker_record(0));
-	for (const ModelEndpoint &e : endpoints_)
-		put_record(make_endpoint_record(e));
+	for (int i = 0; i < opts.records; i++)
+		put_record(make_endpoint_record(endpoints_[i]));
 	for (int i = 0; i < opts.nodes; i++) {
 		ModelNode n;
 
@@ -202,8 +202,8 @@
 	}
 	for (int i = 0; i < opts.nodes; i++)
 		start(i);
-	for (int i = 0; i < 3; i++) {
-		for (int k = 0; k < 3; k++) {
+	for (int i = 0; i < opts.endpoints; i++) {
+		for (int k = 0; k < opts.endpoints; k++) {
 			if (i != k)
 				schedule(REPLICATE_US,
 					 [=] { replicate(i, k); });
@@ -1369,6 +1369,31 @@
 	});
 }
 
+bool Model::change_endpoint(int node, int endpoint, bool deleted)
+{
+	const ModelNode &n = nodes_[node];
+	struct record r = make_endpoint_record(endpoints_[endpoint]);
+
+	if (!n.world || n.paused || !can_reach_platform(n.zone) ||
+	    !world_may_accept_changes(n.world, now_) ||
+	    !world_may_change_endpoint(n.world, &r.endpoint, deleted))
+		return false;
+	if (deleted)
+		erase_record(get_record_path(r));
+	else
+		put_record(r);
+	world_record_accepted_change(n.world, revision_);
+	return true;
+}
+
+void Model::erase_log(int i)
+{
+	endpoints_[i].log.clear();
+	endpoints_[i].log_copy = nullptr;
+	endpoints_[i].current_term = 0;
+	endpoints_[i].primary = false;
+}
+
 void Model::heal_all()
 {
 	cut_zones_.clear();
@@ -1379,7 +1404,7 @@
 	platform_delay_us_ = 0;
 	drop_percent_ = 0;
 	duplicate_percent_ = 5;
-	for (int i = 0; i < 3; i++) {
+	for (int i = 0; i < opts_.endpoints; i++) {
 		heal_endpoint(i);
 		set_lag(i, 5 * US_PER_MS);
 		if (endpoints_[i].leaving)
@@ -1493,7 +1518,7 @@
 {
 	int best = -1;
 
-	for (int i = 0; i < 3; i++) {
+	for (int i = 0; i < opts_.endpoints; i++) {
 		if (endpoints_[i].primary &&
 		    (best < 0 || endpoints_[i].current_term >
 					 endpoints_[best].current_term))
--- a/tests/model.h
+++ b/tests/model.h
@@ -100,6 +100,8 @@
 
 struct ModelOpts {
 	int nodes = 3;
+	int endpoints = 3;
+	int records = 3; /* the first endpoints have records at the start */
 	uint64_t seed = 1;
 	int64_t lease_ttl_us = 60 * US_PER_S;
 };
@@ -180,6 +182,13 @@
 	}
 	void set_lag(int endpoint, int64_t us);
 	void set_leaving(int endpoint, bool leaving);
+	/*
+	 * Puts or deletes an endpoint's record through a node. Returns false
+	 * if that refuses the change.
+	 */
+	bool change_endpoint(int node, int endpoint, bool deleted);
+	/* As an endpoint that starts on an empty disk under its old name. */
+	void erase_log(int endpoint);
 	void cut_zone(int zone)
 	{
 		cut_zones_.insert(zone);
--- a/tests/operator_api_test.cc
+++ b/tests/operator_api_test.cc
@@ -19,6 +19,7 @@
 	struct record_store *records = record_store_new();
 	struct operator_api *api = nullptr;
 	bool writable = true;
+	bool endpoints_settled = true;
 	int drains = 0;
 	int replies = 0;
 	int32_t error = 1;
@@ -76,6 +77,13 @@
 							 ERR_PLATFORM;
 }
 
+int32_t fake_check_endpoint(void *data, const struct endpoint_record *r,
+			    bool deleted)
+{
+	return static_cast<FakeHost *>(data)->endpoints_settled ? ERR_NONE :
+								  ERR_NOT_YET;
+}
+
 class OperatorApi : public testing::Test
 {
       protected:
@@ -93,6 +101,7 @@
 		o.config_status = fake_config_status;
 		o.drain = fake_drain;
 		o.check_writable = fake_check_writable;
+		o.check_endpoint = fake_check_endpoint;
 		o.data = &f;
 		f.api = operator_api_new(&o);
 		put_workspace("mill", 5);
@@ -344,6 +353,16 @@
 	EXPECT_EQ(0, f.changes);
 }
 
+TEST_F(OperatorApi, EndpointsAreNotChangedWhileTheirSetIsNotSettled)
+{
+	f.endpoints_settled = false;
+	request(OPERATOR_DELETE, "/v1/groups/db1/endpoints/n1");
+	EXPECT_EQ(ERR_NOT_YET, f.error);
+	EXPECT_EQ(0, f.changes);
+	request(OPERATOR_DELETE, "/v1/workspaces/mill");
+	EXPECT_EQ(1, f.changes);
+}
+
 TEST_F(OperatorApi, ChangeInProgressIsFreedWithTheApi)
 {
 	request(OPERATOR_DELETE, "/v1/keys/" HEX64);
