Don't count an endpoint that has lost its log or its term

One that starts again with an empty or older log, or without the term that was raised on it, counted as before: nothing in its status tells it from one that kept both. Change: an instance remembers the latest log and term that each endpoint reported, and counts one that reports less in no majority until it has caught up. A group whose endpoints have all lost their logs gets no primary until the instances are started again.

--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -118,6 +118,8 @@
 	e->record = *r;
 	e->local = !strcmp(r->zone, w->opts.zone);
 	if (!e->exists) {
+		e->latest_term = 0;
+		e->latest_position = (struct position){ 0 };
 		add_to_group(world_group(w, e->group), row);
 		endpoint_set_note_changed(w, e->group, now_us);
 	}
--- a/src/core/endpoint.c
+++ b/src/core/endpoint.c
@@ -23,6 +23,13 @@
 	       !endpoint_is_leaving(e);
 }
 
+bool endpoint_has_lost_state(const struct endpoint *e,
+			     const struct endpoint_status *s)
+{
+	return s->current_term < e->latest_term ||
+	       position_cmp(s->position, e->latest_position) < 0;
+}
+
 void endpoint_set_limits(struct endpoint *e, uint32_t instances)
 {
 	uint32_t n = MAX(instances, 1);
--- a/src/core/endpoint.h
+++ b/src/core/endpoint.h
@@ -21,6 +21,9 @@
 	bool has_status;
 	struct endpoint_status status;
 	int64_t requested_us;
+	/* Latest that it reported since its record was put. */
+	struct position latest_position;
+	uint64_t latest_term;
 
 	/* Liveness, checked by probes on their own connection. */
 	uint32_t probe_conn; /* row, or NO_INDEX */
@@ -51,6 +54,14 @@
  */
 bool endpoint_is_leaving(const struct endpoint *e);
 
+/*
+ * Returns true when the endpoint has reported a later log or term than `s`: it
+ * was started again without them, or replaced. What it confirmed before may be
+ * missing, so it counts in no majority until it has them again.
+ */
+bool endpoint_has_lost_state(const struct endpoint *e,
+			     const struct endpoint_status *s);
+
 /*
  * Sets conn_limit and running_limit to this instance's fraction of the
  * endpoint's connections and slots, which `instances` instances share evenly.
--- a/src/core/group.c
+++ b/src/core/group.c
@@ -115,7 +115,8 @@
 		const struct endpoint *e = &endpoints[g->endpoints[i]];
 		uint32_t at = n;
 
-		if (!e->has_status || e->status.current_term > term)
+		if (!e->has_status || e->status.current_term > term ||
+		    endpoint_has_lost_state(e, &e->status))
 			continue;
 		for (; at > 0 && requested[at - 1] < e->requested_us; at--)
 			requested[at] = requested[at - 1];
@@ -136,7 +137,8 @@
 		const struct endpoint *e = &endpoints[g->endpoints[i]];
 
 		if (!e->has_status || e->status.current_term != p.term ||
-		    e->status.position.term != p.term)
+		    e->status.position.term != p.term ||
+		    endpoint_has_lost_state(e, &e->status))
 			continue;
 		if (e->status.position.offset >= p.offset)
 			n++;
--- a/src/core/observe.c
+++ b/src/core/observe.c
@@ -47,6 +47,8 @@
 	e->has_status = true;
 	e->status = *s;
 	e->requested_us = requested_us;
+	e->latest_term = MAX(e->latest_term, s->current_term);
+	e->latest_position = position_max(e->latest_position, s->position);
 	if (s->role == ROLE_PRIMARY && s->current_term >= g->term) {
 		struct group_mark m = { requested_us, s->current_term,
 					s->position };
--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -378,7 +378,10 @@
 				now_us);
 		return;
 	}
-	if (s->current_term != p->term)
+	if (s->current_term != p->term ||
+	    endpoint_has_lost_state(
+		    world_endpoint(w, world_group(w, group)->endpoints[index]),
+		    s))
 		return;
 	p->raised_mask |= 1u << index;
 	p->positions[index] = s->position;
--- a/tests/core_membership_test.cc
+++ b/tests/core_membership_test.cc
@@ -192,6 +192,65 @@
 	run_cases(successive_changes);
 }
 
+/*
+ * Nodes 1 and 2 promote C, which is then cut off, while node 0 still reaches A.
+ * B has raised the term, and forgets it.
+ */
+void forget_raised_term(Model &m)
+{
+	m.set_lag(B, FAR_BEHIND_US);
+	m.run(50 * MS);
+	write_confirmed(m);
+	m.set_lag(C, FAR_BEHIND_US);
+	m.run(50 * MS);
+	m.cut_platform(0);
+	m.cut_link(1, 0);
+	m.cut_link(2, 0);
+	m.on_fail_point(
+		[](const FailPoint &at) {
+			return at.kind == FAIL_POINT_EXECUTED &&
+			       at.detail == PLAN_PROMOTE;
+		},
+		[&m](const FailPoint &at) { m.cut_zone(2); });
+	m.run(1200 * MS);
+	EXPECT_EQ(2u, m.endpoint(B).current_term);
+	EXPECT_EQ(1u, m.endpoint(A).current_term);
+	m.forget_term(B);
+	m.set_lag(B, 5 * MS);
+	m.write(0, 2, true, 1 * S);
+	m.run(1 * S);
+}
+
+const MembershipCase lost_logs[] = {
+	{ "a replica starts again with an empty log", 3,
+	  [](Model &m) {
+		  stop_replication(m, C);
+		  write_confirmed(m);
+		  m.set_lag(B, FAR_BEHIND_US);
+		  m.run(50 * MS);
+		  m.erase_log(B);
+		  m.run(200 * MS);
+		  lose_primary(m);
+	  } },
+	{ "the primary starts again with an empty log", 3,
+	  [](Model &m) {
+		  stop_replication(m, C);
+		  write_confirmed(m);
+		  m.freeze_endpoint(B);
+		  m.run(50 * MS);
+		  m.erase_log(A);
+		  m.run(5 * S);
+	  } },
+	{ "a replica starts again without the raised term", 3,
+	  forget_raised_term },
+};
+
+/* Guards against counting an endpoint that has lost what it confirmed. */
+TEST(CoreMembership, EndpointWithoutItsLogIsNotCounted)
+{
+	run_cases(lost_logs);
+}
+
 /*
  * Guards against the same when two operators change the set through two
  * instances before either has heard of the other's change.
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -1394,6 +1394,12 @@
 	endpoints_[i].primary = false;
 }
 
+void Model::forget_term(int i)
+{
+	endpoints_[i].current_term = endpoints_[i].position().term;
+	endpoints_[i].primary = false;
+}
+
 void Model::heal_all()
 {
 	cut_zones_.clear();
--- a/tests/model.h
+++ b/tests/model.h
@@ -189,6 +189,8 @@
 	bool change_endpoint(int node, int endpoint, bool deleted);
 	/* As an endpoint that starts on an empty disk under its old name. */
 	void erase_log(int endpoint);
+	/* As an endpoint that starts again and knows its log only. */
+	void forget_term(int endpoint);
 	void cut_zone(int zone)
 	{
 		cut_zones_.insert(zone);
