Count endpoints beyond the seventh in a group's majority

Change: records that are not used count as silent endpoints. When one that is used is deleted, one that is not takes its place.

--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -49,6 +49,8 @@
 {
 	if (g->endpoint_count < GROUP_ENDPOINTS_MAX)
 		g->endpoints[g->endpoint_count++] = endpoint;
+	else
+		g->ignored_count++;
 }
 
 static void remove_from_group(struct group *g, uint32_t endpoint)
@@ -61,6 +63,25 @@
 			(g->endpoint_count - i) * sizeof(g->endpoints[0]));
 		return;
 	}
+	g->ignored_count--;
+}
+
+/* Uses an endpoint that was ignored, if there is one and room for it. */
+static void use_ignored_endpoint(struct world *w, uint32_t group)
+{
+	struct group *g = world_group(w, group);
+
+	for (uint32_t i = 0; i < w->endpoints->len && g->ignored_count; i++) {
+		const struct endpoint *e = world_endpoint(w, i);
+
+		if (g->endpoint_count == GROUP_ENDPOINTS_MAX)
+			return;
+		if (!e->exists || e->group != group ||
+		    group_find_endpoint(g, i) != NO_INDEX)
+			continue;
+		g->ignored_count--;
+		add_to_group(g, i);
+	}
 }
 
 static uint32_t add_endpoint(struct world *w, const struct endpoint_record *r)
@@ -138,11 +159,12 @@
 		return;
 	e = world_endpoint(w, row);
 	if (e->exists) {
+		e->exists = false;
 		remove_from_group(world_group(w, e->group), row);
+		use_ignored_endpoint(w, e->group);
 		promotion_handle_endpoint_removed(w, e->group, now_us);
 		endpoint_set_note_changed(w, e->group, now_us);
 	}
-	e->exists = false;
 	e->has_status = false;
 	close_conns(w, row, now_us);
 	handle_endpoint_change(w, row, true, now_us);
--- a/src/core/group.c
+++ b/src/core/group.c
@@ -23,7 +23,7 @@
 
 uint32_t group_majority_size(const struct group *g)
 {
-	return g->endpoint_count / 2 + 1;
+	return (g->endpoint_count + g->ignored_count) / 2 + 1;
 }
 
 bool group_choose_primary(struct group *g, const struct endpoint *endpoints)
@@ -108,7 +108,8 @@
 				   const struct endpoint *endpoints,
 				   uint64_t term)
 {
-	int64_t requested[GROUP_ENDPOINTS_MAX];
+	int64_t requested[GROUP_ENDPOINTS_MAX] = { 0 };
+	uint32_t size = group_majority_size(g);
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < g->endpoint_count; i++) {
@@ -123,9 +124,9 @@
 		requested[at] = e->requested_us;
 		n++;
 	}
-	if (n < group_majority_size(g))
+	if (n < size)
 		return INT64_MIN;
-	return requested[group_majority_size(g) - 1];
+	return requested[size - 1];
 }
 
 bool group_majority_holds(const struct group *g,
--- a/src/core/group.h
+++ b/src/core/group.h
@@ -31,6 +31,8 @@
 	char name[NAME_BYTES];
 	uint32_t endpoints[GROUP_ENDPOINTS_MAX]; /* rows of world.endpoints */
 	uint32_t endpoint_count;
+	/* Endpoints beyond GROUP_ENDPOINTS_MAX; they count as silent ones. */
+	uint32_t ignored_count;
 	uint32_t primary; /* row of the endpoint, or NO_INDEX */
 	uint64_t term; /* highest term in which a primary was seen */
 
--- a/tests/promotion_choice_test.cc
+++ b/tests/promotion_choice_test.cc
@@ -33,7 +33,8 @@
 class Group
 {
       public:
-	explicit Group(int size);
+	/* The endpoints' records arrive in order, from `first` on. */
+	explicit Group(int size, int first = 0);
 	~Group()
 	{
 		world_free(world_);
@@ -63,7 +64,7 @@
 	std::map<uint32_t, int> conn_servers_; /* index by connection */
 };
 
-Group::Group(int size) : servers(size)
+Group::Group(int size, int first) : servers(size)
 {
 	struct world_opts o = world_opts_default();
 	struct event e = {};
@@ -75,7 +76,7 @@
 	world_ = world_new(&o, now_);
 	servers[0].status.role = ROLE_PRIMARY;
 	for (int i = 0; i < size; i++)
-		put_endpoint(i, ENDPOINT_LIVE);
+		put_endpoint((first + i) % size, ENDPOINT_LIVE);
 	e.type = EVENT_CONFIG_SYNCED;
 	e.synced = { revision_, now_ };
 	send(e);
@@ -305,4 +306,36 @@
 	}
 }
 
+/*
+ * Guards against majorities without a common endpoint: of more records than
+ * GROUP_ENDPOINTS_MAX, instances ignore those that they received last.
+ */
+TEST(PromotionChoice, HalfOfTheRecordsIsNoMajority)
+{
+	constexpr int SIZE = GROUP_ENDPOINTS_MAX + 1;
+	int chosen = 0;
+
+	for (unsigned silent = 0; silent < 1u << SIZE; silent++) {
+		if (!(silent & 1))
+			continue;
+		/* The primary's record is not the last one. */
+		for (int first = 2; first <= SIZE; first++) {
+			Group g(SIZE, first);
+			int answering = SIZE - __builtin_popcount(silent);
+
+			for (int i = 0; i < SIZE; i++)
+				g.servers[i].answers = !(silent & 1u << i);
+			g.run(PROMOTION_US);
+			if (g.promoted < 0)
+				continue;
+			chosen++;
+			EXPECT_GT(answering, SIZE / 2)
+				<< "silent " << silent << ", first " << first;
+		}
+	}
+	/* 7 orders, 5 or 6 of the 6 used others, the ignored one or not. */
+	EXPECT_EQ(7 * 7 * 2, chosen);
+	printf("%d records: %d promotions\n", SIZE, chosen);
+}
+
 } // namespace
