--- a/src/core/promotion.c
+++ b/src/core/promotion.c
@@ -378,7 +378,10 @@
 				now_us);
 		return;
 	}
-	if (s->current_term != p->term)
+	if (s->current_term != p->term ||
+	    endpoint_has_lost_state(
+		    world_endpoint(w, world_group(w, group)->endpoints[index]),
+		    s))
 		return;
 	p->raised_mask |= 1u << index;
 	p->positions[index] = s->position;
@@ -445,6 +448,16 @@
 			MAX(p->next_try_us, now_us + OTHER_PROMOTER_WAIT_US);
 }
 
+void promotion_handle_endpoint_removed(struct world *w, uint32_t group,
+				       int64_t now_us)
+{
+	const struct promotion *p = get_promotion(w, group);
+
+	if (p->state == PROMOTION_RAISING_TERM ||
+	    p->state == PROMOTION_PROMOTING)
+		abort_promotion(w, group, "an endpoint was removed", now_us);
+}
+
 static void handle_term_allocated(struct world *w, uint32_t group,
 				  const struct platform_result *r,
 				  int64_t now_us)
