End rounds and pauses when endpoints come back

Callers got no writes although all endpoints were back.

Cause: two, of one kind: what a round knows of an endpoint outlived it. A primary that started again during a round came back as an unknown endpoint; it reported that it leads, was neither demoted nor paused, and the round waited for ever. And when all endpoints had been released, replication that a round had paused was never resumed on those that came back. Change: an endpoint that leads while the round still has a reason is the primary that it replaces. Replication is adjusted again whenever the endpoints of the service change.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -766,8 +766,9 @@
 }
 
 /*
- * Returns a hash that changes with the endpoints that are to be paused and
- * those that cannot be reached; they are adjusted again then.
+ * Returns a hash that changes with the endpoints of the service, those that are
+ * to be paused and those that cannot be reached. Replication is adjusted again
+ * then: an endpoint may come back as a round left it.
  */
 static uint64_t hash_replication_state(const struct service *svc,
 				       int64_t now_us)
@@ -776,11 +777,13 @@
 
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+		uint64_t weight = 1;
 
-		if (u->expired)
-			hash += 2 * upstream_id_hash(u);
-		else if (should_be_paused(svc, u, now_us))
-			hash += upstream_id_hash(u);
+		if (should_be_paused(svc, u, now_us))
+			weight = 2;
+		else if (u->expired)
+			weight = 3;
+		hash += weight * upstream_id_hash(u);
 	}
 	return hash;
 }
@@ -1012,6 +1015,17 @@
 		f->stepped_down_us = now_us;
 }
 
+/*
+ * Makes an endpoint the primary that the round replaces. It leads, but not in
+ * the term of the round's order: it started again, or was not known before.
+ */
+static void set_replaced_primary(struct failover *f, struct round_endpoint *ep)
+{
+	for (guint i = 0; i < f->endpoints->len; i++)
+		get_round_endpoint(f, i)->was_primary = false;
+	ep->was_primary = true;
+}
+
 static bool is_to_step_down(const struct failover *f,
 			    const struct round_endpoint *ep, int64_t now_us)
 {
@@ -1040,6 +1054,9 @@
 		engine_update_primary(fs->engine, c->upstream,
 				      PRIMARY_CLAIM_CONFIRMED,
 				      "reports primary role");
+	if (f->state == FAILOVER_COLLECTING && r->role == ROLE_PRIMARY &&
+	    !ep->was_primary && find_failover_reason(f, now_us))
+		set_replaced_primary(f, ep);
 	if ((f->state == FAILOVER_COLLECTING ||
 	     f->state == FAILOVER_ADJUSTING) &&
 	    r->term >= f->term)
