Use an interim primary again when its shutdown is called off

Callers got no writes.

Cause: an endpoint that became primary while it was leaving gets no work; that stayed so when it was no longer leaving. Change: it counts as interim only while it is leaving.

--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -102,7 +102,9 @@
 
 bool upstream_is_usable_primary(const struct upstream *u)
 {
-	return u == u->service->primary && !u->expired && !u->interim_primary &&
+	bool interim = u->interim_primary && u->entry.leaving;
+
+	return u == u->service->primary && !u->expired && !interim &&
 	       !service_is_fenced(u->service);
 }
 
