End a round in which another endpoint came to lead

Callers got no writes although all endpoints were back.

Cause: a round that had demoted the primary counted as unfinished for good, also after that process had ended and an earlier order had made another endpoint the primary. That one was neither demoted nor accepted. Change: the service is without a primary only while the endpoint that stepped down in this round is still known to have done so. The model's frozen instances no longer read answers (platform faults only), and a shutdown that did not take place ends with the faults.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -703,11 +703,21 @@
 	}
 }
 
+/* Returns true if the round has left the service without a primary. */
+static bool has_stepped_down(const struct failover *f)
+{
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		if (get_round_endpoint(f, i)->stepped_down)
+			return true;
+	}
+	return false;
+}
+
 static void collect_reports(struct failover *f, int64_t now_us)
 {
 	uint32_t chosen = NO_INDEX;
 
-	if (!find_failover_reason(f, now_us) && !f->stepped_down_us) {
+	if (!find_failover_reason(f, now_us) && !has_stepped_down(f)) {
 		log_failover(f, LOG_PROMOTION_FAILED,
 			     now_us - f->state_since_us,
 			     "no longer needed; replication resumes");
@@ -1010,9 +1020,9 @@
 		ep->was_primary = false;
 		return;
 	}
-	ep->stepped_down = true;
-	if (!f->stepped_down_us)
+	if (!ep->stepped_down)
 		f->stepped_down_us = now_us;
+	ep->stepped_down = true;
 }
 
 /*
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -35,11 +35,11 @@
  *  - the primary started again during a round, which never ended;
  *  - a pause was never ended, as all endpoints had left the round;
  *  - a report counted although its connection, and the pause, had ended;
- *  - a leaving endpoint that was cut off counted as shut down.
+ *  - a leaving endpoint that was cut off counted as shut down;
+ *  - a late order made an endpoint lead during a round, which never ended.
  */
-const uint64_t failed_platform_seeds[] = {
-	5, 731, 66, 2390, 684, 447, 907, 286
-};
+const uint64_t failed_platform_seeds[] = { 5,	731, 66,  2390, 684,
+					   447, 907, 286, 1645 };
 
 int random_below(ProxyModel &m, int n)
 {
@@ -443,6 +443,7 @@
 	o.seed = seed;
 	o.nodes = 4;
 	o.refuse_ended_endpoint = has_platform_faults;
+	o.frozen_nodes_read_nothing = has_platform_faults;
 	if (has_platform_faults && seed % 3 == 0)
 		o.promotion_duration_us = 1 * S;
 	o.log = getenv("PROXY_LOG") != nullptr;
@@ -461,6 +462,11 @@
 		}
 		send_statements(m, callers);
 	}
+	/* A shutdown that did not take place is called off. */
+	for (auto &e : m.endpoints) {
+		if (has_platform_faults && e->leaving && e->alive && !e->gone)
+			m.set_leaving(e.get(), false);
+	}
 	/* All faults have ended, so a write must succeed again. */
 	m.run(has_platform_faults ? 16 * S : 14 * S);
 	bool served = false;
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -776,6 +776,11 @@
 
 			  if (n->generation != generation || !n->engine)
 				  return;
+			  if (n->frozen && opts.frozen_nodes_read_nothing) {
+				  send_store_answer(node, generation, fn, data,
+						    a, items, 1 * MS);
+				  return;
+			  }
 			  if (n->cut_from_store) {
 				  items.clear();
 				  a.outcome = STORE_UNKNOWN;
@@ -1102,18 +1107,29 @@
 	uint64_t generation = c->node->generation;
 
 	run_later(NETWORK_DELAY_US, [this, c, lines, generation] {
-		std::istringstream in(lines);
-		std::string line;
-
-		if (c->silent || is_link_cut(*c->node, *c->endpoint) ||
-		    c->node->generation != generation)
-			return;
-		while (c->engine_conn && c->node->engine &&
-		       std::getline(in, line))
-			engine_conn_line(c->engine_conn, line.c_str());
+		if (!c->silent && !is_link_cut(*c->node, *c->endpoint))
+			deliver_reply(c, lines, generation);
 	});
 }
 
+void ProxyModel::deliver_reply(const std::shared_ptr<ProxyConn> &c,
+			       const std::string &lines, uint64_t generation)
+{
+	std::istringstream in(lines);
+	std::string line;
+
+	if (c->node->generation != generation)
+		return;
+	if (c->node->frozen && opts.frozen_nodes_read_nothing) {
+		run_later(1 * MS, [this, c, lines, generation] {
+			deliver_reply(c, lines, generation);
+		});
+		return;
+	}
+	while (c->engine_conn && c->node->engine && std::getline(in, line))
+		engine_conn_line(c->engine_conn, line.c_str());
+}
+
 /* Returns the position of the last log entry that reads see. */
 ProxyPosition ProxyModel::get_visible_position(const ProxyEndpoint &e) const
 {
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -156,6 +156,8 @@
 	uint32_t rate_per_s = 100;
 	uint32_t burst = 100;
 	bool unlimited = false; /* no workspace has a limit */
+	/* Answers of endpoints wait until the node is no longer frozen. */
+	bool frozen_nodes_read_nothing = true;
 	bool log = false; /* print the engines' log events */
 };
 
@@ -282,6 +284,8 @@
 	void tick_node(ProxyNode *n);
 	void deliver_line(const std::shared_ptr<ProxyConn> &c,
 			  const std::string &line);
+	void deliver_reply(const std::shared_ptr<ProxyConn> &c,
+			   const std::string &lines, uint64_t generation);
 	void send_reply(const std::shared_ptr<ProxyConn> &c,
 			const std::string &lines);
 	void close_conn(const std::shared_ptr<ProxyConn> &c, int error);
