Count a replica that starts again under an id that is not known yet

Cause: an endpoint that is cut from the store may start again, with its log, at its address under a new id, and writes its entry only after the cut. A STARTUP with the old id is answered MISROUTED, so the member was released as soon as another endpoint had as much of the log as was known. The new process was neither paused nor counted and let the primary acknowledge commits. Ruled out: a process of another service at the address: it refuses the service's name too, and the member is released as before. Change: control connections to such a member are opened without an id. If the process answers under the service's name, it is paused and counted in the member's place, and the member stays in the set until that entry is there. It can't be chosen. If its log is longer than that of every candidate, the round waits for its entry, for failover.replica_wait_s at most. An answer with the old id shows that the member itself runs again. A round that has waited in vain for the entry promotes the best of the others. A service whose writes are not confirmed does not wait.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -627,8 +627,9 @@
 		return NULL;
 	}
 	g_ptr_array_add(u->conns, c);
+	c->any_id = control && upstream_has_unknown_successor(u);
 	e->opts.wire->put_start(c->out, u->entry.service, workspace,
-				u->entry.id);
+				c->any_id ? NULL : u->entry.id);
 	upstream_conn_push_request(c, CONN_REQUEST_START, now_us);
 	metrics_add(e->opts.metrics, "connections_opened_total",
 		    control ? "control" : "work", 1);
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -45,7 +45,9 @@
 
 /*
  * Returns a new connection, owned by the endpoint, or NULL if none could be
- * opened. A control connection carries only the proxy's own statements.
+ * opened. A control connection carries only the proxy's own statements. It
+ * reaches the process that runs at the endpoint's address now; see
+ * upstream_has_unknown_successor().
  */
 struct upstream_conn *dispatch_open_conn(struct engine *e, struct upstream *u,
 					 const char *workspace, bool control,
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -280,6 +280,9 @@
 			    const struct wire_reply *ready, int64_t now_us)
 {
 	c->upstream->open_failures = 0;
+	c->upstream->foreign = false;
+	if (!c->any_id)
+		c->upstream->replaced = false;
 	upstream_record_handshake(c->upstream, now_us - request->sent_us);
 	c->idle_since_us = now_us;
 	c->state = CONN_STATE_IDLE;
@@ -344,10 +347,12 @@
 	engine_log(c->engine, LOG_CONN_DENIED, 0, u->entry.id, u->conns->len,
 		   "%s", answer_code_name(code));
 	record_refusal(c, code, now_us);
-	if (code == ANSWER_WRONG_ENDPOINT)
-		u->replaced = true;
-	else
+	if (code != ANSWER_WRONG_ENDPOINT)
 		upstream_record_own_answer(u);
+	else if (c->any_id)
+		u->foreign = true;
+	else
+		u->replaced = true;
 	u->open_after_us = now_us + OPEN_BACKOFF_US;
 	exchange_handle_loss(c, answer_code_name(code), now_us);
 }
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -234,6 +234,13 @@
 		   f->service->name, name);
 }
 
+static const char *get_entry_state(const struct upstream *u)
+{
+	if (u->listed)
+		return "";
+	return upstream_has_ended(u) ? ", new id" : ", unlisted";
+}
+
 static void log_counted_endpoint(const struct failover *f,
 				 const struct round_endpoint *ep,
 				 int64_t now_us)
@@ -253,7 +260,7 @@
 		   r->paused_below_term, ep->was_primary ? ", was primary" : "",
 		   ep->stepped_down ? ", stepped down" : "",
 		   ep->upstream->entry.leaving ? ", leaving" : "",
-		   ep->upstream->listed ? "" : ", unlisted");
+		   get_entry_state(ep->upstream));
 }
 
 static struct round_endpoint *get_round_endpoint(const struct failover *f,
@@ -643,6 +650,10 @@
 		candidates[i].paused = is_paused(f, ep);
 		candidates[i].leaving = ep->upstream->entry.leaving;
 		candidates[i].unlisted = !ep->upstream->listed;
+		candidates[i].id_unknown = upstream_has_ended(ep->upstream);
+		candidates[i].id_awaited = candidates[i].id_unknown &&
+					   engine_now(e) - f->state_since_us <
+						   e->opts.replica_wait_us;
 		candidates[i].is_pending_choice =
 			!g_strcmp0(pending, ep->upstream->entry.id);
 		candidates[i].local =
@@ -692,14 +703,17 @@
 	for (guint i = 0; i < f->endpoints->len; i++) {
 		const struct round_endpoint *ep = get_round_endpoint(f, i);
 
-		if (ep->was_primary || is_paused(f, ep))
+		if (!upstream_has_ended(ep->upstream) &&
+		    (ep->was_primary || is_paused(f, ep)))
 			continue;
 		engine_log(f->failovers->engine, LOG_PROMOTION_WAITING, 0,
 			   f->service->name, now_us - f->state_since_us,
 			   "%s of %s%s",
-			   ep->has_report ? "pause" : "status report",
+			   !ep->has_report  ? "status report" :
+			   is_paused(f, ep) ? "entry" :
+					      "pause",
 			   ep->upstream->entry.id,
-			   ep->upstream->listed ? "" : ", unlisted");
+			   get_entry_state(ep->upstream));
 	}
 }
 
--- a/src/proxy/failover_plan.c
+++ b/src/proxy/failover_plan.c
@@ -32,6 +32,12 @@
 	return c->was_primary && c->stepped_down && c->paused;
 }
 
+/* Returns true if its log is complete to where it is known. */
+static bool has_final_log(const struct failover_candidate *c)
+{
+	return c->paused && (!c->was_primary || c->stepped_down);
+}
+
 /*
  * Returns the paused endpoint with the longest log, or NO_INDEX. This may be
  * the previous primary if it has stepped down.
@@ -42,8 +48,7 @@
 	uint32_t best = NO_INDEX;
 
 	for (uint32_t i = 0; i < count; i++) {
-		if (!candidates[i].paused ||
-		    (candidates[i].was_primary && !candidates[i].stepped_down))
+		if (!has_final_log(&candidates[i]) || candidates[i].id_unknown)
 			continue;
 		if (best == NO_INDEX ||
 		    is_better(&candidates[i], &candidates[best]))
@@ -84,7 +89,7 @@
 	for (uint32_t i = 0; old && i < count; i++) {
 		const struct failover_candidate *c = &candidates[i];
 
-		if (c->was_primary || c->leaving ||
+		if (c->was_primary || c->leaving || c->id_unknown ||
 		    (c->unlisted && !c->is_pending_choice) ||
 		    !position_covers(c->received, old->received))
 			continue;
@@ -94,6 +99,24 @@
 	return best;
 }
 
+/*
+ * Returns true if an endpoint whose id is awaited has more of the log than the
+ * best of the others. One that an earlier order names has what is needed.
+ */
+static bool must_wait_for_id(const struct failover_candidate *candidates,
+			     uint32_t count,
+			     const struct failover_candidate *best)
+{
+	for (uint32_t i = 0; i < count && !best->is_pending_choice; i++) {
+		const struct failover_candidate *c = &candidates[i];
+
+		if (c->id_awaited && has_final_log(c) &&
+		    position_cmp(c->received, best->received) > 0)
+			return true;
+	}
+	return false;
+}
+
 enum failover_decision
 failover_choose_primary(const struct failover_candidate *candidates,
 			uint32_t count, bool confirms_writes, uint32_t *chosen)
@@ -110,5 +133,10 @@
 	if (confirms_writes && !longest_log_is_safe(candidates, count))
 		return FAILOVER_WAIT;
 	*chosen = find_longest_log(candidates, count);
-	return *chosen == NO_INDEX ? FAILOVER_WAIT : FAILOVER_CHOSEN;
+	if (*chosen == NO_INDEX)
+		return FAILOVER_WAIT;
+	if (confirms_writes &&
+	    must_wait_for_id(candidates, count, &candidates[*chosen]))
+		return FAILOVER_WAIT;
+	return FAILOVER_CHOSEN;
 }
--- a/src/proxy/failover_plan.h
+++ b/src/proxy/failover_plan.h
@@ -9,6 +9,9 @@
  *  - The previous primary has stepped down and reported its last position: any
  *    log that covers it contains all of them, and so does its own.
  *
+ * An endpoint whose id is not known cannot be chosen. If its log is longer than
+ * that of all others, its id is awaited, but not without limit.
+ *
  * The endpoint named in an earlier order for the same term is preferred. If
  * another one were chosen, both orders could be carried out one after the
  * other, and commits that the first new primary acknowledged would be lost. The
@@ -31,6 +34,12 @@
 	bool leaving; /* its shutdown has been announced */
 	/* No entry in the store: it gets no work as long as it has none. */
 	bool unlisted;
+	/*
+	 * It has ended, and what is known is of the process at its address,
+	 * which has another id: no order can name it yet.
+	 */
+	bool id_unknown;
+	bool id_awaited; /* id_unknown; the id may still become known */
 	/* Named by an earlier order that may still be carried out. */
 	bool is_pending_choice;
 	bool local; /* in this instance's availability zone */
@@ -39,7 +48,8 @@
 
 enum failover_decision {
 	FAILOVER_CHOSEN,
-	FAILOVER_WAIT, /* the position of a relevant log is not known yet */
+	/* A relevant log, or the id of its endpoint, is not known yet. */
+	FAILOVER_WAIT,
 	FAILOVER_NO_CANDIDATE, /* no other endpoint could serve */
 };
 
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -156,9 +156,7 @@
 	for (guint i = 0; i < upstreams->len; i++) {
 		struct upstream *other = g_ptr_array_index(upstreams, i);
 
-		if (other != u &&
-		    !strcmp(other->entry.address, u->entry.address) &&
-		    other->entry.started_ms < u->entry.started_ms)
+		if (upstream_started_before(other, u))
 			other->replaced = true;
 	}
 }
--- a/src/proxy/replica_set.c
+++ b/src/proxy/replica_set.c
@@ -230,6 +230,9 @@
 		return "it has not answered for too long";
 	if (!log_is_covered(u))
 		return NULL;
+	/* Its successor may have received more than is known. */
+	if (upstream_has_unknown_successor(u) && !u->foreign)
+		return NULL;
 	if (u->replaced)
 		return "another process runs at its address";
 	if (u->entry.leaving &&
--- a/src/proxy/replica_set.h
+++ b/src/proxy/replica_set.h
@@ -10,6 +10,10 @@
  *    shutdown and does not answer; or
  *  - it has not answered for engine_opts.replica_wait_us.
  *
+ * It may start again under a new id, with its log, and still not reach the
+ * store. Then the process of its service at its address takes its place in the
+ * set, and it is released only once the entry with that id is there.
+ *
  * The holder of the duty checks such endpoints once a second, releases them,
  * and writes the set to the store. From there an instance that starts later
  * learns of the endpoints that have no entry.
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -95,6 +95,36 @@
 	       strcmp(s->primary->entry.id, s->ordered_endpoint) != 0;
 }
 
+static bool has_known_successor(const struct upstream *u)
+{
+	const GPtrArray *upstreams = u->service->upstreams;
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		const struct upstream *other = g_ptr_array_index(upstreams, i);
+
+		if (upstream_started_before(u, other))
+			return true;
+	}
+	return false;
+}
+
+bool upstream_has_ended(const struct upstream *u)
+{
+	return u->replaced && !u->listed;
+}
+
+bool upstream_has_unknown_successor(const struct upstream *u)
+{
+	return upstream_has_ended(u) && !has_known_successor(u);
+}
+
+bool upstream_started_before(const struct upstream *u,
+			     const struct upstream *other)
+{
+	return other != u && !strcmp(other->entry.address, u->entry.address) &&
+	       u->entry.started_ms < other->entry.started_ms;
+}
+
 bool upstream_is_usable(const struct upstream *u)
 {
 	return u->listed && !u->entry.leaving;
@@ -143,8 +173,10 @@
 
 void upstream_set_listed(struct upstream *u)
 {
-	if (!u->listed)
+	if (!u->listed) {
 		u->replaced = false;
+		u->foreign = false;
+	}
 	u->listed = true;
 	u->expired = false;
 	u->missing_since_us = 0;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -27,6 +27,7 @@
 	bool expired;
 	bool stored; /* the stored replica set names it */
 	bool replaced; /* another process runs at its address */
+	bool foreign; /* and that process is not of its service */
 	/* First check without an answer since the last one; 0: none. */
 	int64_t unanswered_since_us;
 	int64_t checked_us;
@@ -118,6 +119,19 @@
  */
 bool service_is_fenced(const struct service *s);
 
+/* Returns true if `other` has the same address and started after it. */
+bool upstream_started_before(const struct upstream *u,
+			     const struct upstream *other);
+
+/* Returns true if it has ended: another process has its address. */
+bool upstream_has_ended(const struct upstream *u);
+
+/*
+ * Returns true if it has ended, and the entry of the process at its address,
+ * and so its id, is not known. That process may have its log and receive.
+ */
+bool upstream_has_unknown_successor(const struct upstream *u);
+
 /* Returns true if new work may be sent to it. */
 bool upstream_is_usable(const struct upstream *u);
 
@@ -131,7 +145,10 @@
 /* Records that the endpoint answered or accepted a connection. */
 void upstream_record_answer(struct upstream *u);
 
-/* Records an answer that no other process at its address can have given. */
+/*
+ * Records an answer that it gave, or the process of its service that runs at
+ * its address now.
+ */
 void upstream_record_own_answer(struct upstream *u);
 
 /* Records that its entry did not come back in time. */
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -69,6 +69,7 @@
 	 */
 	struct session *session;
 	bool control; /* carries only statements of the proxy itself */
+	bool any_id; /* it was opened without the endpoint's id */
 	bool in_transaction; /* the endpoint has an open transaction on it */
 	bool closed;
 	int64_t opened_us;
--- a/src/proxy/wire.h
+++ b/src/proxy/wire.h
@@ -113,7 +113,10 @@
 	void (*put_ready)(GString *out, enum transaction_state state,
 			  const struct position *position);
 
-	/* Append messages for endpoints. */
+	/*
+	 * Append messages for endpoints. `endpoint` is its id; NULL: any
+	 * endpoint of the service.
+	 */
 	void (*put_start)(GString *out, const char *service,
 			  const char *workspace, const char *endpoint);
 	/*
--- a/tests/failover_plan_test.cc
+++ b/tests/failover_plan_test.cc
@@ -60,6 +60,34 @@
 	return c;
 }
 
+/* `awaited`: its id may still become known. */
+struct failover_candidate unknown_candidate(bool paused, uint64_t offset,
+					    bool awaited)
+{
+	struct failover_candidate c = unlisted_candidate(paused, offset);
+
+	c.id_unknown = true;
+	c.id_awaited = awaited;
+	return c;
+}
+
+struct failover_candidate stepped_down_unknown_candidate(uint64_t offset)
+{
+	struct failover_candidate c = unknown_candidate(true, offset, true);
+
+	c.was_primary = true;
+	c.stepped_down = true;
+	return c;
+}
+
+struct failover_candidate pending_unknown_candidate(uint64_t offset)
+{
+	struct failover_candidate c = unknown_candidate(true, offset, true);
+
+	c.is_pending_choice = true;
+	return c;
+}
+
 struct PlanCase {
 	const char *name;
 	std::vector<struct failover_candidate> candidates;
@@ -199,6 +227,67 @@
 	  true,
 	  FAILOVER_NO_CANDIDATE,
 	  0 },
+	{ "the longest log has an unknown id: it is awaited",
+	  { primary_candidate(false, 0), unknown_candidate(true, 9, true),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_WAIT,
+	  0 },
+	{ "the longest log has an unknown id, for too long",
+	  { primary_candidate(false, 0), unknown_candidate(true, 9, false),
+	    replica_candidate(true, 7), replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  3 },
+	{ "an unknown id has the same log as a replica",
+	  { primary_candidate(false, 0), unknown_candidate(true, 8, true),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  2 },
+	{ "an unknown id is not paused, for too long: its log may be longer",
+	  { primary_candidate(false, 0), unknown_candidate(false, 7, false),
+	    replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_WAIT,
+	  0 },
+	{ "the old primary stepped down and only an unknown id covers its log",
+	  { primary_candidate(true, 8), unknown_candidate(true, 8, true),
+	    replica_candidate(true, 7) },
+	  true,
+	  FAILOVER_WAIT,
+	  0 },
+	{ "the old primary stepped down and has an unknown id",
+	  { stepped_down_unknown_candidate(9), replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_WAIT,
+	  0 },
+	{ "the old primary has an unknown id and a replica covers its log",
+	  { stepped_down_unknown_candidate(9), replica_candidate(false, 9) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  1 },
+	{ "an earlier order names one that ended; its log is not longer",
+	  { pending_unknown_candidate(8), replica_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  1 },
+	{ "an earlier order names a replica behind an unknown id",
+	  { unknown_candidate(true, 9, true), pending_candidate(true, 8) },
+	  true,
+	  FAILOVER_CHOSEN,
+	  1 },
+	{ "writes are not confirmed: no id is awaited",
+	  { primary_candidate(false, 0), unknown_candidate(true, 9, true),
+	    replica_candidate(true, 8) },
+	  false,
+	  FAILOVER_CHOSEN,
+	  2 },
+	{ "all known endpoints are unlisted or have an unknown id",
+	  { unknown_candidate(true, 9, true), unlisted_candidate(true, 9) },
+	  true,
+	  FAILOVER_NO_CANDIDATE,
+	  0 },
 	{ "no primary was known",
 	  { replica_candidate(true, 8), replica_candidate(true, 9),
 	    replica_candidate(true, 7) },
@@ -232,7 +321,7 @@
 {
 	int chosen_cases = 0;
 
-	for (unsigned bits = 0; bits < 1u << 12; bits++) {
+	for (unsigned bits = 0; bits < 1u << 14; bits++) {
 		struct failover_candidate candidates[3] = {};
 		bool acked_on[3] = { true, (bits & 1) != 0, (bits & 2) != 0 };
 		uint32_t chosen = NO_INDEX;
@@ -246,7 +335,10 @@
 		for (int i = 1; i < 3; i++) {
 			candidates[i].paused = bits & (8u << i);
 			candidates[i].leaving = bits & (32u << i);
-			candidates[i].unlisted = bits & (256u << i);
+			candidates[i].id_unknown = bits & (2048u << i);
+			candidates[i].id_awaited = candidates[i].id_unknown;
+			candidates[i].unlisted = candidates[i].id_unknown ||
+						 (bits & (256u << i));
 			candidates[i].received = { TERM,
 						   acked_on[i] ? 10u : 9u };
 		}
@@ -255,6 +347,7 @@
 			continue;
 		chosen_cases++;
 		EXPECT_TRUE(acked_on[chosen]) << bits;
+		EXPECT_FALSE(candidates[chosen].id_unknown) << bits;
 	}
 	EXPECT_GT(chosen_cases, 50);
 }
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -349,6 +349,133 @@
 	}
 }
 
+struct NewIdCase {
+	const char *name;
+	void (*apply)(ProxyModel &m, ProxyEndpoint *e);
+	int64_t promotion_us; /* maximum time until the promotion */
+};
+
+/* Writes through the new process alone. */
+void write_through_unlisted(ProxyModel &m)
+{
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+
+	for (auto &e : m.endpoints)
+		e->cut_replication = !e->primary && e->listed;
+	EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+}
+
+/* A replica has had no entry for 5 s; the new one's comes 8 s after it. */
+const NewIdCase new_id_cases[] = {
+	{ "a commit is acknowledged through the new process",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 8 * S);
+		  m.run(3 * S);
+		  write_through_unlisted(m);
+		  m.crash(m.primary());
+	  },
+	  8 * S },
+	{ "the commit was acknowledged just before it starts again",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  write_through_unlisted(m);
+		  m.restart_with_new_id(e, 100 * MS, 8 * S);
+		  m.crash(m.primary());
+	  },
+	  10 * S },
+	{ "it starts again twice",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 20 * S);
+		  m.run(3 * S);
+		  m.restart_with_new_id(m.endpoints.back().get(), 500 * MS,
+					8 * S);
+		  m.run(3 * S);
+		  write_through_unlisted(m);
+		  m.crash(m.primary());
+	  },
+	  8 * S },
+	{ "all instances start after it",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 10 * S);
+		  m.run(2 * S);
+		  write_through_unlisted(m);
+		  for (auto &n : m.nodes)
+			  m.kill(n.get());
+		  for (auto &n : m.nodes)
+			  m.start(n.get());
+		  m.run(3 * S);
+		  m.crash(m.primary());
+	  },
+	  10 * S },
+	{ "its log is not longer: nothing waits for its entry",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 60 * S);
+		  m.run(3 * S);
+		  m.crash(m.primary());
+	  },
+	  3 * S },
+	{ "its log is longer, but its entry never comes",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 60 * S);
+		  m.run(3 * S);
+		  m.crash(m.primary());
+		  m.endpoints.back()->log.push_back({ 1, 1000, "" });
+	  },
+	  REPLICA_WAIT_US + 2 * S },
+	{ "the new process ends too, without an entry",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 60 * S);
+		  m.run(3 * S);
+		  m.lose(m.endpoints.back().get());
+		  m.crash(m.primary());
+	  },
+	  REPLICA_WAIT_US + 2 * S },
+	{ "the new process belongs to another service",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  m.restart_with_new_id(e, 500 * MS, 60 * S);
+		  m.run(600 * MS);
+		  m.endpoints.back()->service = "other";
+		  m.run(3 * S);
+		  m.crash(m.primary());
+	  },
+	  3 * S },
+	{ "the primary too starts again with a new id",
+	  [](ProxyModel &m, ProxyEndpoint *e) {
+		  ProxyEndpoint *p = m.primary();
+
+		  m.restart_with_new_id(e, 500 * MS, 8 * S);
+		  m.run(3 * S);
+		  write_through_unlisted(m);
+		  m.cut_from_store(p, 60 * S);
+		  m.restart_with_new_id(p, 500 * MS, 60 * S);
+	  },
+	  10 * S },
+};
+
+/* Guards against promoting an endpoint behind one whose id is not known. */
+TEST(ProxyEngine, LosesNoCommitOfEndpointWithUnknownId)
+{
+	for (const NewIdCase &k : new_id_cases) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		o.endpoints_per_service = 4;
+		ProxyModel m(o);
+		ProxyEndpoint *e;
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		e = m.replica(2);
+		m.cut_from_store(e, 60 * S);
+		m.run(9 * S);
+		k.apply(m, e);
+		EXPECT_TRUE(m.run_until([&] { return m.promotions > 0; },
+					k.promotion_us));
+		for (auto &r : m.endpoints)
+			r->cut_replication = false;
+		EXPECT_LT(wait_for_write(m, 10 * S), 4 * S);
+		expect_no_violations(m);
+	}
+}
+
 struct LeavingCase {
 	const char *name;
 	void (*apply)(ProxyModel &m, ProxyEndpoint *leaving);
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -13,6 +13,7 @@
 /* Seeds that CI runs; PROXY_SEEDS=N runs N seeds, from PROXY_SEED on. */
 constexpr int SEED_COUNT = 40;
 constexpr int PLATFORM_SEED_COUNT = 4;
+constexpr int NEW_ID_SEED_COUNT = 4;
 constexpr int STEP_COUNT = 120;
 constexpr int PLATFORM_STEP_COUNT = 300;
 /*
@@ -421,20 +422,61 @@
 	}
 }
 
-/* Seeds with platform faults mix both tables. */
-const Fault &pick_fault(ProxyModel &m, bool has_platform_faults)
+/* Cuts an endpoint from the store; then it starts again with a new id. */
+void restart_with_new_id(ProxyModel &m, ProxyEndpoint *e)
+{
+	if (!e->alive || e->leaving || e->cut_from_store || is_replacing(m))
+		return;
+	m.cut_from_store(e, 17 * S);
+	m.run_later(random_us(m, 500 * MS, 6 * S), [&m, e] {
+		if (e->alive && !e->gone && !is_replacing(m))
+			m.restart_with_new_id(e, random_us(m, 100 * MS, 1 * S),
+					      random_us(m, 2 * S, 10 * S));
+	});
+}
+
+const Fault new_id_faults[] = {
+	{ "endpoint starts again with a new id",
+	  [](ProxyModel &m) { restart_with_new_id(m, pick_endpoint(m)); } },
+	{ "endpoint starts again with a new id while another receives nothing",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = pick_endpoint(m);
+
+		  restart_with_new_id(m, e);
+		  stop_receiving(m, pick_other_endpoint(m, e, m.primary()),
+				 random_us(m, 2 * S, 8 * S));
+	  } },
+	{ "primary crashes",
+	  [](ProxyModel &m) {
+		  if (!count_failed_endpoints(m))
+			  restart_if_running(m, m.primary(),
+					     random_us(m, 1 * S, 8 * S));
+	  } },
+};
+
+enum fault_mix {
+	FAULTS_RANDOM,
+	FAULTS_PLATFORM, /* and random ones */
+	FAULTS_NEW_ID,
+};
+
+const Fault &pick_fault(ProxyModel &m, enum fault_mix mix)
 {
 	int count = (int)std::size(faults);
 	int i;
 
-	if (!has_platform_faults)
+	if (mix == FAULTS_RANDOM)
 		return faults[random_below(m, count)];
+	if (mix == FAULTS_NEW_ID)
+		return new_id_faults[random_below(m, (int)std::size(
+							     new_id_faults))];
 	i = random_below(m, count + 2 * (int)std::size(platform_faults));
 	return i < count ? faults[i] : platform_faults[(i - count) / 2];
 }
 
-void run_seed(uint64_t seed, bool has_platform_faults, std::string &fault_log)
+void run_seed(uint64_t seed, enum fault_mix mix, std::string &fault_log)
 {
+	bool has_platform_faults = mix != FAULTS_RANDOM;
 	ProxyModelOpts o;
 
 	o.seed = seed;
@@ -450,7 +492,7 @@
 	m.run(START_US);
 	for (int i = 0; i < step_count; i++) {
 		if (random_below(m, has_platform_faults ? 20 : 8) == 0) {
-			const Fault &f = pick_fault(m, has_platform_faults);
+			const Fault &f = pick_fault(m, mix);
 
 			fault_log += std::to_string(m.now() / MS) + " ms " +
 				     f.name + "\n";
@@ -486,16 +528,16 @@
 {
 	std::string fault_log;
 
-	run_seed(29204, false, fault_log);
+	run_seed(29204, FAULTS_RANDOM, fault_log);
 }
 
 /* Runs until a seed fails, and prints that one's faults. */
-void run_seeds(const std::vector<uint64_t> &seeds, bool has_platform_faults)
+void run_seeds(const std::vector<uint64_t> &seeds, enum fault_mix mix)
 {
 	for (uint64_t seed : seeds) {
 		std::string fault_log;
 
-		run_seed(seed, has_platform_faults, fault_log);
+		run_seed(seed, mix, fault_log);
 		if (::testing::Test::HasFailure()) {
 			printf("seed %llu:\n%s", (unsigned long long)seed,
 			       fault_log.c_str());
@@ -524,7 +566,7 @@
 	if (!getenv("PROXY_SEED"))
 		seeds.assign(std::begin(failed_seeds), std::end(failed_seeds));
 	append_seeds(seeds, SEED_COUNT);
-	run_seeds(seeds, false);
+	run_seeds(seeds, FAULTS_RANDOM);
 }
 
 TEST(ProxyFuzz, NoViolationsUnderPlatformFaults)
@@ -535,7 +577,15 @@
 		seeds.assign(std::begin(failed_platform_seeds),
 			     std::end(failed_platform_seeds));
 	append_seeds(seeds, PLATFORM_SEED_COUNT);
-	run_seeds(seeds, true);
+	run_seeds(seeds, FAULTS_PLATFORM);
+}
+
+TEST(ProxyFuzz, NoViolationsWhenEndpointsTakeNewIds)
+{
+	std::vector<uint64_t> seeds;
+
+	append_seeds(seeds, NEW_ID_SEED_COUNT);
+	run_seeds(seeds, FAULTS_NEW_ID);
 }
 
 } // namespace
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -971,25 +971,44 @@
 	run_later(ENTRY_EXPIRY_US, [this, e] { expire_entry(e); });
 }
 
+ProxyEndpoint *ProxyModel::add_successor(ProxyEndpoint *e)
+{
+	auto n = std::make_unique<ProxyEndpoint>();
+
+	n->id = e->id + "n";
+	n->service = e->service;
+	n->zone = e->zone;
+	n->address = e->address;
+	n->term = e->term;
+	n->log = e->log;
+	n->applied_count = n->log.size();
+	n->started_ms = now_us_ / MS;
+	n->slot_free_us.assign(opts.slots, 0);
+	endpoints.push_back(std::move(n));
+	return endpoints.back().get();
+}
+
 void ProxyModel::replace(ProxyEndpoint *e, int64_t off_us)
 {
 	crash(e);
 	e->gone = true;
 	expire_entry(e);
-	run_later(off_us, [this, e] {
-		auto n = std::make_unique<ProxyEndpoint>();
-
-		n->id = e->id + "n";
-		n->service = e->service;
-		n->zone = e->zone;
-		n->address = e->address;
-		n->term = e->term;
-		n->log = e->log;
-		n->applied_count = n->log.size();
-		n->started_ms = now_us_ / MS;
-		n->slot_free_us.assign(opts.slots, 0);
-		write_entry(n.get());
-		endpoints.push_back(std::move(n));
+	run_later(off_us, [this, e] { write_entry(add_successor(e)); });
+}
+
+void ProxyModel::restart_with_new_id(ProxyEndpoint *e, int64_t off_us,
+				     int64_t cut_us)
+{
+	crash(e);
+	e->gone = true;
+	run_later(off_us, [this, e, cut_us] {
+		ProxyEndpoint *n = add_successor(e);
+
+		n->primary = e->primary;
+		e->primary = false;
+		n->cut_nodes = e->cut_nodes;
+		n->listed = false;
+		cut_from_store(n, cut_us);
 	});
 }
 
@@ -1161,7 +1180,8 @@
 				  [this, c] { close_conn(c, 0); });
 			return;
 		}
-		if (w.size() < 4 || w[1] != e->service || w[3] != e->id) {
+		if (w.size() < 3 || w[1] != e->service ||
+		    (w.size() > 3 && w[3] != e->id)) {
 			send_reply(c, "ERROR MISROUTED wrong");
 			run_later(2 * NETWORK_DELAY_US,
 				  [this, c] { close_conn(c, 0); });
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -211,6 +211,13 @@
 	 * registers as a replica.
 	 */
 	void replace(ProxyEndpoint *e, int64_t off_us);
+	/*
+	 * Crashes it while it is cut from the store. After off_us it starts
+	 * again with its log and role under a new id, and writes its entry
+	 * after another cut_us.
+	 */
+	void restart_with_new_id(ProxyEndpoint *e, int64_t off_us,
+				 int64_t cut_us);
 	/* Its entry expires if this is longer than three heartbeats. */
 	void cut_from_store(ProxyEndpoint *e, int64_t duration_us);
 	void set_leaving(ProxyEndpoint *e, bool leaving);
@@ -309,6 +316,8 @@
 	/* Also true while there is no endpoint of that name. */
 	bool has_ended(const std::string &service, const std::string &id) const;
 	void expire_entry(ProxyEndpoint *e);
+	/* Adds an endpoint at its address that has its log. */
+	ProxyEndpoint *add_successor(ProxyEndpoint *e);
 	std::string describe_holders(const std::string &service,
 				     uint64_t number) const;
 	bool is_in_a_log(const std::string &write_id) const;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -433,6 +433,16 @@
 	}
 }
 
+TEST(LineWire, StartsConnectionWithoutUnknownId)
+{
+	GString *out = g_string_new(nullptr);
+
+	line_wire.put_start(out, "svc", "a", "i-1");
+	line_wire.put_start(out, "svc", "a", nullptr);
+	EXPECT_STREQ("STARTUP svc a i-1\r\nSTARTUP svc a\r\n", out->str);
+	g_string_free(out, TRUE);
+}
+
 TEST(LineWire, ParsesReports)
 {
 	struct upstream_report r;
@@ -829,7 +839,9 @@
 
 struct ReleaseCase {
 	const char *name;
+	const char *address; /* a:2: of an endpoint that started later, too */
 	bool replaced;
+	bool foreign; /* by a process of another service */
 	bool leaving;
 	bool refuses; /* connections */
 	int64_t unanswered_us; /* 0: it answered the last check */
@@ -838,26 +850,38 @@
 };
 
 const ReleaseCase release_cases[] = {
-	{ "it answers", false, false, false, 0, 8, false },
-	{ "it is leaving and answers", false, true, false, 0, 8, false },
-	{ "no answer for less than the wait", false, false, false, 9999999, 8,
+	{ "it answers", "a:1", false, false, false, false, 0, 8, false },
+	{ "it is leaving and answers", "a:1", false, false, true, false, 0, 8,
 	  false },
-	{ "no answer for as long as the wait", false, false, false, 10000000, 9,
-	  true },
-	{ "it refuses connections: it may start again with its log", false,
-	  false, true, 1, 8, false },
-	{ "it was leaving and refuses connections", false, true, true, 1, 8,
-	  true },
-	{ "it was leaving and refuses connections, with more of the log", false,
-	  true, true, 1, 9, false },
-	{ "it was leaving and is silent for less than a second", false, true,
-	  false, 999999, 8, false },
-	{ "it was leaving and is silent for a second", false, true, false,
-	  1000000, 8, true },
-	{ "another process runs at its address", true, false, false, 0, 8,
-	  true },
-	{ "another process runs at its address; it had more of the log", true,
-	  false, false, 0, 9, false },
+	{ "no answer for less than the wait", "a:1", false, false, false, false,
+	  9999999, 8, false },
+	{ "no answer for as long as the wait", "a:1", false, false, false,
+	  false, 10000000, 9, true },
+	{ "it refuses connections: it may start again with its log", "a:1",
+	  false, false, false, true, 1, 8, false },
+	{ "it was leaving and refuses connections", "a:1", false, false, true,
+	  true, 1, 8, true },
+	{ "it was leaving and refuses connections, with more of the log", "a:1",
+	  false, false, true, true, 1, 9, false },
+	{ "it was leaving and is silent for less than a second", "a:1", false,
+	  false, true, false, 999999, 8, false },
+	{ "it was leaving and is silent for a second", "a:1", false, false,
+	  true, false, 1000000, 8, true },
+	{ "another endpoint runs at its address", "a:2", true, false, false,
+	  false, 0, 8, true },
+	{ "another endpoint runs at its address; it had more of the log", "a:2",
+	  true, false, false, false, 0, 9, false },
+	{ "a process of another service runs at its address", "a:1", true, true,
+	  false, false, 0, 8, true },
+	{ "a process of another service runs there; it had more of the log",
+	  "a:1", true, true, false, false, 0, 9, false },
+	{ "a process with an unknown id runs at its address", "a:1", true,
+	  false, false, false, 0, 8, false },
+	{ "it was leaving; a process with an unknown id refuses connections",
+	  "a:1", true, false, true, true, 1, 8, false },
+	{ "a process with an unknown id has not answered for as long as the "
+	  "wait",
+	  "a:1", true, false, false, false, 10000000, 9, true },
 };
 
 TEST(RecordJson, IgnoresEntryWithEmptyName)
@@ -877,15 +901,21 @@
 	const struct upstream_entry entry = {};
 	const int64_t now_us = 1000000000;
 	struct service *svc = service_new("svc");
+	struct upstream *later = upstream_new(svc, &entry);
 
-	upstream_new(svc, &entry)->received = { 1, 8 };
+	later->received = { 1, 8 };
+	later->entry.started_ms = 1;
+	g_strlcpy(later->entry.address, "a:2", sizeof(later->entry.address));
 	for (const ReleaseCase &k : release_cases) {
 		struct upstream *u = upstream_new(svc, &entry);
 
 		SCOPED_TRACE(k.name);
 		u->listed = false;
 		u->received = { 1, k.received };
+		g_strlcpy(u->entry.address, k.address,
+			  sizeof(u->entry.address));
 		u->replaced = k.replaced;
+		u->foreign = k.foreign;
 		u->entry.leaving = k.leaving;
 		u->connection_refused = k.refuses;
 		if (k.unanswered_us)
