--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -433,6 +433,16 @@
 	}
 }
 
+TEST(LineWire, StartsConnectionWithoutUnknownId)
+{
+	GString *out = g_string_new(nullptr);
+
+	line_wire.put_start(out, "svc", "a", "i-1");
+	line_wire.put_start(out, "svc", "a", nullptr);
+	EXPECT_STREQ("STARTUP svc a i-1\r\nSTARTUP svc a\r\n", out->str);
+	g_string_free(out, TRUE);
+}
+
 TEST(LineWire, ParsesReports)
 {
 	struct upstream_report r;
@@ -829,7 +839,9 @@
 
 struct ReleaseCase {
 	const char *name;
+	const char *address; /* a:2: of an endpoint that started later, too */
 	bool replaced;
+	bool foreign; /* by a process of another service */
 	bool leaving;
 	bool refuses; /* connections */
 	bool paused;
@@ -839,47 +851,77 @@
 };
 
 const ReleaseCase release_cases[] = {
-	{ "it answers", false, false, false, false, 0, 8, false },
-	{ "it is leaving and answers", false, true, false, true, 0, 8, false },
-	{ "no answer for less than the wait", false, false, false, false,
-	  9999999, 8, false },
-	{ "no answer for as long as the wait", false, false, false, false,
-	  10000000, 9, true },
-	{ "it refuses connections: it may start again with its log", false,
-	  false, true, true, 1, 8, false },
-	{ "it was leaving and refuses connections", false, true, true, true, 1,
-	  8, true },
-	{ "it was leaving and refuses connections, with more of the log", false,
-	  true, true, true, 1, 9, false },
+	{ "it answers", "a:1", false, false, false, false, false, 0, 8, false },
+	{ "it is leaving and answers", "a:1", false, false, true, false, true,
+	  0, 8, false },
+	{ "no answer for less than the wait", "a:1", false, false, false, false,
+	  false, 9999999, 8, false },
+	{ "no answer for as long as the wait", "a:1", false, false, false,
+	  false, false, 10000000, 9, true },
+	{ "it refuses connections: it may start again with its log", "a:1",
+	  false, false, false, true, true, 1, 8, false },
+	{ "it was leaving and refuses connections", "a:1", false, false, true,
+	  true, true, 1, 8, true },
+	{ "it was leaving and refuses connections, with more of the log", "a:1",
+	  false, false, true, true, true, 1, 9, false },
 	{ "it was leaving and refuses connections, but may receive again",
-	  false, true, true, false, 1, 8, false },
-	{ "it was leaving and is silent for less than a second", false, true,
-	  false, true, 999999, 8, false },
-	{ "it was leaving and is silent for a second", false, true, false, true,
-	  1000000, 8, true },
-	{ "it was leaving and is silent, but may receive", false, true, false,
-	  false, 1000000, 8, false },
-	{ "another process runs at its address", true, false, false, false, 0,
-	  8, true },
-	{ "another process runs at its address; it had more of the log", true,
-	  false, false, false, 0, 9, false },
+	  "a:1", false, false, true, true, false, 1, 8, false },
+	{ "it was leaving and is silent for less than a second", "a:1", false,
+	  false, true, false, true, 999999, 8, false },
+	{ "it was leaving and is silent for a second", "a:1", false, false,
+	  true, false, true, 1000000, 8, true },
+	{ "it was leaving and is silent, but may receive", "a:1", false, false,
+	  true, false, false, 1000000, 8, false },
+	{ "another endpoint runs at its address", "a:2", true, false, false,
+	  false, false, 0, 8, true },
+	{ "another endpoint runs at its address; it had more of the log", "a:2",
+	  true, false, false, false, false, 0, 9, false },
+	{ "a process of another service runs at its address", "a:1", true, true,
+	  false, false, false, 0, 8, true },
+	{ "a process of another service runs there; it had more of the log",
+	  "a:1", true, true, false, false, false, 0, 9, false },
+	{ "a process with an unknown id runs at its address", "a:1", true,
+	  false, false, false, false, 0, 8, false },
+	{ "it was leaving; a process with an unknown id refuses connections",
+	  "a:1", true, false, true, true, true, 1, 8, false },
+	{ "a process with an unknown id has not answered for as long as the "
+	  "wait",
+	  "a:1", true, false, false, false, false, 10000000, 9, true },
 };
 
+TEST(RecordJson, IgnoresEntryWithEmptyName)
+{
+	struct store_item i =
+		read_item("servers/",
+			  "{\"service\":\"svc\",\"state\":\"ready\","
+			  "\"address\":\"a:1\",\"zone\":\"z\","
+			  "\"slots\":4,\"sequence\":1,"
+			  "\"db_role\":\"replica\"}");
+
+	EXPECT_EQ(ITEM_OTHER, i.kind);
+}
+
 TEST(ReplicaSet, ReleasesOnlyEndpointsWhoseLogIsGone)
 {
 	const struct upstream_entry entry = {};
 	const int64_t now_us = 1000000000;
 	struct service *svc = service_new("svc");
+	struct upstream *later = upstream_new(svc, &entry);
 
 	svc->term = 1;
-	upstream_new(svc, &entry)->received = { 1, 8 };
+	later->received = { 1, 8 };
+	later->entry.started_ms = 1;
+	g_strlcpy(later->entry.address, "a:2", sizeof(later->entry.address));
 	for (const ReleaseCase &k : release_cases) {
 		struct upstream *u = upstream_new(svc, &entry);
 
 		SCOPED_TRACE(k.name);
 		u->listed = false;
 		u->received = { 1, k.received };
+		g_strlcpy(u->entry.address, k.address,
+			  sizeof(u->entry.address));
 		u->replaced = k.replaced;
+		u->foreign = k.foreign;
 		u->entry.leaving = k.leaving;
 		u->connection_refused = k.refuses;
 		u->paused_below_term = k.paused ? 2 : 0;
