Tell the other instances of a choice before its order

Cause: instances learned of a choice from their watch of the store. In a fleet of 67 the watches are spaced by up to 1.3 s, so that some used the old primary for 0.4 s after the choice, longer than a promotion takes; an instance that is cut off from the store never learned it. Before: a new case of ProxyEngine.LosesNoCommitOfReplicaThatReceivesAgain, an instance cut off from the store: LOST. Not fenced: an instance cut off from the store and from the holder.

--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -29,6 +29,7 @@
 	PEER_GRANT, /* answers a report with parts of the limits */
 	PEER_QUOTA_REQUEST, /* asks the home of a half to count an operation */
 	PEER_QUOTA_REPLY,
+	PEER_CHOICE, /* an endpoint is being promoted; see proxy/failover.h */
 	PEER_MESSAGE_TYPE_COUNT,
 };
 
@@ -128,6 +129,12 @@
 	int64_t retry_us; /* if exhausted: expected wait for the next one */
 };
 
+struct peer_choice {
+	char service[NAME_BYTES];
+	char endpoint[NAME_BYTES]; /* its id */
+	uint64_t term; /* in which it is to be the primary */
+};
+
 struct peer_message {
 	char peer[NAME_BYTES]; /* sender on receipt, receiver on sending */
 	uint64_t incarnation; /* of the sender's process, new at each start */
@@ -144,6 +151,7 @@
 		struct peer_grant grant;
 		struct peer_quota_request quota_request;
 		struct peer_quota_reply quota_reply;
+		struct peer_choice choice;
 	};
 };
 
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -388,6 +388,13 @@
 	codec_i64(c, &r->retry_us);
 }
 
+static void codec_choice(struct codec *c, struct peer_choice *p)
+{
+	codec_name(c, p->service);
+	codec_name(c, p->endpoint);
+	codec_u64(c, &p->term, UINT64_MAX);
+}
+
 static void codec_body(struct codec *c, struct peer_message *m)
 {
 	switch (m->type) {
@@ -424,6 +431,9 @@
 	case PEER_QUOTA_REPLY:
 		codec_quota_reply(c, &m->quota_reply);
 		break;
+	case PEER_CHOICE:
+		codec_choice(c, &m->choice);
+		break;
 	case PEER_MESSAGE_TYPE_COUNT:
 		set_error(c, -EINVAL);
 		break;
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -391,6 +391,9 @@
 	if (m->type == PEER_QUOTA_REQUEST || m->type == PEER_QUOTA_REPLY)
 		quota_requests_handle_message(e->quota_requests, m,
 					      engine_now(e));
+	else if (m->type == PEER_CHOICE)
+		failover_handle_announcement(e->failovers, &m->choice,
+					     engine_now(e));
 	else
 		report_handle_message(e, m, engine_now(e));
 }
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -583,6 +583,25 @@
 	e->opts.promoter->ops->order(e->opts.promoter, &o, on_order_answer, f);
 }
 
+static void announce_choice(const struct failover *f)
+{
+	const struct engine *e = f->failovers->engine;
+	struct peer_message m = { .type = PEER_CHOICE };
+	GHashTableIter it;
+	gpointer name;
+
+	g_strlcpy(m.choice.service, f->service->name, sizeof(m.choice.service));
+	g_strlcpy(m.choice.endpoint, f->chosen, sizeof(m.choice.endpoint));
+	m.choice.term = f->term;
+	g_hash_table_iter_init(&it, e->instances);
+	while (g_hash_table_iter_next(&it, &name, NULL)) {
+		if (!strcmp(name, e->opts.instance))
+			continue;
+		g_strlcpy(m.peer, name, sizeof(m.peer));
+		e->opts.ops->peer_send(e->opts.host, &m);
+	}
+}
+
 static void on_choice_saved(void *data, const struct store_answer *a)
 {
 	struct failover *f = data;
@@ -594,6 +613,7 @@
 		return;
 	if (a->outcome == STORE_DONE) {
 		set_state(f, FAILOVER_PROMOTING, now_us);
+		announce_choice(f);
 		send_order(f, now_us);
 		return;
 	}
@@ -953,23 +973,39 @@
 	}
 }
 
-void failover_handle_choice(struct failovers *fs, const struct store_item *item,
-			    int64_t now_us)
+/* Stops using the primary if another endpoint is being promoted. */
+static void fence_primary(struct failovers *fs, const char *service,
+			  const char *endpoint, uint64_t term, int64_t now_us)
 {
-	struct service *svc = engine_find_service(fs->engine, item->name);
+	struct service *svc = engine_find_service(fs->engine, service);
 
-	promotion_choices_update(fs->choices, item);
-	if (!svc || item->removed || !item->readable ||
-	    item->choice.term < svc->ordered_term)
+	if (!svc || term < svc->ordered_term)
 		return;
-	svc->ordered_term = item->choice.term;
+	svc->ordered_term = term;
 	svc->ordered_us = now_us;
-	g_strlcpy(svc->ordered_endpoint, item->choice.endpoint,
+	g_strlcpy(svc->ordered_endpoint, endpoint,
 		  sizeof(svc->ordered_endpoint));
 	if (service_is_fenced(svc))
 		close_waiting_conns(svc->primary, now_us);
 }
 
+void failover_handle_choice(struct failovers *fs, const struct store_item *item,
+			    int64_t now_us)
+{
+	promotion_choices_update(fs->choices, item);
+	if (!item->removed && item->readable)
+		fence_primary(fs, item->name, item->choice.endpoint,
+			      item->choice.term, now_us);
+}
+
+void failover_handle_announcement(struct failovers *fs,
+				  const struct peer_choice *choice,
+				  int64_t now_us)
+{
+	fence_primary(fs, choice->service, choice->endpoint, choice->term,
+		      now_us);
+}
+
 const char *failovers_get_last_choice(const struct failovers *fs,
 				      const char *service)
 {
--- a/src/proxy/failover.h
+++ b/src/proxy/failover.h
@@ -19,6 +19,7 @@
 #ifndef PROXY_FAILOVER_H
 #define PROXY_FAILOVER_H
 
+#include "core/peer_message.h"
 #include "proxy/upstream.h"
 #include "proxy/upstream_conn.h"
 
@@ -43,6 +44,14 @@
 void failover_handle_choice(struct failovers *fs, const struct store_item *item,
 			    int64_t now_us);
 
+/*
+ * Handles a choice in the store of which the holder of the duty tells the other
+ * instances, which may not hear from the store in time.
+ */
+void failover_handle_announcement(struct failovers *fs,
+				  const struct peer_choice *choice,
+				  int64_t now_us);
+
 /*
  * Returns the id of the endpoint of the service that was chosen last, by any
  * instance, or NULL. Owned by `fs`.
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -58,6 +58,10 @@
 	strcpy(all[PEER_LOAN_REQUEST].loan_request.workspace, "coop");
 	all[PEER_LOAN_REQUEST].loan_request.renews = 5;
 	all[PEER_VOTE].vote.silent = true;
+	all.push_back(make_message(PEER_CHOICE));
+	strcpy(all.back().choice.service, "svc");
+	strcpy(all.back().choice.endpoint, "e1");
+	all.back().choice.term = UINT64_MAX;
 	return all;
 }
 
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -687,6 +687,16 @@
 		  m.run(100 * MS);
 		  m.restart(m.replica(1), 200 * MS);
 	  } },
+	{ "the instance that reaches the primary is cut off from the store", 3,
+	  [](ProxyModel &m) {
+		  m.primary()->cut_nodes = { 0, 1 };
+		  m.nodes[2]->cut_from_store = true;
+		  wait_for_pauses(m, 2);
+		  m.run(100 * MS);
+		  m.restart(m.replica(1), 200 * MS);
+		  write_for(m, 2, 2 * S);
+		  m.nodes[2]->cut_from_store = false;
+	  } },
 	{ "a paused replica starts again after an order without effect", 3,
 	  [](ProxyModel &m) {
 		  m.primary()->cut_nodes = { 0, 1 };
