End a promotion when an endpoint of its group gets another address

Callers could lose acknowledged writes (the project's own interface).

When an endpoint's record got a new address, the answers of the former process counted for the one that took its place, and the order went to an empty log. Change: the promotion ends and starts again, as after a deletion.

--- a/src/core/apply.c
+++ b/src/core/apply.c
@@ -134,6 +134,7 @@
 	if (e->exists && strcmp(e->record.address, r->address) != 0) {
 		close_conns(w, row, now_us);
 		e->has_status = false;
+		promotion_handle_endpoint_removed(w, e->group, now_us);
 		endpoint_set_note_changed(w, e->group, now_us);
 	}
 	e->record = *r;
--- a/tests/promotion_choice_test.cc
+++ b/tests/promotion_choice_test.cc
@@ -7,6 +7,7 @@
 
 #include <cstdio>
 #include <map>
+#include <string>
 #include <vector>
 
 extern "C" {
@@ -22,7 +23,7 @@
 constexpr uint64_t BEFORE_COMMIT = 9;
 constexpr uint64_t WITH_COMMIT = 10;
 
-struct Server {
+struct FakeEndpoint {
 	struct endpoint_status status = { 1,
 					  { 1, BEFORE_COMMIT },
 					  ROLE_REPLICA };
@@ -46,8 +47,11 @@
 	/* Sets the state of the record. */
 	void put_endpoint(int i, enum endpoint_state state);
 	void delete_endpoint(int i);
+	/* Another process, with an empty log, takes the record's name. */
+	void change_address(int i);
 
-	std::vector<Server> servers;
+	std::vector<FakeEndpoint> fakes;
+	std::vector<std::string> suffixes;
 	int raised_ticks = -1; /* since the first PLAN_RAISE_TERM; -1: none */
 	int promoted = -1; /* first endpoint that got PLAN_PROMOTE */
 
@@ -61,10 +65,10 @@
 	struct world *world_;
 	int64_t now_ = 1000 * US_PER_S;
 	int64_t revision_ = 0;
-	std::map<uint32_t, int> conn_servers_; /* index by connection */
+	std::map<uint32_t, int> conn_endpoints_; /* index by connection */
 };
 
-Group::Group(int size, int first) : servers(size)
+Group::Group(int size, int first) : fakes(size), suffixes(size)
 {
 	struct world_opts o = world_opts_default();
 	struct event e = {};
@@ -74,7 +78,7 @@
 	o.incarnation = 1;
 	o.requests_max = 4;
 	world_ = world_new(&o, now_);
-	servers[0].status.role = ROLE_PRIMARY;
+	fakes[0].status.role = ROLE_PRIMARY;
 	for (int i = 0; i < size; i++)
 		put_endpoint((first + i) % size, ENDPOINT_LIVE);
 	e.type = EVENT_CONFIG_SYNCED;
@@ -91,7 +95,8 @@
 	snprintf(r.endpoint.name, NAME_BYTES, "db%d", i);
 	snprintf(r.endpoint.group, NAME_BYTES, "yard");
 	snprintf(r.endpoint.zone, NAME_BYTES, "zone0");
-	snprintf(r.endpoint.address, ADDRESS_BYTES, "db%d", i);
+	snprintf(r.endpoint.address, ADDRESS_BYTES, "db%d%s", i,
+		 suffixes[i].c_str());
 	r.endpoint.slots = 5;
 	r.endpoint.connections_max = 35;
 	return r;
@@ -109,6 +114,13 @@
 	send(e);
 }
 
+void Group::change_address(int i)
+{
+	suffixes[i] = "b";
+	fakes[i].status = { 1, { 0, 0 }, ROLE_REPLICA };
+	put_endpoint(i, ENDPOINT_LIVE);
+}
+
 void Group::delete_endpoint(int i)
 {
 	struct record r = make_record(i);
@@ -149,10 +161,10 @@
 
 	switch (a.type) {
 	case ACTION_CONN_OPEN:
-		conn_servers_[a.open.conn_id] = a.open.endpoint[2] - '0';
+		conn_endpoints_[a.open.conn_id] = a.open.endpoint[2] - '0';
 		e.type = EVENT_CONN_OPENED;
 		e.conn_id = a.open.conn_id;
-		if (servers[a.open.endpoint[2] - '0'].answers)
+		if (fakes[a.open.endpoint[2] - '0'].answers)
 			send(e);
 		break;
 	case ACTION_EXCHANGE:
@@ -168,8 +180,8 @@
 
 void Group::answer_exchange(const struct exchange_start &x)
 {
-	int i = conn_servers_[x.conn_id];
-	Server &s = servers[i];
+	int i = conn_endpoints_[x.conn_id];
+	FakeEndpoint &s = fakes[i];
 	struct event e = {};
 
 	if (x.plan == PLAN_PROMOTE && promoted < 0)
@@ -214,9 +226,9 @@
 
 void place_commit(Group &g, unsigned holders)
 {
-	for (size_t i = 0; i < g.servers.size(); i++) {
+	for (size_t i = 0; i < g.fakes.size(); i++) {
 		if (holders & 1u << i)
-			g.servers[i].status.position.offset = WITH_COMMIT;
+			g.fakes[i].status.position.offset = WITH_COMMIT;
 	}
 }
 
@@ -241,7 +253,7 @@
 			Group g(size);
 			place_commit(g, holders);
 			for (int i = 0; i < size; i++) {
-				g.servers[i].answers = !(silent & 1u << i);
+				g.fakes[i].answers = !(silent & 1u << i);
 				if (leaving & 1u << i)
 					g.put_endpoint(i, ENDPOINT_LEAVING);
 			}
@@ -283,7 +295,7 @@
 
 				place_commit(g, holders);
 				for (int i = 0; i < size; i++)
-					g.servers[i].answers =
+					g.fakes[i].answers =
 						!(silent & 1u << i);
 				for (int i = 0;
 				     i < 200 && g.raised_ticks < row / size;
@@ -306,6 +318,56 @@
 	}
 }
 
+/*
+ * an address that changes during a promotion: the answer of the former
+ * process must not count for the one that takes its place.
+ */
+TEST(PromotionChoice, LosesNoCommitWhenAnAddressChanges)
+{
+	constexpr int STEPS_MAX = 14;
+
+	for (int size = 3; size <= 4; size++) {
+		unsigned all = (1u << size) - 1;
+		int chosen = 0;
+
+		for (unsigned bits = 0; bits < 1u << 2 * size; bits++) {
+			unsigned holders = bits & all;
+			unsigned silent = bits >> size & all;
+
+			if (!is_acknowledged(size, holders) || !(silent & 1))
+				continue;
+			for (int row = 0; row < size * STEPS_MAX; row++) {
+				int changed = row % size;
+				Group g(size);
+
+				place_commit(g, holders);
+				for (int i = 0; i < size; i++)
+					g.fakes[i].answers =
+						!(silent & 1u << i);
+				for (int i = 0;
+				     i < 200 && g.raised_ticks < row / size;
+				     i++)
+					g.run(TICK_US);
+				if (g.promoted >= 0)
+					continue;
+				g.change_address(changed);
+				g.run(PROMOTION_US);
+				if (g.promoted < 0)
+					continue;
+				chosen++;
+				EXPECT_TRUE(holders & ~(1u << changed) &
+					    1u << g.promoted)
+					<< size << " endpoints: holders "
+					<< holders << ", silent " << silent
+					<< ", db" << changed << " changed at "
+					<< row / size << ": db" << g.promoted;
+			}
+		}
+		EXPECT_GT(chosen, 20);
+		printf("%d endpoints: %d promotions\n", size, chosen);
+	}
+}
+
 /*
  * Guards against majorities without a common endpoint: of more records than
  * GROUP_ENDPOINTS_MAX, instances ignore those that they received last.
@@ -324,7 +386,7 @@
 			int answering = SIZE - __builtin_popcount(silent);
 
 			for (int i = 0; i < SIZE; i++)
-				g.servers[i].answers = !(silent & 1u << i);
+				g.fakes[i].answers = !(silent & 1u << i);
 			g.run(PROMOTION_US);
 			if (g.promoted < 0)
 				continue;
