Fence a primary that leads by an order of an earlier choice

Callers could lose acknowledged writes.

Cause: a choice whose order had no answer was replaced by another for the same term. The old order was carried out first; its endpoint led that term, so nobody was fenced from it, and acknowledged commits until the newer order took effect. Found by the review. Change: at equal terms the endpoint chosen last counts: a primary that is another one is fenced, and that is a reason for a failover. Before: ProxyEngine.LosesNoCommitToLateOrderOfReplacedChoice: LOST. After: passes.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -176,6 +176,8 @@
 	if (f->term_known &&
 	    promotion_choices_is_pending(fs->choices, svc->name, svc->term))
 		return "an earlier promotion order may still be carried out";
+	if (f->term_known && service_is_fenced(svc))
+		return "an order of an earlier choice was carried out";
 	return NULL;
 }
 
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -91,7 +91,7 @@
 
 bool service_is_fenced(const struct service *s)
 {
-	return s->primary && s->ordered_term > s->term &&
+	return s->primary && s->ordered_term && s->ordered_term >= s->term &&
 	       strcmp(s->primary->entry.id, s->ordered_endpoint) != 0;
 }
 
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -116,8 +116,9 @@
 const struct upstream *service_last_primary(const struct service *s);
 
 /*
- * Returns true while another endpoint is being promoted. What the primary
- * acknowledges from now on may be missing there, so nothing is sent to it.
+ * Returns true if another endpoint was chosen last for the primary's term or a
+ * later one. What the primary acknowledges may be missing there, so nothing is
+ * sent to it.
  */
 bool service_is_fenced(const struct service *s);
 
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1180,4 +1180,39 @@
 	expect_no_violations(m);
 }
 
+/*
+ * Guards against a first order that is carried out late, after another was
+ * chosen for the same term, since the holder cannot reach the first one.
+ */
+TEST(ProxyEngine, LosesNoCommitToLateOrderOfReplacedChoice)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	o.endpoints_per_service = 4;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *p = m.primary();
+	ProxyEndpoint *r[] = { m.replica(0), m.replica(1), m.replica(2) };
+	m.delay_promotions(30 * S, 9 * S);
+	p->cut_nodes = { 0, 1 };
+	wait_for_pauses(m, 3);
+	m.run(300 * MS);
+	/* r[0] is the chosen one. */
+	r[0]->cut_nodes = { 0 };
+	m.run(4950 * MS);
+	p->cut_nodes.clear();
+	EXPECT_TRUE(m.run_until([&] { return !p->primary; }, 9 * S));
+	m.run(300 * MS);
+	r[1]->cut_replication = true;
+	r[2]->cut_replication = true;
+	write_for(m, 2, 10 * S);
+	for (auto &e : m.endpoints) {
+		e->cut_nodes.clear();
+		e->cut_replication = false;
+	}
+	EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
+	expect_no_violations(m);
+}
+
 } // namespace
