Pause a leaving replica again when it starts again

Callers could lose acknowledged writes.

Cause: a leaving replica that starts again has lost its pause. It was removed and added within one tick, so that the state of replication seemed unchanged and was not adjusted. Found by the review. Change: the compared state has the start time of each process and the term. Before: ProxyEngine.PausesLeavingReplicaThatStartsAgain: LOST 10. After: passes.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -812,14 +812,14 @@
 }
 
 /*
- * Returns a hash that changes with the endpoints of the service, those that are
- * to be paused and those that cannot be reached. Replication is adjusted again
+ * Returns a hash that changes with the term, the processes of the service, those
+ * that are to be paused and those that cannot be reached. Replication is adjusted again
  * then: an endpoint may come back as a round left it.
  */
 static uint64_t hash_replication_state(const struct service *svc,
 				       int64_t now_us)
 {
-	uint64_t hash = 0;
+	uint64_t hash = svc->term;
 
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
@@ -829,7 +829,8 @@
 			weight = 2;
 		else if (u->expired)
 			weight = 3;
-		hash += weight * upstream_id_hash(u);
+		hash += weight *
+			(upstream_id_hash(u) + (uint64_t)u->entry.started_ms);
 	}
 	return hash;
 }
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1215,4 +1215,36 @@
 	expect_no_violations(m);
 }
 
+/* Guards against commits that only a leaving replica has. */
+TEST(ProxyEngine, PausesLeavingReplicaThatStartsAgain)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *leaving = m.replica(0);
+	m.set_leaving(leaving, true);
+	m.run(1 * S);
+	EXPECT_GT(leaving->paused_below_term, 0u);
+	m.restart(leaving, 200 * MS);
+	m.run(5 * S);
+	EXPECT_GT(leaving->paused_below_term, 0u) << "not paused again";
+	m.replica(1)->cut_replication = true;
+	for (int i = 0; i < 10; i++) {
+		ProxyCaller *c = m.connect(0, "strict", "key-a");
+
+		m.run_statement(c, "WRITE 1 x", 100 * MS);
+		m.disconnect(c);
+	}
+	m.crash(leaving);
+	m.remove_entry(leaving);
+	m.run(1 * S);
+	m.crash(m.primary());
+	m.run(16 * S);
+	for (auto &e : m.endpoints)
+		e->cut_replication = false;
+	expect_no_violations(m);
+}
+
 } // namespace
