Use a leaving primary from an instance that has just started

Callers of an instance that had just started were refused while the primary was leaving.

Cause: the first sight of a leaving primary counted as its having become primary while it was leaving. Change: only a primary that follows one that the instance knew is interim. Before: ProxyEngine.NewInstanceUsesLeavingPrimary: the new instance refuses. After: passes.

--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -237,7 +237,8 @@
 	s->primary = u;
 	if (u) {
 		s->expired_primary = NULL;
-		u->interim_primary = u->entry.leaving;
+		u->interim_primary = s->knew_primary && u->entry.leaving;
+		s->knew_primary = true;
 	}
 	/* An outage that began with a silent primary keeps its start. */
 	s->primary_lost_us = u ? 0 : since_us ? since_us : now_us;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -71,6 +71,7 @@
 	uint32_t conns_max; /* to one endpoint, over all instances */
 	bool confirms_writes;
 	struct upstream *primary; /* NULL: none is known */
+	bool knew_primary; /* at any time */
 	/*
 	 * The primary whose entry expired, unless another has been known since.
 	 */
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1247,4 +1247,30 @@
 	expect_no_violations(m);
 }
 
+/* Guards against refused work while a primary is leaving. */
+TEST(ProxyEngine, NewInstanceUsesLeavingPrimary)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	for (auto &e : m.endpoints)
+		e->cut_replication = true;
+	ProxyCaller *w = m.connect(0, "strict", "key-a");
+	m.run_statement(w, "WRITE 1 x", 100 * MS);
+	m.disconnect(w);
+	m.run(2 * S);
+	m.set_leaving(m.primary(), true);
+	m.run(1 * S);
+	m.kill(m.nodes[1].get());
+	m.start(m.nodes[1].get());
+	m.run(4 * S);
+	ProxyCaller *a = m.connect(0, "strict", "key-a");
+	ProxyCaller *b = m.connect(1, "strict", "key-a");
+	EXPECT_TRUE(m.run_statement(a, "READ 1", 4 * S).ok) << "old instance";
+	EXPECT_TRUE(m.run_statement(b, "READ 1", 4 * S).ok) << "new instance";
+	expect_no_violations(m);
+}
+
 } // namespace
