--- a/tests/promotion_choice_test.cc
+++ b/tests/promotion_choice_test.cc
@@ -319,7 +319,7 @@
 }
 
 /*
- * an address that changes during a promotion: the answer of the former
+ * An address that changes during a promotion: the answer of the former
  * process must not count for the one that takes its place.
  */
 TEST(PromotionChoice, LosesNoCommitWhenAnAddressChanges)
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -867,6 +867,274 @@
 	}
 }
 
+/* Guards against a fence that never lifts: the chosen endpoint is lost. */
+TEST(ProxyEngine, FenceEndsWhenChosenEndpointIsLost)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	o.endpoints_per_service = 2;
+	o.promotion_duration_us = 1 * S;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *p = m.primary();
+	ProxyEndpoint *r = m.replica(0);
+	p->cut_nodes = { 0, 1, 2 };
+	wait_for_pauses(m, 1);
+	m.run(100 * MS);
+	m.lose(r);
+	m.run(20 * S);
+	p->cut_nodes.clear();
+	m.run(60 * S);
+	EXPECT_TRUE(p->primary);
+	ProxyCaller *c = m.connect(1, "strict", "key-a");
+	ProxyAnswer a = m.run_statement(c, "READ 1", 20 * S);
+	EXPECT_TRUE(a.ok) << a.code << " " << a.text;
+	expect_no_violations(m);
+}
+
+/*
+ * Guards against a first order that is carried out late, after another was
+ * chosen for the same term, since the holder cannot reach the first one.
+ */
+TEST(ProxyEngine, LosesNoCommitToLateOrderOfReplacedChoice)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	o.endpoints_per_service = 4;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *p = m.primary();
+	ProxyEndpoint *r[] = { m.replica(0), m.replica(1), m.replica(2) };
+	m.delay_promotions(30 * S, 9 * S);
+	p->cut_nodes = { 0, 1 };
+	wait_for_pauses(m, 3);
+	m.run(300 * MS);
+	/* r[0] is the chosen one. */
+	r[0]->cut_nodes = { 0 };
+	m.run(4950 * MS);
+	p->cut_nodes.clear();
+	EXPECT_TRUE(m.run_until([&] { return !p->primary; }, 9 * S));
+	m.run(300 * MS);
+	r[1]->cut_replication = true;
+	r[2]->cut_replication = true;
+	write_for(m, 2, 10 * S);
+	for (auto &e : m.endpoints) {
+		e->cut_nodes.clear();
+		e->cut_replication = false;
+	}
+	EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
+	expect_no_violations(m);
+}
+
+/*
+ * A paused replica starts again before the choice; the holder cannot
+ * see that, and its last report counts. Instance 2 hears of the choice only
+ * after commits were acknowledged.
+ */
+TEST(ProxyEngine, ChoiceCountsNoReportBeforeTheFence)
+{
+	for (int64_t at_us = 100 * MS; at_us < 130 * MS; at_us += MS) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		o.endpoints_per_service = 4;
+		o.promotion_duration_us = 1 * S;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(at_us);
+		m.run(START_US);
+		ProxyEndpoint *again = m.replica(1);
+		ProxyEndpoint *silent = m.replica(2);
+		m.make_unresponsive(silent);
+		m.primary()->cut_nodes = { 0, 1 };
+		wait_for_pauses(m, 2);
+		m.run(100 * MS);
+		again->conns.clear(); /* no reset reaches the holder */
+		again->cut_nodes = { 0, 1 };
+		m.cut_from_store(again, 3 * S);
+		m.restart(again, 50 * MS);
+		m.run_later(at_us, [&m, silent] {
+			m.restore(silent);
+			/* The store is slow for instance 2. */
+			m.nodes[2]->cut_from_store = true;
+		});
+		m.run_later(at_us + 250 * MS,
+			    [&m] { m.nodes[2]->cut_from_store = false; });
+		write_for(m, 2, 6 * S);
+		for (auto &e : m.endpoints)
+			e->cut_nodes.clear();
+		EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
+		expect_no_violations(m);
+	}
+}
+
+/* The same, and nothing is cut: the replica joins before the choice. */
+TEST(ProxyEngine, LosesNoCommitOfReplicaThatJoinsBeforeChoice)
+{
+	for (int64_t at_us : { 20 * MS, 40 * MS, 60 * MS, 80 * MS, 120 * MS }) {
+		ProxyModelOpts o;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		o.endpoints_per_service = 3;
+		o.promotion_duration_us = 1 * S;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(at_us);
+		m.run(START_US);
+		ProxyEndpoint *ended = m.replica(1);
+		m.set_leaving(ended, true);
+		m.run(500 * MS);
+		m.primary()->cut_nodes = { 0, 1 };
+		m.run_until([&] { return m.replica(0)->paused_below_term > 0; },
+			    5 * S);
+		m.replace(ended, at_us);
+		write_for(m, 2, 6 * S);
+		for (auto &e : m.endpoints)
+			e->cut_nodes.clear();
+		EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
+		expect_no_violations(m);
+	}
+}
+
+/* Guards against refused work while a primary is leaving. */
+TEST(ProxyEngine, NewInstanceUsesLeavingPrimary)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	for (auto &e : m.endpoints)
+		e->cut_replication = true;
+	ProxyCaller *w = m.connect(0, "strict", "key-a");
+	m.run_statement(w, "WRITE 1 x", 100 * MS);
+	m.disconnect(w);
+	m.run(2 * S);
+	m.set_leaving(m.primary(), true);
+	m.run(1 * S);
+	m.kill(m.nodes[1].get());
+	m.start(m.nodes[1].get());
+	m.run(4 * S);
+	ProxyCaller *a = m.connect(0, "strict", "key-a");
+	ProxyCaller *b = m.connect(1, "strict", "key-a");
+	EXPECT_TRUE(m.run_statement(a, "READ 1", 4 * S).ok) << "old instance";
+	EXPECT_TRUE(m.run_statement(b, "READ 1", 4 * S).ok) << "new instance";
+	expect_no_violations(m);
+}
+
+/* Guards against commits that only a leaving replica has. */
+TEST(ProxyEngine, PausesLeavingReplicaThatStartsAgain)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *leaving = m.replica(0);
+	m.set_leaving(leaving, true);
+	m.run(1 * S);
+	EXPECT_GT(leaving->paused_below_term, 0u);
+	m.restart(leaving, 200 * MS);
+	m.run(5 * S);
+	EXPECT_GT(leaving->paused_below_term, 0u) << "not paused again";
+	m.replica(1)->cut_replication = true;
+	for (int i = 0; i < 10; i++) {
+		ProxyCaller *c = m.connect(0, "strict", "key-a");
+
+		m.run_statement(c, "WRITE 1 x", 100 * MS);
+		m.disconnect(c);
+	}
+	m.crash(leaving);
+	m.remove_entry(leaving);
+	m.run(1 * S);
+	m.crash(m.primary());
+	m.run(16 * S);
+	for (auto &e : m.endpoints)
+		e->cut_replication = false;
+	expect_no_violations(m);
+}
+
+/* Guards against a wait that starts anew with each holder of the duty. */
+TEST(ProxyEngine, WaitIsBoundedWhenHoldersChange)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	o.endpoints_per_service = 4;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *lost = m.replica(2);
+	m.make_unresponsive(lost);
+	m.remove_entry(lost);
+	m.crash(m.primary());
+	m.run(10 * S);
+	int holder = -1;
+	for (int i = 0; i < 3; i++) {
+		if (metrics_get(m.nodes[i]->metrics, "duty_held", nullptr))
+			holder = i;
+	}
+	ASSERT_GE(holder, 0);
+	if (holder == 1)
+		holder = 0;
+	m.kill(m.nodes[holder].get());
+	EXPECT_LT(wait_for_write(m, 40 * S), 6 * S);
+	expect_no_violations(m);
+}
+
+/*
+ * A leaving endpoint without an entry starts again, receives, and is
+ * then cut off from the holder; its earlier pause counts for its release.
+ */
+TEST(ProxyEngine, KeepsLeavingReplicaThatLostItsPause)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *leaving = m.replica(0);
+	m.set_leaving(leaving, true);
+	m.run(1 * S);
+	m.cut_from_store(leaving, 60 * S);
+	m.run(7 * S);
+	m.restart(leaving, 50 * MS);
+	m.run(1 * S);
+	m.replica(1)->cut_replication = true;
+	leaving->cut_nodes = { 0, 1, 2 };
+	write_for(m, 0, 3 * S);
+	m.crash(m.primary());
+	m.run(8 * S);
+	for (auto &e : m.endpoints) {
+		e->cut_nodes.clear();
+		e->cut_replication = false;
+	}
+	EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
+	expect_no_violations(m);
+}
+
+/*
+ * The chosen endpoint is lost; the previous primary stepped down in
+ * that round and has the whole log, so nothing has to be waited for.
+ */
+TEST(ProxyEngine, StepDownCountsInTheNextRound)
+{
+	ProxyModelOpts o;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	o.promotion_duration_us = 1 * S;
+	ProxyModel m(o);
+
+	m.run(START_US);
+	ProxyEndpoint *p = m.primary();
+	ProxyEndpoint *first = m.replica(0);
+	p->cut_nodes = { 0, 1, 2 };
+	wait_for_pauses(m, 2);
+	m.run(100 * MS);
+	m.lose(first);
+	p->cut_nodes.clear();
+	EXPECT_LT(wait_for_write(m, 40 * S), 6 * S);
+	expect_no_violations(m);
+}
+
 /*
  * The holder of the duty pauses replication on the replicas and dies before it
  * chooses an endpoint, and the primary can be reached again. The next holder
@@ -1180,97 +1448,4 @@
 	expect_no_violations(m);
 }
 
-/*
- * Guards against a first order that is carried out late, after another was
- * chosen for the same term, since the holder cannot reach the first one.
- */
-TEST(ProxyEngine, LosesNoCommitToLateOrderOfReplacedChoice)
-{
-	ProxyModelOpts o;
-	o.log = getenv("PROXY_LOG") != nullptr;
-	o.endpoints_per_service = 4;
-	ProxyModel m(o);
-
-	m.run(START_US);
-	ProxyEndpoint *p = m.primary();
-	ProxyEndpoint *r[] = { m.replica(0), m.replica(1), m.replica(2) };
-	m.delay_promotions(30 * S, 9 * S);
-	p->cut_nodes = { 0, 1 };
-	wait_for_pauses(m, 3);
-	m.run(300 * MS);
-	/* r[0] is the chosen one. */
-	r[0]->cut_nodes = { 0 };
-	m.run(4950 * MS);
-	p->cut_nodes.clear();
-	EXPECT_TRUE(m.run_until([&] { return !p->primary; }, 9 * S));
-	m.run(300 * MS);
-	r[1]->cut_replication = true;
-	r[2]->cut_replication = true;
-	write_for(m, 2, 10 * S);
-	for (auto &e : m.endpoints) {
-		e->cut_nodes.clear();
-		e->cut_replication = false;
-	}
-	EXPECT_LT(wait_for_write(m, 20 * S), 20 * S);
-	expect_no_violations(m);
-}
-
-/* Guards against commits that only a leaving replica has. */
-TEST(ProxyEngine, PausesLeavingReplicaThatStartsAgain)
-{
-	ProxyModelOpts o;
-	o.log = getenv("PROXY_LOG") != nullptr;
-	ProxyModel m(o);
-
-	m.run(START_US);
-	ProxyEndpoint *leaving = m.replica(0);
-	m.set_leaving(leaving, true);
-	m.run(1 * S);
-	EXPECT_GT(leaving->paused_below_term, 0u);
-	m.restart(leaving, 200 * MS);
-	m.run(5 * S);
-	EXPECT_GT(leaving->paused_below_term, 0u) << "not paused again";
-	m.replica(1)->cut_replication = true;
-	for (int i = 0; i < 10; i++) {
-		ProxyCaller *c = m.connect(0, "strict", "key-a");
-
-		m.run_statement(c, "WRITE 1 x", 100 * MS);
-		m.disconnect(c);
-	}
-	m.crash(leaving);
-	m.remove_entry(leaving);
-	m.run(1 * S);
-	m.crash(m.primary());
-	m.run(16 * S);
-	for (auto &e : m.endpoints)
-		e->cut_replication = false;
-	expect_no_violations(m);
-}
-
-/* Guards against refused work while a primary is leaving. */
-TEST(ProxyEngine, NewInstanceUsesLeavingPrimary)
-{
-	ProxyModelOpts o;
-	o.log = getenv("PROXY_LOG") != nullptr;
-	ProxyModel m(o);
-
-	m.run(START_US);
-	for (auto &e : m.endpoints)
-		e->cut_replication = true;
-	ProxyCaller *w = m.connect(0, "strict", "key-a");
-	m.run_statement(w, "WRITE 1 x", 100 * MS);
-	m.disconnect(w);
-	m.run(2 * S);
-	m.set_leaving(m.primary(), true);
-	m.run(1 * S);
-	m.kill(m.nodes[1].get());
-	m.start(m.nodes[1].get());
-	m.run(4 * S);
-	ProxyCaller *a = m.connect(0, "strict", "key-a");
-	ProxyCaller *b = m.connect(1, "strict", "key-a");
-	EXPECT_TRUE(m.run_statement(a, "READ 1", 4 * S).ok) << "old instance";
-	EXPECT_TRUE(m.run_statement(b, "READ 1", 4 * S).ok) << "new instance";
-	expect_no_violations(m);
-}
-
 } // namespace
