--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -6,6 +6,7 @@
 #include "proxy/engine_state.h"
 #include "proxy/exchange.h"
 #include "proxy/fleet.h"
+#include "proxy/primary_fence.h"
 #include "proxy/mark_probe.h"
 #include "proxy/quota_homes.h"
 #include "proxy/report.h"
@@ -392,8 +393,7 @@
 		quota_requests_handle_message(e->quota_requests, m,
 					      engine_now(e));
 	else if (m->type == PEER_CHOICE)
-		failover_handle_announcement(e->failovers, &m->choice,
-					     engine_now(e));
+		primary_fence_handle_choice(e, &m->choice, engine_now(e));
 	else
 		report_handle_message(e, m, engine_now(e));
 }
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -2,7 +2,7 @@
 
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
-#include "proxy/exchange.h"
+#include "proxy/primary_fence.h"
 #include "proxy/promotion_choices.h"
 #include "proxy/failure_reports.h"
 #include "proxy/failover_plan.h"
@@ -585,29 +585,12 @@
 	e->opts.promoter->ops->order(e->opts.promoter, &o, on_order_answer, f);
 }
 
-static void announce_choice(const struct failover *f)
-{
-	const struct engine *e = f->failovers->engine;
-	struct peer_message m = { .type = PEER_CHOICE };
-	GHashTableIter it;
-	gpointer name;
-
-	g_strlcpy(m.choice.service, f->service->name, sizeof(m.choice.service));
-	g_strlcpy(m.choice.endpoint, f->chosen, sizeof(m.choice.endpoint));
-	m.choice.term = f->term;
-	g_hash_table_iter_init(&it, e->instances);
-	while (g_hash_table_iter_next(&it, &name, NULL)) {
-		if (!strcmp(name, e->opts.instance))
-			continue;
-		g_strlcpy(m.peer, name, sizeof(m.peer));
-		e->opts.ops->peer_send(e->opts.host, &m);
-	}
-}
-
 static void on_choice_saved(void *data, const struct store_answer *a)
 {
 	struct failover *f = data;
-	int64_t now_us = engine_now(f->failovers->engine);
+	struct engine *e = f->failovers->engine;
+	int64_t now_us = engine_now(e);
+	struct peer_choice choice = { .term = f->term };
 
 	f->save_pending = false;
 	f->failovers->using_store = NULL;
@@ -615,7 +598,10 @@
 		return;
 	if (a->outcome == STORE_DONE) {
 		set_state(f, FAILOVER_PROMOTING, now_us);
-		announce_choice(f);
+		g_strlcpy(choice.service, f->service->name,
+			  sizeof(choice.service));
+		g_strlcpy(choice.endpoint, f->chosen, sizeof(choice.endpoint));
+		primary_fence_announce(e, &choice);
 		send_order(f, now_us);
 		return;
 	}
@@ -813,8 +799,8 @@
 
 /*
  * Returns a hash that changes with the term, the processes of the service, those
- * that are to be paused and those that cannot be reached. Replication is adjusted again
- * then: an endpoint may come back as a round left it.
+ * that are to be paused and those that cannot be reached. Replication is
+ * adjusted again then: an endpoint may come back as a round left it.
  */
 static uint64_t hash_replication_state(const struct service *svc,
 				       int64_t now_us)
@@ -963,50 +949,18 @@
 	return fs->failure_reports;
 }
 
-/* Closes the primary's connections that wait for an answer. */
-static void close_waiting_conns(struct upstream *u, int64_t now_us)
-{
-	for (guint i = 0; i < u->conns->len; i++) {
-		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-
-		if (c->control || (!c->request_count && !c->in_transaction))
-			continue;
-		exchange_handle_loss(c, "another endpoint is promoted", now_us);
-		i = (guint)-1; /* start over: the list changed */
-	}
-}
-
-/* Stops using the primary if another endpoint is being promoted. */
-static void fence_primary(struct failovers *fs, const char *service,
-			  const char *endpoint, uint64_t term, int64_t now_us)
-{
-	struct service *svc = engine_find_service(fs->engine, service);
-
-	if (!svc || term < svc->ordered_term)
-		return;
-	svc->ordered_term = term;
-	svc->ordered_us = now_us;
-	g_strlcpy(svc->ordered_endpoint, endpoint,
-		  sizeof(svc->ordered_endpoint));
-	if (service_is_fenced(svc))
-		close_waiting_conns(svc->primary, now_us);
-}
-
 void failover_handle_choice(struct failovers *fs, const struct store_item *item,
 			    int64_t now_us)
 {
-	promotion_choices_update(fs->choices, item);
-	if (!item->removed && item->readable)
-		fence_primary(fs, item->name, item->choice.endpoint,
-			      item->choice.term, now_us);
-}
+	struct peer_choice choice = { .term = item->choice.term };
 
-void failover_handle_announcement(struct failovers *fs,
-				  const struct peer_choice *choice,
-				  int64_t now_us)
-{
-	fence_primary(fs, choice->service, choice->endpoint, choice->term,
-		      now_us);
+	promotion_choices_update(fs->choices, item);
+	if (item->removed || !item->readable)
+		return;
+	g_strlcpy(choice.service, item->name, sizeof(choice.service));
+	g_strlcpy(choice.endpoint, item->choice.endpoint,
+		  sizeof(choice.endpoint));
+	primary_fence_handle_choice(fs->engine, &choice, now_us);
 }
 
 const char *failovers_get_last_choice(const struct failovers *fs,
--- a/src/proxy/failover.h
+++ b/src/proxy/failover.h
@@ -19,7 +19,6 @@
 #ifndef PROXY_FAILOVER_H
 #define PROXY_FAILOVER_H
 
-#include "core/peer_message.h"
 #include "proxy/upstream.h"
 #include "proxy/upstream_conn.h"
 
@@ -37,21 +36,10 @@
 /* Returns the failure reports of other instances; owned by `fs`. */
 struct failure_reports *failovers_get_reports(struct failovers *fs);
 
-/*
- * Handles a choice that was read from the store. From then on this instance
- * neither uses the replaced primary nor passes on what it acknowledges.
- */
+/* Handles a choice that was read from the store. */
 void failover_handle_choice(struct failovers *fs, const struct store_item *item,
 			    int64_t now_us);
 
-/*
- * Handles a choice in the store of which the holder of the duty tells the other
- * instances, which may not hear from the store in time.
- */
-void failover_handle_announcement(struct failovers *fs,
-				  const struct peer_choice *choice,
-				  int64_t now_us);
-
 /*
  * Returns the id of the endpoint of the service that was chosen last, by any
  * instance, or NULL. Owned by `fs`.
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -89,12 +89,6 @@
 	return s->primary ? s->primary : s->expired_primary;
 }
 
-bool service_is_fenced(const struct service *s)
-{
-	return s->primary && s->ordered_term && s->ordered_term >= s->term &&
-	       strcmp(s->primary->entry.id, s->ordered_endpoint) != 0;
-}
-
 static bool has_known_successor(const struct upstream *u)
 {
 	const GPtrArray *upstreams = u->service->upstreams;
