--- a/src/proxy/primary_fence.h
+++ b/src/proxy/primary_fence.h
@@ -13,11 +13,20 @@
 #define PROXY_PRIMARY_FENCE_H
 
 #include "core/peer_message.h"
+#include "proxy/upstream.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct engine;
 
+/*
+ * Returns true if another endpoint was chosen last for the primary's term or a
+ * later one. What the primary acknowledges may be missing there, so nothing is
+ * sent to it.
+ */
+bool service_is_fenced(const struct service *s);
+
 /* Tells the other instances of a choice that is in the store. */
 void primary_fence_announce(const struct engine *e,
 			    const struct peer_choice *choice);
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -1,5 +1,7 @@
 #include "proxy/upstream.h"
 
+#include "proxy/primary_fence.h"
+
 #include <string.h>
 #include <xxhash.h>
 
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -78,8 +78,8 @@
 	struct upstream *expired_primary;
 	uint64_t term; /* highest term seen */
 	/*
-	 * An order was sent to promote this endpoint to this term; see
-	 * service_is_fenced(). 0: none is known.
+	 * The endpoint that was chosen last, and its term; see
+	 * primary_fence.h. 0: none is known.
 	 */
 	uint64_t ordered_term;
 	char ordered_endpoint[NAME_BYTES];
@@ -116,13 +116,6 @@
 /* Returns the primary, or else the last one if its entry has expired. */
 const struct upstream *service_last_primary(const struct service *s);
 
-/*
- * Returns true if another endpoint was chosen last for the primary's term or a
- * later one. What the primary acknowledges may be missing there, so nothing is
- * sent to it.
- */
-bool service_is_fenced(const struct service *s);
-
 /* Returns true if `other` has the same address and started after it. */
 bool upstream_started_before(const struct upstream *u,
 			     const struct upstream *other);
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -526,7 +526,7 @@
 		}
 		m.run(1 * S);
 		m.crash(m.primary());
-		m.run(6 * S);
+		m.run(REPLICA_WAIT_US + 4 * S);
 		for (auto &e : m.endpoints) {
 			e->cut_replication = false;
 			e->leaving = false;
@@ -605,6 +605,7 @@
 	m.set_leaving(old, true);
 	m.run(5 * S);
 	EXPECT_EQ(old, m.primary());
+	EXPECT_EQ(0u, m.promotions);
 	behind->cut_replication = false;
 	EXPECT_TRUE(m.run_until([&] { return m.primary() == behind; }, 6 * S));
 	expect_no_violations(m);
