Let a fenced primary lead again when no other endpoint is left

Callers of strict routes were refused for good.

Cause: the chosen endpoint was lost for good, the primary came back, and no other endpoint was left, so that no round could start to end the fence. Change: a fence is a reason for a round also without another endpoint; the primary steps down and is chosen, which starts its next term.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -153,6 +153,21 @@
 	return false;
 }
 
+/* Returns why the primary's term must end, or NULL. */
+static const char *find_fence_reason(const struct failover *f)
+{
+	const struct service *svc = f->service;
+
+	if (!f->term_known)
+		return NULL;
+	if (promotion_choices_is_pending(f->failovers->choices, svc->name,
+					 svc->term))
+		return "an earlier promotion order may still be carried out";
+	return service_is_fenced(svc) ?
+		       "an order of an earlier choice was carried out" :
+		       NULL;
+}
+
 /* Returns the reason to replace the service's primary, or NULL. */
 static const char *find_failover_reason(const struct failover *f,
 					int64_t now_us)
@@ -161,8 +176,9 @@
 	const struct service *svc = f->service;
 	const struct upstream *u = svc->primary;
 
+	/* Without another endpoint the primary can only lead again. */
 	if (!has_candidate(svc))
-		return NULL;
+		return u && u->listed ? find_fence_reason(f) : NULL;
 	if (!u)
 		return now_us - svc->primary_lost_us >= NO_PRIMARY_DELAY_US ?
 			       "no primary is known" :
@@ -173,12 +189,7 @@
 		return "the primary is leaving";
 	if (failure_reports_confirm_silence(fs->failure_reports, u, now_us))
 		return "at least half of the instances cannot reach the primary";
-	if (f->term_known &&
-	    promotion_choices_is_pending(fs->choices, svc->name, svc->term))
-		return "an earlier promotion order may still be carried out";
-	if (f->term_known && service_is_fenced(svc))
-		return "an order of an earlier choice was carried out";
-	return NULL;
+	return find_fence_reason(f);
 }
 
 static struct failover *get_or_create_failover(struct failovers *fs,
@@ -451,11 +462,12 @@
 
 /*
  * A planned change demotes the primary only if another can take over soon; the
- * primary serves until then.
+ * primary serves until then. One that is fenced does not serve.
  */
 static bool may_demote(const struct failover *f, int64_t now_us)
 {
-	return !f->planned || has_near_replica(f, now_us);
+	return !f->planned || has_near_replica(f, now_us) ||
+	       service_is_fenced(f->service);
 }
 
 /*
--- a/src/proxy/failover_plan.c
+++ b/src/proxy/failover_plan.c
@@ -124,7 +124,9 @@
 	uint32_t listed = 0;
 
 	for (uint32_t i = 0; i < count; i++)
-		listed += !candidates[i].was_primary && !candidates[i].unlisted;
+		listed += !candidates[i].unlisted &&
+			  (!candidates[i].was_primary ||
+			   has_complete_log(&candidates[i]));
 	if (!listed)
 		return FAILOVER_NO_CANDIDATE;
 	*chosen = find_covering_replica(candidates, count);
