Log and count how calls to the store end, and who is served unconfirmed

Cause: the incident's lines don't tell its hypotheses apart: no line says which call to the store had no answer, how long it ran and how much of it had arrived; an abandoned watch leaves no trace; a session accepted by an unconfirmed configuration has no line. Change: 512 STORE_CALL_FAILED (duration, bytes), 513 STORE_WATCH_ABANDONED, 215 SESSION_UNCONFIRMED; store_call_seconds, store_received_bytes_total, store_watches_abandoned_total, unconfirmed_sessions_total. No logic changes.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -53,6 +53,9 @@
 	  "by operator")                                                      \
 	X(PLATFORM_LOST, 510, LOG_WARNING, "key-value service unreachable")   \
 	X(PLATFORM_BACK, 511, LOG_INFO, "key-value service responding")       \
+	X(STORE_CALL_FAILED, 512, LOG_INFO, "call to the store failed")       \
+	X(STORE_WATCH_ABANDONED, 513, LOG_INFO,                               \
+	  "watch of the store abandoned")                                     \
 	X(SHARE_GRANTED, 600, LOG_INFO, "rate limit share granted")           \
 	X(SHARE_LAPSED, 601, LOG_WARNING, "rate limit share expired")         \
 	X(LOAN_GIVEN, 602, LOG_DEBUG, "rate limit lent to a peer")            \
@@ -62,6 +65,8 @@
 	X(STATEMENT_FAILED, 212, LOG_INFO, "statement failed")                \
 	X(STATEMENT_SLOW, 213, LOG_INFO, "slow statement")                    \
 	X(SESSION_REFUSED, 214, LOG_INFO, "session rejected")                 \
+	X(SESSION_UNCONFIRMED, 215, LOG_INFO,                                 \
+	  "session accepted by an unconfirmed configuration")                 \
 	X(CONN_OUT_OF_STEP, 310, LOG_WARNING,                                 \
 	  "unexpected response from endpoint")                                \
 	X(CONN_DENIED, 311, LOG_INFO, "endpoint rejected a connection")       \
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -9,16 +9,22 @@
 #include "proxy/store.h"
 #include "proxy/wire.h"
 
+/* A finished call to the platform's services; the strings are constant. */
+struct proxy_call_report {
+	const char *call;
+	const char *outcome;
+	bool failed; /* it has no result */
+	int64_t duration_us;
+	size_t received_bytes; /* of the body of the answer */
+};
+
 struct proxy_adapter_opts {
 	struct loop *loop;
 	const char *store_address; /* "ip:port" */
 	const char *promotions_address; /* "ip:port" */
 	int64_t call_timeout_us; /* of one call to either service */
-	/*
-	 * Reports the outcome of each call, for metrics; may be NULL. The
-	 * strings are constant.
-	 */
-	void (*on_call)(void *data, const char *call, const char *outcome);
+	/* Reports each finished call; may be NULL. */
+	void (*on_call)(void *data, const struct proxy_call_report *r);
 	void *data;
 };
 
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -239,6 +239,20 @@
 	caller_close(s, now_us);
 }
 
+/* Logs that the session was accepted by a configuration that may be old. */
+static void log_unconfirmed(const struct session *s, int64_t now_us)
+{
+	const struct engine *e = s->engine;
+
+	if (engine_keys_are_fresh(e, now_us))
+		return;
+	engine_log(e, LOG_SESSION_UNCONFIRMED, s->number, s->database,
+		   e->config->version, "confirmed %lld ms ago; workspace %s",
+		   (long long)(store_feed_age_us(e->feed, now_us) / US_PER_MS),
+		   s->workspace);
+	metrics_add(e->opts.metrics, "unconfirmed_sessions_total", NULL, 1);
+}
+
 static void start_session(struct session *s, const char *line, int64_t now_us)
 {
 	g_autofree char *copy = g_strdup(line);
@@ -260,6 +274,7 @@
 		return;
 	}
 	s->started = true;
+	log_unconfirmed(s, now_us);
 	out = g_string_new(NULL);
 	s->engine->opts.wire->put_ready(out, TRANSACTION_NONE, NULL);
 	send_to_caller(s, out);
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -148,6 +148,17 @@
 		    (engine_now(e) - requested_us) / US_PER_MS);
 }
 
+static void on_watch_abandoned(void *data, int64_t pending_us)
+{
+	struct engine *e = data;
+
+	engine_log(e, LOG_STORE_WATCH_ABANDONED, 0, "store", pending_us,
+		   "a known change is missing after revision %lld; "
+		   "watching anew",
+		   (long long)store_feed_revision(e->feed));
+	metrics_add(e->opts.metrics, "store_watches_abandoned_total", NULL, 1);
+}
+
 static void on_reachable(void *data, bool reachable, const char *reason)
 {
 	struct engine *e = data;
@@ -196,6 +207,7 @@
 		.on_item = on_item,
 		.on_list = on_list,
 		.on_confirmed = on_confirmed,
+		.on_watch_abandoned = on_watch_abandoned,
 		.on_reachable = on_reachable,
 		.now_us = read_clock,
 		.data = e,
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -362,6 +362,9 @@
 	if (f->behind_since_us && now_us >= get_watch_deadline_us(f)) {
 		f->last_call++;
 		f->call_pending = false;
+		if (f->opts.on_watch_abandoned)
+			f->opts.on_watch_abandoned(f->opts.data,
+						   now_us - f->watch_sent_us);
 		return;
 	}
 	if (f->probe_pending || now_us < probe_due_us(f))
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -51,6 +51,11 @@
 	void (*on_list)(void *data, bool ends);
 	/* All changes made before requested_us were delivered. */
 	void (*on_confirmed)(void *data, int64_t requested_us);
+	/*
+	 * A watch was abandoned because it did not deliver a change that the
+	 * store is known to have. May be NULL.
+	 */
+	void (*on_watch_abandoned)(void *data, int64_t pending_us);
 	/* The store began or stopped answering. */
 	void (*on_reachable)(void *data, bool reachable, const char *reason);
 	int64_t (*now_us)(void *data); /* monotonic clock */
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -300,12 +300,20 @@
 	return peer_link_new(&h->peers, &opts, h->pool);
 }
 
-static void on_store_call(void *data, const char *call, const char *outcome)
+static void on_store_call(void *data, const struct proxy_call_report *r)
 {
 	struct session_host *h = data;
-	g_autofree char *label = g_strconcat(call, " ", outcome, NULL);
+	g_autofree char *label = g_strconcat(r->call, " ", r->outcome, NULL);
 
 	metrics_add(h->metrics, "store_calls_total", label, 1);
+	metrics_add(h->metrics, "store_received_bytes_total", r->call,
+		    r->received_bytes);
+	metrics_observe(h->metrics, "store_call_seconds", r->call,
+			r->duration_us);
+	if (r->failed)
+		log_event(LOG_STORE_CALL_FAILED, r->call, r->duration_us,
+			  "%s; %zu bytes received", r->outcome,
+			  r->received_bytes);
 }
 
 static void open_adapter(struct session_host *h)
