Failing tests: a large configuration on slow links

In the model, whose links now carry sized answers: a configuration of 1.4 MB on 10 Mbit/s, changed once, makes the store send 29.7 MB where 8 copies are 11.2 MB, and no instance is confirmed 2 s later; with four changes 0.7 s apart 1 of 8 instances has the newest after 5 s; after a restart none loads it. An instance that cannot be confirmed serves open routes and denies unknown names. With sockets: an answer of 400 ms in pieces ends a call with a timeout of 100 ms, and a probe of the store's revision reads op/config.

--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -139,4 +139,156 @@
 	}
 }
 
+struct SlowAnswerCase {
+	const char *name;
+	int pieces; /* of ten that are sent */
+	enum store_outcome outcome;
+};
+
+const SlowAnswerCase slow_answer_cases[] = {
+	{ "arrives slowly", 10, STORE_DONE },
+	{ "never begins", 0, STORE_UNKNOWN },
+	{ "stops half way", 5, STORE_UNKNOWN },
+};
+
+/* A server that sends the answer to its only call in pieces. */
+class SlowStore : public HttpTest
+{
+      protected:
+	static constexpr int64_t CALL_TIMEOUT_US = 100 * US_PER_MS;
+	static constexpr int64_t PIECE_INTERVAL_US = 40 * US_PER_MS;
+	static constexpr int PIECES = 10;
+
+	void open_listener() override
+	{
+		struct sockaddr_in sa = {};
+		socklen_t len = sizeof(sa);
+		struct proxy_adapter_opts adapter = {};
+
+		sa.sin_family = AF_INET;
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		ASSERT_EQ(0,
+			  bind(listener_, (struct sockaddr *)&sa, sizeof(sa)));
+		ASSERT_EQ(0, listen(listener_, 4));
+		getsockname(listener_, (struct sockaddr *)&sa, &len);
+		std::string address =
+			"127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+		adapter.loop = loop_;
+		adapter.store_address = address.c_str();
+		adapter.promotions_address = address.c_str();
+		adapter.call_timeout_us = CALL_TIMEOUT_US;
+		kv_ = kv_store_new(&adapter);
+		loop_watch(loop_, listener_, LOOP_READ, on_connection, this);
+		timer_ = loop_timer_add(loop_, send_piece, this);
+	}
+
+	void TearDown() override
+	{
+		kv_store_free(kv_);
+		loop_unwatch(loop_, listener_);
+		close(listener_);
+		if (conn_ >= 0)
+			close(conn_);
+		HttpTest::TearDown();
+	}
+
+	static void on_connection(void *data, int)
+	{
+		auto *t = static_cast<SlowStore *>(data);
+		int fd = accept(t->listener_, nullptr, nullptr);
+
+		if (fd < 0)
+			return;
+		if (t->conn_ >= 0)
+			close(t->conn_);
+		t->conn_ = fd;
+		t->sent_ = 0;
+		loop_timer_set(t->timer_, loop_now_us() + PIECE_INTERVAL_US);
+	}
+
+	static void send_piece(void *data, int64_t now_us)
+	{
+		auto *t = static_cast<SlowStore *>(data);
+		const std::string body = "{\"items\":[],\"has_more\":false,"
+					 "\"as_of\":7777777777777777}";
+		size_t piece = (body.size() + PIECES - 1) / PIECES;
+		std::string out;
+
+		char request[4096];
+		ssize_t n =
+			recv(t->conn_, request, sizeof(request), MSG_DONTWAIT);
+
+		if (n > 0)
+			t->request_.assign(request, (size_t)n);
+		if (t->sent_ >= t->pieces_)
+			return;
+		if (!t->sent_)
+			out = "HTTP/1.1 200 OK\r\nContent-Length: " +
+			      std::to_string(body.size()) + "\r\n\r\n";
+		out += body.substr(std::min(body.size(), t->sent_ * piece),
+				   piece);
+		t->sent_++;
+		EXPECT_EQ((ssize_t)out.size(),
+			  send(t->conn_, out.data(), out.size(), MSG_NOSIGNAL));
+		loop_timer_set(t->timer_, now_us + PIECE_INTERVAL_US);
+	}
+
+	struct kv_store *kv_ = nullptr;
+	struct loop_timer *timer_ = nullptr;
+	int listener_ = -1;
+	int conn_ = -1;
+	int pieces_ = 0;
+	int sent_ = 0;
+	std::string request_;
+};
+
+/* Asking for the store's revision must not cost the whole configuration. */
+TEST_F(SlowStore, ProbeDoesNotReadTheConfiguration)
+{
+	struct store *s = kv_store_get_store(kv_);
+	bool answered = false;
+
+	pieces_ = PIECES;
+	s->ops->probe(
+		s,
+		[](void *data, const struct store_answer *) {
+			*static_cast<bool *>(data) = true;
+		},
+		&answered);
+	EXPECT_TRUE(run_loop_until(loop_, [&] { return answered; }));
+	EXPECT_EQ(0u, request_.find("GET /")) << request_;
+	EXPECT_EQ(std::string::npos, request_.find("op/config")) << request_;
+}
+
+/* A call's timeout counts from the last part of its answer. */
+TEST_F(SlowStore, AnswerIsNotGivenUpWhileItArrives)
+{
+	struct store *s = kv_store_get_store(kv_);
+
+	for (const SlowAnswerCase &k : slow_answer_cases) {
+		struct Result {
+			bool answered;
+			enum store_outcome outcome;
+		} result = {};
+		int64_t start_us = loop_now_us();
+
+		SCOPED_TRACE(k.name);
+		pieces_ = k.pieces;
+		s->ops->list(
+			s, "",
+			[](void *data, const struct store_answer *a) {
+				*static_cast<Result *>(data) = { true,
+								 a->outcome };
+			},
+			&result);
+		EXPECT_TRUE(
+			run_loop_until(loop_, [&] { return result.answered; }));
+		EXPECT_EQ(k.outcome, result.outcome);
+		EXPECT_LT(loop_now_us() - start_us,
+			  PIECE_INTERVAL_US * (PIECES + 1) +
+				  4 * CALL_TIMEOUT_US);
+	}
+}
+
 } // namespace
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -26,6 +26,12 @@
 constexpr uint32_t QUOTA_SLACK = 20;
 /* An endpoint's entry is removed after three heartbeats are missing. */
 constexpr int64_t ENTRY_EXPIRY_US = 3600 * MS;
+/* The adapter's timeout of a call to the store. */
+constexpr int64_t STORE_CALL_TIMEOUT_US = 600 * MS;
+constexpr int64_t WATCH_WAIT_US = 10 * S;
+/* Sizes on the wire, for opts.link_bytes_per_s. */
+constexpr int64_t ANSWER_BYTES = 200;
+constexpr int64_t ITEM_BYTES = 400;
 const char DUTY_KEY[] = "duty";
 
 std::vector<std::string> split_words(const std::string &text)
@@ -154,8 +160,11 @@
 		if (st->model->store_loses_answers_ &&
 		    st->model->now() < st->model->store_down_until_us_)
 			a.outcome = STORE_UNKNOWN;
-		st->model->send_store_answer(st->node, st->generation(), fn,
-					     data, a, {}, STORE_DELAY_US);
+		/* The adapter reads the configuration. */
+		st->model->send_store_answer(
+			st->node, st->generation(), fn, data, a,
+			{ st->model->items_["op/config"].value },
+			STORE_DELAY_US);
 	}
 
 	static void change(struct store *s, const struct store_change *c,
@@ -569,6 +578,7 @@
 	}
 	n->callers.clear();
 	n->conns.clear();
+	n->transfers.clear();
 }
 
 void ProxyModel::power_off(ProxyNode *n)
@@ -619,6 +629,7 @@
 	now_us_ = next;
 	next_tick_us_ = next + TICK_US;
 	expire_leases();
+	run_transfers();
 	replicate();
 	for (auto &n : nodes)
 		tick_node(n.get());
@@ -651,8 +662,9 @@
 
 /* Store. */
 
-struct fleet_config *ProxyModel::build_config() const
+struct fleet_config *ProxyModel::build_config(int64_t revision) const
 {
+	const ConfigVersion &v = configs_.at(revision);
 	struct fleet_config *c = fleet_config_new();
 	static const struct {
 		const char *name;
@@ -666,7 +678,7 @@
 	};
 	static const char *const workspaces[] = { "a", "b", "c" };
 
-	c->version = config_version_;
+	c->version = v.version;
 	c->transaction_idle_us = 3 * S;
 	for (int s = 0; s < opts.services; s++) {
 		struct service_config *sc = g_new0(struct service_config, 1);
@@ -697,10 +709,10 @@
 
 		w->name = g_strdup(name);
 		w->rate_milli_per_s =
-			opts.unlimited ? UINT32_MAX : rate_per_s_ * 1000;
-		w->burst_milli = burst_ * 1000;
+			opts.unlimited ? UINT32_MAX : v.rate_per_s * 1000;
+		w->burst_milli = v.burst * 1000;
 		fleet_config_add_workspace(c, w);
-		if (keys_.count(key))
+		if (v.keys.count(key))
 			fleet_config_add_key(c, key.c_str(), w);
 	}
 	return c;
@@ -715,6 +727,28 @@
 	i.kind = ITEM_CONFIG;
 	i.readable = true;
 	put_item("op/config", i, 0);
+	configs_[revision_] = { config_version_, config_bytes_, keys_,
+				rate_per_s_, burst_ };
+}
+
+void ProxyModel::change_config(int64_t bytes)
+{
+	config_bytes_ = bytes;
+	put_config();
+}
+
+int ProxyModel::count_nodes_with_newest_config() const
+{
+	int count = 0;
+
+	for (auto &n : nodes) {
+		if (!n->engine)
+			continue;
+		engine_update_metrics(n->engine);
+		count += metrics_get(n->metrics, "config_version", nullptr) ==
+			 config_version_;
+	}
+	return count;
 }
 
 void ProxyModel::put_item(const std::string &key, struct store_item value,
@@ -764,39 +798,115 @@
 	       (store_loses_answers_ || now_us_ >= store_down_until_us_);
 }
 
+void ProxyModel::transfer_answer(ProxyNode *n, int64_t bytes,
+				 int64_t deadline_us,
+				 std::function<void(bool arrived)> end)
+{
+	if (opts.link_bytes_per_s)
+		n->transfers.push_back({ bytes, deadline_us, std::move(end) });
+	else
+		end(true);
+}
+
+void ProxyModel::run_transfers()
+{
+	for (auto &n : nodes) {
+		std::list<ProxyTransfer> ended;
+		int64_t part = 0;
+
+		if (n->transfers.empty() || n->frozen)
+			continue;
+		part = opts.link_bytes_per_s * TICK_US / S /
+		       (int64_t)n->transfers.size();
+		for (auto t = n->transfers.begin(); t != n->transfers.end();) {
+			auto next = std::next(t);
+
+			t->remaining_bytes -= part;
+			store_sent_bytes += part;
+			if (t->remaining_bytes <= 0 ||
+			    now_us_ >= t->deadline_us)
+				ended.splice(ended.end(), n->transfers, t);
+			t = next;
+		}
+		for (auto &t : ended)
+			t.end(t.remaining_bytes <= 0);
+	}
+}
+
 void ProxyModel::send_store_answer(int node, uint64_t generation,
 				   store_answer_fn fn, void *data,
 				   struct store_answer a,
 				   std::vector<struct store_item> items,
-				   int64_t delay_us)
-{
-	run_later(delay_us,
-		  [this, node, generation, fn, data, a, items]() mutable {
-			  ProxyNode *n = nodes[node].get();
-
-			  if (n->generation != generation || !n->engine)
-				  return;
-			  if (n->frozen && opts.frozen_nodes_read_nothing) {
-				  send_store_answer(node, generation, fn, data,
-						    a, items, 1 * MS);
-				  return;
-			  }
-			  if (n->cut_from_store) {
-				  items.clear();
-				  a.outcome = STORE_UNKNOWN;
-			  }
-			  for (auto &i : items) {
-				  if (i.kind == ITEM_CONFIG && !i.removed)
-					  i.config = build_config();
-				  if (i.kind == ITEM_REPLICA_SET)
-					  copy_members(&i.replica_set);
-			  }
-			  a.items = items.data();
-			  a.item_count = (uint32_t)items.size();
-			  fn(data, &a);
-			  for (auto &i : items)
-				  store_item_clear(&i);
-		  });
+				   int64_t delay_us, int64_t wait_us)
+{
+	int64_t bytes = ANSWER_BYTES;
+
+	for (auto &i : items)
+		bytes += i.kind == ITEM_CONFIG ? configs_.at(i.revision).bytes :
+						 ITEM_BYTES;
+	auto arrive = [=](bool arrived) {
+		struct store_answer late = {};
+
+		late.outcome = STORE_UNKNOWN;
+		late.requested_us = a.requested_us;
+		if (nodes[node]->generation != generation ||
+		    !nodes[node]->engine)
+			return;
+		if (arrived)
+			deliver_store_answer(node, fn, data, a, items);
+		else
+			deliver_store_answer(node, fn, data, late, {});
+	};
+	run_later(delay_us, [=] {
+		ProxyNode *n = nodes[node].get();
+
+		if (n->generation == generation && n->engine)
+			transfer_answer(n, bytes,
+					a.requested_us + wait_us +
+						STORE_CALL_TIMEOUT_US,
+					arrive);
+	});
+}
+
+void ProxyModel::deliver_store_answer(int node, store_answer_fn fn, void *data,
+				      struct store_answer a,
+				      std::vector<struct store_item> items)
+{
+	ProxyNode *n = nodes[node].get();
+
+	if (n->frozen && opts.frozen_nodes_read_nothing) {
+		send_store_answer(node, n->generation, fn, data, a, items,
+				  1 * MS);
+		return;
+	}
+	if (n->cut_from_store) {
+		items.clear();
+		a.outcome = STORE_UNKNOWN;
+	}
+	for (auto &i : items) {
+		if (i.kind == ITEM_CONFIG && !i.removed)
+			i.config = build_config(i.revision);
+		if (i.kind == ITEM_REPLICA_SET)
+			copy_members(&i.replica_set);
+	}
+	a.items = items.data();
+	a.item_count = (uint32_t)items.size();
+	fn(data, &a);
+	for (auto &i : items)
+		store_item_clear(&i);
+}
+
+/* A watch gets every version after its revision, not only the newest. */
+void ProxyModel::add_replaced_configs(int64_t after,
+				      std::vector<struct store_item> *items)
+{
+	struct store_item i = items_["op/config"].value;
+
+	for (auto c = configs_.upper_bound(after);
+	     c != configs_.end() && std::next(c) != configs_.end(); ++c) {
+		i.revision = c->first;
+		items->push_back(i);
+	}
 }
 
 void ProxyModel::answer_watches()
@@ -827,6 +937,7 @@
 			if (i.second.value.revision > after)
 				items.push_back(i.second.value);
 		}
+		add_replaced_configs(after, &items);
 		for (auto &r : removals_) {
 			if (r.revision > after)
 				items.push_back(r);
@@ -842,7 +953,7 @@
 		a.revision = revision_;
 		a.requested_us = w.asked_us;
 		send_store_answer(w.node, w.generation, w.fn, w.data, a, items,
-				  NETWORK_DELAY_US);
+				  NETWORK_DELAY_US, WATCH_WAIT_US);
 	}
 	watches_.insert(watches_.end(), remaining.begin(), remaining.end());
 }
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -114,6 +114,13 @@
 	std::map<std::string, std::string> prepared;
 };
 
+/* An answer of the store that is on its way over a node's link. */
+struct ProxyTransfer {
+	int64_t remaining_bytes = 0;
+	int64_t deadline_us = 0; /* of the call */
+	std::function<void(bool arrived)> end;
+};
+
 /* An instance of the proxy with its engine. */
 struct ProxyNode {
 	ProxyModel *model = nullptr;
@@ -127,6 +134,7 @@
 	uint64_t generation = 0; /* incremented at each start and end */
 	std::set<ProxyCaller *> callers;
 	std::set<std::shared_ptr<ProxyConn>> conns;
+	std::list<ProxyTransfer> transfers;
 };
 
 /* The answer to a caller's statement or session start. */
@@ -158,6 +166,11 @@
 	bool unlimited = false; /* no workspace has a limit */
 	/* Answers of endpoints wait until the node is no longer frozen. */
 	bool frozen_nodes_read_nothing = true;
+	/*
+	 * Of each node's link, shared evenly by the answers of the store on it;
+	 * 0: answers arrive at once.
+	 */
+	int64_t link_bytes_per_s = 0;
 	bool log = false; /* print the engines' log events */
 };
 
@@ -237,6 +250,12 @@
 	void restart_all(int64_t off_us);
 	void withdraw_key(const std::string &key);
 	void set_limit(uint32_t rate_per_s, uint32_t burst);
+	/* Writes a new version of the configuration, of that size as sent. */
+	void change_config(int64_t bytes);
+	/* Counts the running nodes that have the newest configuration. */
+	int count_nodes_with_newest_config() const;
+	/* Bytes of all answers that the store has sent, lost ones included. */
+	int64_t store_sent_bytes = 0;
 	/*
 	 * The store is down. With lose_answers it executes changes, but their
 	 * answers are lost.
@@ -337,12 +356,20 @@
 	void remove_item(const std::string &key);
 	void expire_leases();
 	void answer_watches();
+	void transfer_answer(ProxyNode *n, int64_t bytes, int64_t deadline_us,
+			     std::function<void(bool arrived)> end);
+	void run_transfers();
+	void add_replaced_configs(int64_t after,
+				  std::vector<struct store_item> *items);
 	void send_store_answer(int node, uint64_t generation,
 			       store_answer_fn fn, void *data,
 			       struct store_answer a,
 			       std::vector<struct store_item> items,
-			       int64_t delay_us);
-	struct fleet_config *build_config() const;
+			       int64_t delay_us, int64_t wait_us = 0);
+	void deliver_store_answer(int node, store_answer_fn fn, void *data,
+				  struct store_answer a,
+				  std::vector<struct store_item> items);
+	struct fleet_config *build_config(int64_t revision) const;
 	void put_config();
 
 	int64_t now_us_ = 1000000000;
@@ -363,7 +390,16 @@
 	int64_t promotions_delayed_until_us_ = 0;
 	int64_t promotion_delay_us_ = 0;
 	std::map<std::string, uint64_t> highest_tokens_; /* by service */
+	struct ConfigVersion {
+		int64_t version;
+		int64_t bytes; /* as sent */
+		std::set<std::string> keys;
+		uint32_t rate_per_s;
+		uint32_t burst;
+	};
+	std::map<int64_t, ConfigVersion> configs_; /* by revision */
 	int64_t config_version_ = 0;
+	int64_t config_bytes_ = 20000;
 	std::set<std::string> keys_;
 	std::map<std::string, int64_t> withdrawn_us_;
 	uint32_t rate_per_s_;
