Don't give up an answer of the store while it arrives

Cause: the deadline of a call to the store measured the whole transfer. On 10 Mbit/s a list page of 1.3 MB never ends within 600 ms, and a watch that is known to lack a change was abandoned after 300 ms or 1.5 s. The abandoned transfer went on beside its successor, which starts from the beginning: the slower the link, the more was asked. Change: a call fails when nothing arrives for its timeout, and counts as overdue only after its socket was read once more. The feed keeps a watch whose answer has begun to arrive, cancels one that it abandons, and repeats only the list page that failed.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -15,17 +15,23 @@
 	 * have been lost without notice.
 	 */
 	CONNECTION_IDLE_MAX_S = 10,
+	/* Ends an answer that trickles in but never ends. */
+	CALL_MAX_US = 60 * 1000 * 1000,
 	US_PER_MILLI = 1000,
 };
 
 struct call {
 	struct http_client *client;
+	uint64_t number;
 	CURL *curl;
 	struct curl_slist *headers;
 	char *url;
 	char *body;
 	GString *response;
 	int64_t start_us;
+	int64_t silence_us;
+	int64_t deadline_us; /* moved on by each part that arrives */
+	bool overdue; /* when the timer fired last */
 	http_client_response_fn fn;
 	void *data;
 };
@@ -33,7 +39,9 @@
 struct http_client {
 	char *address;
 	struct curl_loop *transfers;
-	GHashTable *calls; /* set of struct call in progress */
+	GHashTable *calls; /* number to struct call in progress */
+	uint64_t last_call; /* number */
+	struct loop_timer *timer; /* for the earliest deadline of a call */
 	/* Set after a failed call: the next call opens a new connection. */
 	bool force_new_connection;
 };
@@ -56,6 +64,9 @@
 	if (k->response->len + size * n > RESPONSE_MAX_BYTES)
 		return 0;
 	g_string_append_len(k->response, bytes, (gssize)(size * n));
+	k->deadline_us =
+		MIN(loop_now_us() + k->silence_us, k->start_us + CALL_MAX_US);
+	k->overdue = false;
 	return size * n;
 }
 
@@ -71,10 +82,10 @@
 	}
 }
 
-static void finish_call(struct call *k, CURLcode rc)
+static void finish_call(struct call *k, int error)
 {
 	struct http_client *c = k->client;
-	struct http_client_response r = { .error = errno_from_curl(rc),
+	struct http_client_response r = { .error = error,
 					  .start_us = k->start_us,
 					  .body = k->response->str,
 					  .body_len = k->response->len };
@@ -82,8 +93,8 @@
 
 	curl_easy_getinfo(k->curl, CURLINFO_RESPONSE_CODE, &status);
 	r.status = (int)status;
-	c->force_new_connection = rc != CURLE_OK;
-	g_hash_table_remove(c->calls, k);
+	c->force_new_connection = error != 0;
+	g_hash_table_remove(c->calls, &k->number);
 	k->fn(k->data, &r);
 	call_free(k);
 }
@@ -93,7 +104,71 @@
 	struct call *k = NULL;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&k);
-	finish_call(k, code);
+	finish_call(k, errno_from_curl(code));
+}
+
+/*
+ * Returns a call that is overdue for the second time in a row. In between the
+ * sockets were read: if the process was busy, the answer may have waited there.
+ */
+static struct call *find_expired_call(const struct http_client *c,
+				      int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct call *k = value;
+
+		if (k->overdue && now_us >= k->deadline_us)
+			return k;
+	}
+	return NULL;
+}
+
+static void mark_overdue_calls(const struct http_client *c, int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct call *k = value;
+
+		k->overdue = now_us >= k->deadline_us;
+	}
+}
+
+/*
+ * Sets the timer for the earliest deadline. An answer that arrives moves its
+ * deadline on without setting the timer, which then fires early.
+ */
+static void schedule_timer(struct http_client *c)
+{
+	int64_t due_us = -1;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct call *k = value;
+
+		if (due_us < 0 || k->deadline_us < due_us)
+			due_us = k->deadline_us;
+	}
+	loop_timer_set(c->timer, due_us);
+}
+
+static void on_timer(void *data, int64_t now_us)
+{
+	struct http_client *c = data;
+	struct call *k;
+
+	while ((k = find_expired_call(c, now_us)))
+		finish_call(k, -ETIMEDOUT);
+	mark_overdue_calls(c, now_us);
+	schedule_timer(c);
 }
 
 struct http_client *http_client_new(struct loop *loop, const char *address)
@@ -104,7 +179,8 @@
 						  .data = c };
 
 	c->address = g_strdup(address);
-	c->calls = g_hash_table_new(NULL, NULL);
+	c->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	c->timer = loop_timer_add(loop, on_timer, c);
 	c->transfers = curl_loop_new(&transfers);
 	return c;
 }
@@ -115,10 +191,11 @@
 	gpointer k;
 
 	g_hash_table_iter_init(&it, c->calls);
-	while (g_hash_table_iter_next(&it, &k, NULL)) {
+	while (g_hash_table_iter_next(&it, NULL, &k)) {
 		g_hash_table_iter_steal(&it);
 		call_free(k);
 	}
+	loop_timer_set(c->timer, -1);
 	curl_loop_free(c->transfers);
 	g_hash_table_destroy(c->calls);
 	g_free(c->address);
@@ -137,8 +214,6 @@
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, k->headers);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, k);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
-			 (long)(call->timeout_us / US_PER_MILLI));
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_MAX_S);
@@ -150,17 +225,21 @@
 	curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE, (long)strlen(k->body));
 }
 
-void http_client_call(struct http_client *c, const struct http_call *call,
-		      http_client_response_fn fn, void *data)
+uint64_t http_client_call(struct http_client *c, const struct http_call *call,
+			  http_client_response_fn fn, void *data)
 {
 	struct call *k = g_new0(struct call, 1);
 
 	k->client = c;
+	k->number = ++c->last_call;
 	k->curl = curl_easy_init();
 	k->url = g_strdup_printf("http://%s%s", c->address, call->path);
 	k->body = g_strdup(call->body);
 	k->response = g_string_new(NULL);
 	k->start_us = loop_now_us();
+	k->silence_us = call->silence_us;
+	k->deadline_us = k->start_us +
+			 (call->first_us ? call->first_us : call->silence_us);
 	k->fn = fn;
 	k->data = data;
 	k->headers = curl_slist_append(NULL, "Expect:");
@@ -174,8 +253,25 @@
 				curl_slist_append(k->headers, call->headers[i]);
 	}
 	set_options(k, call);
-	g_hash_table_add(c->calls, k);
+	g_hash_table_insert(c->calls, &k->number, k);
 	curl_loop_add(c->transfers, k->curl);
+	schedule_timer(c);
+	return k->number;
+}
+
+void http_client_cancel(struct http_client *c, uint64_t call)
+{
+	struct call *k = g_hash_table_lookup(c->calls, &call);
+
+	if (k)
+		finish_call(k, -ECANCELED);
+}
+
+bool http_client_is_arriving(const struct http_client *c, uint64_t call)
+{
+	const struct call *k = g_hash_table_lookup(c->calls, &call);
+
+	return k && k->response->len;
 }
 
 char *http_client_encode(const char *text)
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -1,7 +1,10 @@
 /*
  * http_client.h - HTTP calls to one address, by libcurl on the event loop.
  *
- * Every call ends within its timeout with exactly one response.
+ * Every call ends with exactly one response. Its timeout limits how long the
+ * server may be silent, not how long a large answer may take: a call that is
+ * given up while it arrives is wasted, and its successor starts from the
+ * beginning.
  */
 #ifndef BASE_HTTP_CLIENT_H
 #define BASE_HTTP_CLIENT_H
@@ -20,13 +23,19 @@
 	const char *path; /* percent-encoded, with the query */
 	const char *body; /* JSON, or NULL */
 	const char *headers[HTTP_CALL_HEADERS_MAX]; /* "Name: value" */
-	int64_t timeout_us; /* of the whole call, with connecting */
+	/*
+	 * The call fails if nothing was received for this long, and first_us
+	 * after its start if the answer has not begun by then.
+	 */
+	int64_t silence_us;
+	int64_t first_us; /* 0: silence_us */
 };
 
 /*
  * Result of a call, valid during the callback. `error` is 0 if the server
- * answered, -ECONNREFUSED if nothing was sent, or -ETIMEDOUT after any other
- * failure: the server may have carried out the call.
+ * answered, -ECONNREFUSED if nothing was sent, -ECANCELED after
+ * http_client_cancel(), or -ETIMEDOUT after any other failure: the server may
+ * have carried out the call.
  */
 struct http_client_response {
 	int error;
@@ -48,10 +57,20 @@
 
 /*
  * Starts a call; *call is copied. fn(data, response) is called once when the
- * call has ended, and never before this function has returned.
+ * call has ended, and never before this function has returned. Returns the
+ * call's number, never 0.
  */
-void http_client_call(struct http_client *c, const struct http_call *call,
-		      http_client_response_fn fn, void *data);
+uint64_t http_client_call(struct http_client *c, const struct http_call *call,
+			  http_client_response_fn fn, void *data);
+
+/*
+ * Ends a call at once and closes its connection. Its function is called before
+ * this one returns. Does nothing if the call has ended.
+ */
+void http_client_cancel(struct http_client *c, uint64_t call);
+
+/* Returns true if a part of the answer's body has arrived. */
+bool http_client_is_arriving(const struct http_client *c, uint64_t call);
 
 /* Returns `text` percent-encoded for a query, freed with g_free(). */
 char *http_client_encode(const char *text);
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -22,7 +22,8 @@
 	struct loop *loop;
 	const char *store_address; /* "ip:port" */
 	const char *promotions_address; /* "ip:port" */
-	int64_t call_timeout_us; /* of one call to either service */
+	/* A call to either service that is silent for this long has failed. */
+	int64_t call_timeout_us;
 	/* Reports each finished call; may be NULL. */
 	void (*on_call)(void *data, const struct proxy_call_report *r);
 	void *data;
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -2,7 +2,8 @@
  * store.h - the interface to the platform's store and promotion service.
  *
  * Implementations provide tables of functions. Each call invokes its callback
- * exactly once.
+ * exactly once, unless it is canceled. It ends with STORE_UNKNOWN when the
+ * store is silent for too long; an answer that keeps arriving is not given up.
  */
 #ifndef PROXY_STORE_H
 #define PROXY_STORE_H
@@ -59,16 +60,26 @@
 struct store;
 
 struct store_ops {
-	/* Lists one page of items; `after`: "", or .after of the last page. */
-	void (*list)(struct store *s, const char *after, store_answer_fn fn,
-		     void *data);
+	/*
+	 * Lists one page of items; `after`: "", or .after of the last page.
+	 * Returns the number of the call.
+	 */
+	uint64_t (*list)(struct store *s, const char *after, store_answer_fn fn,
+			 void *data);
 	/*
 	 * Answers with the changes after a revision as soon as there are any,
-	 * or with no items after wait_us.
+	 * or with no items after wait_us. Returns the number of the call.
+	 */
+	uint64_t (*watch)(struct store *s, int64_t after_revision,
+			  int64_t wait_us, store_answer_fn fn, void *data);
+	/* Ends a list or watch without an answer; its transfer stops. */
+	void (*cancel)(struct store *s, uint64_t call);
+	/* Returns true if a part of the answer has arrived. */
+	bool (*is_arriving)(const struct store *s, uint64_t call);
+	/*
+	 * Reads only the current revision of the store; the answer is small
+	 * whatever the store holds.
 	 */
-	void (*watch)(struct store *s, int64_t after_revision, int64_t wait_us,
-		      store_answer_fn fn, void *data);
-	/* Reads only the current revision of the store. */
 	void (*probe)(struct store *s, store_answer_fn fn, void *data);
 	void (*change)(struct store *s, const struct store_change *c,
 		       store_answer_fn fn, void *data);
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -30,8 +30,7 @@
 	struct store_feed_opts opts;
 
 	/* Following the store. */
-	GHashTable *calls; /* set of struct feed_call without an answer */
-	uint64_t last_call; /* number; answers to earlier calls are ignored */
+	uint64_t call; /* pending list or watch; 0: none */
 	int64_t list_revision; /* of the list's first page */
 	int64_t list_requested_us; /* when that page was requested */
 	/* All changes up to it were delivered; 0 until the first list ends. */
@@ -45,6 +44,7 @@
 	/* Since when the feed is known to lack a revision; 0: it is not. */
 	int64_t behind_since_us;
 	int64_t confirmed_us; /* nothing was missed up to then */
+	int64_t answered_us; /* last sign of life of the store */
 
 	/* Maintaining this instance's entry. */
 	uint64_t lease; /* 0: none */
@@ -56,7 +56,6 @@
 	int64_t previous_revision;
 
 	uint32_t failures; /* consecutive failed calls */
-	bool call_pending; /* a list or watch is under way */
 	bool listed; /* the list is complete; watches follow */
 	bool probe_pending;
 	bool duty_held; /* this instance holds the singleton duty */
@@ -76,8 +75,8 @@
 	struct store_feed *f = g_new0(struct store_feed, 1);
 
 	f->opts = *opts;
-	f->calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	f->confirmed_us = INT64_MIN;
+	f->answered_us = INT64_MIN;
 	f->watch_gap_us = WATCH_GAP_MIN_US;
 	f->lease_until_us = INT64_MIN;
 	return f;
@@ -85,7 +84,6 @@
 
 void store_feed_free(struct store_feed *f)
 {
-	g_hash_table_destroy(f->calls);
 	g_free(f);
 }
 
@@ -128,6 +126,7 @@
 
 static void handle_success(struct store_feed *f)
 {
+	f->answered_us = f->opts.now_us(f->opts.data);
 	f->failures = 0;
 	f->retry_due_us = 0;
 	notify_reachable(f, true, "the store answers");
@@ -164,44 +163,13 @@
 	f->opts.on_confirmed(f->opts.data, f->confirmed_us);
 }
 
-/* A list or watch under way; identifies answers to abandoned watches. */
-struct feed_call {
-	struct store_feed *feed;
-	uint64_t number;
-};
-
-static struct feed_call *begin_call(struct store_feed *f)
-{
-	struct feed_call *c = g_new0(struct feed_call, 1);
-
-	c->feed = f;
-	c->number = ++f->last_call;
-	g_hash_table_add(f->calls, c);
-	f->call_pending = true;
-	return c;
-}
-
-/* Returns the feed, or NULL if the call was abandoned. */
-static struct store_feed *end_call(struct feed_call *c)
-{
-	struct store_feed *f = c->feed;
-	bool abandoned = c->number != f->last_call;
-
-	g_hash_table_remove(f->calls, c);
-	if (abandoned)
-		return NULL;
-	f->call_pending = false;
-	return f;
-}
-
 static void on_list_answer(void *data, const struct store_answer *a)
 {
-	struct store_feed *f = end_call(data);
+	struct store_feed *f = data;
 
-	if (!f)
-		return;
+	f->call = 0;
 	if (a->outcome != STORE_DONE) {
-		f->list_after[0] = '\0';
+		/* The same page is requested again. */
 		handle_failure(f, a->outcome);
 		return;
 	}
@@ -237,10 +205,9 @@
 
 static void on_watch_answer(void *data, const struct store_answer *a)
 {
-	struct store_feed *f = end_call(data);
+	struct store_feed *f = data;
 
-	if (!f)
-		return;
+	f->call = 0;
 	f->behind_since_us = 0;
 	if (a->outcome == STORE_COMPACTED)
 		restart_list(f);
@@ -283,18 +250,18 @@
 
 static void send_list_or_watch(struct store_feed *f, int64_t now_us)
 {
-	if (f->call_pending || now_us < get_list_or_watch_due_us(f))
+	if (f->call || now_us < get_list_or_watch_due_us(f))
 		return;
 	if (f->listed) {
 		f->watch_sent_us = now_us;
 		f->paced_due_us =
 			MAX(f->paced_due_us, now_us) + f->watch_gap_us;
-		f->opts.store->ops->watch(f->opts.store, f->revision,
-					  f->opts.watch_us, on_watch_answer,
-					  begin_call(f));
+		f->call = f->opts.store->ops->watch(f->opts.store, f->revision,
+						    f->opts.watch_us,
+						    on_watch_answer, f);
 	} else {
-		f->opts.store->ops->list(f->opts.store, f->list_after,
-					 on_list_answer, begin_call(f));
+		f->call = f->opts.store->ops->list(f->opts.store, f->list_after,
+						   on_list_answer, f);
 	}
 }
 
@@ -352,16 +319,23 @@
 }
 
 /*
- * A pending watch gives no sign of whether its connection is alive: abandons
- * it if changes are overdue, and probes the store if it was not confirmed.
+ * A pending watch gives no sign of whether its connection is alive until its
+ * answer begins to arrive: abandons it if changes are overdue, and probes the
+ * store if it was not confirmed.
  */
-static void check_watch(struct store_feed *f, int64_t now_us)
+static void check_call(struct store_feed *f, int64_t now_us)
 {
-	if (!f->listed || !f->call_pending)
+	if (!f->call)
+		return;
+	if (f->opts.store->ops->is_arriving(f->opts.store, f->call)) {
+		f->answered_us = now_us;
+		return;
+	}
+	if (!f->listed)
 		return;
 	if (f->behind_since_us && now_us >= get_watch_deadline_us(f)) {
-		f->last_call++;
-		f->call_pending = false;
+		f->opts.store->ops->cancel(f->opts.store, f->call);
+		f->call = 0;
 		if (f->opts.on_watch_abandoned)
 			f->opts.on_watch_abandoned(f->opts.data,
 						   now_us - f->watch_sent_us);
@@ -422,6 +396,7 @@
 
 static void record_lease(struct store_feed *f, const struct store_answer *a)
 {
+	f->answered_us = f->opts.now_us(f->opts.data);
 	int64_t ttl_us = a->ttl_us ? a->ttl_us : f->opts.lease_ttl_us;
 
 	f->lease_until_us =
@@ -500,7 +475,7 @@
 
 void store_feed_run(struct store_feed *f, int64_t now_us)
 {
-	check_watch(f, now_us);
+	check_call(f, now_us);
 	send_list_or_watch(f, now_us);
 	maintain_entry(f, now_us);
 }
@@ -509,7 +484,7 @@
 {
 	int64_t due = INT64_MAX;
 
-	if (!f->call_pending)
+	if (!f->call)
 		due = get_list_or_watch_due_us(f);
 	else if (f->listed && !f->probe_pending)
 		due = probe_due_us(f);
@@ -529,6 +504,11 @@
 					      now_us - f->confirmed_us;
 }
 
+int64_t store_feed_answered_us(const struct store_feed *f)
+{
+	return f->answered_us;
+}
+
 int64_t store_feed_lease_end_us(const struct store_feed *f)
 {
 	return f->lease_until_us;
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -12,7 +12,8 @@
  * missed nothing up to that time. A feed that has not done so within
  * STORE_FEED_LAG_US abandons its watch, whose connection may be dead. The next
  * watch has changes to deliver at once, so it gets the timeout of an ordinary
- * call.
+ * call. A watch whose answer has begun to arrive is never abandoned, however
+ * long that takes: the next one would transfer the same again.
  */
 #ifndef PROXY_STORE_FEED_H
 #define PROXY_STORE_FEED_H
@@ -95,6 +96,13 @@
 /* Returns the age of that confirmation; INT64_MAX if there is none. */
 int64_t store_feed_age_us(const struct store_feed *f, int64_t now_us);
 
+/*
+ * Returns when the store last gave an answer or a part of one; INT64_MIN:
+ * never. A store that answers but does not confirm may have changes that have
+ * not arrived yet.
+ */
+int64_t store_feed_answered_us(const struct store_feed *f);
+
 /* Returns the end of this instance's lease by its own clock, less a margin. */
 int64_t store_feed_lease_end_us(const struct store_feed *f);
 
