Serve nobody by a configuration that the store may have replaced

Callers saw: a session was served by the old service of a route more than 5 s after the change was acknowledged, on an instance that refused all sessions with keys at that time. Cause: only keys were checked for a recent confirmation. Open routes, and the answers "no such database" and "unknown key", came from whatever configuration was there. With config_apply_ms below revoke_ms the same held for routes with keys. Change: an instance whose configuration was not confirmed for config.applied_within_ms, though the store answered within 1.5 s, refuses with BUSY and is not ready. If the store is silent, what is there goes on being served: a newer version can't be known. Before: LargeConfig.InstanceThatLacksItServesNothingByTheOldOne: open route served, unknown name answered NODB.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -51,6 +51,9 @@
 	X(CONFIG_CHANGED, 505, LOG_INFO,                                      \
 	  "configuration changed "                                            \
 	  "by operator")                                                      \
+	X(CONFIG_UNCONFIRMED, 506, LOG_WARNING,                               \
+	  "configuration cannot be confirmed")                                \
+	X(CONFIG_CONFIRMED, 507, LOG_INFO, "configuration confirmed again")   \
 	X(PLATFORM_LOST, 510, LOG_WARNING, "key-value service unreachable")   \
 	X(PLATFORM_BACK, 511, LOG_INFO, "key-value service responding")       \
 	X(STORE_CALL_FAILED, 512, LOG_INFO, "call to the store failed")       \
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -206,6 +206,10 @@
 		*reason = "no configuration yet";
 		return ANSWER_OVERLOADED;
 	}
+	if (!engine_config_is_usable(e, now_us)) {
+		*reason = "the configuration cannot be confirmed now";
+		return ANSWER_OVERLOADED;
+	}
 	r = fleet_config_find_route(e->config, s->database);
 	if (!r) {
 		*reason = "no such database";
@@ -244,7 +248,7 @@
 {
 	const struct engine *e = s->engine;
 
-	if (engine_keys_are_fresh(e, now_us))
+	if (store_feed_age_us(e->feed, now_us) < e->opts.config_limit_us)
 		return;
 	engine_log(e, LOG_SESSION_UNCONFIRMED, s->number, s->database,
 		   e->config->version, "confirmed %lld ms ago; workspace %s",
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -17,8 +17,8 @@
 #include <string.h>
 
 enum {
-	/* Maximum drift between two clocks within the key limit. */
-	KEY_CLOCK_MARGIN_US = 150 * 1000,
+	/* Maximum drift between two clocks within the limits. */
+	LIMIT_CLOCK_MARGIN_US = 150 * 1000,
 	/*
 	 * A watch without changes is answered after this; the store allows
 	 * three times as much.
@@ -32,6 +32,11 @@
 	PROBES_PER_KEY_LIMIT = 7,
 	/* Longer than the adapter's timeout of a call to the store. */
 	STORE_CALL_MAX_US = 1500 * 1000,
+	/*
+	 * The store does not answer if nothing came for this long. The lease of
+	 * the instance's entry is renewed more often.
+	 */
+	STORE_SILENT_US = 1500 * 1000,
 	/*
 	 * Lifetime of the lease of this instance's entry, in percent of the key
 	 * limit.
@@ -81,7 +86,14 @@
 bool engine_keys_are_fresh(const struct engine *e, int64_t now_us)
 {
 	return store_feed_age_us(e->feed, now_us) <
-	       e->opts.key_limit_us - KEY_CLOCK_MARGIN_US;
+	       e->opts.key_limit_us - LIMIT_CLOCK_MARGIN_US;
+}
+
+bool engine_config_is_usable(const struct engine *e, int64_t now_us)
+{
+	return store_feed_age_us(e->feed, now_us) <
+		       e->opts.config_limit_us - LIMIT_CLOCK_MARGIN_US ||
+	       now_us - STORE_SILENT_US > store_feed_answered_us(e->feed);
 }
 
 int64_t engine_lease_ttl_us(const struct engine *e)
@@ -261,6 +273,7 @@
 	e->feed = create_feed(e);
 	e->duty = create_duty(e);
 	e->keys_were_fresh = true;
+	e->config_was_usable = true;
 	return e;
 }
 
@@ -326,6 +339,7 @@
 void engine_reload(struct engine *e, const struct engine_opts *opts)
 {
 	e->opts.key_limit_us = opts->key_limit_us;
+	e->opts.config_limit_us = opts->config_limit_us;
 	e->opts.grace_us = opts->grace_us;
 	e->opts.replica_wait_us = opts->replica_wait_us;
 	e->opts.tolerance = opts->tolerance;
@@ -488,8 +502,17 @@
 static void log_changes(struct engine *e, int64_t now_us)
 {
 	bool fresh = engine_keys_are_fresh(e, now_us);
+	bool usable = engine_config_is_usable(e, now_us);
 	bool ready = engine_is_ready(e);
 
+	if (usable != e->config_was_usable)
+		engine_log(e,
+			   usable ? LOG_CONFIG_CONFIRMED :
+				    LOG_CONFIG_UNCONFIRMED,
+			   0, "config",
+			   store_feed_age_us(e->feed, now_us) / US_PER_MS,
+			   "the store answers; version %lld",
+			   (long long)(e->config ? e->config->version : 0));
 	if (fresh != e->keys_were_fresh)
 		engine_log(
 			e, fresh ? LOG_KEYS_CONFIRMED : LOG_KEYS_UNCONFIRMED, 0,
@@ -499,6 +522,7 @@
 		engine_log(e, LOG_READY_CHANGED, 0, e->opts.instance, ready,
 			   "ready");
 	e->keys_were_fresh = fresh;
+	e->config_was_usable = usable;
 	e->was_ready = ready;
 }
 
@@ -561,6 +585,7 @@
 	int64_t now_us = engine_now(e);
 
 	return e->config && !e->drain_since_us &&
+	       engine_config_is_usable(e, now_us) &&
 	       engine_keys_are_fresh(e, now_us) &&
 	       now_us < store_feed_lease_end_us(e->feed) &&
 	       g_hash_table_size(e->upstreams_by_id);
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -73,6 +73,8 @@
 	uint64_t incarnation; /* of this process, never 0 */
 	uint64_t seed;
 	int64_t key_limit_us; /* a withdrawn key stops working within this */
+	/* A configuration is in force this long after it was accepted. */
+	int64_t config_limit_us;
 	int64_t grace_us; /* duration of a shutdown */
 	/*
 	 * A failover waits this long for an endpoint that may hold acknowledged
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -56,6 +56,7 @@
 	int64_t drain_since_us; /* 0: not draining */
 	bool was_ready; /* as last logged */
 	bool keys_were_fresh; /* as last logged */
+	bool config_was_usable; /* as last logged */
 };
 
 static inline int64_t engine_now(const struct engine *e)
@@ -80,6 +81,13 @@
  */
 bool engine_keys_are_fresh(const struct engine *e, int64_t now_us);
 
+/*
+ * Returns true if callers may be served, or told what is not there, by the
+ * configuration: it was confirmed recently, or the store does not answer and
+ * so cannot tell whether there is a newer one.
+ */
+bool engine_config_is_usable(const struct engine *e, int64_t now_us);
+
 /* Returns the lifetime of the lease that this instance's entry is bound to. */
 int64_t engine_lease_ttl_us(const struct engine *e);
 
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -345,6 +345,7 @@
 		.incarnation = incarnation,
 		.seed = incarnation,
 		.key_limit_us = s->keys.withdrawn_after_ms * US_PER_MS,
+		.config_limit_us = s->config.applied_within_ms * US_PER_MS,
 		.grace_us = s->shutdown.grace_milli_s * US_PER_MS,
 		.replica_wait_us = s->failover.replica_wait_milli_s * US_PER_MS,
 		.tolerance = { .window_us =
@@ -426,7 +427,7 @@
 		return;
 	}
 	/*
-	 * Only the sections keys, limits, failover and shutdown are reloaded;
+	 * Only keys, config, limits, failover and shutdown are reloaded;
 	 * all other settings, such as names and addresses, need a restart.
 	 */
 	o = make_engine_opts(h, s, 0);
--- a/src/settings/proxy_settings.c
+++ b/src/settings/proxy_settings.c
@@ -49,6 +49,7 @@
 	TEXT(platform, promotions, REQUIRED, settings_check_address),
 	NUMBER(platform, call_timeout_ms, 600, 50, 10 * SECOND_MS),
 	NUMBER(keys, withdrawn_after_ms, 5 * SECOND_MS, 2 * SECOND_MS, MINUTE_MS),
+	NUMBER(config, applied_within_ms, 3 * SECOND_MS, SECOND_MS, MINUTE_MS),
 	MILLI(limits, "window_s", window_milli_s, 5 * SECOND_MS, 100, MINUTE_MS),
 	MILLI(limits, "overrun", overrun_milli, 0, 0, 1000),
 	NUMBER(limits, slack, 0, 0, 1000000),
--- a/src/settings/proxy_settings.h
+++ b/src/settings/proxy_settings.h
@@ -29,6 +29,13 @@
 		/* A withdrawn key stops working within this time. */
 		uint32_t withdrawn_after_ms;
 	} keys;
+	struct {
+		/*
+		 * An instance serves nobody by a configuration that was not
+		 * confirmed for this long, while the store answers.
+		 */
+		uint32_t applied_within_ms;
+	} config;
 	struct {
 		/*
 		 * Tolerated excess over a rate limit, summed over all
--- a/tests/large_config_test.cc
+++ b/tests/large_config_test.cc
@@ -67,16 +67,17 @@
 	bool cut; /* from the store; else its link is too slow */
 	const char *database;
 	const char *key;
-	bool served;
+	const char *code; /* "": it is served */
 };
 
 const OldConfigCase old_config_cases[] = {
-	{ "open route, the store answers", false, "open", "", false },
-	{ "unknown name, the store answers", false, "added", "", false },
+	{ "open route, the store answers", false, "open", "", "BUSY" },
+	{ "unknown name, the store answers", false, "added", "", "BUSY" },
 	{ "route with key, the store answers", false, "strict", "key-a",
-	  false },
-	{ "open route, cut off", true, "open", "", true },
-	{ "route with key, cut off", true, "strict", "key-a", false },
+	  "BUSY" },
+	{ "open route, cut off", true, "open", "", "" },
+	{ "unknown name, cut off", true, "added", "", "NODB" },
+	{ "route with key, cut off", true, "strict", "key-a", "BUSY" },
 };
 
 /*
@@ -87,22 +88,26 @@
 {
 	for (const OldConfigCase &k : old_config_cases) {
 		ProxyModelOpts o;
-		ProxyCaller *c;
-		ProxyAnswer a;
+		ProxyCaller *before;
+		ProxyCaller *after;
 
 		SCOPED_TRACE(k.name);
 		o.link_bytes_per_s = SLOW_LINK_BYTES_PER_S / 20;
 		ProxyModel m(o);
 		m.run(START_US);
+		before = m.connect(0, k.database, k.key);
+		m.wait_for_answer(before, 1 * S);
 		m.nodes[0]->cut_from_store = k.cut;
 		m.change_config(LARGEST_CONFIG_BYTES);
 		m.run(APPLY_US + 500 * MS);
 		ASSERT_EQ(0, m.count_nodes_with_newest_config());
 		EXPECT_FALSE(engine_is_ready(m.nodes[0]->engine));
-		c = m.connect(0, k.database, k.key);
-		a = m.run_statement(c, "READ 1");
-		EXPECT_EQ(k.served, a.ok);
-		EXPECT_EQ(k.served ? "" : "BUSY", a.code);
+		after = m.connect(0, k.database, k.key);
+		EXPECT_EQ(k.code, m.wait_for_answer(after, 1 * S).code);
+		if (!before->closed) {
+			EXPECT_EQ(k.code,
+				  m.run_statement(before, "READ 1").code);
+		}
 	}
 }
 
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -19,6 +19,8 @@
 constexpr int64_t TICK_US = 5 * MS;
 /* Longest time for which a withdrawn key may still work. */
 constexpr int64_t KEY_LIMIT_US = 5 * S;
+/* Longest time until a configuration is in force. */
+constexpr int64_t CONFIG_LIMIT_US = 3 * S;
 constexpr int64_t MAX_AGE_US = 1500 * MS; /* of all but strict reads */
 /* After this time endpoints drop the connections of a dead machine. */
 constexpr int64_t DEAD_CONN_TIMEOUT_US = 3 * S;
@@ -571,6 +573,7 @@
 	o.incarnation = ++n->generation * 1000 + n->index + 1;
 	o.seed = opts.seed * 100 + n->index;
 	o.key_limit_us = KEY_LIMIT_US;
+	o.config_limit_us = CONFIG_LIMIT_US;
 	o.grace_us = 6 * S;
 	o.replica_wait_us = 12 * S;
 	o.tolerance.window_us = QUOTA_WINDOW_US;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -712,6 +712,7 @@
 	{ "limits:\n  overrun: 0.1\n  window_s: 5\n", "" },
 	{ "limits:\n  overrun: 1.5\n", "must be from 0 to 1" },
 	{ "limits:\n  window_s: five\n", "not a decimal number" },
+	{ "config:\n  applied_within_ms: 10\n", "must be from" },
 	{ "keys:\n  withdrawn_after_ms: 10\n", "must be from" },
 	{ "log:\n  level: loud\n", "log.level" },
 	{ "failover:\n  replica_wait_s: 600\n", "" },
