Read large answers of the store at half of the link's bandwidth

Callers saw: for about a second after each change of a large configuration, statements late or failed on every instance with 10 Mbit/s. Cause: the record fills the queue of the instance's link, and each statement crosses it three times: from the caller, from the limit's home, from the endpoint. Change: platform.link_mbps from the platform's settings; the store's answers take half of it for the first half of the time to apply a configuration, then come as fast as they can. The call is paused meanwhile, which makes the sender wait. Ruled out: a receive buffer of 16 KB (no effect on when a version is applied, nor on callers); libcurl's MAX_RECV_SPEED (it limits the mean since the watch was sent, which waits for seconds: no effect). KvStore.LargeAnswerIsReadAtItsPace.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -15,6 +15,9 @@
 	 * have been lost without notice.
 	 */
 	CONNECTION_IDLE_MAX_S = 10,
+	/* Small answers are not held up if there was none for this long. */
+	PACE_BURST_US = 20 * 1000,
+	US_PER_SECOND = 1000 * 1000,
 };
 
 struct call {
@@ -26,15 +29,20 @@
 	char *body;
 	GString *response;
 	int64_t start_us;
+	int64_t paced_until_us; /* 0: nothing has arrived yet */
+	bool paused; /* until the pace timer fires */
 	http_client_response_fn fn;
 	void *data;
 };
 
 struct http_client {
+	struct http_client_opts opts;
 	char *address;
 	struct curl_loop *transfers;
 	GHashTable *calls; /* number to struct call in progress */
 	uint64_t last_call; /* number */
+	int64_t next_read_us; /* earliest time of the next part, if paced */
+	struct loop_timer *pace_timer; /* resumes paused calls */
 	/* Set after a failed call: the next call opens a new connection. */
 	bool force_new_connection;
 };
@@ -50,14 +58,60 @@
 	g_free(k);
 }
 
+/*
+ * Returns false if the part must wait, for which the call is paused: libcurl
+ * keeps the part and stops reading, so the sender has to wait as well.
+ */
+static bool take_pace(struct call *k, size_t len)
+{
+	struct http_client *c = k->client;
+	int64_t now_us = loop_now_us();
+
+	if (!c->opts.paced_bytes_per_s)
+		return true;
+	if (!k->paced_until_us)
+		k->paced_until_us = now_us + c->opts.paced_us;
+	if (now_us >= k->paced_until_us)
+		return true;
+	if (now_us < c->next_read_us) {
+		k->paused = true;
+		loop_timer_set(c->pace_timer, c->next_read_us);
+		return false;
+	}
+	c->next_read_us =
+		MAX(c->next_read_us, now_us - PACE_BURST_US) +
+		(int64_t)len * US_PER_SECOND / c->opts.paced_bytes_per_s;
+	return true;
+}
+
+static void on_pace_timer(void *data, int64_t now_us)
+{
+	struct http_client *c = data;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct call *k = value;
+
+		if (!k->paused)
+			continue;
+		k->paused = false;
+		curl_easy_pause(k->curl, CURLPAUSE_CONT);
+	}
+	curl_loop_wake(c->transfers);
+}
+
 static size_t on_body(char *bytes, size_t size, size_t n, void *data)
 {
 	struct call *k = data;
 
 	if (k->response->len + size * n > RESPONSE_MAX_BYTES)
 		return 0;
-	g_string_append_len(k->response, bytes, (gssize)(size * n));
 	curl_loop_note_arrival(k->client->transfers, k->curl);
+	if (!take_pace(k, size * n))
+		return CURL_WRITEFUNC_PAUSE;
+	g_string_append_len(k->response, bytes, (gssize)(size * n));
 	return size * n;
 }
 
@@ -98,14 +152,16 @@
 	finish_call(k, errno_from_curl(code));
 }
 
-struct http_client *http_client_new(struct loop *loop, const char *address)
+struct http_client *http_client_new(const struct http_client_opts *opts)
 {
 	struct http_client *c = g_new0(struct http_client, 1);
-	const struct curl_loop_opts transfers = { .loop = loop,
+	const struct curl_loop_opts transfers = { .loop = opts->loop,
 						  .on_done = on_done,
 						  .data = c };
 
-	c->address = g_strdup(address);
+	c->opts = *opts;
+	c->address = g_strdup(opts->address);
+	c->pace_timer = loop_timer_add(opts->loop, on_pace_timer, c);
 	c->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->transfers = curl_loop_new(&transfers);
 	return c;
@@ -121,6 +177,7 @@
 		g_hash_table_iter_steal(&it);
 		call_free(k);
 	}
+	loop_timer_set(c->pace_timer, -1);
 	curl_loop_free(c->transfers);
 	g_hash_table_destroy(c->calls);
 	g_free(c->address);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -46,11 +46,23 @@
 typedef void (*http_client_response_fn)(void *data,
 					const struct http_client_response *r);
 
+struct http_client_opts {
+	struct loop *loop;
+	const char *address; /* "ip:port" */
+	/*
+	 * Answers are read at this rate in all, so that a large one leaves
+	 * room on the link for what callers wait for; 0: as they arrive. An
+	 * answer that takes longer than paced_us is then read as it arrives.
+	 */
+	int64_t paced_bytes_per_s;
+	int64_t paced_us;
+};
+
 /*
- * Returns a client for "ip:port", freed with http_client_free(). That drops the
- * calls in progress without calling their functions.
+ * Copies `opts`. Freed with http_client_free(), which drops the calls in
+ * progress without calling their functions.
  */
-struct http_client *http_client_new(struct loop *loop, const char *address);
+struct http_client *http_client_new(const struct http_client_opts *opts);
 void http_client_free(struct http_client *c);
 
 /*
--- a/src/proxy/adapter.h
+++ b/src/proxy/adapter.h
@@ -24,6 +24,9 @@
 	const char *promotions_address; /* "ip:port" */
 	/* A call to either service that is silent for this long has failed. */
 	int64_t call_timeout_us;
+	/* As paced_bytes_per_s and paced_us of struct http_client_opts. */
+	int64_t paced_bytes_per_s;
+	int64_t paced_us;
 	/* Reports each finished call; may be NULL. */
 	void (*on_call)(void *data, const struct proxy_call_report *r);
 	void *data;
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -33,6 +33,14 @@
 	 * leaves time for a retry within a statement's timeout of 1 s.
 	 */
 	UNACKED_MAX_US = 600 * 1000,
+	BYTES_PER_S_PER_MILLI_MBPS = 125,
+	/* The store's answers take at most this part of the link. */
+	STORE_LINK_DIVISOR = 2,
+	/*
+	 * Part of the time to apply a configuration in which it is read at that
+	 * pace; the rest is enough for what is missing then.
+	 */
+	PACED_TIME_DIVISOR = 2,
 	/* Idle time before the first TCP keep-alive probe. */
 	KEEPALIVE_IDLE_US = 2000 * 1000,
 };
@@ -324,6 +332,11 @@
 		.store_address = s->platform.store,
 		.promotions_address = s->platform.promotions,
 		.call_timeout_us = s->platform.call_timeout_ms * US_PER_MS,
+		.paced_bytes_per_s = s->platform.link_milli_mbps *
+				     BYTES_PER_S_PER_MILLI_MBPS /
+				     STORE_LINK_DIVISOR,
+		.paced_us = s->config.applied_within_ms * US_PER_MS /
+			    PACED_TIME_DIVISOR,
 		.on_call = on_store_call,
 		.data = h,
 	};
--- a/src/settings/proxy_settings.c
+++ b/src/settings/proxy_settings.c
@@ -48,6 +48,7 @@
 	TEXT(platform, store, REQUIRED, settings_check_address),
 	TEXT(platform, promotions, REQUIRED, settings_check_address),
 	NUMBER(platform, call_timeout_ms, 600, 50, 10 * SECOND_MS),
+	MILLI(platform, "link_mbps", link_milli_mbps, 0, 0, UINT32_MAX),
 	NUMBER(keys, withdrawn_after_ms, 5 * SECOND_MS, 2 * SECOND_MS, MINUTE_MS),
 	NUMBER(config, applied_within_ms, 3 * SECOND_MS, SECOND_MS, MINUTE_MS),
 	MILLI(limits, "window_s", window_milli_s, 5 * SECOND_MS, 100, MINUTE_MS),
--- a/src/settings/proxy_settings.h
+++ b/src/settings/proxy_settings.h
@@ -24,6 +24,8 @@
 		char *store; /* "ip:port" of the key-value store */
 		char *promotions; /* "ip:port" that promotion orders go to */
 		uint32_t call_timeout_ms; /* of one call to either */
+		/* Bandwidth of the instance's link; 0: not known. */
+		uint32_t link_milli_mbps;
 	} platform;
 	struct {
 		/* A withdrawn key stops working within this time. */
--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -57,7 +57,7 @@
 		t->body_.assign(body, len);
 		a.status = 200;
 		a.content_type = "application/json";
-		a.text = strdup("{\"revision\":9}");
+		a.text = strdup(t->answer_.c_str());
 		http_server_send_response(t->server_, http_request_id(r), &a);
 	}
 
@@ -92,6 +92,7 @@
 	struct kv_store *kv_ = nullptr;
 	std::string path_;
 	std::string body_;
+	std::string answer_ = "{\"revision\":9}";
 };
 
 /* Both entries are of `service` and have no lease, though the change has. */
@@ -289,4 +290,56 @@
 	}
 }
 
+struct PaceCase {
+	const char *name;
+	int64_t bytes_per_s; /* 0: not paced */
+	int64_t paced_us;
+	int64_t min_us; /* duration of the call */
+	int64_t max_us;
+};
+
+/* For an answer of 400 kB. */
+const PaceCase pace_cases[] = {
+	{ "as it arrives", 0, 0, 0, 3 * US_PER_S },
+	{ "paced to the end", 800 * 1000, 10 * US_PER_S, 400 * US_PER_MS,
+	  3 * US_PER_S },
+	{ "paced at first", 100 * 1000, 400 * US_PER_MS, 400 * US_PER_MS,
+	  3 * US_PER_S },
+};
+
+/* A large answer leaves room on the link, but is not too late. */
+TEST_F(KvStore, LargeAnswerIsReadAtItsPace)
+{
+	answer_ = "{\"as_of\":9,\"has_more\":false,\"items\":[],\"x\":\"" +
+		  std::string(400 * 1000, 'x') + "\"}";
+	for (const PaceCase &k : pace_cases) {
+		struct proxy_adapter_opts o = {};
+		std::string address = "127.0.0.1:" +
+				      std::to_string(http_server_port(server_));
+		int64_t start_us = loop_now_us();
+		int64_t revision = 0;
+
+		SCOPED_TRACE(k.name);
+		o.loop = loop_;
+		o.store_address = address.c_str();
+		o.promotions_address = address.c_str();
+		o.call_timeout_us = 5 * US_PER_S;
+		o.paced_bytes_per_s = k.bytes_per_s;
+		o.paced_us = k.paced_us;
+		struct kv_store *paced = kv_store_new(&o);
+		struct store *s = kv_store_get_store(paced);
+		s->ops->list(
+			s, "",
+			[](void *data, const struct store_answer *a) {
+				*static_cast<int64_t *>(data) = a->revision;
+			},
+			&revision);
+		EXPECT_TRUE(run_loop_until(loop_, [&] { return revision; }));
+		EXPECT_EQ(9, revision);
+		EXPECT_GE(loop_now_us() - start_us, k.min_us);
+		EXPECT_LT(loop_now_us() - start_us, k.max_us);
+		kv_store_free(paced);
+	}
+}
+
 } // namespace
