Don't keep the event loop busy while an answer of the store arrives

Cause: since no probe is sent while a watch's answer arrives, but store_feed_due_us() still gave the time of that probe, which had passed, so the loop ran without waiting until the answer was there. Change: a probe that will not be sent is not due. Before: StoreFeed.KeepsAWatchWhoseAnswerArrives, with the new line: the feed is due at a time in the past. After: passes.

--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -318,6 +318,12 @@
 		       f->watch_sent_us + f->opts.call_us;
 }
 
+static bool is_answer_arriving(const struct store_feed *f)
+{
+	return f->call &&
+	       f->opts.store->ops->is_arriving(f->opts.store, f->call);
+}
+
 /*
  * A pending watch gives no sign of whether its connection is alive until its
  * answer begins to arrive: abandons it if changes are overdue, and probes the
@@ -327,7 +333,7 @@
 {
 	if (!f->call)
 		return;
-	if (f->opts.store->ops->is_arriving(f->opts.store, f->call)) {
+	if (is_answer_arriving(f)) {
 		f->answered_us = now_us;
 		return;
 	}
@@ -486,7 +492,7 @@
 
 	if (!f->call)
 		due = get_list_or_watch_due_us(f);
-	else if (f->listed && !f->probe_pending)
+	else if (f->listed && !f->probe_pending && !is_answer_arriving(f))
 		due = probe_due_us(f);
 	if (!f->entry_removed && !f->lease_call_pending)
 		due = MIN(due, f->lease_due_us);
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -265,6 +265,8 @@
 		store_feed_observe_revision(f.feed, 6, f.now_us, f.now_us);
 		f.run(REPORT_INTERVAL_US);
 		EXPECT_LT(f.now_us - store_feed_answered_us(f.feed), 20 * MS);
+		/* Nothing is due, so the loop may wait for the next part. */
+		EXPECT_LT(f.now_us, store_feed_due_us(f.feed));
 	}
 	EXPECT_EQ(1, f.call_counts[WATCH]);
 	EXPECT_EQ(0, f.call_counts[PROBE]);
