Ask an endpoint without an entry whether it is still paused

Callers saw: in the model, 20 acknowledged commits lost by a promotion. Cause: a leaving endpoint without an entry was checked once a second by a handshake, and counts as shut down when it was paused and is silent. The pause was what it had reported before it started again; a new process receives. Change: the check asks for the status, and its answer replaces what was known. A silent endpoint whose last status says that it receives is waited for like any other. Open: a restart and a cut within the second between two checks.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -1004,6 +1004,18 @@
 	fs->had_duty = has_duty;
 }
 
+/* Asks an endpoint without an entry whether it is still paused. */
+static void send_status_request(struct engine *e, struct upstream_conn *c,
+				int64_t now_us)
+{
+	const struct proxy_message m = { .statement = PROXY_STATEMENT_STATUS };
+
+	c->state = CONN_STATE_PROBING;
+	upstream_conn_put_message(c, e->opts.wire, &m, CONN_REQUEST_REPORT,
+				  now_us);
+	engine_conn_flush(c);
+}
+
 void failover_handle_conn_ready(struct failovers *fs, struct upstream_conn *c,
 				int64_t now_us)
 {
@@ -1012,6 +1024,8 @@
 
 	if (ep)
 		send_next_message(f, ep, now_us);
+	else if (c == c->upstream->check_conn)
+		send_status_request(fs->engine, c, now_us);
 }
 
 void failover_handle_conn_lost(struct failovers *fs, struct upstream_conn *c,
@@ -1062,6 +1076,13 @@
 	       PROXY_STATEMENT_DEMOTE;
 }
 
+static void record_upstream_report(struct upstream *u,
+				   const struct upstream_report *r)
+{
+	u->received = position_max(u->received, r->received);
+	u->paused_below_term = r->paused_below_term;
+}
+
 void failover_handle_report(struct failovers *fs, struct upstream_conn *c,
 			    const struct upstream_report *r, int64_t now_us)
 {
@@ -1069,15 +1090,13 @@
 	struct round_endpoint *ep = find_round_endpoint_by_conn(f, c);
 	bool first_report;
 
+	record_upstream_report(c->upstream, r);
 	if (!ep)
 		return;
 	first_report = !ep->has_report;
 	ep->has_report = true;
 	ep->reported_us = now_us;
 	ep->report = *r;
-	ep->upstream->received =
-		position_max(ep->upstream->received, r->received);
-	ep->upstream->paused_below_term = r->paused_below_term;
 	f->service->term = MAX(f->service->term, r->term);
 	f->term_known |= r->role == ROLE_PRIMARY;
 	if (!ep->was_primary && r->role == ROLE_PRIMARY)
--- a/src/proxy/replica_set.h
+++ b/src/proxy/replica_set.h
@@ -7,7 +7,7 @@
  * in the set, and failovers wait for it, until it is released because
  *  - it has ended, and an endpoint that stays has as much of the log. It has
  *    ended if another process runs at its address, or if it had announced its
- *    shutdown, is paused and does not answer; or
+ *    shutdown, is paused, as its last status said, and does not answer; or
  *  - it has not answered for engine_opts.replica_wait_us.
  *
  * It may start again under a new id, with its log, and still not reach the
