--- a/src/base/curl_loop.c
+++ b/src/base/curl_loop.c
@@ -116,12 +116,24 @@
 	return NULL;
 }
 
+static void mark_overdue_transfers(struct curl_loop *c, int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->deadlines);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct deadline *d = value;
+
+		d->overdue = now_us >= d->due_us;
+	}
+}
+
 /*
- * Marks overdue transfers and sets the timer for the earliest deadline. A part
- * that arrives moves its deadline on without setting the timer, which then
- * fires early.
+ * Sets the timer for the earliest deadline. A part that arrives moves its
+ * deadline on without setting the timer, which then fires early.
  */
-static void schedule_deadline_timer(struct curl_loop *c, int64_t now_us)
+static void schedule_deadline_timer(struct curl_loop *c)
 {
 	int64_t due_us = -1;
 	GHashTableIter it;
@@ -129,9 +141,8 @@
 
 	g_hash_table_iter_init(&it, c->deadlines);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct deadline *d = value;
+		const struct deadline *d = value;
 
-		d->overdue = now_us >= d->due_us;
 		if (due_us < 0 || d->due_us < due_us)
 			due_us = d->due_us;
 	}
@@ -149,7 +160,8 @@
 	}
 	if (c->opts.on_turn_end)
 		c->opts.on_turn_end(c->opts.data);
-	schedule_deadline_timer(c, now_us);
+	mark_overdue_transfers(c, now_us);
+	schedule_deadline_timer(c);
 }
 
 static int on_curl_timer(CURLM *multi, long timeout_ms, void *data)
@@ -239,7 +251,7 @@
 	d->next_us = limits->next_us;
 	d->due_us = now_us + limits->first_us;
 	g_hash_table_replace(c->deadlines, easy, d);
-	schedule_deadline_timer(c, now_us);
+	schedule_deadline_timer(c);
 }
 
 void curl_loop_remove(struct curl_loop *c, CURL *easy)
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -161,6 +161,7 @@
 
 	c->opts = *opts;
 	c->address = g_strdup(opts->address);
+	c->opts.address = c->address;
 	c->pace_timer = loop_timer_add(opts->loop, on_pace_timer, c);
 	c->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->transfers = curl_loop_new(&transfers);
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -332,7 +332,7 @@
 		.store_address = s->platform.store,
 		.promotions_address = s->platform.promotions,
 		.call_timeout_us = s->platform.call_timeout_ms * US_PER_MS,
-		.paced_bytes_per_s = s->platform.link_milli_mbps *
+		.paced_bytes_per_s = (int64_t)s->platform.link_milli_mbps *
 				     BYTES_PER_S_PER_MILLI_MBPS /
 				     STORE_LINK_DIVISOR,
 		.paced_us = s->config.applied_within_ms * US_PER_MS /
--- a/tests/large_config_test.cc
+++ b/tests/large_config_test.cc
@@ -14,6 +14,8 @@
 constexpr int64_t SLOW_LINK_BYTES_PER_S = 1250 * 1000;
 /* A configuration must be in force this long after its acknowledgement. */
 constexpr int64_t APPLY_US = 5 * S;
+/* As in the model's engine_opts. */
+constexpr int64_t CONFIG_LIMIT_US = 3 * S;
 
 struct ChangeCase {
 	const char *name;
@@ -99,7 +101,10 @@
 		m.wait_for_answer(before, 1 * S);
 		m.nodes[0]->cut_from_store = k.cut;
 		m.change_config(LARGEST_CONFIG_BYTES);
-		m.run(APPLY_US + 500 * MS);
+		m.run(CONFIG_LIMIT_US + 200 * MS);
+		/* Its keys are confirmed for longer. */
+		EXPECT_EQ(k.cut, engine_is_ready(m.nodes[0]->engine));
+		m.run(APPLY_US + 500 * MS - CONFIG_LIMIT_US - 200 * MS);
 		ASSERT_EQ(0, m.count_nodes_with_newest_config());
 		EXPECT_FALSE(engine_is_ready(m.nodes[0]->engine));
 		after = m.connect(0, k.database, k.key);
