Own interface: refuse a change of an endpoint set that has changed elsewhere

Callers saw: in the model, an acknowledged write lost after two operators changed a group's endpoints at once. Cause: an instance accepts a change once the group's last one is settled. Two instances may each accept one before either has heard of the other's. Change: the change of an endpoint's record carries what it rests on: the group's endpoints with their revisions, and that the group has no later record. The platform checks both in the same transaction; a refused operator gets the conflict. The stand-in compares ranges, as etcd does.

--- a/src/core/catalog.c
+++ b/src/core/catalog.c
@@ -88,13 +88,28 @@
 	snprintf(out, size, "%s%s%s", group, group[0] ? "/" : "", name);
 }
 
+static void format_revision_key(const struct record *r, char *key, size_t size)
+{
+	key[0] = (char)('a' + r->kind);
+	catalog_format_record_name(r, key + 1, size - 1);
+}
+
+int64_t catalog_get_revision(const struct catalog *c, const struct record *r)
+{
+	char key[REVISION_MAP_KEY_BYTES];
+	const int64_t *latest;
+
+	format_revision_key(r, key, sizeof(key));
+	latest = g_hash_table_lookup(c->revisions, key);
+	return latest ? *latest : 0;
+}
+
 bool catalog_accept_revision(struct catalog *c, const struct record *r)
 {
 	char key[REVISION_MAP_KEY_BYTES];
 	int64_t *latest;
 
-	key[0] = (char)('a' + r->kind);
-	catalog_format_record_name(r, key + 1, sizeof(key) - 1);
+	format_revision_key(r, key, sizeof(key));
 	latest = g_hash_table_lookup(c->revisions, key);
 	if (latest && *latest >= r->revision)
 		return false;
--- a/src/core/catalog.h
+++ b/src/core/catalog.h
@@ -35,6 +35,9 @@
  */
 bool catalog_accept_revision(struct catalog *c, const struct record *r);
 
+/* Returns the latest revision known of a record's name; 0: none. */
+int64_t catalog_get_revision(const struct catalog *c, const struct record *r);
+
 /*
  * Writes a record's name to `out`, truncated to `size` bytes: "GROUP/NAME" of
  * an endpoint, the hex digest of a key, the number of a share's cell, the plain
--- a/src/core/endpoint_set.c
+++ b/src/core/endpoint_set.c
@@ -88,3 +88,34 @@
 		return true;
 	return world_group(w, row)->set_settled;
 }
+
+/* Returns the latest revision applied of an endpoint's record. */
+static int64_t get_revision(const struct world *w,
+			    const struct endpoint_record *e)
+{
+	struct record r = { .kind = RECORD_ENDPOINT, .endpoint = *e };
+
+	return catalog_get_revision(&w->catalog, &r);
+}
+
+void endpoint_set_get_guard(const struct world *w, const char *group,
+			    struct endpoint_guard *out)
+{
+	uint32_t row = world_find_group(w, group);
+	const struct group *g = row == NO_INDEX ? NULL : world_group(w, row);
+
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(out->group, group, sizeof(out->group));
+	/* Every change up to the last synced revision was applied. */
+	out->revision = w->revision;
+	out->count = g ? g->endpoint_count : 0;
+	out->members = g_new0(struct endpoint_version, out->count);
+	for (uint32_t i = 0; i < out->count; i++) {
+		const struct endpoint *e = world_endpoint(w, g->endpoints[i]);
+		struct endpoint_version *m = &out->members[i];
+
+		g_strlcpy(m->name, e->record.name, sizeof(m->name));
+		m->revision = get_revision(w, &e->record);
+		out->revision = MAX(out->revision, m->revision);
+	}
+}
--- a/src/core/endpoint_set.h
+++ b/src/core/endpoint_set.h
@@ -33,4 +33,8 @@
 bool endpoint_set_may_change(const struct world *w,
 			     const struct endpoint_record *r, bool deleted);
 
+/* See world_get_endpoint_guard(). */
+void endpoint_set_get_guard(const struct world *w, const char *group,
+			    struct endpoint_guard *out);
+
 #endif
--- a/src/core/record.h
+++ b/src/core/record.h
@@ -135,4 +135,22 @@
 	};
 };
 
+/* One endpoint of a group, as known to an instance. */
+struct endpoint_version {
+	char name[NAME_BYTES];
+	int64_t revision; /* of its record */
+};
+
+/*
+ * What a change of a group's endpoints rests on: these are its endpoints, and
+ * the group has no endpoint record of a later revision. Another instance may
+ * have made a change that has not arrived here.
+ */
+struct endpoint_guard {
+	char group[NAME_BYTES];
+	int64_t revision;
+	struct endpoint_version *members; /* freed with g_free() */
+	uint32_t count;
+};
+
 #endif
--- a/src/core/world_report.c
+++ b/src/core/world_report.c
@@ -108,3 +108,9 @@
 	g_strlcpy(workspace, k->workspace, NAME_BYTES);
 	return 0;
 }
+
+void world_get_endpoint_guard(const struct world *w, const char *group,
+			      struct endpoint_guard *out)
+{
+	endpoint_set_get_guard(w, group, out);
+}
--- a/src/core/world_report.h
+++ b/src/core/world_report.h
@@ -66,6 +66,13 @@
 bool world_may_change_endpoint(const struct world *w,
 			       const struct endpoint_record *r, bool deleted);
 
+/*
+ * Sets *out to what a change of the group's endpoints rests on here. The caller
+ * frees out->members with g_free().
+ */
+void world_get_endpoint_guard(const struct world *w, const char *group,
+			      struct endpoint_guard *out);
+
 /*
  * Records the revision of a configuration change that was stored through this
  * instance. To be called before the operator gets the answer.
--- a/src/etcd/etcd_json.c
+++ b/src/etcd/etcd_json.c
@@ -166,6 +166,15 @@
 	return o;
 }
 
+json_t *etcd_json_new_compare_none_after(const char *prefix, int64_t revision)
+{
+	json_t *o = new_compare(prefix, "MOD", "LESS");
+
+	set_prefix_end(o, prefix);
+	set_int(o, "mod_revision", revision + 1);
+	return o;
+}
+
 json_t *etcd_json_new_compare_absent(const char *key)
 {
 	json_t *o = new_compare(key, "CREATE", "EQUAL");
--- a/src/etcd/etcd_json.h
+++ b/src/etcd/etcd_json.h
@@ -59,6 +59,8 @@
 
 /* Conditions of a transaction. Revision 0 means that the key is absent. */
 json_t *etcd_json_new_compare_mod(const char *key, int64_t revision);
+/* No key with the prefix has a later modification revision. */
+json_t *etcd_json_new_compare_none_after(const char *prefix, int64_t revision);
 json_t *etcd_json_new_compare_absent(const char *key);
 json_t *etcd_json_new_compare_present(const char *key);
 
--- a/src/etcd/platform_client.c
+++ b/src/etcd/platform_client.c
@@ -211,10 +211,11 @@
 void platform_client_change_record(struct platform_client *c,
 				   const struct record *r, bool deleted,
 				   int64_t expected_revision,
+				   const struct endpoint_guard *guard,
 				   platform_change_fn fn, void *data)
 {
 	record_writer_change_record(c->writer, r, deleted, expected_revision,
-				    fn, data);
+				    guard, fn, data);
 }
 
 uint64_t platform_client_call_count(const struct platform_client *c)
--- a/src/etcd/platform_client.h
+++ b/src/etcd/platform_client.h
@@ -61,11 +61,13 @@
  * Puts or deletes a record if the key's revision is still expected_revision
  * (0: the key must not exist; -1: any revision). If the answer is lost, the
  * client checks once whether the change was applied; if it cannot tell, the
- * outcome is PLATFORM_UNKNOWN.
+ * outcome is PLATFORM_UNKNOWN. The change is refused if the guard does not hold
+ * in the service; NULL: it rests on nothing else.
  */
 void platform_client_change_record(struct platform_client *c,
 				   const struct record *r, bool deleted,
 				   int64_t expected_revision,
+				   const struct endpoint_guard *guard,
 				   platform_change_fn fn, void *data);
 
 /*
--- a/src/etcd/record_writer.c
+++ b/src/etcd/record_writer.c
@@ -19,6 +19,7 @@
 	bool deleted; /* the change is a deletion */
 	bool retried; /* the first answer was lost */
 	int64_t expected_revision;
+	json_t *guard; /* further conditions; NULL: none */
 	platform_change_fn fn; /* operators' changes only */
 	void *data;
 };
@@ -34,6 +35,7 @@
 
 	g_free(o->key);
 	g_free(o->value);
+	json_decref(o->guard);
 	g_free(o);
 }
 
@@ -311,14 +313,42 @@
 
 static json_t *new_change_compares(const struct operation *o)
 {
+	json_t *compares = o->guard ? json_copy(o->guard) : json_array();
+
 	if (o->expected_revision != ANY_REVISION)
-		return wrap_in_array(
-			etcd_json_new_compare_mod(o->key,
-						  o->expected_revision));
+		json_array_append_new(compares,
+				      etcd_json_new_compare_mod(
+					      o->key, o->expected_revision));
 	/* Deleting an absent key is refused, to report it to the operator. */
-	if (o->deleted)
-		return wrap_in_array(etcd_json_new_compare_present(o->key));
-	return NULL;
+	else if (o->deleted)
+		json_array_append_new(compares,
+				      etcd_json_new_compare_present(o->key));
+	return compares;
+}
+
+static json_t *new_guard_compares(const struct record_writer *w,
+				  const struct endpoint_guard *g)
+{
+	struct record r = { .kind = RECORD_ENDPOINT };
+	json_t *compares = json_array();
+	g_autofree char *prefix = NULL;
+
+	g_strlcpy(r.endpoint.group, g->group, sizeof(r.endpoint.group));
+	prefix = record_to_key(w->opts.prefix, &r);
+	json_array_append_new(compares,
+			      etcd_json_new_compare_none_after(prefix,
+							       g->revision));
+	for (uint32_t i = 0; i < g->count; i++) {
+		const struct endpoint_version *m = &g->members[i];
+		g_autofree char *key = NULL;
+
+		g_strlcpy(r.endpoint.name, m->name, sizeof(r.endpoint.name));
+		key = record_to_key(w->opts.prefix, &r);
+		json_array_append_new(compares,
+				      etcd_json_new_compare_mod(key,
+								m->revision));
+	}
+	return compares;
 }
 
 /*
@@ -346,11 +376,13 @@
 void record_writer_change_record(struct record_writer *w,
 				 const struct record *r, bool deleted,
 				 int64_t expected_revision,
+				 const struct endpoint_guard *guard,
 				 platform_change_fn fn, void *data)
 {
 	struct operation *o = operation_new(w, r, expected_revision);
 
 	o->deleted = deleted;
+	o->guard = guard ? new_guard_compares(w, guard) : NULL;
 	o->value = deleted ? NULL : record_to_value(r);
 	o->fn = fn;
 	o->data = data;
--- a/src/etcd/record_writer.h
+++ b/src/etcd/record_writer.h
@@ -34,6 +34,7 @@
 void record_writer_change_record(struct record_writer *w,
 				 const struct record *r, bool deleted,
 				 int64_t expected_revision,
+				 const struct endpoint_guard *guard,
 				 platform_change_fn fn, void *data);
 
 #endif
--- a/src/serve/operator_interface.c
+++ b/src/serve/operator_interface.c
@@ -39,12 +39,18 @@
 {
 	struct instance *in = data;
 	struct pending_change *c = g_new0(struct pending_change, 1);
+	struct endpoint_guard guard = { .members = NULL };
 
 	c->instance = in;
 	c->fn = fn;
 	c->data = fn_data;
+	if (r->kind == RECORD_ENDPOINT)
+		world_get_endpoint_guard(in->world, r->endpoint.group, &guard);
 	platform_client_change_record(in->platform, r, deleted, expected,
+				      r->kind == RECORD_ENDPOINT ? &guard :
+								   NULL,
 				      on_change_done, c);
+	g_free(guard.members);
 }
 
 static void on_operator_request(void *data, uint64_t operator_id,
--- a/standin/platform/kv_calls.c
+++ b/standin/platform/kv_calls.c
@@ -188,16 +188,13 @@
 	return order;
 }
 
-static bool compare_holds(struct kv_store *s, const json_t *c)
+static bool entry_compare_holds(const struct kv_entry *e, const json_t *c)
 {
 	const char *target = json_string_value(json_object_get(c, "target"));
 	const char *result = json_string_value(json_object_get(c, "result"));
 	const char *field = compare_field(target ? target : "VERSION");
-	char *key = kv_json_get_text(c, "key");
-	const struct kv_entry *e = kv_get(s, key);
 	int order = compare_order(e, c, field);
 
-	g_free(key);
 	/* As in etcd, a comparison of an absent key's value always fails. */
 	if (!e && !strcmp(field, "value"))
 		return false;
@@ -210,6 +207,29 @@
 	return order != 0;
 }
 
+/* With a range_end, the comparison must hold for each key in the range. */
+static bool compare_holds(struct kv_store *s, const json_t *c)
+{
+	char *key = kv_json_get_text(c, "key");
+	char *end = kv_json_get_text(c, "range_end");
+	bool holds = true;
+
+	if (*end) {
+		GPtrArray *entries = kv_range(s, key, end, 0);
+
+		for (guint i = 0; i < entries->len; i++)
+			holds &= entry_compare_holds(g_ptr_array_index(entries,
+								       i),
+						     c);
+		g_ptr_array_unref(entries);
+	} else {
+		holds = entry_compare_holds(kv_get(s, key), c);
+	}
+	g_free(key);
+	g_free(end);
+	return holds;
+}
+
 static int run_op(struct kv_store *s, int64_t revision, const json_t *op,
 		  json_t *responses)
 {
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -1,5 +1,7 @@
 #include "model.h"
 
+#include <glib.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
@@ -1369,6 +1371,36 @@
 	});
 }
 
+/* As the conditions of the platform's transaction. */
+bool Model::guard_holds(int node, const struct endpoint_record &e)
+{
+	struct endpoint_guard g;
+	bool holds = true;
+
+	world_get_endpoint_guard(nodes_[node].world, e.group, &g);
+	for (auto &i : store_) {
+		const struct record &r = i.second;
+
+		if (r.kind == RECORD_ENDPOINT &&
+		    !strcmp(r.endpoint.group, e.group))
+			holds &= r.revision <= g.revision;
+	}
+	for (uint32_t i = 0; i < g.count; i++) {
+		struct record r = {};
+
+		r.kind = RECORD_ENDPOINT;
+		snprintf(r.endpoint.group, sizeof(r.endpoint.group), "%s",
+			 e.group);
+		snprintf(r.endpoint.name, sizeof(r.endpoint.name), "%s",
+			 g.members[i].name);
+		auto stored = store_.find(get_record_path(r));
+		holds &= stored != store_.end() &&
+			 stored->second.revision == g.members[i].revision;
+	}
+	g_free(g.members);
+	return holds;
+}
+
 bool Model::change_endpoint(int node, int endpoint, bool deleted)
 {
 	const ModelNode &n = nodes_[node];
@@ -1376,7 +1408,8 @@
 
 	if (!n.world || n.paused || !can_reach_platform(n.zone) ||
 	    !world_may_accept_changes(n.world, now_) ||
-	    !world_may_change_endpoint(n.world, &r.endpoint, deleted))
+	    !world_may_change_endpoint(n.world, &r.endpoint, deleted) ||
+	    !guard_holds(node, r.endpoint))
 		return false;
 	if (deleted)
 		erase_record(get_record_path(r));
--- a/tests/model.h
+++ b/tests/model.h
@@ -280,6 +280,7 @@
 	bool trace = false;
 
       private:
+	bool guard_holds(int node, const struct endpoint_record &e);
 	using Fn = std::function<void()>;
 	struct Change {
 		int64_t revision;
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -116,6 +116,8 @@
 	}
 }
 
+const int64_t ANY_REVISION_EXPECTED = -1;
+
 struct SlowLinkCase {
 	const char *name;
 	bool starts; /* the client starts; else it is cut off meanwhile */
@@ -154,4 +156,64 @@
 	}
 }
 
+struct record make_endpoint(const char *group, const char *name, uint32_t slots)
+{
+	struct record r = {};
+
+	r.kind = RECORD_ENDPOINT;
+	snprintf(r.endpoint.group, sizeof(r.endpoint.group), "%s", group);
+	snprintf(r.endpoint.name, sizeof(r.endpoint.name), "%s", name);
+	snprintf(r.endpoint.zone, sizeof(r.endpoint.zone), "z");
+	snprintf(r.endpoint.address, sizeof(r.endpoint.address), "10.0.0.1:1");
+	r.endpoint.slots = slots;
+	r.endpoint.connections_max = 1;
+	return r;
+}
+
+struct GuardCase {
+	const char *name;
+	const char *group; /* of the other operator's change; NULL: none */
+	const char *endpoint;
+	bool deleted;
+	enum platform_outcome outcome;
+};
+
+const GuardCase guard_cases[] = {
+	{ "nothing else changed", nullptr, "", false, PLATFORM_APPLIED },
+	{ "one was added", "g", "e-4", false, PLATFORM_REFUSED },
+	{ "one was deleted", "g", "e-2", true, PLATFORM_REFUSED },
+	{ "one was changed", "g", "e-2", false, PLATFORM_REFUSED },
+	{ "one of another group was added", "h", "e-4", false,
+	  PLATFORM_APPLIED },
+};
+
+/* The second of two operators' changes of a group's endpoints is refused. */
+TEST(PlatformClient, RefusesAChangeOfAnUnknownEndpointSet)
+{
+	for (const GuardCase &k : guard_cases) {
+		PlatformProcess p;
+		Client c({ p.address() });
+		struct endpoint_version members[2] = { { "e-1", 0 },
+						       { "e-2", 0 } };
+		struct endpoint_guard guard = { "g", 0, members, 2 };
+
+		SCOPED_TRACE(k.name);
+		ASSERT_TRUE(c.wait_until([&] { return c.sync_count > 0; }));
+		for (auto &m : members) {
+			m.revision =
+				c.change_record(make_endpoint("g", m.name, 1),
+						false, 0)
+					.revision;
+			guard.revision = m.revision;
+		}
+		if (k.group)
+			c.change_record(make_endpoint(k.group, k.endpoint, 2),
+					k.deleted, ANY_REVISION_EXPECTED);
+		EXPECT_EQ(k.outcome,
+			  c.change_record(make_endpoint("g", "e-3", 1), false,
+					  0, &guard)
+				  .outcome);
+	}
+}
+
 } // namespace
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -158,12 +158,13 @@
 	}
 
 	ChangeResult change_record(const struct record &r, bool deleted,
-				   int64_t expected)
+				   int64_t expected,
+				   const struct endpoint_guard *guard = nullptr)
 	{
 		ChangeResult c;
 
 		platform_client_change_record(client, &r, deleted, expected,
-					      on_change_result, &c);
+					      guard, on_change_result, &c);
 		EXPECT_TRUE(wait_until([&] { return c.calls > 0; }));
 		return c;
 	}
--- a/tests/platform_operation_test.cc
+++ b/tests/platform_operation_test.cc
@@ -131,11 +131,11 @@
 		if (round % 3 == 2)
 			p.send_command("lose 1");
 		platform_client_change_record(a.client, &record_a, false,
-					      revision, on_change_result,
-					      &result_a);
+					      revision, nullptr,
+					      on_change_result, &result_a);
 		platform_client_change_record(b.client, &record_b, false,
-					      revision, on_change_result,
-					      &result_b);
+					      revision, nullptr,
+					      on_change_result, &result_b);
 		ASSERT_TRUE(a.wait_until([&] {
 			b.run_for(US_PER_MS);
 			return result_a.calls && result_b.calls;
