Let the duty's likely successors check endpoints without an entry

Callers saw: after the duty's holder was lost in a promotion that waits for a lost endpoint, writes refused for replica_wait_s once more. Cause: only the holder checked whether such an endpoint answers, so its successor knew of no silence before its own first check. Change: the two instances of the lowest ranks, one of which takes the duty next, check once a second as well. Price: two connections a second more to such an endpoint. An instance that has not reached an endpoint for replica_wait_s may release it as soon as it takes the duty; before, the wait began with the duty.

--- a/src/proxy/replica_set.c
+++ b/src/proxy/replica_set.c
@@ -14,6 +14,11 @@
 	WRITE_RETRY_US = 200 * 1000,
 	/* A leaving endpoint that is silent for this long has shut down. */
 	SHUTDOWN_SILENCE_US = 1000 * 1000,
+	/*
+	 * Instances of the lowest ranks check as well: one of them takes the
+	 * duty next, and knows then since when an endpoint has not answered.
+	 */
+	SUCCESSORS = 2,
 };
 
 /* The set of one service: its upstreams, and what the store has of them. */
@@ -292,7 +297,7 @@
 		struct upstream *u = g_ptr_array_index(upstreams, i);
 		const char *reason;
 
-		if (has_duty && !u->listed)
+		if ((has_duty || e->instance_rank < SUCCESSORS) && !u->listed)
 			check_endpoint(e, u, now_us);
 		else
 			stop_checks(u);
