Let a lost endpoint of an order of one's own replace the primary in the next round

The next round took the old primary for a replica like any other, and waited replica_wait_s (12 s) for the lost one's log. Change: the round remembers its order (unsettled_order.h). In the next round of the same holder, while the process that stepped down still runs, the ordered endpoint stands where the replaced primary stands: what it acknowledged is in a replica's log, and all of those are paused and counted, the old primary's among them. A report of it settles the order. Cleared when the duty is lost or a primary leads. Ruled out: treating the old primary as stepped down once more: another one may have led since, so its log need not cover what that acknowledged. Another holder of the duty still waits 12 s.

--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -6,6 +6,7 @@
 #include "proxy/promotion_choices.h"
 #include "proxy/failure_reports.h"
 #include "proxy/failover_plan.h"
+#include "proxy/unsettled_order.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -73,6 +74,8 @@
 	bool demote_sent; /* DEMOTE was sent in this round */
 	enum proxy_statement logged_command; /* the last one that was logged */
 	bool stepped_down; /* reported to be a replica after DEMOTE */
+	/* was_primary, only because of an unsettled order; no report yet */
+	bool presumed_primary;
 	bool pause_wanted; /* between rounds */
 };
 
@@ -91,6 +94,7 @@
 	/* When the previous primary stepped down; 0: not yet. */
 	int64_t stepped_down_us;
 	char chosen[NAME_BYTES]; /* endpoint; "": none yet */
+	struct unsettled_order unsettled; /* of the last round */
 	bool order_pending; /* a promotion order has no answer yet */
 	bool save_pending; /* writing the choice has no answer yet */
 	int64_t ordered_us; /* when the last order was sent */
@@ -369,9 +373,13 @@
 static void add_round_endpoints(struct failover *f)
 {
 	struct service *svc = f->service;
-	const struct upstream *replaced =
-		f->endpoints->len ? NULL : find_replaced_primary(f);
+	const struct upstream *presumed = NULL;
+	const struct upstream *replaced = NULL;
 
+	if (!f->endpoints->len) {
+		presumed = unsettled_order_find(&f->unsettled, svc);
+		replaced = presumed ? presumed : find_replaced_primary(f);
+	}
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		struct round_endpoint ep = { 0 };
 
@@ -379,6 +387,7 @@
 		if (find_round_endpoint(f, ep.upstream->entry.id))
 			continue;
 		ep.was_primary = ep.upstream == replaced;
+		ep.presumed_primary = ep.upstream == presumed;
 		g_array_append_val(f->endpoints, ep);
 	}
 }
@@ -560,6 +569,19 @@
 	}
 }
 
+/* Remembers the round's order for the next round, which may need it. */
+static void record_unsettled_order(struct failover *f)
+{
+	for (guint i = 0; i < f->endpoints->len; i++) {
+		const struct round_endpoint *ep = get_round_endpoint(f, i);
+
+		if (ep->stepped_down &&
+		    strcmp(ep->upstream->entry.id, f->chosen))
+			unsettled_order_record(&f->unsettled, f->chosen,
+					       ep->upstream);
+	}
+}
+
 static void on_order_answer(void *data, enum promotion_outcome outcome)
 {
 	struct failover *f = data;
@@ -577,6 +599,7 @@
 		 * A later token was used, or the endpoint is not running: start
 		 * a new round.
 		 */
+		record_unsettled_order(f);
 		end_round(f, now_us);
 		f->not_before_us = now_us + POLL_INTERVAL_US;
 	} else if (outcome != PROMOTION_ORDERED) {
@@ -890,6 +913,7 @@
 			     "new primary is");
 		engine_update_primary(f->failovers->engine, ep->upstream,
 				      PRIMARY_CLAIM_CONFIRMED, "was promoted");
+		unsettled_order_clear(&f->unsettled);
 		end_round(f, now_us);
 		/*
 		 * The endpoint may have been promoted by an earlier order while
@@ -907,6 +931,7 @@
 		log_failover(f, LOG_PROMOTION_FAILED,
 			     now_us - f->state_since_us,
 			     "round ended: the promotion timed out:");
+		record_unsettled_order(f);
 		end_round(f, now_us);
 	}
 }
@@ -927,6 +952,8 @@
 	switch (f->state) {
 	case FAILOVER_IDLE:
 		f->reason = find_failover_reason(f, now_us);
+		if (!f->reason && f->service->primary)
+			unsettled_order_clear(&f->unsettled);
 		if (!f->reason && adjustment_is_due(f, now_us)) {
 			add_round_endpoints(f);
 			f->term = f->service->term + 1;
@@ -995,6 +1022,7 @@
 		if (has_duty && !fs->had_duty) {
 			f->adjust_due = true;
 			f->term_known = false;
+			unsettled_order_clear(&f->unsettled);
 		}
 		if (has_duty)
 			run_failover(f, now_us);
@@ -1093,6 +1121,10 @@
 	record_upstream_report(c->upstream, r);
 	if (!ep)
 		return;
+	if (ep->presumed_primary) {
+		ep->presumed_primary = false;
+		ep->was_primary = false;
+	}
 	first_report = !ep->has_report;
 	ep->has_report = true;
 	ep->reported_us = now_us;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -13,6 +13,7 @@
 #include "proxy/quota.h"
 #include "proxy/quota_division.h"
 #include "proxy/replica_set.h"
+#include "proxy/unsettled_order.h"
 #include "settings/proxy_settings.h"
 }
 
@@ -936,4 +937,48 @@
 	service_free(svc);
 }
 
+struct UnsettledOrderCase {
+	const char *name;
+	bool recorded;
+	bool cleared;
+	bool old_starts_again;
+	bool ordered_is_gone;
+	bool found;
+};
+
+const UnsettledOrderCase unsettled_orders[] = {
+	{ "none was given", false, false, false, false, false },
+	{ "given", true, false, false, false, true },
+	{ "settled", true, true, false, false, false },
+	{ "the primary that stepped down has started again", true, false, true,
+	  false, false },
+	{ "its endpoint is forgotten", true, false, false, true, false },
+};
+
+TEST(UnsettledOrder, IsFoundWhileThePrimaryThatSteppedDownRuns)
+{
+	for (const UnsettledOrderCase &t : unsettled_orders) {
+		SCOPED_TRACE(t.name);
+		struct service *svc = service_new("svc");
+		struct upstream_entry entry = {};
+		struct unsettled_order o = {};
+
+		g_strlcpy(entry.id, "old", sizeof(entry.id));
+		entry.started_ms = 7;
+		struct upstream *old = upstream_new(svc, &entry);
+		g_strlcpy(entry.id, "new", sizeof(entry.id));
+		struct upstream *ordered = upstream_new(svc, &entry);
+		if (t.recorded)
+			unsettled_order_record(&o, "new", old);
+		if (t.cleared)
+			unsettled_order_clear(&o);
+		if (t.old_starts_again)
+			old->entry.started_ms = 8;
+		if (t.ordered_is_gone)
+			upstream_free(ordered);
+		EXPECT_EQ(unsettled_order_find(&o, svc) != nullptr, t.found);
+		service_free(svc);
+	}
+}
+
 } // namespace
