--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -83,6 +83,10 @@
 	  "home of a rate limit not responding")                              \
 	X(DUTY_TAKEN, 410, LOG_INFO, "singleton duty acquired")               \
 	X(DUTY_LOST, 411, LOG_WARNING, "singleton duty lost")                 \
+	X(HOME_ADDED, 320, LOG_INFO, "home of a service added")               \
+	X(HOME_REMOVED, 321, LOG_INFO, "home of a service removed")           \
+	X(HOME_LEAVING, 322, LOG_INFO, "home of a service is stopping")       \
+	X(HOME_REFUSED, 323, LOG_INFO, "statement not accepted from a peer")  \
 	X(PEER_UP, 700, LOG_INFO, "peer responding")                          \
 	X(PEER_DOWN, 701, LOG_WARNING, "peer not responding")                 \
 	X(PEER_MESSAGE_BAD, 702, LOG_WARNING, "invalid peer message dropped")
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -3,6 +3,7 @@
 #include "proxy/dispatch.h"
 #include "proxy/drain.h"
 #include "proxy/engine_state.h"
+#include "proxy/hop.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -40,11 +41,28 @@
 			now_us - s->op.arrived_us);
 }
 
+static void handle_next_queued_line(struct session *s, int64_t now_us)
+{
+	char *line = g_queue_pop_head(&s->backlog);
+
+	if (!line)
+		return;
+	caller_handle_line(s, line, now_us);
+	g_free(line);
+}
+
+/* Returns true for what sets up the session for an operation. */
+static bool is_setup(enum query_kind kind)
+{
+	return kind == QUERY_SET || kind == QUERY_PREPARE ||
+	       kind == QUERY_RESET;
+}
+
 /* Ends the statement and handles the next queued line, if there is one. */
 static void finish_statement(struct session *s, int64_t now_us)
 {
-	char *line;
-
+	if (!is_setup(s->op.query.kind))
+		s->relayed_elapsed_us = 0;
 	operation_end(&s->op);
 	s->idle_since_us = now_us;
 	s->transaction_idle_us = now_us;
@@ -54,18 +72,18 @@
 		caller_close(s, now_us);
 		return;
 	}
-	line = g_queue_pop_head(&s->backlog);
-	if (!line)
-		return;
-	caller_handle_line(s, line, now_us);
-	g_free(line);
+	handle_next_queued_line(s, now_us);
 }
 
 static void send_answer(struct session *s, const GString *body, int64_t now_us)
 {
 	GString *out = g_string_new_len(body->str, (gssize)body->len);
 
-	s->engine->opts.wire->put_ready(out, s->transaction, NULL);
+	/* Another instance needs the position of what its caller wrote. */
+	s->engine->opts.wire->put_ready(out, s->transaction,
+					s->relayed && s->last_write.term ?
+						&s->last_write :
+						NULL);
 	send_to_caller(s, out);
 	g_string_free(out, TRUE);
 	finish_statement(s, now_us);
@@ -191,6 +209,32 @@
 	g_ptr_array_add(e->closed_sessions, s);
 }
 
+/*
+ * The other instance has checked the caller's key, and by its configuration the
+ * operation goes to .service. It is run only if that is so by the configuration
+ * here as well, and if that is not older.
+ */
+static enum answer_code check_relayed_access(const struct session *s,
+					     const char **reason)
+{
+	const struct engine *e = s->engine;
+	const struct route *r =
+		s->database ? fleet_config_find_route(e->config, s->database) :
+			      NULL;
+
+	if (e->drain_since_us && s->transaction == TRANSACTION_NONE)
+		*reason = "the home is stopping";
+	else if (!s->database)
+		*reason = "no operation was announced";
+	else if (e->config->version < s->relayed_version)
+		*reason = "the home has an older configuration";
+	else if (!r || strcmp(r->service, s->service) != 0)
+		*reason = "the home has another route";
+	else
+		return ANSWER_NONE;
+	return ANSWER_WRONG_ENDPOINT;
+}
+
 /*
  * Returns ANSWER_NONE if the session may run statements now, else the error
  * code, with *reason set.
@@ -210,6 +254,8 @@
 		*reason = "the configuration cannot be confirmed now";
 		return ANSWER_OVERLOADED;
 	}
+	if (s->relayed)
+		return check_relayed_access(s, reason);
 	r = fleet_config_find_route(e->config, s->database);
 	if (!r) {
 		*reason = "no such database";
@@ -257,6 +303,53 @@
 	metrics_add(e->opts.metrics, "unconfirmed_sessions_total", NULL, 1);
 }
 
+static void start_relayed_session(struct session *s, const char *line,
+				  int64_t now_us)
+{
+	g_autofree char *copy = g_strdup(line);
+	const char *service;
+	GString *out;
+
+	if (!hop_read_start(copy, &service)) {
+		refuse_session(s, ANSWER_MALFORMED, "not a start of a peer",
+			       now_us);
+		return;
+	}
+	s->service = g_strdup(service);
+	s->started = true;
+	out = g_string_new(NULL);
+	s->engine->opts.wire->put_ready(out, TRANSACTION_NONE, NULL);
+	if (s->engine->drain_since_us)
+		hop_put_leaving(out);
+	send_to_caller(s, out);
+	g_string_free(out, TRUE);
+}
+
+/* Handles the line that precedes an operation of another instance. */
+static void announce_operation(struct session *s, const char *line,
+			       int64_t now_us)
+{
+	g_autofree char *copy = g_strdup(line);
+	struct hop_operation op;
+
+	if (s->transaction != TRANSACTION_NONE ||
+	    !hop_read_operation(copy, &op)) {
+		engine_log(s->engine, LOG_PEER_MESSAGE_BAD, s->number, "hop", 0,
+			   "malformed announcement of an operation");
+		caller_close(s, now_us);
+		return;
+	}
+	g_free(s->database);
+	g_free(s->workspace);
+	s->database = g_strdup(op.database);
+	s->workspace = g_strdup(op.workspace);
+	s->relayed_version = op.config_version;
+	s->relayed_elapsed_us = op.elapsed_us;
+	s->last_write = op.last_write;
+	s->last_write_us = now_us;
+	handle_next_queued_line(s, now_us);
+}
+
 static void start_session(struct session *s, const char *line, int64_t now_us)
 {
 	g_autofree char *copy = g_strdup(line);
@@ -357,7 +450,7 @@
 					now_us);
 		return;
 	}
-	if (new_operation)
+	if (new_operation && !s->relayed)
 		rc = quota_take(e->quota, s->workspace, now_us, &retry_us);
 	if (rc != -EINPROGRESS)
 		apply_quota_result(s, rc, retry_us, now_us);
@@ -452,14 +545,24 @@
 				  "no such prepared statement", now_us);
 }
 
-static void on_end(struct session *s, int64_t now_us)
+static void on_malformed(struct session *s, int64_t now_us)
 {
-	caller_close(s, now_us);
+	caller_send_error(s, ANSWER_MALFORMED, "unknown statement", now_us);
 }
 
-static void on_malformed(struct session *s, int64_t now_us)
+static void on_reset(struct session *s, int64_t now_us)
 {
-	caller_send_error(s, ANSWER_MALFORMED, "unknown statement", now_us);
+	if (!s->relayed) {
+		on_malformed(s, now_us);
+		return;
+	}
+	session_reset(s);
+	answer_locally(s, now_us);
+}
+
+static void on_end(struct session *s, int64_t now_us)
+{
+	caller_close(s, now_us);
 }
 
 typedef void (*query_fn)(struct session *s, int64_t now_us);
@@ -475,6 +578,7 @@
 	[QUERY_PREPARE] = on_prepare,
 	[QUERY_EXECUTE] = on_execute,
 	[QUERY_DEALLOCATE] = on_deallocate,
+	[QUERY_RESET] = on_reset,
 	[QUERY_END] = on_end,
 	[QUERY_MALFORMED] = on_malformed,
 };
@@ -492,7 +596,10 @@
 	if (s->closing)
 		return;
 	if (!s->started) {
-		start_session(s, line, now_us);
+		if (s->relayed)
+			start_relayed_session(s, line, now_us);
+		else
+			start_session(s, line, now_us);
 		return;
 	}
 	if (s->op.active) {
@@ -502,9 +609,13 @@
 			g_queue_push_tail(&s->backlog, g_strdup(line));
 		return;
 	}
+	if (s->relayed && hop_is_operation(line)) {
+		announce_operation(s, line, now_us);
+		return;
+	}
 	s->engine->opts.wire->read_query(line, &q);
 	g_hash_table_add(s->engine->busy_sessions, s);
-	operation_start(&s->op, &q, now_us);
+	operation_start(&s->op, &q, now_us - s->relayed_elapsed_us);
 	if (s->transaction == TRANSACTION_FAILED &&
 	    !ends_transaction(s->op.query.kind)) {
 		caller_send_error(s, ANSWER_MALFORMED,
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -4,6 +4,8 @@
 #include "proxy/caller.h"
 #include "proxy/engine_state.h"
 #include "proxy/exchange.h"
+#include "proxy/homes.h"
+#include "proxy/hop.h"
 #include "proxy/placement.h"
 
 #include <string.h>
@@ -197,9 +199,12 @@
 static uint32_t get_running_limit(const struct engine *e,
 				  const struct upstream *u)
 {
+	const struct service *svc = u->service;
 	uint32_t all = u->entry.slots * RUNNING_PER_SLOT;
+	uint32_t sharers = svc->has_homes && svc->is_home ? svc->home_count :
+							    e->instance_count;
 
-	return MAX((all + e->instance_count / 2) / e->instance_count, 1);
+	return MAX((all + sharers / 2) / sharers, 1);
 }
 
 static enum conn_source choose_conn_source(const struct engine *e,
@@ -316,6 +321,51 @@
 	return dispatch_open_conn(s->engine, u, s->workspace, false, now_us);
 }
 
+/* Returns an idle connection to the home, preferably with the same values. */
+static struct upstream_conn *find_idle_home_conn(const struct upstream *u,
+						 const struct session *s)
+{
+	struct upstream_conn *found = NULL;
+
+	for (guint i = 0; i < u->conns->len; i++) {
+		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+
+		if (c->state != CONN_STATE_IDLE)
+			continue;
+		if (!strcmp(c->values_key, s->values_key))
+			return c;
+		found = c;
+	}
+	return found;
+}
+
+/*
+ * Returns a connection to the home that is to run the statement, or NULL if
+ * this instance runs it itself. The home decides where and when.
+ */
+static struct upstream_conn *
+acquire_home_conn(struct session *s, struct service *svc, int64_t now_us)
+{
+	struct engine *e = s->engine;
+	struct upstream_conn *c;
+	struct upstream *u;
+
+	if (!svc->has_homes || s->relayed)
+		return NULL;
+	u = homes_find(svc, e->opts.instance, s->workspace, &s->op, now_us);
+	if (!u)
+		return NULL;
+	c = find_idle_home_conn(u, s);
+	if (!c && u->conns->len < engine_conns_limit(e, u))
+		c = dispatch_open_conn(e, u, "", false, now_us);
+	if (!c)
+		return NULL;
+	memset(&s->op.min_mark, 0, sizeof(s->op.min_mark));
+	if (s->op.need == NEED_STRICT_READ)
+		s->op.need = NEED_READ;
+	return c;
+}
+
 /*
  * Assigns an endpoint connection to the statement. Returns false if none is
  * available now.
@@ -330,16 +380,20 @@
 	if (!r)
 		return false;
 	determine_need(s, r, svc);
-	u = choose_endpoint(s, svc, &source, now_us);
-	if (!u)
-		return false;
-	c = acquire_conn(s, u, source, now_us);
+	c = acquire_home_conn(s, svc, now_us);
+	if (!c) {
+		u = choose_endpoint(s, svc, &source, now_us);
+		if (!u)
+			return false;
+		c = acquire_conn(s, u, source, now_us);
+	}
 	if (!c)
 		return false;
+	u = c->upstream;
 	engine_log(s->engine, LOG_STATEMENT_ROUTED, s->number, u->entry.id,
 		   now_us - s->op.arrived_us, "%s need %d via %d age %lld",
 		   s->op.query.id, s->op.need, source,
-		   s->op.need == NEED_READ ?
+		   s->op.min_mark.requested_us && s->op.need == NEED_READ ?
 			   (long long)(now_us - s->op.min_mark.requested_us) :
 			   0);
 	s->conn = c;
@@ -508,6 +562,23 @@
 				  CONN_REQUEST_BEGIN, now_us);
 }
 
+/* Tells a home what it must know of the session's operation. */
+static void put_operation(struct upstream_conn *c, const struct session *s,
+			  int64_t now_us)
+{
+	const struct hop_operation op = {
+		.config_version = c->engine->config->version,
+		.elapsed_us = now_us - s->op.arrived_us,
+		.last_write = s->last_write,
+		.workspace = s->workspace,
+		.database = s->database,
+	};
+
+	hop_put_operation(c->out, &op);
+	metrics_add(c->engine->opts.metrics, "relayed_operations_total",
+		    c->upstream->service->name, 1);
+}
+
 void dispatch_setup_conn(struct upstream_conn *c, int64_t now_us)
 {
 	struct session *s = c->session;
@@ -520,6 +591,8 @@
 
 	c->upstream->running++;
 	c->state = CONN_STATE_RUNNING;
+	if (c->upstream->is_home && !s->pinned)
+		put_operation(c, s, now_us);
 	setup = upstream_conn_put_setup(c, c->engine->opts.wire, s, name,
 					now_us);
 	/*
@@ -628,11 +701,17 @@
 	}
 	g_ptr_array_add(u->conns, c);
 	c->any_id = control && upstream_has_unknown_successor(u);
-	e->opts.wire->put_start(c->out, u->entry.service, workspace,
-				c->any_id ? NULL : u->entry.id);
+	if (u->is_home)
+		hop_put_start(c->out, u->entry.service);
+	else
+		e->opts.wire->put_start(c->out, u->entry.service, workspace,
+					c->any_id ? NULL : u->entry.id);
 	upstream_conn_push_request(c, CONN_REQUEST_START, now_us);
 	metrics_add(e->opts.metrics, "connections_opened_total",
-		    control ? "control" : "work", 1);
+		    u->is_home ? "home" :
+		    control    ? "control" :
+				 "work",
+		    1);
 	return c;
 }
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -4,6 +4,7 @@
 #include "proxy/dispatch.h"
 #include "proxy/drain.h"
 #include "proxy/engine_state.h"
+#include "proxy/relay.h"
 #include "proxy/exchange.h"
 #include "proxy/fleet.h"
 #include "proxy/primary_fence.h"
@@ -49,13 +50,19 @@
 	 * and their successors need connections in that time.
 	 */
 	CONN_RESERVE_PERCENT = 45,
+	/* Connections of this instance to a home of a service. */
+	HOME_CONNS_MAX = 32,
 	/* Lifetime of the duty's lease, and so of a dead holder's duty. */
 	DUTY_TTL_US = 1000 * 1000,
+	/* A relayed transaction may stay idle for this much longer. */
+	RELAYED_IDLE_MARGIN_US = 1000 * 1000,
 	/* Time between ticks, with and without busy sessions. */
 	BUSY_TICK_US = 10 * 1000,
 	IDLE_TICK_US = 50 * 1000,
 	/* Timeout for opening a connection, the handshake included. */
 	CONN_START_TIMEOUT_US = 1500 * 1000,
+	/* Longer than a statement runs whose caller has gone. */
+	CLEANUP_TIMEOUT_US = 3000 * 1000,
 	/*
 	 * A statement times out this long before its deadline, so that the
 	 * error still reaches the caller in time.
@@ -101,14 +108,24 @@
 	return e->opts.key_limit_us * LEASE_PERCENT / PERCENT;
 }
 
+uint32_t engine_usable_conns(const struct service *s)
+{
+	return s->conns_max - s->conns_max * CONN_RESERVE_PERCENT / PERCENT;
+}
+
 uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u)
 {
 	const struct service *s = u->service;
-	uint32_t reserve = s->conns_max * CONN_RESERVE_PERCENT / PERCENT;
-	uint32_t usable = s->conns_max - reserve;
+	uint32_t usable = engine_usable_conns(s);
 	uint32_t each = usable / e->instance_count;
 	uint32_t rest = usable % e->instance_count;
 
+	if (u->is_home)
+		return HOME_CONNS_MAX;
+	/* One for those that use none as a rule, if no home can be reached. */
+	if (s->has_homes)
+		return s->is_home ? MAX(usable / s->home_count, 1) : 1;
+
 	/* The remainder goes to the first instances by name, one each. */
 	return MAX(each + (e->instance_rank < rest), 1);
 }
@@ -228,6 +245,7 @@
 	g_strlcpy(f.self.name, o->instance, sizeof(f.self.name));
 	g_strlcpy(f.self.zone, o->zone, sizeof(f.self.zone));
 	g_strlcpy(f.self.address, o->peer_address, sizeof(f.self.address));
+	g_strlcpy(f.self.relay, o->relay_address, sizeof(f.self.relay));
 	f.self.incarnation = o->incarnation;
 	return store_feed_new(&f);
 }
@@ -287,10 +305,10 @@
 	g_ptr_array_set_size(e->closed_sessions, 0);
 }
 
-static void free_service(struct engine *e, struct service *svc)
+static void close_all_conns(const GPtrArray *upstreams)
 {
-	for (guint i = 0; i < svc->upstreams->len; i++) {
-		struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+	for (guint i = 0; i < upstreams->len; i++) {
+		struct upstream *u = g_ptr_array_index(upstreams, i);
 
 		while (u->conns->len) {
 			struct upstream_conn *c =
@@ -300,6 +318,12 @@
 			dispatch_close_conn(c);
 		}
 	}
+}
+
+static void free_service(struct service *svc)
+{
+	close_all_conns(svc->upstreams);
+	close_all_conns(svc->homes);
 	service_free(svc);
 }
 
@@ -314,7 +338,7 @@
 	g_list_free(sessions);
 	g_hash_table_iter_init(&it, e->services);
 	while (g_hash_table_iter_next(&it, NULL, &svc))
-		free_service(e, svc);
+		free_service(svc);
 	free_closed(e);
 	failovers_free(e->failovers);
 	replica_sets_free(e->replica_sets);
@@ -366,6 +390,15 @@
 	return s;
 }
 
+struct session *engine_relay_opened(struct engine *e, void *caller)
+{
+	struct session *s = engine_caller_opened(e, caller);
+
+	if (s)
+		s->relayed = true;
+	return s;
+}
+
 void engine_caller_line(struct session *s, const char *line)
 {
 	caller_handle_line(s, line, engine_now(s->engine));
@@ -462,7 +495,10 @@
 	if (s->op.active || s->transaction != TRANSACTION_OPEN || !c ||
 	    !e->config)
 		return;
-	if (now_us - s->transaction_idle_us < e->config->transaction_idle_us)
+	/* The caller's own instance ends the transaction first. */
+	if (now_us - s->transaction_idle_us <
+	    e->config->transaction_idle_us +
+		    (s->relayed ? RELAYED_IDLE_MARGIN_US : 0))
 		return;
 	caller_abort_transaction(s, "idle for too long", now_us);
 	dispatch_release_conn(c, now_us);
@@ -477,15 +513,34 @@
 	g_list_free(busy);
 }
 
-static void time_out_starting_conns(struct upstream *u, int64_t now_us)
+/*
+ * Returns why a connection that no session waits for is given up, or NULL. The
+ * deadline of a session's statement ends the others.
+ */
+static const char *find_timeout(const struct upstream_conn *c, int64_t now_us)
+{
+	const struct conn_request *request = upstream_conn_oldest_request(c);
+
+	if (c->state == CONN_STATE_STARTING)
+		return now_us - c->opened_us >= CONN_START_TIMEOUT_US ?
+			       "it does not start" :
+			       NULL;
+	return c->state == CONN_STATE_CLEANUP && request &&
+			       now_us - request->sent_us >= CLEANUP_TIMEOUT_US ?
+		       "no answer in time" :
+		       NULL;
+}
+
+static void time_out_conns(struct upstream *u, int64_t now_us)
 {
 	for (guint i = 0; i < u->conns->len; i++) {
 		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
 
-		if (c->state != CONN_STATE_STARTING || c->control ||
-		    now_us - c->opened_us < CONN_START_TIMEOUT_US)
+		const char *reason = find_timeout(c, now_us);
+
+		if (!reason || c->control)
 			continue;
-		exchange_handle_loss(c, "it does not start", now_us);
+		exchange_handle_loss(c, reason, now_us);
 		i = (guint)-1; /* start over: the list changed */
 	}
 }
@@ -493,8 +548,9 @@
 static void run_service(struct engine *e, struct service *svc, int64_t now_us)
 {
 	for (guint i = 0; i < svc->upstreams->len; i++)
-		time_out_starting_conns(g_ptr_array_index(svc->upstreams, i),
-					now_us);
+		time_out_conns(g_ptr_array_index(svc->upstreams, i), now_us);
+	for (guint i = 0; i < svc->homes->len; i++)
+		time_out_conns(g_ptr_array_index(svc->homes, i), now_us);
 	mark_probe_run(e, svc, now_us);
 	dispatch_run_queue(svc, now_us);
 }
@@ -535,6 +591,7 @@
 	store_feed_run(e->feed, now_us);
 	duty_run(e->duty, e->instance_rank, now_us);
 	fleet_run(e, now_us);
+	relay_run(e, now_us);
 	replica_sets_run(e->replica_sets, now_us);
 	quota_requests_check_timeouts(e->quota_requests, now_us);
 	enforce_timeouts(e, now_us);
@@ -565,6 +622,8 @@
 		return;
 	e->drain_since_us = engine_now(e);
 	duty_release(e->duty);
+	e->homes_changed = true;
+	relay_announce_leaving(e);
 	engine_log(e, LOG_STOPPING, 0, e->opts.instance,
 		   g_hash_table_size(e->sessions), "sessions");
 }
@@ -615,6 +674,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct service *svc = value;
 
+		metrics_set(m, "homes", svc->name, svc->home_count);
 		metrics_set(m, "waiting_statements", svc->name,
 			    svc->waiting->len);
 		metrics_set(m, "mark_age_ms", svc->name,
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -70,6 +70,8 @@
 	char instance[NAME_BYTES];
 	char zone[NAME_BYTES];
 	char peer_address[ADDRESS_BYTES]; /* "ip:port" for peer messages */
+	/* "ip:port" for statements of other instances; "": never a home */
+	char relay_address[ADDRESS_BYTES];
 	uint64_t incarnation; /* of this process, never 0 */
 	uint64_t seed;
 	int64_t key_limit_us; /* a withdrawn key stops working within this */
@@ -98,6 +100,8 @@
  * connection then. A line has no line end and is not kept.
  */
 struct session *engine_caller_opened(struct engine *e, void *caller);
+/* Likewise, on the connection of another instance; see proxy/hop.h. */
+struct session *engine_relay_opened(struct engine *e, void *caller);
 void engine_caller_line(struct session *s, const char *line);
 void engine_caller_closed(struct session *s);
 
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -37,6 +37,8 @@
 	int64_t entries_settle_us;
 	uint32_t instance_count; /* this one included; at least 1 */
 	uint32_t instance_rank; /* of this instance among the sorted names */
+	bool homes_changed; /* homes may have to be chosen again */
+	int64_t homes_update_us; /* not before this time */
 	struct store_feed *feed;
 	struct duty *duty;
 	struct quota *quota;
@@ -91,6 +93,9 @@
 /* Returns the lifetime of the lease that this instance's entry is bound to. */
 int64_t engine_lease_ttl_us(const struct engine *e);
 
+/* Returns how many connections to an endpoint all instances may use. */
+uint32_t engine_usable_conns(const struct service *s);
+
 /* Returns the maximum number of connections of this instance to an endpoint. */
 uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u);
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -3,6 +3,7 @@
 #include "proxy/caller.h"
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
+#include "proxy/hop.h"
 
 #include <string.h>
 
@@ -40,6 +41,9 @@
 {
 	struct upstream *u = c->upstream;
 
+	if (u->is_home)
+		return; /* it says nothing of a single endpoint */
+
 	switch (code) {
 	case ANSWER_BEHIND:
 		u->behind_until_us = now_us + BEHIND_RETRY_DELAY_US;
@@ -58,6 +62,33 @@
 		    answer_code_name(code), 1);
 }
 
+/*
+ * Handles a home's failure to run a statement. One that it did not accept is
+ * sent again; any other answer is final, as the home has tried what it could.
+ */
+static void handle_home_failure(struct upstream_conn *c, int64_t now_us)
+{
+	struct session *s = c->session;
+	enum answer_code code = c->answer.code;
+	char reason[sizeof(c->answer.reason)];
+
+	g_strlcpy(reason, c->answer.reason, sizeof(reason));
+	if (code != ANSWER_WRONG_ENDPOINT || s->pinned == c) {
+		caller_send_error(s, code, reason, now_us);
+		return;
+	}
+	engine_log(c->engine, LOG_HOME_REFUSED, s->number, s->op.query.id,
+		   now_us - s->op.arrived_us, "%s: %s", c->upstream->entry.id,
+		   reason);
+	metrics_add(c->engine->opts.metrics, "relayed_not_accepted_total",
+		    c->upstream->service->name, 1);
+	operation_avoid_endpoint(&s->op, c->upstream);
+	s->op.refusals++;
+	s->op.last_code = ANSWER_OVERLOADED;
+	dispatch_release_conn(c, now_us);
+	dispatch_retry(s, reason, now_us);
+}
+
 /*
  * Handles an endpoint's refusal to run a statement or its BEGIN. The statement
  * is sent again, to another endpoint if possible, unless its transaction has
@@ -69,6 +100,10 @@
 	struct session *s = c->session;
 	bool pinned = s->pinned == c;
 
+	if (c->upstream->is_home) {
+		handle_home_failure(c, now_us);
+		return;
+	}
 	record_refusal(c, code, now_us);
 	if (pinned) {
 		caller_refuse_statement(s, code,
@@ -146,6 +181,10 @@
 	enum answer_code code = c->answer.code;
 	bool unpinned = s->pinned != c;
 
+	if (c->upstream->is_home) {
+		handle_home_failure(c, now_us);
+		return;
+	}
 	if (answer_code_verdict(code) == VERDICT_NOT_RUN) {
 		handle_refusal(c, code, now_us);
 		return;
@@ -368,6 +407,19 @@
 		g_strlcpy(a->report, r->text, sizeof(a->report));
 }
 
+/* The home is stopping: it gets no more work, and idle connections close. */
+static void handle_home_leaving(struct upstream_conn *c)
+{
+	struct upstream *u = c->upstream;
+
+	if (!u->entry.leaving)
+		engine_log(c->engine, LOG_HOME_LEAVING, 0, u->entry.id, 0, "%s",
+			   u->service->name);
+	u->entry.leaving = true;
+	if (c->state == CONN_STATE_IDLE)
+		dispatch_close_conn(c);
+}
+
 void exchange_handle_line(struct upstream_conn *c, const char *line,
 			  int64_t now_us)
 {
@@ -376,6 +428,10 @@
 
 	if (c->closed)
 		return;
+	if (c->upstream->is_home && hop_is_leaving(line)) {
+		handle_home_leaving(c);
+		return;
+	}
 	c->engine->opts.wire->read_reply(line, &r);
 	switch (r.kind) {
 	case REPLY_ROW:
@@ -392,6 +448,7 @@
 	case REPLY_ERROR:
 		c->answer.failed = true;
 		c->answer.code = r.code;
+		g_strlcpy(c->answer.reason, r.reason, sizeof(c->answer.reason));
 		if (request && request->kind == CONN_REQUEST_START)
 			handle_denied_conn(c, r.code, now_us);
 		break;
--- a/src/proxy/failure_reports.c
+++ b/src/proxy/failure_reports.c
@@ -76,16 +76,20 @@
 				     const struct upstream *u, int64_t now_us)
 {
 	uint64_t id_hash = upstream_id_hash(u);
+	const struct service *svc = u->service;
 	uint32_t reporting = 1;
 	uint32_t silent = upstream_is_silent(u, now_us);
 	GHashTableIter it;
+	gpointer name;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, f->by_instance);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
+	while (g_hash_table_iter_next(&it, &name, &value)) {
 		const struct instance_report *r = value;
 
-		if (now_us - r->received_us > REPORT_MAX_AGE_US)
+		if (now_us - r->received_us > REPORT_MAX_AGE_US ||
+		    (svc->has_homes &&
+		     !g_hash_table_contains(svc->observers, name)))
 			continue;
 		reporting++;
 		silent += report_contains(r, id_hash);
--- a/src/proxy/failure_reports.h
+++ b/src/proxy/failure_reports.h
@@ -3,7 +3,8 @@
  *
  * Each instance reports the primaries that do not answer it. A primary counts
  * as failed when at least half of the instances with a recent report cannot
- * reach it, even if this instance can.
+ * reach it, even if this instance can. Of a service with homes only the reports
+ * of its observers count; see homes.h.
  */
 #ifndef PROXY_FAILURE_REPORTS_H
 #define PROXY_FAILURE_REPORTS_H
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -69,6 +69,7 @@
 	e->config = g_steal_pointer(&item->config);
 	e->config_revision = item->revision;
 	configure_services(e);
+	e->homes_changed = true;
 	quota_configure(e->quota, e->config, now_us);
 	engine_log(e, LOG_CONFIG_APPLIED, 0, "config", e->config->version,
 		   "revision %lld, %u routes", (long long)item->revision,
@@ -181,6 +182,7 @@
 		g_hash_table_insert(e->upstreams_by_id, u->entry.id, u);
 		mark_predecessors(u);
 	}
+	e->homes_changed |= !known;
 	if (!known)
 		engine_log(e, LOG_ENDPOINT_UP, 0, entry->id, entry->slots,
 			   "%s %s", entry->service, entry->address);
@@ -232,6 +234,7 @@
 	}
 	e->instance_count = count;
 	e->instance_rank = rank;
+	e->homes_changed = true;
 	store_feed_set_instances(e->feed, count);
 	update_quota(e, now_us);
 }
--- /dev/null
+++ b/src/proxy/hop.h
@@ -0,0 +1,46 @@
+/*
+ * hop.h - what an instance says to a home beside the statements themselves.
+ *
+ * The connection carries the wire protocol of endpoints, with the home in the
+ * place of an endpoint, and these lines:
+ *  - HOP begins it, instead of the protocol's own start.
+ *  - OP precedes the first statement of each operation. It has no answer.
+ *  - LEAVING comes from a home that is stopping: it runs what it has accepted
+ *    and refuses what follows. The other end closes the connection once that
+ *    is idle, so no statement can meet a connection that is being closed.
+ */
+#ifndef PROXY_HOP_H
+#define PROXY_HOP_H
+
+#include "core/position.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum { HOP_VERSION = 1 }; /* homes of other versions are not used */
+
+/* Of one operation of a session. */
+struct hop_operation {
+	int64_t config_version; /* by which the sender routed it */
+	int64_t elapsed_us; /* since it arrived from the caller */
+	struct position last_write; /* of the session; term 0: none */
+	const char *workspace;
+	const char *database;
+};
+
+void hop_put_start(GString *out, const char *service);
+void hop_put_operation(GString *out, const struct hop_operation *op);
+void hop_put_leaving(GString *out);
+
+bool hop_is_operation(const char *line);
+bool hop_is_leaving(const char *line);
+
+/*
+ * Return false if the line is malformed. They change it, and the strings in
+ * *out point into it.
+ */
+bool hop_read_start(char *line, const char **service);
+bool hop_read_operation(char *line, struct hop_operation *out);
+
+#endif
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -157,6 +157,10 @@
 	for (guint i = 0; i < svc->upstreams->len; i++)
 		close_silent_conns(g_ptr_array_index(svc->upstreams, i),
 				   now_us);
+	for (guint i = 0; i < svc->homes->len; i++)
+		close_silent_conns(g_ptr_array_index(svc->homes, i), now_us);
+	if (!svc->is_observed)
+		return;
 	if (!u) {
 		probe_for_primary(e, svc, now_us);
 		return;
--- a/src/proxy/query.h
+++ b/src/proxy/query.h
@@ -15,6 +15,7 @@
 	QUERY_PREPARE,
 	QUERY_EXECUTE,
 	QUERY_DEALLOCATE,
+	QUERY_RESET, /* of another instance: drops values and prepared names */
 	QUERY_END, /* the caller ends its session */
 	QUERY_MALFORMED,
 };
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -24,7 +24,8 @@
 	while (n < max && g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct service *svc = value;
 
-		if (svc->primary && upstream_is_silent(svc->primary, now_us))
+		if (svc->is_observed && svc->primary &&
+		    upstream_is_silent(svc->primary, now_us))
 			out[n++] = upstream_id_hash(svc->primary);
 	}
 	return n;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -38,6 +38,7 @@
 	g_free(s->database);
 	g_free(s->key);
 	g_free(s->workspace);
+	g_free(s->service);
 	g_free(s);
 }
 
@@ -87,6 +88,13 @@
 	return g_hash_table_remove(s->prepared, name);
 }
 
+void session_reset(struct session *s)
+{
+	g_hash_table_remove_all(s->values);
+	g_hash_table_remove_all(s->prepared);
+	update_values_key(s);
+}
+
 void operation_start(struct operation *op, struct query *q, int64_t now_us)
 {
 	GString *rows = op->rows;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -74,6 +74,14 @@
 	char *database;
 	char *key; /* API key; NULL: none was given */
 	char *workspace; /* that owned the key when it was last checked */
+	/*
+	 * Another instance uses it for its callers' operations, which have
+	 * passed the checks of keys and limits there; see hop.h.
+	 */
+	bool relayed;
+	char *service; /* relayed: the one that the other instance expects */
+	int64_t relayed_version; /* of the other instance's configuration */
+	int64_t relayed_elapsed_us; /* of the next operation, before it came */
 	bool started;
 	bool closing;
 	int64_t idle_since_us; /* since when no statement is in progress */
@@ -112,6 +120,9 @@
 /* Returns false if no such statement was prepared. */
 bool session_deallocate(struct session *s, const char *name);
 
+/* Drops all values and prepared statements. */
+void session_reset(struct session *s);
+
 /* Starts an operation; takes ownership of the contents of `q`. */
 void operation_start(struct operation *op, struct query *q, int64_t now_us);
 /* Frees the query and marks the operation as not active. */
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -29,6 +29,7 @@
 	char name[NAME_BYTES];
 	char zone[NAME_BYTES];
 	char address[ADDRESS_BYTES]; /* for peer messages */
+	char relay[ADDRESS_BYTES]; /* for statements; "": it is never a home */
 	uint64_t incarnation; /* of the process */
 	/* An entry of this name has been there for longer than a lease. */
 	bool settled;
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -44,6 +44,9 @@
 
 	g_strlcpy(s->name, name, sizeof(s->name));
 	s->upstreams = g_ptr_array_new_with_free_func(upstream_destroy);
+	s->homes = g_ptr_array_new_with_free_func(upstream_destroy);
+	s->observers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->waiting = g_ptr_array_new();
 	s->conns_max = 1;
 	s->typical_outage_us = INITIAL_OUTAGE_US;
@@ -53,11 +56,14 @@
 void service_free(struct service *s)
 {
 	g_ptr_array_free(s->upstreams, TRUE);
+	g_ptr_array_free(s->homes, TRUE);
+	g_hash_table_destroy(s->observers);
 	g_ptr_array_free(s->waiting, TRUE);
 	g_free(s);
 }
 
-struct upstream *upstream_new(struct service *s, const struct upstream_entry *e)
+static struct upstream *upstream_alloc(struct service *s,
+				       const struct upstream_entry *e)
 {
 	struct upstream *u = g_new0(struct upstream, 1);
 
@@ -67,10 +73,32 @@
 	u->conns = g_ptr_array_new();
 	u->latency_us = INITIAL_LATENCY_US;
 	u->handshake_us = INITIAL_HANDSHAKE_US;
+	return u;
+}
+
+struct upstream *upstream_new(struct service *s, const struct upstream_entry *e)
+{
+	struct upstream *u = upstream_alloc(s, e);
+
 	g_ptr_array_add(s->upstreams, u);
 	return u;
 }
 
+struct upstream *upstream_new_home(struct service *s,
+				   const struct upstream_entry *e)
+{
+	struct upstream *u = upstream_alloc(s, e);
+
+	u->is_home = true;
+	g_ptr_array_add(s->homes, u);
+	return u;
+}
+
+void upstream_free_home(struct upstream *u)
+{
+	g_ptr_array_remove(u->service->homes, u);
+}
+
 void upstream_free(struct upstream *u)
 {
 	struct service *s = u->service;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -17,8 +17,11 @@
 struct service;
 
 struct upstream {
+	/* Of a home: .id is the instance, .started_ms its incarnation. */
 	struct upstream_entry entry;
 	struct service *service;
+	bool is_home; /* another instance, which runs statements for this one */
+	bool former_home; /* it gets no more work */
 	int64_t missing_since_us; /* its entry in the store; 0: it is there */
 	/*
 	 * Its entry did not come back in time, so it gets no more work. It may
@@ -68,6 +71,16 @@
 struct service {
 	char name[NAME_BYTES];
 	GPtrArray *upstreams; /* struct upstream */
+	/*
+	 * Home instances; see homes.h. Without homes every instance opens
+	 * connections of its own, and the next five fields are not used.
+	 */
+	bool has_homes;
+	bool is_home; /* this instance is one */
+	bool is_observed; /* this instance keeps a connection to the primary */
+	uint32_t home_count; /* this one included */
+	GPtrArray *homes; /* struct upstream; the others */
+	GHashTable *observers; /* set of instance names */
 	uint32_t conns_max; /* to one endpoint, over all instances */
 	bool confirms_writes;
 	struct upstream *primary; /* NULL: none is known */
@@ -104,6 +117,13 @@
 struct upstream *upstream_new(struct service *s,
 			      const struct upstream_entry *e);
 
+/* Adds a home to its service, which owns it. */
+struct upstream *upstream_new_home(struct service *s,
+				   const struct upstream_entry *e);
+
+/* Removes a home without connections from its service and frees it. */
+void upstream_free_home(struct upstream *u);
+
 /*
  * Removes an upstream from its service and frees it; it must have no
  * connections and not be the primary.
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -55,6 +55,7 @@
 	bool failed;
 	enum answer_code code;
 	char report[128]; /* first row, for statements of the proxy itself */
+	char reason[96]; /* of a failure, as a home gave it */
 };
 
 struct upstream_conn {
--- a/src/proxy/wire.h
+++ b/src/proxy/wire.h
@@ -56,6 +56,7 @@
 	const char *text; /* the line as received, to be passed on; borrowed */
 	bool ran_statement; /* DONE: it answers a caller's statement */
 	enum answer_code code; /* set for ERROR */
+	const char *reason; /* ERROR: points into text; "": none */
 	enum transaction_state state; /* set for READY */
 	bool has_position; /* set for READY */
 	struct position position; /* READY: end of the endpoint's log */
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -54,6 +54,7 @@
 	struct loop *loop;
 	struct stream_set *streams;
 	int listener; /* callers' listening socket; -1: not open */
+	int relay_listener; /* that of other instances; -1: not open */
 	const struct proxy_adapter *adapter;
 	struct proxy_link link;
 	struct engine *engine;
@@ -195,17 +196,19 @@
 	.on_closed = caller_closed,
 };
 
-static void on_listener_readable(void *data, int events)
+typedef struct session *(*session_open_fn)(struct engine *e, void *caller);
+
+static void accept_sessions(struct session_host *h, int listener,
+			    session_open_fn open)
 {
-	struct session_host *h = data;
 	int fd;
 
-	while ((fd = stream_accept_fd(h->listener)) >= 0) {
+	while ((fd = stream_accept_fd(listener)) >= 0) {
 		struct caller *c = g_new0(struct caller, 1);
 
 		c->host = h;
 		c->stream = stream_from_fd(h->streams, fd, &caller_ops, c);
-		c->session = engine_caller_opened(h->engine, c);
+		c->session = open(h->engine, c);
 		if (c->session)
 			continue;
 		stream_close(c->stream);
@@ -213,6 +216,20 @@
 	}
 }
 
+static void on_listener_readable(void *data, int events)
+{
+	struct session_host *h = data;
+
+	accept_sessions(h, h->listener, engine_caller_opened);
+}
+
+static void on_relay_readable(void *data, int events)
+{
+	struct session_host *h = data;
+
+	accept_sessions(h, h->relay_listener, engine_relay_opened);
+}
+
 /* HTTP: the load balancer's readiness probe and the metrics. */
 
 static void send_text_response(struct http_server *server, uint64_t id,
@@ -371,6 +388,7 @@
 	g_strlcpy(o.instance, s->instance.name, sizeof(o.instance));
 	g_strlcpy(o.zone, s->instance.zone, sizeof(o.zone));
 	g_strlcpy(o.peer_address, s->listen.peers, sizeof(o.peer_address));
+	g_strlcpy(o.relay_address, s->listen.relay, sizeof(o.relay_address));
 	return o;
 }
 
@@ -449,6 +467,14 @@
 	proxy_settings_free(s);
 }
 
+static void close_listener(struct session_host *h, int fd)
+{
+	if (fd < 0)
+		return;
+	loop_unwatch(h->loop, fd);
+	close(fd);
+}
+
 static apr_status_t host_cleanup(void *data)
 {
 	struct session_host *h = data;
@@ -459,10 +485,8 @@
 		stream_set_free(h->streams);
 	if (h->link.handle)
 		h->adapter->close(&h->link);
-	if (h->listener >= 0) {
-		loop_unwatch(h->loop, h->listener);
-		close(h->listener);
-	}
+	close_listener(h, h->listener);
+	close_listener(h, h->relay_listener);
 	metrics_free(h->metrics);
 	g_free(h->settings_path);
 	g_free(h);
@@ -486,6 +510,17 @@
 			  h);
 }
 
+static int listen_relay(struct session_host *h)
+{
+	if (!*h->settings->listen.relay)
+		return 0;
+	h->relay_listener = stream_listen(h->settings->listen.relay);
+	if (h->relay_listener < 0)
+		return h->relay_listener;
+	return loop_watch(h->loop, h->relay_listener, LOOP_READ,
+			  on_relay_readable, h);
+}
+
 static void open_engine(struct session_host *h, uint64_t incarnation)
 {
 	const struct stream_set_opts streams = {
@@ -514,6 +549,7 @@
 	h->adapter = proxy_adapter();
 	h->metrics = metrics_new();
 	h->listener = -1;
+	h->relay_listener = -1;
 	apr_pool_create(&h->pool, parent);
 	/* Frees the streams before the loop, which is in a subpool. */
 	apr_pool_pre_cleanup_register(h->pool, h, host_cleanup);
@@ -544,6 +580,10 @@
 	if (rc)
 		return fail_startup(h, settings->listen.callers, rc, errbuf,
 				    errbuf_size);
+	rc = listen_relay(h);
+	if (rc)
+		return fail_startup(h, settings->listen.relay, rc, errbuf,
+				    errbuf_size);
 	rc = open_http(h, &h->ready_server, settings->listen.ready,
 		       on_ready_request);
 	if (rc)
--- a/src/settings/proxy_settings.c
+++ b/src/settings/proxy_settings.c
@@ -45,6 +45,7 @@
 	TEXT(listen, ready, REQUIRED, settings_check_listen),
 	TEXT(listen, metrics, REQUIRED, settings_check_listen),
 	TEXT(listen, peers, REQUIRED, settings_check_peers),
+	TEXT(listen, relay, "", settings_check_relay),
 	TEXT(platform, store, REQUIRED, settings_check_address),
 	TEXT(platform, promotions, REQUIRED, settings_check_address),
 	NUMBER(platform, call_timeout_ms, 600, 50, 10 * SECOND_MS),
--- a/src/settings/proxy_settings.h
+++ b/src/settings/proxy_settings.h
@@ -19,6 +19,8 @@
 		char *ready; /* readiness probe, HTTP */
 		char *metrics; /* HTTP */
 		char *peers; /* messages of other instances */
+		/* Statements of other instances; "": this is never a home. */
+		char *relay;
 	} listen;
 	struct {
 		char *store; /* "ip:port" of the key-value store */
--- a/src/settings/settings_check.c
+++ b/src/settings/settings_check.c
@@ -100,6 +100,11 @@
 	return a.is_wildcard ? "must not be a wildcard address" : NULL;
 }
 
+const char *settings_check_relay(const char *text)
+{
+	return *text ? settings_check_peers(text) : NULL;
+}
+
 const char *settings_check_prefix(const char *text)
 {
 	size_t n = strlen(text);
--- a/src/settings/settings_check.h
+++ b/src/settings/settings_check.h
@@ -16,6 +16,8 @@
 const char *settings_check_listen(const char *text);
 /* "ip:port" to listen on; not a wildcard address, as peers connect to it. */
 const char *settings_check_peers(const char *text);
+/* Likewise, or empty: it does not listen. */
+const char *settings_check_relay(const char *text);
 /* A key prefix: begins and ends with '/'. */
 const char *settings_check_prefix(const char *text);
 /* 64 hex digits. */
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1171,6 +1171,37 @@
 	expect_no_violations(m);
 }
 
+/*
+ * A caller leaves while its statement runs, and the connection loses all bytes.
+ * It must not be kept for good: there is no other one.
+ */
+TEST(ProxyEngine, GivesUpConnectionLeftByItsCaller)
+{
+	ProxyModelOpts o;
+
+	o.nodes = 1;
+	o.conns_max = 1;
+	ProxyModel m(o);
+	m.run(START_US);
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+	/* The only connection may be used by a probe. */
+	for (int i = 0; i < 10 && !m.run_statement(c, "WRITE 1 x").ok; i++)
+		m.run(50 * MS);
+	m.send_statement(c, "WRITE 1 y");
+	m.run(1 * MS);
+	m.silence_connections(m.primary());
+	m.disconnect(c);
+	m.run(4 * S);
+	c = m.connect(0, "strict", "key-a");
+	bool served = false;
+	for (int i = 0; i < 10 && !served; i++) {
+		served = m.run_statement(c, "WRITE 1 z").ok;
+		m.run(50 * MS);
+	}
+	EXPECT_TRUE(served);
+	expect_no_violations(m);
+}
+
 /* A promotion order that is executed late must not undo a newer one. */
 TEST(ProxyEngine, LatePromotionsLoseNoCommits)
 {
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -14,6 +14,10 @@
 constexpr int SEED_COUNT = 40;
 constexpr int PLATFORM_SEED_COUNT = 4;
 constexpr int NEW_ID_SEED_COUNT = 4;
+constexpr int HOME_SEED_COUNT = 16;
+/* Fewer connections may be used than there are nodes, so homes are needed. */
+constexpr int HOME_NODES = 6;
+constexpr uint32_t HOME_CONNS_MAX = 9;
 constexpr int STEP_COUNT = 120;
 constexpr int PLATFORM_STEP_COUNT = 300;
 /*
@@ -42,6 +46,12 @@
 const uint64_t failed_platform_seeds[] = { 5,	731, 66,  2390, 684,
 					   447, 907, 286, 1645 };
 
+/*
+ * The same for nodes that use homes. Causes, in this order:
+ *  - a connection whose caller had gone waited for an answer for good.
+ */
+const uint64_t failed_home_seeds[] = { 1651 };
+
 int random_below(ProxyModel &m, int n)
 {
 	return (int)(m.rand() % (uint64_t)n);
@@ -457,10 +467,74 @@
 	  } },
 };
 
+/* Lines from one node to another stay on the way for a while. */
+void cut_peer(ProxyModel &m, ProxyNode *from, ProxyNode *to,
+	      int64_t duration_us)
+{
+	from->cut_peers.insert(to->index);
+	m.run_later(duration_us,
+		    [from, to] { from->cut_peers.erase(to->index); });
+}
+
+const Fault home_faults[] = {
+	{ "two nodes are cut off from one another",
+	  [](ProxyModel &m) {
+		  ProxyNode *a = pick_node(m);
+		  ProxyNode *b = pick_node(m);
+		  int64_t duration_us = random_us(m, 200 * MS, 6 * S);
+
+		  cut_peer(m, a, b, duration_us);
+		  cut_peer(m, b, a, duration_us);
+	  } },
+	{ "a node hears nothing from another",
+	  [](ProxyModel &m) {
+		  cut_peer(m, pick_node(m), pick_node(m),
+			   random_us(m, 200 * MS, 6 * S));
+	  } },
+	{ "a node hears nothing from any other",
+	  [](ProxyModel &m) {
+		  ProxyNode *n = pick_node(m);
+		  int64_t duration_us = random_us(m, 200 * MS, 3 * S);
+
+		  for (auto &o : m.nodes)
+			  cut_peer(m, o.get(), n, duration_us);
+	  } },
+	{ "half of the nodes lose power",
+	  [](ProxyModel &m) {
+		  for (int i = 0; i < m.opts.nodes / 2; i++) {
+			  ProxyNode *n = pick_node(m);
+
+			  if (!n->engine)
+				  continue;
+			  m.power_off(n);
+			  m.run_later(random_us(m, 500 * MS, 4 * S), [&m, n] {
+				  if (!n->engine)
+					  m.start(n);
+			  });
+		  }
+	  } },
+	{ "a node stops as planned, and starts again",
+	  [](ProxyModel &m) {
+		  ProxyNode *n = pick_node(m);
+		  uint64_t generation = n->generation;
+
+		  if (!n->engine)
+			  return;
+		  engine_drain(n->engine);
+		  m.run_later(5 * S, [&m, n, generation] {
+			  if (n->generation != generation)
+				  return;
+			  m.kill(n);
+			  m.start(n);
+		  });
+	  } },
+};
+
 enum fault_mix {
 	FAULTS_RANDOM,
 	FAULTS_PLATFORM, /* and random ones */
 	FAULTS_NEW_ID,
+	FAULTS_HOMES, /* and random ones, of nodes that use homes */
 };
 
 const Fault &pick_fault(ProxyModel &m, enum fault_mix mix)
@@ -470,6 +544,10 @@
 
 	if (mix == FAULTS_RANDOM)
 		return faults[random_below(m, count)];
+	if (mix == FAULTS_HOMES && random_below(m, 2))
+		return home_faults[random_below(m, (int)std::size(home_faults))];
+	if (mix == FAULTS_HOMES)
+		return faults[random_below(m, count)];
 	if (mix == FAULTS_NEW_ID)
 		return new_id_faults[random_below(m, (int)std::size(
 							     new_id_faults))];
@@ -479,11 +557,16 @@
 
 void run_seed(uint64_t seed, enum fault_mix mix, std::string &fault_log)
 {
-	bool has_platform_faults = mix != FAULTS_RANDOM;
+	bool has_platform_faults =
+		mix == FAULTS_PLATFORM || mix == FAULTS_NEW_ID;
 	ProxyModelOpts o;
 
 	o.seed = seed;
 	o.nodes = 4;
+	if (mix == FAULTS_HOMES) {
+		o.nodes = HOME_NODES;
+		o.conns_max = HOME_CONNS_MAX;
+	}
 	o.refuse_ended_endpoint = has_platform_faults;
 	o.frozen_nodes_read_nothing = has_platform_faults;
 	if (has_platform_faults && seed % 3 == 0)
@@ -515,7 +598,7 @@
 	int try_count = has_platform_faults ? 100 : 20;
 
 	for (int i = 0; i < try_count && !served; i++) {
-		ProxyCaller *c = m.connect(i % 4, "strict", "key-a");
+		ProxyCaller *c = m.connect(i % m.opts.nodes, "strict", "key-a");
 
 		served = m.run_statement(c, "WRITE 1 x").ok;
 		m.run(200 * MS);
@@ -597,4 +680,15 @@
 	run_seeds(seeds, FAULTS_NEW_ID);
 }
 
+TEST(ProxyFuzz, NoViolationsThroughHomes)
+{
+	std::vector<uint64_t> seeds;
+
+	if (!getenv("PROXY_SEED"))
+		seeds.assign(std::begin(failed_home_seeds),
+			     std::end(failed_home_seeds));
+	append_seeds(seeds, HOME_SEED_COUNT);
+	run_seeds(seeds, FAULTS_HOMES);
+}
+
 } // namespace
--- /dev/null
+++ b/tests/proxy_home_test.cc
@@ -0,0 +1,504 @@
+#include "proxy_model.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstring>
+
+extern "C" {
+#include "proxy/failure_reports.h"
+#include "proxy/homes.h"
+#include "proxy/hop.h"
+}
+
+namespace
+{
+
+constexpr int64_t MS = 1000;
+constexpr int64_t S = 1000000;
+constexpr int64_t START_US = 6 * S; /* all nodes know one another */
+
+/* Six nodes and five connections that may be used: three homes. */
+ProxyModelOpts home_opts()
+{
+	ProxyModelOpts o;
+
+	o.nodes = 6;
+	o.conns_max = 9;
+	o.unlimited = true;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	return o;
+}
+
+int64_t count_relayed(const ProxyNode &n)
+{
+	return metrics_get(n.metrics, "relayed_operations_total", "svc0");
+}
+
+/* Returns a node that sends the workspace's operations to a home. */
+int find_entry(ProxyModel &m, const std::string &key)
+{
+	for (auto &n : m.nodes) {
+		ProxyCaller *c = m.connect(n->index, "bounded", key);
+		int64_t before = count_relayed(*n);
+
+		m.run_statement(c, "READ 1");
+		m.disconnect(c);
+		if (count_relayed(*n) > before)
+			return n->index;
+	}
+	return -1;
+}
+
+/* Returns the node whose engine ran the entry's last operation. */
+ProxyNode *find_home(ProxyModel &m, int entry)
+{
+	for (auto &h : m.nodes[entry]->hops) {
+		if (h->open)
+			return h->to;
+	}
+	return nullptr;
+}
+
+void expect_no_violations(const ProxyModel &m)
+{
+	for (const std::string &v : m.violations)
+		ADD_FAILURE() << v;
+}
+
+TEST(ProxyHome, RunsStatementsThroughAHome)
+{
+	ProxyModel m(home_opts());
+
+	m.run(START_US);
+	int entry = find_entry(m, "key-a");
+	ASSERT_GE(entry, 0);
+	for (const char *database : { "strict", "bounded", "session" }) {
+		SCOPED_TRACE(database);
+		ProxyCaller *c = m.connect(entry, database, "key-a");
+
+		for (const char *text : { "WRITE 1 x",
+					  "READ 1",
+					  "SET a 1",
+					  "READ 2",
+					  "PREPARE s READ q",
+					  "EXECUTE s 1",
+					  "PREPARE w WRITE q",
+					  "EXECUTE w 1",
+					  "BEGIN",
+					  "READ 1",
+					  "WRITE 2 y",
+					  "COMMIT",
+					  "READ 2",
+					  "BEGIN READ",
+					  "READ 1",
+					  "COMMIT",
+					  "BEGIN",
+					  "WRITE 1 z",
+					  "ROLLBACK",
+					  "READ 1",
+					  "DEALLOCATE s" }) {
+			ProxyAnswer a = m.run_statement(c, text);
+
+			EXPECT_TRUE(a.ok) << text << ": " << a.text;
+		}
+		m.disconnect(c);
+	}
+	EXPECT_GT(count_relayed(*m.nodes[entry]), 10);
+	expect_no_violations(m);
+}
+
+/* What happens to the home of a workspace that goes on asking. */
+struct HomeLossCase {
+	const char *name;
+	void (*apply)(ProxyModel &m, ProxyNode *home, ProxyNode *entry);
+	bool refuses_none; /* every caller is served all the while */
+	int64_t gap_us; /* longest time without a success */
+};
+
+const HomeLossCase home_losses[] = {
+	{ "killed",
+	  [](ProxyModel &m, ProxyNode *home, ProxyNode *) { m.kill(home); },
+	  false, 1500 * MS },
+	{ "loses power",
+	  [](ProxyModel &m, ProxyNode *home, ProxyNode *) {
+		  m.power_off(home);
+	  },
+	  false, 1500 * MS },
+	{ "frozen",
+	  [](ProxyModel &m, ProxyNode *home, ProxyNode *) {
+		  home->frozen = true;
+	  },
+	  false, 2500 * MS },
+	{ "cut off",
+	  [](ProxyModel &m, ProxyNode *home, ProxyNode *entry) {
+		  home->cut_peers.insert(entry->index);
+		  entry->cut_peers.insert(home->index);
+	  },
+	  false, 1500 * MS },
+	{ "its answers are cut off",
+	  [](ProxyModel &m, ProxyNode *home, ProxyNode *entry) {
+		  home->cut_peers.insert(entry->index);
+	  },
+	  false, 1500 * MS },
+	{ "stops as planned",
+	  [](ProxyModel &m, ProxyNode *home, ProxyNode *) {
+		  engine_drain(home->engine);
+	  },
+	  true, 200 * MS },
+};
+
+TEST(ProxyHome, AnotherServesWhenAHomeIsLost)
+{
+	for (const HomeLossCase &t : home_losses) {
+		SCOPED_TRACE(t.name);
+		ProxyModel m(home_opts());
+
+		m.run(START_US);
+		int entry = find_entry(m, "key-a");
+		ASSERT_GE(entry, 0);
+		ProxyNode *home = find_home(m, entry);
+		ASSERT_NE(home, nullptr);
+		ProxyCaller *c = m.connect(entry, "strict", "key-a");
+		int64_t served_us = m.now();
+		int64_t gap_us = 0;
+		int refused = 0;
+
+		for (int i = 0; i < 200; i++) {
+			if (i == 20)
+				t.apply(m, home, m.nodes[entry].get());
+			if (c->closed)
+				c = m.connect(entry, "strict", "key-a");
+			if (m.run_statement(c, i % 2 ? "READ 1" : "WRITE 1 x")
+				    .ok) {
+				gap_us = std::max(gap_us, m.now() - served_us);
+				served_us = m.now();
+			} else {
+				refused++;
+			}
+			m.run(20 * MS);
+		}
+		EXPECT_LE(gap_us, t.gap_us);
+		EXPECT_LT(m.now() - served_us, 200 * MS);
+		EXPECT_TRUE(!t.refuses_none || !refused) << refused;
+		expect_no_violations(m);
+	}
+}
+
+/* Every workspace's connections are at one home, not at each instance. */
+TEST(ProxyHome, ConnectionsOfAWorkspaceAreAtOneHome)
+{
+	ProxyModelOpts o = home_opts();
+	int64_t opened = 0;
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	for (auto &n : m.nodes)
+		opened -= metrics_get(n->metrics, "connections_opened_total",
+				      "work");
+	for (int i = 0; i < 120; i++) {
+		ProxyCaller *c = m.connect(i % 12, "strict", "key-a");
+
+		ProxyAnswer a = m.run_statement(c, "READ 1");
+
+		EXPECT_TRUE(a.ok) << a.text;
+		m.disconnect(c);
+	}
+	for (auto &n : m.nodes)
+		opened += metrics_get(n->metrics, "connections_opened_total",
+				      "work");
+	EXPECT_LE(opened, 12);
+	expect_no_violations(m);
+}
+
+/*
+ * Lines on the port for statements of other instances, most of them such as no
+ * instance sends. None may end the process, reach an endpoint if it should not,
+ * or spoil the next session.
+ */
+struct HopLinesCase {
+	const char *lines[3];
+	const char *answer; /* that must be among the lines; NULL: any */
+};
+
+const HopLinesCase hop_lines[] = {
+	{ { "HOP 1 svc0", "OP 3 0 0 0 a strict", "QUERY q READ 1" },
+	  "COMPLETE" },
+	{ { "HOP 1 svc0", "OP 2 5000 0 0 a strict", "QUERY q READ 1" },
+	  "COMPLETE" },
+	{ { "STARTUP strict key-a", "QUERY q READ 1", "" }, "ERROR MALFORMED" },
+	{ { "HOP 2 svc0", "", "" }, "ERROR MALFORMED" },
+	{ { "HOP 1 svc0", "QUERY q READ 1", "QUERY q WRITE 1 x" },
+	  "ERROR MISROUTED no operation" },
+	{ { "HOP 1 svc0", "QUERY q BEGIN", "QUERY q COMMIT" },
+	  "ERROR MISROUTED no operation" },
+	{ { "HOP 1 svc0", "OP", "QUERY q READ 1" }, nullptr },
+	{ { "HOP 1 svc0", "OP 1 0 0 0 a", "QUERY q READ 1" }, nullptr },
+	{ { "HOP 1 svc0", "OP 3 0 0 0 a nowhere", "QUERY q READ 1" },
+	  "ERROR MISROUTED the home has another route" },
+	{ { "HOP 1 other", "OP 3 0 0 0 a strict", "QUERY q READ 1" },
+	  "ERROR MISROUTED the home has another route" },
+	{ { "HOP 1 svc0", "OP 999 0 0 0 a strict", "QUERY q WRITE 1 x" },
+	  "ERROR MISROUTED the home has an older configuration" },
+	{ { "HOP 1 svc0", "OP 3 0 0 0 a strict", "OP 3 0 0 0 a strict" },
+	  nullptr },
+	{ { "HOP 1 svc0", "LEAVING", "\x01\xff" }, "ERROR MALFORMED" },
+	{ { "", "", "" }, "ERROR MALFORMED" },
+};
+
+bool has_line(const ProxyCaller &c, const char *text)
+{
+	for (const std::string &line : c.lines) {
+		if (line.rfind(text, 0) == 0)
+			return true;
+	}
+	return false;
+}
+
+TEST(ProxyHome, AnswersLinesOfOtherInstances)
+{
+	ProxyModel m(home_opts());
+	ProxyNode *n = m.nodes[0].get();
+
+	m.run(START_US);
+	m.allow_unasked = true; /* the model knows only its callers' lines */
+	for (const HopLinesCase &t : hop_lines) {
+		SCOPED_TRACE(std::string(t.lines[1]) + ", " + t.lines[2]);
+		ProxyCaller raw;
+
+		raw.node = n;
+		raw.session = engine_relay_opened(n->engine, &raw);
+		for (const char *line : t.lines) {
+			std::string text = line;
+
+			/* Each statement has an id of its own. */
+			if (text.rfind("QUERY q", 0) == 0)
+				text.insert(strlen("QUERY q"),
+					    std::to_string(&t - hop_lines));
+			if (raw.session)
+				engine_caller_line(raw.session, text.c_str());
+		}
+		m.run(200 * MS);
+		EXPECT_TRUE(!t.answer || has_line(raw, t.answer))
+			<< (raw.lines.empty() ? "" : raw.lines.back());
+		if (raw.session)
+			engine_caller_closed(raw.session);
+	}
+	ProxyCaller *c = m.connect(0, "strict", "key-a");
+	EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+	expect_no_violations(m);
+}
+
+/* A stopping home tells every other end, and accepts nothing new. */
+TEST(ProxyHome, StoppingHomeAcceptsNothingNew)
+{
+	ProxyModel m(home_opts());
+	ProxyNode *n = m.nodes[0].get();
+	ProxyCaller early;
+	ProxyCaller late;
+
+	m.run(START_US);
+	early.node = n;
+	early.session = engine_relay_opened(n->engine, &early);
+	engine_caller_line(early.session, "HOP 1 svc0");
+	engine_drain(n->engine);
+	EXPECT_TRUE(has_line(early, "LEAVING"));
+	late.node = n;
+	late.session = engine_relay_opened(n->engine, &late);
+	engine_caller_line(late.session, "HOP 1 svc0");
+	EXPECT_TRUE(has_line(late, "LEAVING"));
+	for (ProxyCaller *c : { &early, &late }) {
+		engine_caller_line(c->session, "OP 3 0 0 0 a strict");
+		engine_caller_line(c->session, "QUERY q READ 1");
+		m.run(100 * MS);
+		EXPECT_TRUE(
+			has_line(*c, "ERROR MISROUTED the home is stopping"));
+		engine_caller_closed(c->session);
+	}
+	expect_no_violations(m);
+}
+
+struct ChoiceCase {
+	const char *name;
+	std::vector<const char *> endpoint_zones;
+	std::vector<const char *> instance_zones;
+	uint32_t homes;
+};
+
+const ChoiceCase choices[] = {
+	{ "one in each zone with an endpoint",
+	  { "a", "b", "c" },
+	  { "a", "a", "b", "b", "c", "c", "d", "d" },
+	  3 },
+	{ "endpoints in one zone", { "a", "a", "a" }, { "a", "a", "b" }, 1 },
+	{ "a zone without instances",
+	  { "a", "b", "c" },
+	  { "a", "b", "b", "d" },
+	  2 },
+	{ "no instance near an endpoint", { "a" }, { "b", "c", "d" }, 3 },
+	{ "no endpoint is known", {}, { "b", "c" }, 2 },
+	{ "no instance", { "a" }, {}, 0 },
+};
+
+struct service *make_service(const char *name,
+			     const std::vector<const char *> &zones)
+{
+	struct service *svc = service_new(name);
+	struct upstream_entry entry = {};
+
+	for (const char *zone : zones) {
+		g_strlcpy(entry.zone, zone, sizeof(entry.zone));
+		upstream_new(svc, &entry);
+	}
+	return svc;
+}
+
+std::vector<std::string> choose_homes(struct service *svc,
+				      std::vector<struct home_candidate> c)
+{
+	uint32_t homes[HOMES_MAX];
+	std::vector<std::string> names;
+	uint32_t n = homes_choose(svc, c.data(), c.size(), homes);
+
+	for (uint32_t i = 0; i < n; i++)
+		names.push_back(c[homes[i]].name);
+	return names;
+}
+
+TEST(ProxyHome, ChoosesOneHomeInEachZoneOfAnEndpoint)
+{
+	for (const ChoiceCase &t : choices) {
+		SCOPED_TRACE(t.name);
+		struct service *svc = make_service("svc", t.endpoint_zones);
+		std::vector<std::string> names;
+		std::vector<struct home_candidate> c;
+
+		for (size_t i = 0; i < t.instance_zones.size(); i++)
+			names.push_back("n" + std::to_string(i));
+		for (size_t i = 0; i < names.size(); i++)
+			c.push_back(
+				{ names[i].c_str(), t.instance_zones[i], 0 });
+		EXPECT_EQ(choose_homes(svc, c).size(), t.homes);
+		service_free(svc);
+	}
+}
+
+/*
+ * Load: 200 instances in four zones and 100 services. One instance that leaves
+ * moves only the homes that it was, and no instance is home of many services.
+ */
+TEST(ProxyHome, AnInstanceThatLeavesMovesOnlyItsOwnHomes)
+{
+	constexpr int INSTANCES = 200;
+	constexpr int SERVICES = 100;
+	const std::vector<const char *> zones = { "a", "b", "c", "d" };
+	std::vector<std::string> names;
+	std::vector<struct home_candidate> all;
+	std::map<std::string, int> roles;
+
+	for (int i = 0; i < INSTANCES; i++)
+		names.push_back("edge-" + std::to_string(i));
+	for (int i = 0; i < INSTANCES; i++)
+		all.push_back({ names[i].c_str(), zones[i % 4], 0 });
+	std::vector<struct home_candidate> rest(all.begin() + 1, all.end());
+	for (int s = 0; s < SERVICES; s++) {
+		struct service *svc =
+			make_service(("svc" + std::to_string(s)).c_str(),
+				     { "a", "b", "c" });
+		std::vector<std::string> before = choose_homes(svc, all);
+		std::vector<std::string> after = choose_homes(svc, rest);
+
+		for (const std::string &name : before) {
+			bool stays = std::find(after.begin(), after.end(),
+					       name) != after.end();
+
+			roles[name]++;
+			EXPECT_TRUE(stays || name == names[0]) << name;
+		}
+		service_free(svc);
+	}
+	for (auto &r : roles)
+		EXPECT_LE(r.second, 8) << r.first;
+}
+
+TEST(ProxyHome, OnlyObserversReportASilentPrimary)
+{
+	struct failure_reports *f = failure_reports_new();
+	struct service *svc = make_service("svc", { "a", "b" });
+	struct upstream *u =
+		(struct upstream *)g_ptr_array_index(svc->upstreams, 0);
+	uint64_t silent = upstream_id_hash(u);
+
+	svc->has_homes = true;
+	g_hash_table_add(svc->observers, g_strdup("observer-1"));
+	g_hash_table_add(svc->observers, g_strdup("observer-2"));
+	for (int i = 0; i < 20; i++)
+		failure_reports_update(f, ("n" + std::to_string(i)).c_str(),
+				       nullptr, 0, 1 * S);
+	EXPECT_FALSE(failure_reports_confirm_silence(f, u, 1 * S));
+	failure_reports_update(f, "observer-2", nullptr, 0, 1 * S);
+	failure_reports_update(f, "observer-1", &silent, 1, 1 * S);
+	EXPECT_FALSE(failure_reports_confirm_silence(f, u, 1 * S));
+	failure_reports_update(f, "observer-2", &silent, 1, 1 * S);
+	EXPECT_TRUE(failure_reports_confirm_silence(f, u, 1 * S));
+	failure_reports_free(f);
+	service_free(svc);
+}
+
+const char *const bad_hop_lines[] = {
+	"OP",
+	"OP ",
+	"OP 1 0 0 0 a",
+	"OP 1 0 0 0 a b c",
+	"OP -1 0 0 0 a strict",
+	"OP 99999999999999999999 0 0 0 a strict",
+	"OP 1 x 0 0 a strict",
+	"OP 1 999999999999999 0 0 a strict",
+	"OP 1 0 0 0  strict",
+	"OP 1 0 0 0 a-name-that-is-longer-than-any-workspace-may-have-1234 s",
+};
+
+TEST(ProxyHome, RefusesMalformedLines)
+{
+	struct hop_operation op;
+	const char *service;
+
+	for (const char *line : bad_hop_lines) {
+		char *copy = g_strdup(line);
+
+		EXPECT_FALSE(hop_read_operation(copy, &op)) << line;
+		g_free(copy);
+	}
+	for (const char *line : { "HOP", "HOP 1", "HOP 2 svc", "HOP x svc",
+				  "HOP 1 svc more", "STARTUP strict key-a" }) {
+		char *copy = g_strdup(line);
+
+		EXPECT_FALSE(hop_read_start(copy, &service)) << line;
+		g_free(copy);
+	}
+}
+
+TEST(ProxyHome, OperationKeepsItsFields)
+{
+	const struct hop_operation in = { .config_version = 17,
+					  .elapsed_us = 1234,
+					  .last_write = { 3, 99 },
+					  .workspace = "a",
+					  .database = "strict" };
+	struct hop_operation out;
+	GString *line = g_string_new(nullptr);
+
+	hop_put_operation(line, &in);
+	g_string_truncate(line, line->len - 2);
+	ASSERT_TRUE(hop_read_operation(line->str, &out));
+	EXPECT_EQ(out.config_version, 17);
+	EXPECT_EQ(out.elapsed_us, 1234);
+	EXPECT_EQ(out.last_write.term, 3u);
+	EXPECT_EQ(out.last_write.offset, 99u);
+	EXPECT_STREQ(out.workspace, "a");
+	EXPECT_STREQ(out.database, "strict");
+	g_string_free(line, TRUE);
+}
+
+} // namespace
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -24,6 +24,8 @@
 constexpr int64_t MAX_AGE_US = 1500 * MS; /* of all but strict reads */
 /* After this time endpoints drop the connections of a dead machine. */
 constexpr int64_t DEAD_CONN_TIMEOUT_US = 3 * S;
+/* After this time nodes drop a connection to one that acknowledges nothing. */
+constexpr int64_t UNACKED_MAX_US = 600 * MS;
 constexpr int64_t QUOTA_WINDOW_US = 5 * S;
 constexpr uint32_t QUOTA_SLACK = 20;
 /* An endpoint's entry is removed after three heartbeats are missing. */
@@ -372,8 +374,13 @@
 	static void caller_send(void *host, void *caller, const char *bytes,
 				size_t len)
 	{
-		node(host)->model->append_caller_lines(
-			static_cast<ProxyCaller *>(caller), bytes, len);
+		ProxyCaller *c = static_cast<ProxyCaller *>(caller);
+		ProxyModel *m = node(host)->model;
+
+		if (!c->hop)
+			m->append_caller_lines(c, bytes, len);
+		else if (auto h = m->find_hop(c->hop))
+			m->send_hop_lines(h, false, bytes, len);
 	}
 
 	static void caller_close(void *host, void *caller)
@@ -382,7 +389,42 @@
 
 		c->session = nullptr;
 		c->closed = true;
-		c->node->callers.erase(c);
+		if (!c->hop) {
+			c->node->callers.erase(c);
+		} else if (auto h = c->node->model->find_hop(c->hop)) {
+			h->home_closed = true;
+			c->node->model->send_hop_lines(h, false, "", 0);
+		}
+	}
+
+	/* The address of a node for statements is "10.2.0.<index>:1". */
+	static void *hop_open(ProxyNode *n, const char *address,
+			      struct upstream_conn *engine_conn)
+	{
+		ProxyModel *m = n->model;
+		auto h = std::make_shared<ProxyHop>();
+
+		h->from = n;
+		h->engine_conn = engine_conn;
+		h->to = m->nodes[atoi(address + strlen("10.2.0."))].get();
+		h->caller.node = h->to;
+		h->caller.hop = h.get();
+		n->hops.insert(h);
+		m->run_later(2 * NETWORK_DELAY_US, [m, h] {
+			if (!h->engine_conn || h->to->powerless ||
+			    h->from->cut_peers.count(h->to->index) ||
+			    h->to->cut_peers.count(h->from->index))
+				return;
+			if (!h->to->engine) {
+				m->close_hop(h, -ECONNREFUSED);
+				return;
+			}
+			h->open = true;
+			h->caller.session =
+				engine_relay_opened(h->to->engine, &h->caller);
+			engine_conn_opened(h->engine_conn);
+		});
+		return h.get();
 	}
 
 	static void *conn_open(void *host, const char *address,
@@ -392,6 +434,8 @@
 		ProxyModel *m = n->model;
 		auto c = std::make_shared<ProxyConn>();
 
+		if (starts_with(address, "10.2.0."))
+			return hop_open(n, address, engine_conn);
 		c->node = n;
 		c->engine_conn = engine_conn;
 		for (auto &e : m->endpoints) {
@@ -433,6 +477,8 @@
 		std::istringstream in(std::string(bytes, len));
 		std::string line;
 
+		if (auto h = n->model->find_hop(static_cast<ProxyHop *>(conn)))
+			n->model->send_hop_lines(h, true, bytes, len);
 		while (c && std::getline(in, line)) {
 			if (!line.empty() && line.back() == '\r')
 				line.pop_back();
@@ -445,6 +491,12 @@
 		ProxyNode *n = node(host);
 		auto c = find(n, conn);
 
+		if (auto h =
+			    n->model->find_hop(static_cast<ProxyHop *>(conn))) {
+			h->engine_conn = nullptr;
+			n->model->send_hop_lines(h, true, "", 0);
+			return;
+		}
 		if (!c)
 			return;
 		c->engine_conn = nullptr;
@@ -570,6 +622,10 @@
 	g_strlcpy(o.instance, n->name.c_str(), sizeof(o.instance));
 	g_strlcpy(o.zone, n->zone.c_str(), sizeof(o.zone));
 	g_strlcpy(o.peer_address, "10.1.0.1:1", sizeof(o.peer_address));
+	if (opts.relay)
+		snprintf(o.relay_address, sizeof(o.relay_address),
+			 "10.2.0.%d:1", n->index);
+	n->powerless = false;
 	o.incarnation = ++n->generation * 1000 + n->index + 1;
 	o.seed = opts.seed * 100 + n->index;
 	o.key_limit_us = KEY_LIMIT_US;
@@ -599,6 +655,7 @@
 	}
 	n->callers.clear();
 	n->conns.clear();
+	n->hops.clear();
 	n->transfers.clear();
 }
 
@@ -610,6 +667,7 @@
 	for (auto &c : conns)
 		c->engine_conn = nullptr;
 	n->conns.clear();
+	n->powerless = true;
 	kill(n);
 	run_later(DEAD_CONN_TIMEOUT_US, [conns] {
 		for (auto &c : conns) {
@@ -621,6 +679,98 @@
 	});
 }
 
+/* Connections between nodes. */
+
+std::shared_ptr<ProxyHop> ProxyModel::find_hop(const ProxyHop *hop) const
+{
+	for (auto &n : nodes) {
+		for (auto &h : n->hops) {
+			if (h.get() == hop)
+				return h;
+		}
+	}
+	return nullptr;
+}
+
+/* Also called without bytes, after one end has closed the connection. */
+void ProxyModel::send_hop_lines(const std::shared_ptr<ProxyHop> &h,
+				bool to_home, const char *bytes, size_t len)
+{
+	std::istringstream in(std::string(bytes, len));
+	std::string line;
+	auto &queue = to_home ? h->to_home : h->to_entry;
+
+	while (std::getline(in, line)) {
+		if (!line.empty() && line.back() == '\r')
+			line.pop_back();
+		queue.emplace_back(now_us_, line);
+	}
+	run_later(NETWORK_DELAY_US,
+		  [this, h, to_home] { deliver_hop_lines(h, to_home); });
+}
+
+/* The entry's end closes: the home's session ends, whatever is on the way. */
+void ProxyModel::close_hop(const std::shared_ptr<ProxyHop> &h, int error)
+{
+	struct upstream_conn *c = h->engine_conn;
+
+	h->engine_conn = nullptr;
+	h->from->hops.erase(h);
+	if (c)
+		engine_conn_closed(c, error);
+	h->to_home.clear();
+	deliver_hop_lines(h, true);
+}
+
+void ProxyModel::deliver_hop_lines(const std::shared_ptr<ProxyHop> &h,
+				   bool to_home)
+{
+	ProxyNode *sender = to_home ? h->from : h->to;
+	ProxyNode *receiver = to_home ? h->to : h->from;
+	auto &queue = to_home ? h->to_home : h->to_entry;
+	bool cut =
+		sender->cut_peers.count(receiver->index) || sender->powerless;
+	bool unacked =
+		receiver->powerless || receiver->cut_peers.count(sender->index);
+
+	if (!queue.empty() && (cut || unacked) && h->engine_conn &&
+	    now_us_ - queue.front().first > UNACKED_MAX_US) {
+		close_hop(h, -ETIMEDOUT);
+		return;
+	}
+	if (cut || receiver->powerless ||
+	    (receiver->frozen && opts.frozen_nodes_read_nothing)) {
+		bool waits = to_home ? h->caller.session != nullptr :
+				       h->engine_conn != nullptr;
+
+		if (waits && (!queue.empty() || !h->engine_conn ||
+			      (!to_home && h->home_closed)))
+			run_later(5 * MS, [this, h, to_home] {
+				deliver_hop_lines(h, to_home);
+			});
+		return;
+	}
+	while (!queue.empty()) {
+		std::string line = queue.front().second;
+
+		queue.pop_front();
+		if (to_home && h->caller.session && h->to->engine)
+			engine_caller_line(h->caller.session, line.c_str());
+		else if (!to_home && h->engine_conn && h->from->engine)
+			engine_conn_line(h->engine_conn, line.c_str());
+	}
+	if (!to_home && h->home_closed && h->engine_conn && h->from->engine)
+		close_hop(h, 0);
+	if (to_home && !h->engine_conn && h->caller.session && h->to->engine) {
+		struct session *s = h->caller.session;
+
+		h->caller.session = nullptr;
+		engine_caller_closed(s);
+	}
+	if (!h->engine_conn && !h->caller.session)
+		h->from->hops.erase(h);
+}
+
 /* Virtual time. */
 
 void ProxyModel::run_later(int64_t delay_us, std::function<void()> fn)
@@ -1499,7 +1649,8 @@
 
 	executed_count++;
 	if (sent == sent_statements_.end()) {
-		record_violation("UNASKED: " + id + " " + text);
+		if (!allow_unasked)
+			record_violation("UNASKED: " + id + " " + text);
 		return;
 	}
 	const SentStatement &s = sent->second;
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -36,6 +36,7 @@
 }
 
 struct ProxyEndpoint;
+struct ProxyHop;
 struct ProxyNode;
 struct ProxyStore;
 class ProxyModel;
@@ -99,6 +100,7 @@
 
 struct ProxyCaller {
 	ProxyNode *node = nullptr;
+	ProxyHop *hop = nullptr; /* set if it is another node's engine */
 	struct session *session = nullptr; /* NULL: closed */
 	std::string database;
 	std::string key;
@@ -114,6 +116,18 @@
 	std::map<std::string, std::string> prepared;
 };
 
+/* A connection of one node to another, which is its home. */
+struct ProxyHop {
+	ProxyNode *from = nullptr;
+	ProxyNode *to = nullptr; /* NULL: no node has the address */
+	struct upstream_conn *engine_conn = nullptr; /* NULL: closed */
+	ProxyCaller caller; /* at the home; .session NULL: closed */
+	bool open = false;
+	bool home_closed = false; /* the entry learns of it after the lines */
+	std::list<std::pair<int64_t, std::string>> to_home; /* sent, line */
+	std::list<std::pair<int64_t, std::string>> to_entry;
+};
+
 /* An answer of the store that is on its way over a node's link. */
 struct ProxyTransfer {
 	uint64_t call = 0;
@@ -132,10 +146,13 @@
 	struct engine *engine = nullptr; /* NULL: not running */
 	struct metrics *metrics = nullptr;
 	bool cut_from_store = false;
+	bool powerless = false; /* its peers hear nothing, not even a reset */
 	bool frozen = false; /* handles neither ticks nor peer messages */
 	uint64_t generation = 0; /* incremented at each start and end */
 	std::set<ProxyCaller *> callers;
 	std::set<std::shared_ptr<ProxyConn>> conns;
+	std::set<std::shared_ptr<ProxyHop>> hops; /* to its homes */
+	std::set<int> cut_peers; /* nodes that its lines don't reach */
 	std::list<ProxyTransfer> transfers;
 };
 
@@ -166,6 +183,7 @@
 	uint32_t rate_per_s = 100;
 	uint32_t burst = 100;
 	bool unlimited = false; /* no workspace has a limit */
+	bool relay = true; /* nodes may be homes for one another */
 	/* Answers of endpoints wait until the node is no longer frozen. */
 	bool frozen_nodes_read_nothing = true;
 	/*
@@ -184,6 +202,9 @@
 	ProxyModel(const ProxyModel &) = delete;
 	ProxyModel &operator=(const ProxyModel &) = delete;
 
+	/* Statements that no caller of the model sent are no violation. */
+	bool allow_unasked = false;
+
 	/* Virtual time. */
 	int64_t now() const
 	{
@@ -317,6 +338,12 @@
 	void send_reply(const std::shared_ptr<ProxyConn> &c,
 			const std::string &lines);
 	void close_conn(const std::shared_ptr<ProxyConn> &c, int error);
+	void send_hop_lines(const std::shared_ptr<ProxyHop> &h, bool to_home,
+			    const char *bytes, size_t len);
+	void deliver_hop_lines(const std::shared_ptr<ProxyHop> &h,
+			       bool to_home);
+	std::shared_ptr<ProxyHop> find_hop(const ProxyHop *hop) const;
+	void close_hop(const std::shared_ptr<ProxyHop> &h, int error);
 	void handle_endpoint_line(const std::shared_ptr<ProxyConn> &c,
 				  const std::string &line);
 	void handle_statement(const std::shared_ptr<ProxyConn> &c,
