--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -576,7 +576,7 @@
 		const struct round_endpoint *ep = get_round_endpoint(f, i);
 
 		if (ep->stepped_down &&
-		    strcmp(ep->upstream->entry.id, f->chosen))
+		    strcmp(ep->upstream->entry.id, f->chosen) != 0)
 			unsettled_order_record(&f->unsettled, f->chosen,
 					       ep->upstream);
 	}
