Test 200 instances before one service's connections

ProxyHome.TwoHundredNodesShareAFewConnections, in virtual time: 300 statements from as many callers at 200 nodes, 99 usable connections an endpoint: none refused, less than 0.1 new connections a statement, at most the usable ones open.

--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -212,6 +212,46 @@
 	expect_no_violations(m);
 }
 
+/*
+ * Load: 200 nodes before an endpoint that takes 180 connections, each caller at
+ * another node. Without homes nearly each statement opened a connection.
+ */
+TEST(ProxyHome, TwoHundredNodesShareAFewConnections)
+{
+	constexpr int NODES = 200;
+	constexpr int STATEMENTS = 300;
+	ProxyModelOpts o = home_opts();
+	int64_t opened = 0;
+	int refused = 0;
+	size_t most_conns = 0;
+
+	o.nodes = NODES;
+	o.conns_max = 180;
+	ProxyModel m(o);
+	m.run(4 * S);
+	for (auto &n : m.nodes)
+		opened -= metrics_get(n->metrics, "connections_opened_total",
+				      "work");
+	for (int i = 0; i < STATEMENTS; i++) {
+		const char *const keys[] = { "key-a", "key-b", "key-c" };
+		ProxyCaller *c =
+			m.connect(i * 7 % NODES, "bounded", keys[i % 3]);
+
+		refused +=
+			!m.run_statement(c, i % 4 ? "READ 1" : "WRITE 1 x").ok;
+		m.disconnect(c);
+		for (auto &e : m.endpoints)
+			most_conns = std::max(most_conns, e->conns.size());
+	}
+	for (auto &n : m.nodes)
+		opened += metrics_get(n->metrics, "connections_opened_total",
+				      "work");
+	EXPECT_EQ(refused, 0);
+	EXPECT_LT(opened, STATEMENTS / 10);
+	EXPECT_LT(most_conns, 99u); /* those that may be used */
+	expect_no_violations(m);
+}
+
 /*
  * Lines on the port for statements of other instances, most of them such as no
  * instance sends. None may end the process, reach an endpoint if it should not,
