--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -84,9 +84,9 @@
 	}
 	if (u->conns->len)
 		return;
-	upstream_free_home(u);
 	engine_log(e, LOG_HOME_REMOVED, 0, u->entry.id, 0, "%s",
 		   u->service->name);
+	upstream_free_home(u);
 }
 
 static void remove_former_homes(struct engine *e, struct service *svc)
