Sort home candidates only if there are any

Cause: UBSan in ProxyHome.ChoosesOneHomeInEachZoneOfAnEndpoint: qsort() with a null pointer, for no candidate. relay.c never asks that. Change: no call for none.

--- a/src/proxy/homes.c
+++ b/src/proxy/homes.c
@@ -55,7 +55,8 @@
 
 	for (uint32_t i = 0; i < count; i++)
 		c[i].score = score(svc->name, c[i].name);
-	qsort(c, count, sizeof(*c), compare_candidates);
+	if (count) /* qsort() takes no null pointer */
+		qsort(c, count, sizeof(*c), compare_candidates);
 	for (uint32_t i = 0; i < count && n < HOMES_MAX; i++) {
 		if (has_endpoint_in(svc, c[i].zone) &&
 		    !zone_is_taken(c, out, n, c[i].zone))
