Part dispatch.c: connection pool and sending stand on their own

Cause: dispatch.c chose endpoints, kept the connection pool, queued and sent in one file of 734 lines; placement, scheduling and endpoint health each change one of these Change: moves without change of behaviour. conn_pool.c finds connections and their limits (also those that stood in engine.c) and opens none; statement_send.c puts a statement on a connection. Neither calls back into dispatch.

--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -2,22 +2,19 @@
 
 #include "proxy/admission.h"
 #include "proxy/caller.h"
+#include "proxy/conn_pool.h"
 #include "proxy/engine_state.h"
 #include "proxy/exchange.h"
 #include "proxy/homes.h"
 #include "proxy/hop.h"
 #include "proxy/placement.h"
+#include "proxy/statement_send.h"
 
 #include <string.h>
 
 enum {
 	/* Attempts per statement: each endpoint twice, in services of three. */
 	SENDS_MAX = 6,
-	/*
-	 * Statements per slot, over all instances: one runs while two wait at
-	 * the endpoint, which keeps the slot busy; see docs/MEASURES.md.
-	 */
-	RUNNING_PER_SLOT = 3,
 	/*
 	 * Delay before the next attempt after more than one refusal, so that
 	 * the state of the endpoints can change.
@@ -84,145 +81,6 @@
 		op->need = NEED_STRICT_READ;
 }
 
-/*
- * Returns an idle connection of the session's workspace, preferably one that
- * holds the same session values, or NULL.
- */
-static struct upstream_conn *find_idle_workspace_conn(const struct upstream *u,
-						      const struct session *s)
-{
-	struct upstream_conn *found = NULL;
-
-	for (guint i = 0; i < u->conns->len; i++) {
-		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-
-		if (c->state != CONN_STATE_IDLE || c->control ||
-		    strcmp(c->workspace, s->workspace) != 0)
-			continue;
-		/* A connection that holds the same values needs no reset. */
-		if (!strcmp(c->values_key, s->values_key))
-			return c;
-		found = c;
-	}
-	return found;
-}
-
-static uint32_t count_workspace_conns(const struct upstream *u,
-				      const char *workspace)
-{
-	uint32_t n = 0;
-
-	for (guint i = 0; i < u->conns->len; i++) {
-		const struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-
-		n += !strcmp(c->workspace, workspace);
-	}
-	return n;
-}
-
-/*
- * Returns the average demand for the connection, in thousandths of operations
- * per second: the demand of its workspace, divided by the workspace's
- * connections that can serve it. Reads may run on any replica, so connections
- * to all replicas are counted together. The workspaces then spread over the
- * replicas, with one connection to one replica each.
- */
-static uint32_t estimate_conn_demand(const struct upstream_conn *c)
-{
-	const struct service *svc = c->upstream->service;
-	uint32_t demand =
-		quota_get_demand_milli_per_s(c->engine->quota, c->workspace);
-	uint32_t n = 0;
-
-	if (c->upstream == svc->primary)
-		return demand /
-		       MAX(count_workspace_conns(c->upstream, c->workspace), 1);
-	for (guint i = 0; i < svc->upstreams->len; i++) {
-		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
-
-		if (u != svc->primary)
-			n += count_workspace_conns(u, c->workspace);
-	}
-	return demand / MAX(n, 1);
-}
-
-/*
- * Returns the idle connection with the least demand, or NULL. Closing one that
- * is needed soon is expensive: opening it again takes a slot of the endpoint
- * for as long as several statements.
- */
-static struct upstream_conn *find_evictable_conn(const struct upstream *u)
-{
-	struct upstream_conn *found = NULL;
-	uint32_t least = UINT32_MAX;
-
-	for (guint i = 0; i < u->conns->len; i++) {
-		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-		uint32_t demand;
-
-		if (c->state != CONN_STATE_IDLE || c->control)
-			continue;
-		demand = estimate_conn_demand(c);
-		if (found && demand > least)
-			continue;
-		if (found && demand == least &&
-		    c->idle_since_us >= found->idle_since_us)
-			continue;
-		found = c;
-		least = demand;
-	}
-	return found;
-}
-
-/*
- * Counts the connections that are being opened: they take slots of the endpoint
- * as well.
- */
-static uint32_t count_starting_conns(const struct upstream *u)
-{
-	uint32_t n = 0;
-
-	for (guint i = 0; i < u->conns->len; i++) {
-		const struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-
-		n += c->state == CONN_STATE_STARTING;
-	}
-	return n;
-}
-
-/*
- * Returns how many statements this instance may have at the endpoint. An
- * endpoint runs its queue in the order of arrival, while the queue here is
- * ordered by priority and can still refuse statements. So this instance fills
- * only its share of the slots and of a short queue that keeps them busy.
- */
-static uint32_t get_running_limit(const struct engine *e,
-				  const struct upstream *u)
-{
-	const struct service *svc = u->service;
-	uint32_t all = u->entry.slots * RUNNING_PER_SLOT;
-	uint32_t sharers = svc->has_homes && svc->is_home ? svc->home_count :
-							    e->instance_count;
-
-	return MAX((all + sharers / 2) / sharers, 1);
-}
-
-static enum conn_source choose_conn_source(const struct engine *e,
-					   const struct upstream *u,
-					   const struct session *s,
-					   int64_t now_us)
-{
-	if (u->running + count_starting_conns(u) >= get_running_limit(e, u))
-		return CONN_SOURCE_NONE;
-	if (find_idle_workspace_conn(u, s))
-		return CONN_SOURCE_IDLE;
-	if (now_us < u->open_after_us)
-		return CONN_SOURCE_NONE;
-	if (u->conns->len < engine_conns_limit(e, u))
-		return CONN_SOURCE_OPEN;
-	return find_evictable_conn(u) ? CONN_SOURCE_EVICT : CONN_SOURCE_NONE;
-}
-
 static bool can_run(const struct session *s, const struct upstream *u)
 {
 	if (s->op.need == NEED_READ)
@@ -272,7 +130,7 @@
 
 	out->source = is_behind(s, u, now_us) ?
 			      CONN_SOURCE_NONE :
-			      choose_conn_source(e, u, s, now_us);
+			      conn_pool_find_source(e, u, s, now_us);
 	out->is_primary = s->op.need == NEED_READ && u == u->service->primary;
 	out->same_zone = !strcmp(u->entry.zone, e->opts.zone);
 	out->likely_to_fail = is_likely_to_fail(s, u, now_us);
@@ -315,30 +173,12 @@
 					  int64_t now_us)
 {
 	if (source == CONN_SOURCE_IDLE)
-		return find_idle_workspace_conn(u, s);
+		return conn_pool_find_idle(u, s);
 	if (source == CONN_SOURCE_EVICT)
-		dispatch_close_conn(find_evictable_conn(u));
+		dispatch_close_conn(conn_pool_find_evictable(u));
 	return dispatch_open_conn(s->engine, u, s->workspace, false, now_us);
 }
 
-/* Returns an idle connection to the home, preferably with the same values. */
-static struct upstream_conn *find_idle_home_conn(const struct upstream *u,
-						 const struct session *s)
-{
-	struct upstream_conn *found = NULL;
-
-	for (guint i = 0; i < u->conns->len; i++) {
-		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-
-		if (c->state != CONN_STATE_IDLE)
-			continue;
-		if (!strcmp(c->values_key, s->values_key))
-			return c;
-		found = c;
-	}
-	return found;
-}
-
 /*
  * Returns a connection to the home that is to run the statement, or NULL if
  * this instance runs it itself. The home decides where and when.
@@ -355,8 +195,8 @@
 	u = homes_find(svc, e->opts.instance, s->workspace, &s->op, now_us);
 	if (!u)
 		return NULL;
-	c = find_idle_home_conn(u, s);
-	if (!c && u->conns->len < engine_conns_limit(e, u))
+	c = conn_pool_find_idle_home(u, s);
+	if (!c && u->conns->len < conn_pool_limit(e, u))
 		c = dispatch_open_conn(e, u, "", false, now_us);
 	if (!c)
 		return NULL;
@@ -399,7 +239,7 @@
 	s->conn = c;
 	c->session = s;
 	if (c->state == CONN_STATE_IDLE)
-		dispatch_setup_conn(c, now_us);
+		statement_send_setup(c, now_us);
 	return true;
 }
 
@@ -482,7 +322,7 @@
 	op->deadline_us = op->arrived_us + r->timeout_us;
 	if (s->pinned) {
 		s->conn = s->pinned;
-		dispatch_setup_conn(s->pinned, now_us);
+		statement_send_setup(s->pinned, now_us);
 		return;
 	}
 	if (!try_send(s, svc, now_us))
@@ -547,96 +387,6 @@
 	}
 }
 
-static void put_begin(struct upstream_conn *c, const struct session *s,
-		      int64_t now_us)
-{
-	const struct operation *op = &s->op;
-	const struct proxy_message m = {
-		.statement = op->need == NEED_READ ?
-				     PROXY_STATEMENT_BEGIN_READ :
-				     PROXY_STATEMENT_BEGIN,
-		.after = op->need == NEED_READ ? &op->min_mark.position : NULL,
-	};
-
-	upstream_conn_put_message(c, c->engine->opts.wire, &m,
-				  CONN_REQUEST_BEGIN, now_us);
-}
-
-/* Tells a home what it must know of the session's operation. */
-static void put_operation(struct upstream_conn *c, const struct session *s,
-			  int64_t now_us)
-{
-	const struct hop_operation op = {
-		.config_version = c->engine->config->version,
-		.elapsed_us = now_us - s->op.arrived_us,
-		.last_write = s->last_write,
-		.workspace = s->workspace,
-		.database = s->database,
-	};
-
-	hop_put_operation(c->out, &op);
-	metrics_add(c->engine->opts.metrics, "relayed_operations_total",
-		    c->upstream->service->name, 1);
-}
-
-void dispatch_setup_conn(struct upstream_conn *c, int64_t now_us)
-{
-	struct session *s = c->session;
-	const struct operation *op = &s->op;
-	const char *name =
-		op->query.kind == QUERY_EXECUTE ? op->query.name : NULL;
-	bool opens_transaction =
-		op->opens_transaction || op->need == NEED_STRICT_READ;
-	bool setup;
-
-	c->upstream->running++;
-	c->state = CONN_STATE_RUNNING;
-	if (c->upstream->is_home && !s->pinned)
-		put_operation(c, s, now_us);
-	setup = upstream_conn_put_setup(c, c->engine->opts.wire, s, name,
-					now_us);
-	/*
-	 * The statement is sent only after these have succeeded: after a failed
-	 * BEGIN it would run outside of the transaction.
-	 */
-	if (!s->pinned && opens_transaction)
-		put_begin(c, s, now_us);
-	else if (!setup)
-		dispatch_send_statement(c, now_us);
-	engine_conn_flush(c);
-}
-
-void dispatch_send_statement(struct upstream_conn *c, int64_t now_us)
-{
-	struct session *s = c->session;
-	const struct wire_ops *wire = c->engine->opts.wire;
-	const struct proxy_message rollback = {
-		.statement = PROXY_STATEMENT_ROLLBACK
-	};
-	struct operation *op = &s->op;
-	const char *name = NULL;
-	const struct position *after = NULL;
-
-	if (op->query.kind == QUERY_EXECUTE)
-		name = upstream_conn_find_prepared(c, s, op->query.name);
-	if (op->need == NEED_READ && !c->in_transaction)
-		after = &op->min_mark.position;
-	wire->put_query(c->out, &op->query, name, after);
-	upstream_conn_push_request(c, CONN_REQUEST_STATEMENT, now_us);
-	if (!op->sends)
-		metrics_observe(c->engine->opts.metrics, "queue_seconds",
-				c->upstream->service->name,
-				now_us - op->arrived_us);
-	op->sent = true;
-	op->sent_us = now_us;
-	op->sends++;
-	g_strlcpy(op->endpoint, c->upstream->entry.id, sizeof(op->endpoint));
-	if (op->need == NEED_STRICT_READ)
-		upstream_conn_put_message(c, wire, &rollback,
-					  CONN_REQUEST_ROLLBACK, now_us);
-	engine_conn_flush(c);
-}
-
 static void start_cleanup(struct upstream_conn *c, int64_t now_us)
 {
 	const struct proxy_message rollback = {
@@ -660,7 +410,7 @@
 	const struct upstream *u = c->upstream;
 
 	return !upstream_is_usable(u) || !u->listed ||
-	       u->conns->len > engine_conns_limit(c->engine, u) ||
+	       u->conns->len > conn_pool_limit(c->engine, u) ||
 	       g_hash_table_size(c->prepared) > CONN_PREPARED_MAX;
 }
 
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -28,15 +28,6 @@
  */
 void dispatch_run_queue(struct service *svc, int64_t now_us);
 
-/*
- * Sends what must precede the statement on the connection: session values, the
- * prepared statement, BEGIN. Sends the statement itself if nothing must.
- */
-void dispatch_setup_conn(struct upstream_conn *c, int64_t now_us);
-
-/* Sends the statement, once the answers to its setup and BEGIN have arrived. */
-void dispatch_send_statement(struct upstream_conn *c, int64_t now_us);
-
 /*
  * Detaches the connection from its session and makes it available again, after
  * a rollback if needed.
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -44,14 +44,6 @@
 	 */
 	LEASE_PERCENT = 80,
 	PERCENT = 100,
-	/*
-	 * Percentage of an endpoint's connections kept free. Connections of
-	 * instances that lose power stay open at the endpoint for some seconds,
-	 * and their successors need connections in that time.
-	 */
-	CONN_RESERVE_PERCENT = 45,
-	/* Connections of this instance to a home of a service. */
-	HOME_CONNS_MAX = 32,
 	/* Lifetime of the duty's lease, and so of a dead holder's duty. */
 	DUTY_TTL_US = 1000 * 1000,
 	/* A relayed transaction may stay idle for this much longer. */
@@ -108,28 +100,6 @@
 	return e->opts.key_limit_us * LEASE_PERCENT / PERCENT;
 }
 
-uint32_t engine_usable_conns(const struct service *s)
-{
-	return s->conns_max - s->conns_max * CONN_RESERVE_PERCENT / PERCENT;
-}
-
-uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u)
-{
-	const struct service *s = u->service;
-	uint32_t usable = engine_usable_conns(s);
-	uint32_t each = usable / e->instance_count;
-	uint32_t rest = usable % e->instance_count;
-
-	if (u->is_home)
-		return HOME_CONNS_MAX;
-	/* One for those that use none as a rule, if no home can be reached. */
-	if (s->has_homes)
-		return s->is_home ? MAX(usable / s->home_count, 1) : 1;
-
-	/* The remainder goes to the first instances by name, one each. */
-	return MAX(each + (e->instance_rank < rest), 1);
-}
-
 void engine_update_primary(struct engine *e, struct upstream *u,
 			   enum primary_claim claim, const char *reason)
 {
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -93,12 +93,6 @@
 /* Returns the lifetime of the lease that this instance's entry is bound to. */
 int64_t engine_lease_ttl_us(const struct engine *e);
 
-/* Returns how many connections to an endpoint all instances may use. */
-uint32_t engine_usable_conns(const struct service *s);
-
-/* Returns the maximum number of connections of this instance to an endpoint. */
-uint32_t engine_conns_limit(const struct engine *e, const struct upstream *u);
-
 /*
  * Applies an endpoint's claim about its role and selects the service's primary
  * again. A change of primary is logged with `reason`, a predicate that follows
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -4,6 +4,7 @@
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
 #include "proxy/hop.h"
+#include "proxy/statement_send.h"
 
 #include <string.h>
 
@@ -241,7 +242,7 @@
 		return;
 	}
 	if (is_ready_for_statement(c))
-		dispatch_send_statement(c, now_us);
+		statement_send(c, now_us);
 }
 
 static void on_begin_answer(struct upstream_conn *c,
@@ -264,7 +265,7 @@
 	if (c->answer.failed)
 		handle_refusal(c, c->answer.code, now_us);
 	else if (is_ready_for_statement(c))
-		dispatch_send_statement(c, now_us);
+		statement_send(c, now_us);
 }
 
 static void on_rollback_answer(struct upstream_conn *c,
@@ -328,7 +329,7 @@
 	if (c->control)
 		failover_handle_conn_ready(c->engine->failovers, c, now_us);
 	else if (c->session)
-		dispatch_setup_conn(c, now_us);
+		statement_send_setup(c, now_us);
 }
 
 typedef void (*answer_fn)(struct upstream_conn *c,
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -1,5 +1,6 @@
 #include "proxy/mark_probe.h"
 
+#include "proxy/conn_pool.h"
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
 #include "proxy/exchange.h"
@@ -82,7 +83,7 @@
 
 	if (!e->config || !e->config->workspaces->len ||
 	    now_us < u->open_after_us || has_starting_conn(u) ||
-	    u->conns->len >= engine_conns_limit(e, u))
+	    u->conns->len >= conn_pool_limit(e, u))
 		return;
 	w = g_ptr_array_index(
 		e->config->workspaces,
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -1,5 +1,6 @@
 #include "proxy/relay.h"
 
+#include "proxy/conn_pool.h"
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
 #include "proxy/homes.h"
@@ -114,7 +115,7 @@
 	struct home_candidate *c =
 		(struct home_candidate *)(void *)candidates->data;
 	uint32_t homes[HOMES_MAX];
-	uint32_t usable = engine_usable_conns(svc);
+	uint32_t usable = conn_pool_usable(svc);
 
 	svc->has_homes =
 		homes_are_needed(usable, e->instance_count) && candidates->len;
