--- /dev/null
+++ b/src/placement/conn_division.h
@@ -0,0 +1,29 @@
+/*
+ * conn_division.h - how the homes of a service divide an endpoint's
+ * connections and statement slots.
+ *
+ * Every instance works the same division out from the entries in the store; no
+ * message passes. The home in the endpoint's availability zone gets most of
+ * them, as most work for the endpoint comes to it.
+ */
+#ifndef PLACEMENT_CONN_DIVISION_H
+#define PLACEMENT_CONN_DIVISION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A home that takes part in the division. */
+struct division_member {
+	bool in_endpoint_zone;
+	/* What the instance can do, in thousandths of a usual one. */
+	uint32_t capability_milli;
+};
+
+/*
+ * Returns how many of `total` the member at `index` gets. The parts of all
+ * members together are at most `total`, but each gets at least one.
+ */
+uint32_t conn_division_part(const struct division_member *m, uint32_t count,
+			    uint32_t index, uint32_t total);
+
+#endif
--- /dev/null
+++ b/src/placement/home_choice.h
@@ -0,0 +1,39 @@
+/*
+ * home_choice.h - which home of a service runs an operation.
+ *
+ * A pure function of what the entry instance knows about each home. Work that
+ * needs the primary goes where the primary is, so that only one hop crosses
+ * availability zones; reads that a replica can serve stay in the entry's own
+ * zone while a replica there can serve them.
+ */
+#ifndef PLACEMENT_HOME_CHOICE_H
+#define PLACEMENT_HOME_CHOICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What an operation needs of an endpoint. */
+enum home_work {
+	HOME_WORK_PRIMARY, /* writes, plain transactions, strict reads */
+	HOME_WORK_READ, /* reads that a replica can serve */
+};
+
+/* A home as the entry knows it; this instance may be one of them. */
+struct home_option {
+	/* Of this home for the workspace; among equals the highest is used. */
+	uint64_t rank;
+	bool available; /* it can be sent work now */
+	bool in_entry_zone;
+	bool in_primary_zone;
+	bool has_replica; /* a replica in its zone can serve the read */
+	/* Round trip between the entry and it, as measured or assumed. */
+	int64_t round_trip_us;
+	/* Expected wait there, as it told; LOAD_UNKNOWN if too old. */
+	int64_t wait_us;
+};
+
+/* Returns the index of the home to use, or -1 if none is available. */
+int home_choice(const struct home_option *o, uint32_t count,
+		enum home_work work);
+
+#endif
