Deliver the last answer of a session that an instance closes

Cause: operators of similar systems report that a planned stop under load cut requests that had been accepted. Ours closes a session right after its last answer, and closing dropped what the socket did not take at once Change: stream_finish(): input is ignored, the output is written on, and the connection ends then, or after 3 s; the process waits for it within its grace time.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -25,7 +25,9 @@
 	int fd;
 	bool connecting;
 	bool closed;
+	bool finishing; /* the owner has gone; listed in the set's `finishing` */
 	bool dirty; /* listed in the set's `dirty` */
+	int64_t finish_by_us;
 	GString *input;
 	GString *output;
 };
@@ -34,6 +36,7 @@
 	struct stream_set_opts opts;
 	GHashTable *streams; /* set of owned struct stream, not closed */
 	GPtrArray *dirty; /* streams with output to write at the next flush */
+	GPtrArray *finishing; /* streams whose last output is being written */
 	GPtrArray *closed; /* streams to free at the next flush */
 };
 
@@ -55,6 +58,7 @@
 	set->opts = *opts;
 	set->streams = g_hash_table_new(NULL, NULL);
 	set->dirty = g_ptr_array_new();
+	set->finishing = g_ptr_array_new();
 	set->closed = g_ptr_array_new();
 	return set;
 }
@@ -69,6 +73,7 @@
 		stream_free(s);
 	g_hash_table_destroy(set->streams);
 	g_ptr_array_free(set->dirty, TRUE);
+	g_ptr_array_free(set->finishing, TRUE);
 	g_ptr_array_free(set->closed, TRUE);
 	g_free(set);
 }
@@ -106,20 +111,22 @@
 	if (s->closed)
 		return;
 	stream_close(s);
-	s->ops->on_closed(owner, error);
+	if (!s->finishing)
+		s->ops->on_closed(owner, error);
 }
 
 /*
- * Passes each complete line of the input to the owner, which may close the
- * stream in the callback.
+ * Passes each complete line of the input to the owner, which may close or
+ * finish the stream in the callback.
  */
 static void process_lines(struct stream *s)
 {
 	size_t start = 0;
 	char *lf;
 
-	while (!s->closed && (lf = memchr(s->input->str + start, '\n',
-					  s->input->len - start))) {
+	while (!s->closed && !s->finishing &&
+	       (lf = memchr(s->input->str + start, '\n',
+			    s->input->len - start))) {
 		char *line = s->input->str + start;
 		size_t len = (size_t)(lf - line);
 
@@ -131,6 +138,8 @@
 	}
 	if (s->closed)
 		return;
+	if (s->finishing)
+		start = s->input->len;
 	g_string_erase(s->input, 0, (gssize)start);
 	if (s->input->len > s->set->opts.line_max_bytes)
 		close_and_notify(s, -EMSGSIZE);
@@ -178,6 +187,8 @@
 		g_string_erase(s->output, 0, n);
 	else if (n < 0 && errno != EAGAIN && errno != EINTR)
 		close_and_notify(s, -errno);
+	if (s->finishing && !s->output->len)
+		stream_close(s);
 	if (!s->closed)
 		update_watch(s);
 }
@@ -305,12 +316,47 @@
 	loop_unwatch(s->set->opts.loop, s->fd);
 	close(s->fd);
 	s->fd = -1;
+	if (s->finishing)
+		g_ptr_array_remove(s->set->finishing, s);
 	g_hash_table_remove(s->set->streams, s);
 	g_ptr_array_add(s->set->closed, s);
 }
 
+void stream_finish(struct stream *s)
+{
+	if (s->closed || s->finishing)
+		return;
+	if (s->connecting || !s->output->len) {
+		stream_close(s);
+		return;
+	}
+	s->finishing = true;
+	s->finish_by_us = loop_now_us() + s->set->opts.finish_max_us;
+	g_ptr_array_add(s->set->finishing, s);
+	write_output(s);
+}
+
+bool stream_set_is_finishing(const struct stream_set *set)
+{
+	return set->finishing->len > 0;
+}
+
+/* Closes streams whose peer has not taken the output in time. */
+static void close_overdue(struct stream_set *set)
+{
+	int64_t now_us = set->finishing->len ? loop_now_us() : 0;
+
+	for (guint i = set->finishing->len; i-- > 0;) {
+		struct stream *s = g_ptr_array_index(set->finishing, i);
+
+		if (now_us >= s->finish_by_us)
+			stream_close(s);
+	}
+}
+
 void stream_set_flush(struct stream_set *set)
 {
+	close_overdue(set);
 	for (guint i = 0; i < set->dirty->len; i++) {
 		struct stream *s = g_ptr_array_index(set->dirty, i);
 
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -29,6 +29,8 @@
 	 * rounded down to seconds; 0: no probes.
 	 */
 	int64_t keepalive_idle_us;
+	/* How long stream_finish() waits for the peer to take the output. */
+	int64_t finish_max_us;
 };
 
 struct stream_ops {
@@ -71,6 +73,15 @@
  */
 void stream_close(struct stream *s);
 
+/*
+ * Closes the connection once the peer has taken the buffered output, or after
+ * finish_max_us. Input is discarded and no callback follows.
+ */
+void stream_finish(struct stream *s);
+
+/* Returns true if a finished stream still has output to write. */
+bool stream_set_is_finishing(const struct stream_set *set);
+
 /* Writes the buffered output and frees closed streams. */
 void stream_set_flush(struct stream_set *set);
 
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -43,6 +43,8 @@
 	PACED_TIME_DIVISOR = 2,
 	/* Idle time before the first TCP keep-alive probe. */
 	KEEPALIVE_IDLE_US = 2000 * 1000,
+	/* A message of the largest size takes a second on a slow link. */
+	FINISH_MAX_US = 3000 * 1000,
 };
 
 struct session_host {
@@ -89,7 +91,8 @@
 {
 	struct caller *c = caller;
 
-	stream_close(c->stream);
+	/* The last answer may be larger than what the socket takes at once. */
+	stream_finish(c->stream);
 	g_free(c);
 }
 
@@ -404,6 +407,13 @@
 	}
 }
 
+/* Returns true if nothing that was accepted is left to do or to send. */
+static bool is_drained(const struct session_host *h)
+{
+	return engine_is_drained(h->engine) &&
+	       !stream_set_is_finishing(h->streams);
+}
+
 static void before_wait(void *data, int64_t now)
 {
 	struct session_host *h = data;
@@ -413,7 +423,7 @@
 	stream_set_flush(h->streams);
 	log_flush();
 	if (h->drain_deadline_us &&
-	    (engine_is_drained(h->engine) || now >= h->drain_deadline_us))
+	    (is_drained(h) || now >= h->drain_deadline_us))
 		remove_entry_and_stop(h, now);
 	h->next_tick_us = engine_next_due_us(h->engine);
 	loop_timer_set(h->tick_timer, h->next_tick_us);
@@ -528,6 +538,7 @@
 		.line_max_bytes = h->settings->sessions.line_max_bytes,
 		.unacked_max_us = UNACKED_MAX_US,
 		.keepalive_idle_us = KEEPALIVE_IDLE_US,
+		.finish_max_us = FINISH_MAX_US,
 	};
 	struct engine_opts o;
 
