Size class of the fleet only rises, recorded in the store

Cause: which limits are counted at homes followed the number of listed instances; a loss of a third of them changed it, and all instances refused for more than a lease, twice Change: the class is an entry of the store without a lease, written by the duty's holder over a known revision (limit_record.c); all follow it. A lease later it is written as settled, so that a new process counts at once. A divided limit needs knowledge of the store younger than a lease, as a counted one.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -81,6 +81,9 @@
 	  "workspace reached its local rate limit")                           \
 	X(LIMIT_HOME_SILENT, 611, LOG_WARNING,                                \
 	  "home of a rate limit not responding")                              \
+	X(LIMIT_RECORD_WRITTEN, 612, LOG_INFO, "record of limits written")    \
+	X(LIMIT_RECORD_UNREADABLE, 613, LOG_WARNING,                          \
+	  "record of limits not readable")                                    \
 	X(DUTY_TAKEN, 410, LOG_INFO, "singleton duty acquired")               \
 	X(DUTY_LOST, 411, LOG_WARNING, "singleton duty lost")                 \
 	X(HOME_ADDED, 320, LOG_INFO, "home of a service added")               \
--- a/src/limits/size_class.h
+++ b/src/limits/size_class.h
@@ -5,7 +5,8 @@
  * All instances must agree on it, so it does not follow each loss and return of
  * instances: it only rises. What was reached last is recorded in the store
  * without a lease, so that a process that starts while many others are gone
- * knows it as well.
+ * knows it as well. Only until the store has a record does the class follow the
+ * number of listed instances.
  */
 #ifndef LIMITS_SIZE_CLASS_H
 #define LIMITS_SIZE_CLASS_H
@@ -13,6 +14,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Larger fleets are in the last class as well. */
+enum { SIZE_CLASS_MAX = 14 };
+
 /* Returns the number, from 0, of the class that a fleet of that size is in. */
 uint32_t size_class_of(uint32_t instances);
 
@@ -21,16 +25,15 @@
 
 /* The class as one instance knows it; zero-initialized: none yet. */
 struct size_class {
-	bool known;
-	uint32_t number;
-	uint32_t stored; /* as the store has it */
+	uint32_t number; /* in force */
+	bool recorded; /* it was in the store */
 };
 
-/* Record the instances listed in the store, and what the store has stored. */
-void size_class_count(struct size_class *c, uint32_t instances);
-void size_class_stored(struct size_class *c, uint32_t number);
-
-/* Returns true if the duty's holder has to store the class again. */
-bool size_class_must_store(const struct size_class *c);
+/*
+ * Record the instances listed in the store, and the class that the store has
+ * on record. Return true if the class in force changed.
+ */
+bool size_class_count(struct size_class *c, uint32_t instances);
+bool size_class_record(struct size_class *c, uint32_t number);
 
 #endif
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -254,6 +254,7 @@
 	e->closed_sessions = g_ptr_array_new();
 	e->quota = quota_new(&opts->tolerance, opts->instance);
 	e->quota_requests = quota_requests_new(e);
+	e->limit_record = limit_record_new(e);
 	e->division = quota_division_new();
 	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
 	e->failovers = failovers_new(e);
@@ -314,6 +315,7 @@
 	replica_sets_free(e->replica_sets);
 	quota_division_free(e->division);
 	quota_requests_free(e->quota_requests);
+	limit_record_free(e->limit_record);
 	quota_free(e->quota);
 	store_feed_free(e->feed);
 	duty_free(e->duty);
@@ -563,6 +565,7 @@
 	fleet_run(e, now_us);
 	relay_run(e, now_us);
 	replica_sets_run(e->replica_sets, now_us);
+	limit_record_run(e->limit_record, now_us);
 	quota_requests_check_timeouts(e->quota_requests, now_us);
 	enforce_timeouts(e, now_us);
 	g_hash_table_iter_init(&it, e->services);
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -9,6 +9,7 @@
 #include "proxy/duty.h"
 #include "proxy/engine.h"
 #include "proxy/fleet_config.h"
+#include "proxy/limit_record.h"
 #include "proxy/quota.h"
 #include "proxy/quota_requests.h"
 #include "proxy/quota_division.h"
@@ -44,6 +45,7 @@
 	struct quota *quota;
 	struct quota_division *division;
 	struct quota_requests *quota_requests;
+	struct limit_record *limit_record;
 	struct failovers *failovers;
 	struct replica_sets *replica_sets;
 	GPtrArray *closed_conns; /* freed at the end of a tick */
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -299,6 +299,9 @@
 	case ITEM_REPLICA_SET:
 		replica_sets_handle_item(e->replica_sets, item, now_us);
 		break;
+	case ITEM_LIMITS:
+		limit_record_handle_item(e->limit_record, item, now_us);
+		break;
 	default:
 		break;
 	}
@@ -340,6 +343,7 @@
 void fleet_handle_list(struct engine *e, bool ends, int64_t now_us)
 {
 	duty_handle_list(e->duty, ends);
+	limit_record_handle_list(e->limit_record, ends);
 	if (!ends) {
 		g_hash_table_remove_all(e->listed_names);
 		e->listing = true;
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -1,6 +1,7 @@
 #include "proxy/quota.h"
 
 #include "core/bucket.h"
+#include "limits/size_class.h"
 #include "proxy/quota_homes.h"
 
 #include <errno.h>
@@ -28,12 +29,6 @@
 	 * core. Larger limits are divided, whatever the size of the fleet.
 	 */
 	HOME_RATE_MAX_MILLI = 500 * MILLI,
-	/*
-	 * Size classes of the fleet: 3 to 11, 12 to 47, 48 to 191 instances,
-	 * and so on.
-	 */
-	SIZE_CLASS_FIRST = 3,
-	SIZE_CLASS_FACTOR = 4,
 	/*
 	 * Percentage of its tolerance with which a new home starts: several
 	 * homes may have spent all of it shortly before.
@@ -79,6 +74,8 @@
 	GHashTable *by_hash;
 	char instance[NAME_BYTES]; /* this instance */
 	struct quota_fleet fleet;
+	struct size_class size_class;
+	bool record_settled; /* as the store's record says of this class */
 	struct quota_homes *homes;
 };
 
@@ -154,23 +151,12 @@
 	       PERCENT / get_instance_divisor(q);
 }
 
-/* Returns a size in the middle of the size class of `instances`. */
-static uint32_t get_size_class(uint32_t instances)
-{
-	uint32_t low = SIZE_CLASS_FIRST;
-
-	if (instances < low)
-		return 1;
-	while (instances / SIZE_CLASS_FACTOR >= low)
-		low *= SIZE_CLASS_FACTOR;
-	return low * SIZE_CLASS_FACTOR / 2;
-}
-
 static bool is_small(const struct quota *q, const struct quota_row *r)
 {
 	return r->rate_milli_per_s <= HOME_RATE_MAX_MILLI &&
 	       calculate_tolerance_milli(q, r) * BURST_TOLERANCE_PERCENT /
-			       PERCENT / get_size_class(q->fleet.instances) <
+			       PERCENT /
+			       size_class_typical(q->size_class.number) <
 		       HOME_TOKENS_MIN_MILLI;
 }
 
@@ -183,18 +169,26 @@
 		       quota_home_settle_us(q->fleet.lease_ttl_us);
 }
 
+/*
+ * Returns true while this instance knows how the others count, or they know
+ * that it does not count any more.
+ */
+static bool knows_fleet(const struct quota_fleet *f, int64_t now_us)
+{
+	return now_us < f->lease_until_us && f->confirmed_us != INT64_MIN &&
+	       now_us - f->confirmed_us <
+		       quota_home_max_view_age_us(f->lease_ttl_us);
+}
+
 static bool acts_as_home(const struct quota *q, const struct quota_row *r,
 			 const struct quota_half *half, int64_t now_us)
 {
 	const struct quota_fleet *f = &q->fleet;
 
-	return r->counted_at_homes &&
+	return r->counted_at_homes && f->settled && knows_fleet(f, now_us) &&
+	       is_settled(q, r, now_us) &&
 	       now_us < quota_homes_valid_until_us(q->homes, half->hash,
-						   f->lease_ttl_us) &&
-	       is_settled(q, r, now_us) && now_us < f->lease_until_us &&
-	       f->settled && f->confirmed_us != INT64_MIN &&
-	       now_us - f->confirmed_us <
-		       quota_home_max_view_age_us(f->lease_ttl_us);
+						   f->lease_ttl_us);
 }
 
 static uint32_t calculate_local_rate(const struct quota *q,
@@ -307,6 +301,17 @@
 	r->retained_until_us = now_us + q->tolerance.window_us;
 }
 
+/*
+ * This process has counted nothing yet. Others that divide the limit may not
+ * know yet that it is counted at homes, unless the record is settled.
+ */
+static void start_mode(const struct quota *q, struct quota_row *r,
+		       int64_t now_us)
+{
+	r->mode_since_us =
+		r->counted_at_homes && !q->record_settled ? now_us : INT64_MIN;
+}
+
 static void configure_row(struct quota *q, const struct workspace_config *w,
 			  int64_t now_us)
 {
@@ -322,8 +327,10 @@
 	r->burst_milli = w->burst_milli;
 	if (is_unlimited(r))
 		return;
-	if (is_new)
+	if (is_new) {
 		r->counted_at_homes = is_small(q, r);
+		start_mode(q, r, now_us);
+	}
 	update_bucket(q, r, now_us);
 	if (is_new && !r->counted_at_homes)
 		bucket_add(&r->bucket,
@@ -344,26 +351,45 @@
 		configure_row(q, g_ptr_array_index(c->workspaces, i), now_us);
 }
 
+static void update_rows(struct quota *q, int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer row;
+
+	g_hash_table_iter_init(&it, q->rows);
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		update_bucket(q, row, now_us);
+}
+
 void quota_set_fleet(struct quota *q, const struct quota_fleet *f,
 		     int64_t now_us)
 {
 	bool same = f->instances == q->fleet.instances;
 	bool fleet_was_unknown = !q->fleet.instances;
 	GHashTableIter it;
-	gpointer value;
+	gpointer row;
 
 	q->fleet = *f;
 	if (same)
 		return;
+	size_class_count(&q->size_class, f->instances);
+	update_rows(q, now_us);
+	if (!fleet_was_unknown)
+		return;
 	g_hash_table_iter_init(&it, q->rows);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct quota_row *r = value;
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		start_mode(q, row, now_us);
+}
 
-		update_bucket(q, r, now_us);
-		/* Nothing was taken from the limit before this. */
-		if (fleet_was_unknown)
-			r->mode_since_us = INT64_MIN;
-	}
+void quota_set_record(struct quota *q, const struct limit_entry *l,
+		      int64_t now_us)
+{
+	bool changed = size_class_record(&q->size_class, l->size_class);
+
+	if (l->size_class == q->size_class.number)
+		q->record_settled = l->settled;
+	if (changed)
+		update_rows(q, now_us);
 }
 
 void quota_put_instance(struct quota *q, const struct instance_entry *e,
@@ -433,7 +459,7 @@
 		return -ESTALE;
 	if (r->counted_at_homes)
 		return take_from_halves(q, r, retry_us);
-	return is_settled(q, r, now_us) ?
+	return is_settled(q, r, now_us) && knows_fleet(&q->fleet, now_us) ?
 		       take_operation(r, &r->bucket, retry_us) :
 		       -ESTALE;
 }
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -21,8 +21,8 @@
  * of the limit; see quota_homes.h. When a limit changes between divided and
  * small, each instance admits no operations of it for a little more than a
  * lease. By then no instance can still be counting it in the previous way.
- * Which limits are small depends on the fleet's size class, so that it rarely
- * changes when instances join or leave.
+ * Which limits are small depends on the fleet's size class, which only rises;
+ * see limit_record.h.
  */
 #ifndef PROXY_QUOTA_H
 #define PROXY_QUOTA_H
@@ -72,6 +72,10 @@
 void quota_set_fleet(struct quota *q, const struct quota_fleet *f,
 		     int64_t now_us);
 
+/* Applies the store's record of how limits are counted; see limit_record.h. */
+void quota_set_record(struct quota *q, const struct limit_entry *l,
+		      int64_t now_us);
+
 /*
  * Record that an instance's entry is in the store (put) or has left it
  * (remove). absent_us is the latest time at which the store is known not to
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -46,6 +46,9 @@
 	/* Of `service`, without a lease. */
 	const struct replica_set_entry *put_replica_set;
 	const char *service;
+	/* Without a lease; only if its entry has this revision, 0: none. */
+	const struct limit_entry *put_limits;
+	int64_t limits_revision;
 	bool remove_duty;
 	bool remove_instance; /* the entry of `instance` */
 	const char *instance;
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -62,6 +62,16 @@
 	uint32_t count;
 };
 
+/*
+ * How limits are counted in a fleet of this size; without a lease. See
+ * limit_record.h.
+ */
+struct limit_entry {
+	uint32_t size_class; /* see limits/size_class.h */
+	/* The entry has had these values for longer than a lease. */
+	bool settled;
+};
+
 enum store_item_kind {
 	ITEM_CONFIG, /* .config; NULL if it cannot be read */
 	ITEM_UPSTREAM, /* .upstream */
@@ -69,6 +79,7 @@
 	ITEM_DUTY, /* .duty */
 	ITEM_CHOICE, /* .choice */
 	ITEM_REPLICA_SET, /* .replica_set */
+	ITEM_LIMITS, /* .limits */
 	ITEM_OTHER, /* not used by the proxy */
 	ITEM_KIND_COUNT,
 };
@@ -86,6 +97,7 @@
 		struct duty_entry duty;
 		struct choice_entry choice;
 		struct replica_set_entry replica_set; /* owned by the item */
+		struct limit_entry limits;
 	};
 };
 
--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -138,6 +138,31 @@
 	}
 }
 
+/*
+ * A record of the limits replaces only the entry that the writer has seen, so
+ * that a write which is carried out late replaces nothing newer.
+ */
+TEST_F(KvStore, PutsTheRecordOfLimitsOnlyOverTheKnownOne)
+{
+	const struct limit_entry limits = { 2, true };
+	struct store_change c = {};
+	std::vector<struct store_item> items;
+
+	c.put_limits = &limits;
+	c.limits_revision = 41;
+	items = make_change(c);
+	ASSERT_EQ(1u, items.size());
+	EXPECT_EQ(ITEM_LIMITS, items[0].kind);
+	EXPECT_EQ(2u, items[0].limits.size_class);
+	yajl_val body = json_tree_parse(body_.c_str(), body_.size());
+	yajl_val conditions = json_tree_get(body, "expected_rev");
+	ASSERT_EQ(1u, json_tree_count(conditions));
+	yajl_val condition = json_tree_at(conditions, 0);
+	EXPECT_STREQ(LIMITS_KEY, json_tree_get_text(condition, "key"));
+	EXPECT_EQ(41, json_tree_get_int(condition, "revision", -1));
+	yajl_tree_free(body);
+}
+
 struct SlowAnswerCase {
 	const char *name;
 	int pieces; /* of ten that are sent */
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -209,7 +209,12 @@
 			std::string(c->instance ? c->instance : ""));
 		int64_t own_revision =
 			own == m->items_.end() ? 0 : own->second.value.revision;
+		auto limits = m->items_.find("limits");
+		int64_t limits_revision = limits == m->items_.end() ?
+						  0 :
+						  limits->second.value.revision;
 		if ((c->lease && !m->leases_.count(c->lease)) ||
+		    (c->put_limits && c->limits_revision != limits_revision) ||
 		    (c->if_instance && c->instance_revision != own_revision) ||
 		    (c->if_duty && c->duty_revision != duty_revision)) {
 			a.outcome = STORE_REFUSED;
@@ -233,6 +238,13 @@
 			i.duty = *c->put_duty;
 			m->put_item(DUTY_KEY, i, c->lease);
 		}
+		if (c->put_limits) {
+			memset(&i, 0, sizeof(i));
+			i.kind = ITEM_LIMITS;
+			i.readable = true;
+			i.limits = *c->put_limits;
+			m->put_item("limits", i, 0);
+		}
 		if (c->put_choice) {
 			memset(&i, 0, sizeof(i));
 			i.kind = ITEM_CHOICE;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -7,6 +7,7 @@
 #include "../platform/line_wire.h"
 #include "../platform/record_json.h"
 #include "core/sizes.h"
+#include "limits/size_class.h"
 #include "proxy/admission.h"
 #include "proxy/mark_ring.h"
 #include "proxy/placement.h"
@@ -213,6 +214,7 @@
 		quota_configure(q, c, 0);
 		set_settled_fleet(q, 1, INT64_MAX, 0);
 		for (int64_t t = 0; t < 30 * S; t += 1 * MS) {
+			set_settled_fleet(q, 1, INT64_MAX, t);
 			quota_apply_grant(q, quota_workspace_hash("a"),
 					  rate * 540, t + S, t);
 			if (!quota_take(q, "a", t, &retry_us))
@@ -245,6 +247,7 @@
 	quota_configure(q, high, 0);
 	set_settled_fleet(q, 1, INT64_MAX, 0);
 	quota_configure(q, low, 10 * S);
+	set_settled_fleet(q, 1, INT64_MAX, 10 * S);
 	for (int i = 0; i < 200; i++)
 		admitted_at_once +=
 			!quota_take(q, "a", 10 * S + i * 10 * MS, &retry_us);
@@ -254,6 +257,7 @@
 	 */
 	EXPECT_GE(admitted_at_once, 50);
 	/* After one window only the lower limit and its tolerance apply. */
+	set_settled_fleet(q, 1, INT64_MAX, 15 * S);
 	for (int i = 0; i < 500; i++)
 		admitted_later +=
 			!quota_take(q, "a", 15 * S + i * 10 * MS, &retry_us);
@@ -263,6 +267,121 @@
 	fleet_config_free(low);
 }
 
+struct ModeCase {
+	const char *name;
+	bool recorded; /* the list has a record of this class */
+	uint32_t size_class;
+	bool settled;
+	int64_t after_us; /* since the list */
+	int rc; /* of a process that is home of both parts */
+};
+
+/* Class 2 counts the limit at homes, class 1 divides it. */
+const ModeCase mode_cases[] = {
+	{ "settled record", true, 2, true, 0, 0 },
+	{ "settled record of the other way", true, 1, true, 0, 0 },
+	{ "unsettled record", true, 2, false, 0, -ESTALE },
+	{ "unsettled record, a lease later", true, 2, false, 5 * S, 0 },
+	{ "unsettled record of the other way", true, 1, false, 0, 0 },
+	{ "no record", false, 0, false, 0, -ESTALE },
+	{ "no record, a lease later", false, 0, false, 5 * S, 0 },
+};
+
+/*
+ * A process that starts while others may still count in the previous way must
+ * not count small limits; with a settled record it counts at once.
+ */
+TEST(Quota, NewProcessCountsByTheRecord)
+{
+	for (const ModeCase &k : mode_cases) {
+		const struct limit_entry record = { k.size_class, k.settled };
+		struct fleet_config *c = make_limit_config(10);
+		struct quota *q = quota_new(&tolerance, "self");
+		int64_t now_us = 100 * S;
+		int64_t retry_us;
+
+		SCOPED_TRACE(k.name);
+		quota_configure(q, c, now_us);
+		if (k.recorded)
+			quota_set_record(q, &record, now_us);
+		set_settled_fleet(q, 14, INT64_MAX, now_us);
+		now_us += k.after_us;
+		set_settled_fleet(q, 14, INT64_MAX, now_us);
+		if (k.recorded && k.size_class == 1)
+			now_us += S; /* its part of the rate earns a token */
+		EXPECT_EQ(k.rc, quota_take(q, "a", now_us, &retry_us));
+		quota_free(q);
+		fleet_config_free(c);
+	}
+}
+
+/* With a record the class in force only rises, and only with the record. */
+TEST(Quota, ClassInForceOnlyRises)
+{
+	const struct limit_entry small = { 1, true };
+	const struct limit_entry large = { 2, true };
+	struct fleet_config *c = make_limit_config(10);
+	struct quota *q = quota_new(&tolerance, "self");
+	int64_t now_us = 100 * S;
+	int64_t retry_us;
+
+	quota_configure(q, c, now_us);
+	quota_set_record(q, &small, now_us);
+	set_settled_fleet(q, 11, INT64_MAX, now_us);
+	now_us += S;
+	EXPECT_EQ(0, quota_take(q, "a", now_us, &retry_us));
+	set_settled_fleet(q, 14, INT64_MAX, now_us);
+	EXPECT_EQ(-ESTALE, quota_take_for_peer(q, quota_half_hash("a", 0),
+					       now_us, &retry_us));
+	quota_set_record(q, &large, now_us);
+	EXPECT_EQ(-ESTALE, quota_take(q, "a", now_us, &retry_us));
+	now_us += 5 * S;
+	set_settled_fleet(q, 14, INT64_MAX, now_us);
+	EXPECT_EQ(0, quota_take(q, "a", now_us, &retry_us));
+	set_settled_fleet(q, 2, INT64_MAX, now_us);
+	EXPECT_EQ(0, quota_take(q, "a", now_us, &retry_us));
+	/* A store restored from an older copy, or without the record. */
+	quota_set_record(q, &small, now_us);
+	now_us += S;
+	set_settled_fleet(q, 2, INT64_MAX, now_us);
+	EXPECT_EQ(0, quota_take_for_peer(q, quota_half_hash("a", 0), now_us,
+					 &retry_us));
+	quota_free(q);
+	fleet_config_free(c);
+}
+
+TEST(SizeClass, CoversEachSize)
+{
+	const uint32_t firsts[] = { 0, 3, 12, 48, 192, 768 };
+
+	for (uint32_t i = 0; i < std::size(firsts); i++) {
+		EXPECT_EQ(i, size_class_of(firsts[i]));
+		if (i) {
+			EXPECT_EQ(i - 1, size_class_of(firsts[i] - 1));
+		}
+		EXPECT_EQ(i, size_class_of(size_class_typical(i)));
+	}
+	EXPECT_EQ((uint32_t)SIZE_CLASS_MAX, size_class_of(UINT32_MAX));
+	EXPECT_EQ(size_class_typical(SIZE_CLASS_MAX),
+		  size_class_typical(UINT32_MAX));
+}
+
+/* A view of the store older than a lease may lack a change of the way. */
+TEST(Quota, DividedLimitNeedsAFreshViewOfTheStore)
+{
+	struct fleet_config *c = make_limit_config(100);
+	struct quota *q = quota_new(&tolerance, "self");
+	struct quota_fleet f = { 1, 4 * S, INT64_MAX, true, 10 * S };
+	int64_t retry_us;
+
+	quota_configure(q, c, 10 * S);
+	quota_set_fleet(q, &f, 10 * S);
+	EXPECT_EQ(0, quota_take(q, "a", 13 * S, &retry_us));
+	EXPECT_EQ(-ESTALE, quota_take(q, "a", 14 * S, &retry_us));
+	quota_free(q);
+	fleet_config_free(c);
+}
+
 TEST(Quota, InstanceWithoutLeaseAdmitsNothing)
 {
 	struct fleet_config *c = make_limit_config(100);
@@ -577,6 +696,53 @@
 	}
 }
 
+struct LimitRecordCase {
+	const char *value;
+	bool readable;
+};
+
+const LimitRecordCase limit_record_cases[] = {
+	{ "{\"size_class\":3,\"settled\":true}", true },
+	{ "{\"size_class\":3,\"settled\":true,\"new\":[1]}", true },
+	{ "{\"size_class\":14,\"settled\":false}", true },
+	{ "{\"size_class\":15,\"settled\":true}", false },
+	{ "{\"size_class\":-1,\"settled\":true}", false },
+	{ "{\"size_class\":4294967297,\"settled\":true}", false },
+	{ "{\"size_class\":\"3\",\"settled\":true}", false },
+	{ "{\"size_class\":3.0,\"settled\":true}", false },
+	{ "{\"size_class\":3,\"settled\":1}", false },
+	{ "{\"size_class\":3}", false },
+	{ "{\"settled\":true}", false },
+	{ "[]", false },
+	{ "", false },
+};
+
+TEST(RecordJson, RejectsMalformedLimitRecords)
+{
+	for (const LimitRecordCase &k : limit_record_cases) {
+		struct store_item i = read_item(LIMITS_KEY, k.value);
+
+		EXPECT_EQ(ITEM_LIMITS, i.kind) << k.value;
+		EXPECT_EQ(k.readable, i.readable) << k.value;
+		store_item_clear(&i);
+	}
+}
+
+TEST(RecordJson, LimitRecordSurvivesARoundTrip)
+{
+	for (bool settled : { false, true }) {
+		const struct limit_entry l = { 3, settled };
+		struct store_item i =
+			read_item(LIMITS_KEY,
+				  decode_value(record_encode_limits(&l)));
+
+		EXPECT_TRUE(i.readable);
+		EXPECT_EQ(3u, i.limits.size_class);
+		EXPECT_EQ(settled, i.limits.settled);
+		store_item_clear(&i);
+	}
+}
+
 std::string format_member(int n)
 {
 	return "{\"id\":\"i-" + std::to_string(n) +
--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -253,6 +253,105 @@
 	return at;
 }
 
+/* Returns true if the node counts a part of workspace a's limit. */
+bool is_counter(ProxyModel &m, const std::string &name)
+{
+	struct quota_homes *h = quota_homes_new(m.nodes[0]->name.c_str());
+	bool found = false;
+
+	for (auto &n : m.nodes)
+		quota_homes_put(h, n->name.c_str(), true, 0);
+	for (uint32_t i = 0; i < QUOTA_HALVES; i++)
+		found |= name == quota_homes_find(h, quota_half_hash("a", i));
+	quota_homes_free(h);
+	return found;
+}
+
+/* Sends requests to the first `nodes` instances, one every 150 ms. */
+Load run_load_on(ProxyModel &m, const std::vector<int> &nodes,
+		 int64_t duration_us)
+{
+	int64_t end_us = m.now() + duration_us;
+	Load l;
+
+	while (m.now() < end_us) {
+		ProxyCaller *c = m.connect(nodes[m.rand() % nodes.size()],
+					   "bounded", "key-a");
+
+		l.requested++;
+		l.served += m.run_statement(c, "READ 1").ok;
+		m.disconnect(c);
+		m.run(150 * MS);
+	}
+	return l;
+}
+
+/*
+ * Guards against refusals by all instances when a part of them loses its
+ * leases: with fewer than 12 listed, all would count small limits in another
+ * way, and change back when the others return.
+ */
+TEST(ProxyQuotaHome, CountsOnWhileAPartOfTheFleetIsCutFromTheStore)
+{
+	ProxyModel m(make_fleet_opts(10));
+	std::vector<int> others;
+	int cut = 0;
+	Load l;
+
+	m.run(START_US);
+	for (int i = 0; i < NODES; i++) {
+		ProxyNode *n = m.nodes[i].get();
+
+		if (cut == 4 || is_counter(m, n->name)) {
+			others.push_back(i);
+			continue;
+		}
+		n->cut_from_store = true;
+		cut++;
+	}
+	l = run_load_on(m, others, 14 * S);
+	EXPECT_GE(l.served, l.requested * 98 / 100) << l.requested;
+	for (auto &n : m.nodes)
+		n->cut_from_store = false;
+	l = run_load_on(m, others, 10 * S);
+	EXPECT_GE(l.served, l.requested * 98 / 100) << l.requested;
+	expect_no_violations(m);
+}
+
+/*
+ * A process that starts while a part of the fleet is gone counts in the same
+ * way as those that have seen the whole fleet.
+ */
+TEST(ProxyQuotaHome, StartedProcessKnowsTheSizeClass)
+{
+	ProxyModel m(make_fleet_opts(10));
+	std::vector<int> others;
+	std::vector<int> started;
+	Load l;
+
+	m.run(START_US);
+	for (int i = 0; i < NODES; i++) {
+		ProxyNode *n = m.nodes[i].get();
+
+		if (is_counter(m, n->name)) {
+			others.push_back(i);
+			continue;
+		}
+		m.kill(n);
+		started.push_back(i);
+	}
+	m.run(FAILOVER_US);
+	started.resize(2);
+	for (int i : started)
+		m.start(m.nodes[i].get());
+	m.run(1 * S);
+	l = run_load_on(m, started, 10 * S);
+	EXPECT_GE(l.served, l.requested * 98 / 100) << l.requested;
+	l = run_load_on(m, others, 10 * S);
+	EXPECT_GE(l.served, l.requested * 98 / 100) << l.requested;
+	expect_no_violations(m);
+}
+
 /*
  * Guards against a time in which no instance counts while a home returns after more than a
  * lease without the store. The instance that counted meanwhile must go on until
