--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -252,7 +252,7 @@
 	e->instance_count = 1;
 	e->closed_conns = g_ptr_array_new();
 	e->closed_sessions = g_ptr_array_new();
-	e->quota = quota_new(&opts->tolerance, opts->instance);
+	e->quota = quota_new(&opts->tolerance, opts->instance, opts->zone);
 	e->quota_requests = quota_requests_new(e);
 	e->limit_record = limit_record_new(e);
 	e->division = quota_division_new();
--- a/src/proxy/limit_record.c
+++ b/src/proxy/limit_record.c
@@ -18,8 +18,8 @@
 	bool readable; /* that entry is; otherwise .stored is zero */
 	int64_t stored_since_us; /* when that revision was delivered */
 	bool listed; /* the entry was in the list so far */
-	uint32_t size_class; /* the highest that was seen there */
-	uint32_t wanted; /* class that the entry should have */
+	struct limit_entry seen; /* highest class and all zones seen there */
+	struct limit_entry wanted; /* what the entry should have */
 	int64_t outdated_since_us; /* 0: it is not */
 	int64_t write_not_before_us;
 	bool write_pending;
@@ -67,7 +67,8 @@
 	r->stored = item->limits;
 	r->readable = true;
 	r->stored_since_us = now_us;
-	r->size_class = MAX(r->size_class, item->limits.size_class);
+	r->seen.size_class = MAX(r->seen.size_class, item->limits.size_class);
+	zone_list_merge(&r->seen.zones, &item->limits.zones);
 	quota_set_record(e->quota, &item->limits, now_us);
 }
 
@@ -93,8 +94,7 @@
 static void write_record(struct limit_record *r, bool settled)
 {
 	struct engine *e = r->engine;
-	const struct limit_entry entry = { .size_class = r->wanted,
-					   .settled = settled };
+	struct limit_entry entry = r->wanted;
 	const struct store_change c = {
 		.put_limits = &entry,
 		.limits_revision = r->revision,
@@ -102,10 +102,11 @@
 		.duty_revision = (int64_t)duty_token(e->duty),
 	};
 
+	entry.settled = settled;
 	r->write_pending = true;
-	engine_log(e, LOG_LIMIT_RECORD_WRITTEN, 0, "limits", r->wanted,
-		   "%u instances, settled: %d", e->instance_count,
-		   (int)settled);
+	engine_log(e, LOG_LIMIT_RECORD_WRITTEN, 0, "limits", entry.size_class,
+		   "%u instances, %u zones, settled: %d", e->instance_count,
+		   entry.zones.count, (int)settled);
 	e->opts.store->ops->change(e->opts.store, &c, on_written, r);
 }
 
@@ -116,16 +117,39 @@
 		       quota_home_settle_us(engine_lease_ttl_us(r->engine));
 }
 
+/* The entry should have what was seen there, and what is listed now. */
+static void fill_wanted(const struct limit_record *r, struct limit_entry *out)
+{
+	const struct engine *e = r->engine;
+	GHashTableIter it;
+	gpointer instance;
+
+	*out = r->seen;
+	out->size_class =
+		MAX(out->size_class, size_class_of(e->instance_count));
+	zone_list_add(&out->zones, e->opts.zone);
+	g_hash_table_iter_init(&it, e->instances);
+	while (g_hash_table_iter_next(&it, NULL, &instance))
+		zone_list_add(&out->zones,
+			      ((struct instance_entry *)instance)->zone);
+}
+
+static bool counts_alike(const struct limit_entry *a,
+			 const struct limit_entry *b)
+{
+	return a->size_class == b->size_class &&
+	       zone_list_equal(&a->zones, &b->zones);
+}
+
 /* Determines whether the entry is outdated, and since when. */
 static void compare_with_stored(struct limit_record *r, int64_t now_us)
 {
-	uint32_t wanted =
-		MAX(r->size_class, size_class_of(r->engine->instance_count));
-	bool outdated = !r->readable || r->stored.size_class < wanted;
+	struct limit_entry wanted;
 
-	if (!outdated)
+	fill_wanted(r, &wanted);
+	if (r->readable && counts_alike(&r->stored, &wanted))
 		r->outdated_since_us = 0;
-	else if (!r->outdated_since_us || wanted != r->wanted)
+	else if (!r->outdated_since_us || !counts_alike(&r->wanted, &wanted))
 		r->outdated_since_us = now_us;
 	r->wanted = wanted;
 }
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -36,24 +36,28 @@
 	HOME_INITIAL_TOKENS_PERCENT = 10,
 };
 
-/* Half of a small limit, for when this instance is its home. */
-struct quota_half {
+/* A part of a small limit, for when this instance is its home. */
+struct quota_count {
 	uint64_t hash;
+	char zone[NAME_BYTES]; /* "": a half */
 	struct bucket bucket;
 	bool acting; /* this instance is its home and counts it */
 };
 
 /* The limit of a workspace at this instance. */
 struct quota_row {
+	char *name; /* the key of this row */
 	uint64_t hash;
 	uint32_t rate_milli_per_s; /* of the whole limit */
 	uint32_t burst_milli;
 	bool configured; /* in the current configuration */
-	/* Counted by the homes of its halves; otherwise divided. */
+	/* Counted by the homes of its parts; otherwise divided. */
 	bool counted_at_homes;
-	/* When counted_at_homes last changed; INT64_MIN: never. */
+	uint32_t zones_version; /* of its parts; 0: they are halves */
+	/* When one of these last changed; INT64_MIN: never. */
 	int64_t mode_since_us;
-	struct quota_half halves[QUOTA_HALVES];
+	struct quota_count parts[QUOTA_PARTS_MAX];
+	uint32_t part_count;
 	struct bucket bucket; /* for a divided limit */
 	uint32_t granted_milli_per_s;
 	int64_t granted_until_us;
@@ -70,12 +74,18 @@
 struct quota {
 	struct quota_tolerance tolerance;
 	GHashTable *rows; /* workspace name to struct quota_row */
-	/* &hash of a workspace or a half to struct quota_row */
+	/* &hash of a workspace or a part to struct quota_row */
 	GHashTable *by_hash;
 	char instance[NAME_BYTES]; /* this instance */
+	char zone[NAME_BYTES]; /* of this instance */
 	struct quota_fleet fleet;
 	struct size_class size_class;
-	bool record_settled; /* as the store's record says of this class */
+	/* As recorded in the store; before, as listed. */
+	struct zone_list zones;
+	uint32_t zones_version; /* grows with each change of zones */
+	uint32_t applied_version; /* by quota_set_fleet() */
+	bool recorded;
+	bool record_settled; /* as the store's record says of these */
 	struct quota_homes *homes;
 };
 
@@ -89,8 +99,13 @@
 	return XXH64(workspace, strlen(workspace), half + 1);
 }
 
+uint64_t quota_zone_part_hash(const char *workspace, const char *zone)
+{
+	return XXH64(zone, strlen(zone), quota_workspace_hash(workspace));
+}
+
 struct quota *quota_new(const struct quota_tolerance *tolerance,
-			const char *instance)
+			const char *instance, const char *zone)
 {
 	struct quota *q = g_new0(struct quota, 1);
 
@@ -99,7 +114,10 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	q->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_strlcpy(q->instance, instance, sizeof(q->instance));
-	q->homes = quota_homes_new(instance);
+	g_strlcpy(q->zone, zone, sizeof(q->zone));
+	q->homes = quota_homes_new(instance, zone);
+	q->zones_version = 1;
+	zone_list_add(&q->zones, zone);
 	q->fleet.lease_until_us = INT64_MIN;
 
 	q->fleet.confirmed_us = INT64_MIN;
@@ -181,13 +199,14 @@
 }
 
 static bool acts_as_home(const struct quota *q, const struct quota_row *r,
-			 const struct quota_half *half, int64_t now_us)
+			 const struct quota_count *c, int64_t now_us)
 {
 	const struct quota_fleet *f = &q->fleet;
+	const struct quota_part part = { c->hash, c->zone };
 
 	return r->counted_at_homes && f->settled && knows_fleet(f, now_us) &&
 	       is_settled(q, r, now_us) &&
-	       now_us < quota_homes_valid_until_us(q->homes, half->hash,
+	       now_us < quota_homes_valid_until_us(q->homes, &part,
 						   f->lease_ttl_us);
 }
 
@@ -202,59 +221,106 @@
 	return (uint32_t)MIN(rate, r->rate_milli_per_s);
 }
 
-static void update_half_bucket(const struct quota *q, struct quota_row *r,
-			       struct quota_half *h, int64_t now_us)
+/* Returns the tokens that all parts of a small limit hold at most. */
+static uint64_t calculate_home_burst_milli(const struct quota *q,
+					   const struct quota_row *r)
+{
+	return r->burst_milli + calculate_tolerance_milli(q, r) *
+					BURST_TOLERANCE_PERCENT / PERCENT;
+}
+
+static void update_part_bucket(const struct quota *q, struct quota_row *r,
+			       struct quota_count *c, int64_t now_us)
 {
-	bool acted = h->acting;
-	uint64_t tolerated = calculate_tolerance_milli(q, r) / QUOTA_HALVES;
-	uint64_t capacity = r->burst_milli / QUOTA_HALVES +
-			    tolerated * BURST_TOLERANCE_PERCENT / PERCENT;
+	bool acted = c->acting;
+	uint64_t capacity = calculate_home_burst_milli(q, r) / r->part_count;
+	uint64_t initial = calculate_tolerance_milli(q, r) / r->part_count *
+			   HOME_INITIAL_TOKENS_PERCENT / PERCENT;
 
-	h->acting = acts_as_home(q, r, h, now_us);
-	bucket_advance(&h->bucket, now_us);
-	if (!h->acting) {
-		bucket_resize(&h->bucket, 0, 0);
+	c->acting = acts_as_home(q, r, c, now_us);
+	bucket_advance(&c->bucket, now_us);
+	if (!c->acting) {
+		bucket_resize(&c->bucket, 0, 0);
 		return;
 	}
-	bucket_resize(&h->bucket, r->rate_milli_per_s / QUOTA_HALVES,
+	bucket_resize(&c->bucket, r->rate_milli_per_s / r->part_count,
 		      (uint32_t)MIN(capacity, UINT32_MAX / 2));
 	if (!acted)
-		bucket_add(&h->bucket,
-			   (uint32_t)(tolerated * HOME_INITIAL_TOKENS_PERCENT /
-				      PERCENT));
+		bucket_add(&c->bucket, (uint32_t)initial);
+}
+
+/* Returns the version of the zones that have parts of the limit, or 0. */
+static uint32_t choose_zones_version(const struct quota *q,
+				     const struct quota_row *r)
+{
+	uint32_t zones = q->zones.count;
+
+	return zones >= QUOTA_HALVES &&
+			       calculate_home_burst_milli(q, r) / zones >=
+				       OPERATION_MILLI ?
+		       q->zones_version :
+		       0;
+}
+
+static void set_parts(struct quota *q, struct quota_row *r, const char *name,
+		      int64_t now_us)
+{
+	bool zoned = r->zones_version != 0;
+
+	for (uint32_t i = 0; i < r->part_count; i++)
+		g_hash_table_remove(q->by_hash, &r->parts[i].hash);
+	r->part_count = zoned ? q->zones.count : QUOTA_HALVES;
+	for (uint32_t i = 0; i < r->part_count; i++) {
+		struct quota_count *c = &r->parts[i];
+
+		memset(c, 0, sizeof(*c));
+		c->bucket.updated_us = now_us;
+		if (zoned)
+			g_strlcpy(c->zone, q->zones.names[i], sizeof(c->zone));
+		c->hash = zoned ? quota_zone_part_hash(name, c->zone) :
+				  quota_half_hash(name, i);
+		g_hash_table_insert(q->by_hash, &c->hash, r);
+	}
 }
 
 /*
- * Decides by the size of the fleet whether the limit is divided or counted by
- * homes.
+ * Decides by the size and the zones of the fleet how the limit is counted.
+ * Returns true if that changed.
  */
-static void update_mode(const struct quota *q, struct quota_row *r,
-			int64_t now_us)
+static bool choose_mode(struct quota *q, struct quota_row *r, int64_t now_us)
 {
 	bool counted_at_homes = !is_unlimited(r) && is_small(q, r);
+	uint32_t version = counted_at_homes ? choose_zones_version(q, r) : 0;
 
-	if (counted_at_homes == r->counted_at_homes || !q->fleet.instances)
-		return;
+	if (counted_at_homes == r->counted_at_homes &&
+	    version == r->zones_version)
+		return false;
 	r->counted_at_homes = counted_at_homes;
+	r->zones_version = version;
+	set_parts(q, r, r->name, now_us);
+	return true;
+}
+
+static void update_mode(struct quota *q, struct quota_row *r, int64_t now_us)
+{
+	if (!q->fleet.instances || !choose_mode(q, r, now_us))
+		return;
 	r->mode_since_us = now_us;
 	r->granted_until_us = INT64_MIN;
 	r->retained_until_us = INT64_MIN;
 	bucket_clear(&r->bucket, now_us);
-	for (uint32_t i = 0; i < QUOTA_HALVES; i++)
-		r->halves[i].acting = false;
 }
 
 /* Updates rate and burst to the current limits, grants and fleet. */
-static void update_bucket(const struct quota *q, struct quota_row *r,
-			  int64_t now_us)
+static void update_bucket(struct quota *q, struct quota_row *r, int64_t now_us)
 {
 	uint64_t capacity;
 	uint32_t rate;
 
 	update_mode(q, r, now_us);
 	if (r->counted_at_homes) {
-		for (uint32_t i = 0; i < QUOTA_HALVES; i++)
-			update_half_bucket(q, r, &r->halves[i], now_us);
+		for (uint32_t i = 0; i < r->part_count; i++)
+			update_part_bucket(q, r, &r->parts[i], now_us);
 		return;
 	}
 	rate = calculate_local_rate(q, r, now_us);
@@ -278,13 +344,10 @@
 	r->bucket.updated_us = now_us;
 	r->measured_since_us = now_us;
 	r->mode_since_us = INT64_MIN;
-	g_hash_table_insert(q->rows, g_strdup(name), r);
+	r->name = g_strdup(name);
+	g_hash_table_insert(q->rows, r->name, r);
 	g_hash_table_insert(q->by_hash, &r->hash, r);
-	for (uint32_t i = 0; i < QUOTA_HALVES; i++) {
-		r->halves[i].hash = quota_half_hash(name, i);
-		r->halves[i].bucket.updated_us = now_us;
-		g_hash_table_insert(q->by_hash, &r->halves[i].hash, r);
-	}
+	set_parts(q, r, r->name, now_us);
 	return r;
 }
 
@@ -293,8 +356,7 @@
  * previous limit may still be spent for the length of a window, so that callers
  * are not cut off in the middle of their work.
  */
-static void retain_tokens(const struct quota *q, struct quota_row *r,
-			  int64_t now_us)
+static void retain_tokens(struct quota *q, struct quota_row *r, int64_t now_us)
 {
 	update_bucket(q, r, now_us);
 	r->retained_milli = r->bucket.level_milli;
@@ -328,7 +390,7 @@
 	if (is_unlimited(r))
 		return;
 	if (is_new) {
-		r->counted_at_homes = is_small(q, r);
+		choose_mode(q, r, now_us);
 		start_mode(q, r, now_us);
 	}
 	update_bucket(q, r, now_us);
@@ -370,8 +432,9 @@
 	gpointer row;
 
 	q->fleet = *f;
-	if (same)
+	if (same && q->applied_version == q->zones_version)
 		return;
+	q->applied_version = q->zones_version;
 	size_class_count(&q->size_class, f->instances);
 	update_rows(q, now_us);
 	if (!fleet_was_unknown)
@@ -381,12 +444,30 @@
 		start_mode(q, row, now_us);
 }
 
+/* The first record replaces the zones listed; later ones add to it. */
+static bool record_zones(struct quota *q, const struct zone_list *zones)
+{
+	bool changed;
+
+	if (q->recorded) {
+		changed = zone_list_merge(&q->zones, zones);
+	} else {
+		changed = !zone_list_equal(&q->zones, zones);
+		q->zones = *zones;
+		q->recorded = true;
+	}
+	q->zones_version += changed;
+	return changed;
+}
+
 void quota_set_record(struct quota *q, const struct limit_entry *l,
 		      int64_t now_us)
 {
 	bool changed = size_class_record(&q->size_class, l->size_class);
 
-	if (l->size_class == q->size_class.number)
+	changed |= record_zones(q, &l->zones);
+	if (l->size_class == q->size_class.number &&
+	    zone_list_equal(&l->zones, &q->zones))
 		q->record_settled = l->settled;
 	if (changed)
 		update_rows(q, now_us);
@@ -395,7 +476,9 @@
 void quota_put_instance(struct quota *q, const struct instance_entry *e,
 			int64_t absent_us)
 {
-	quota_homes_put(q->homes, e->name, e->settled, absent_us);
+	quota_homes_put(q->homes, e->name, e->zone, e->settled, absent_us);
+	if (!q->recorded && zone_list_add(&q->zones, e->zone))
+		q->zones_version++;
 }
 
 void quota_remove_instance(struct quota *q, const char *instance)
@@ -403,11 +486,6 @@
 	quota_homes_remove(q->homes, instance);
 }
 
-const char *quota_find_home(struct quota *q, uint64_t half)
-{
-	return quota_homes_find(q->homes, half);
-}
-
 static int take_operation(struct quota_row *r, struct bucket *b,
 			  int64_t *retry_us)
 {
@@ -422,30 +500,53 @@
 	return -EAGAIN;
 }
 
+static const char *find_home(const struct quota *q, const struct quota_count *c)
+{
+	const struct quota_part part = { c->hash, c->zone };
+
+	return quota_homes_find(q->homes, &part);
+}
+
 /*
- * Takes an operation from a half that is counted here. Returns -EINPROGRESS if
- * that fails and another instance is the home of a half.
+ * Takes an operation from a part that is counted here. Returns -EINPROGRESS if
+ * that fails and another instance is the home of a part.
  */
-static int take_from_halves(struct quota *q, struct quota_row *r,
-			    int64_t *retry_us)
+static int take_from_parts(struct quota *q, struct quota_row *r,
+			   int64_t *retry_us)
 {
 	bool elsewhere = false;
 	int rc = -ESTALE;
 
-	for (uint32_t i = 0; i < QUOTA_HALVES; i++) {
-		struct quota_half *h = &r->halves[i];
+	for (uint32_t i = 0; i < r->part_count; i++) {
+		struct quota_count *c = &r->parts[i];
 
-		if (h->acting) {
-			rc = take_operation(r, &h->bucket, retry_us);
+		if (c->acting) {
+			rc = take_operation(r, &c->bucket, retry_us);
 			if (!rc)
 				return 0;
 		}
-		elsewhere |=
-			strcmp(quota_find_home(q, h->hash), q->instance) != 0;
+		elsewhere |= strcmp(find_home(q, c), q->instance) != 0;
 	}
 	return elsewhere ? -EINPROGRESS : rc;
 }
 
+uint32_t quota_get_sources(struct quota *q, const char *workspace,
+			   struct quota_source *out)
+{
+	const struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+
+	if (!r)
+		return 0;
+	for (uint32_t i = 0; i < r->part_count; i++) {
+		const struct quota_count *c = &r->parts[i];
+
+		out[i].part = c->hash;
+		out[i].home = find_home(q, c);
+		out[i].near = *c->zone && !strcmp(c->zone, q->zone);
+	}
+	return r->part_count;
+}
+
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us)
 {
@@ -458,25 +559,25 @@
 	if (!q->fleet.instances || now_us >= q->fleet.lease_until_us)
 		return -ESTALE;
 	if (r->counted_at_homes)
-		return take_from_halves(q, r, retry_us);
+		return take_from_parts(q, r, retry_us);
 	return is_settled(q, r, now_us) && knows_fleet(&q->fleet, now_us) ?
 		       take_operation(r, &r->bucket, retry_us) :
 		       -ESTALE;
 }
 
-int quota_take_for_peer(struct quota *q, uint64_t half, int64_t now_us,
+int quota_take_for_peer(struct quota *q, uint64_t part, int64_t now_us,
 			int64_t *retry_us)
 {
-	struct quota_row *r = g_hash_table_lookup(q->by_hash, &half);
+	struct quota_row *r = g_hash_table_lookup(q->by_hash, &part);
 
 	if (!r || is_unlimited(r))
 		return -ESTALE;
 	update_bucket(q, r, now_us);
-	for (uint32_t i = 0; i < QUOTA_HALVES; i++) {
-		struct quota_half *h = &r->halves[i];
+	for (uint32_t i = 0; i < r->part_count; i++) {
+		struct quota_count *c = &r->parts[i];
 
-		if (h->hash == half && h->acting)
-			return take_operation(r, &h->bucket, retry_us);
+		if (c->hash == part && c->acting)
+			return take_operation(r, &c->bucket, retry_us);
 	}
 	return -ESTALE;
 }
@@ -531,11 +632,11 @@
 		if (now_us < r->granted_until_us)
 			s.granted_milli_per_s = r->granted_milli_per_s;
 		s.level_milli = r->bucket.level_milli;
-		for (uint32_t i = 0; r->counted_at_homes && i < QUOTA_HALVES;
+		for (uint32_t i = 0; r->counted_at_homes && i < r->part_count;
 		     i++) {
 			s.rate_milli_per_s +=
-				r->halves[i].bucket.rate_milli_per_s;
-			s.level_milli += r->halves[i].bucket.level_milli;
+				r->parts[i].bucket.rate_milli_per_s;
+			s.level_milli += r->parts[i].bucket.level_milli;
 		}
 		s.admitted = r->admitted;
 		s.refused = r->refused;
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -16,13 +16,15 @@
  * below the tolerance in every window.
  *
  * A limit is small if an even part of its tolerance is less than two
- * operations. A small limit is not divided but counted in two halves. Each half
- * is counted by one instance, its home, so that a silent home costs only half
- * of the limit; see quota_homes.h. When a limit changes between divided and
- * small, each instance admits no operations of it for a little more than a
- * lease. By then no instance can still be counting it in the previous way.
- * Which limits are small depends on the fleet's size class, which only rises;
- * see limit_record.h.
+ * operations. A small limit is not divided but counted in one part for each
+ * availability zone, or in two halves if there is only one zone or a zone's
+ * part would admit no operation. Each part is counted by one instance, its
+ * home, in that zone if there is any, so that a silent home or a zone that is
+ * cut off costs only its part of the limit; see quota_homes.h. When a limit
+ * changes between divided and small, or its parts change, each instance admits
+ * no operations of it for a little more than a lease. By then no instance can
+ * still be counting it in the previous way. Which limits are small, and their
+ * parts, follow from a record in the store that only grows; see limit_record.h.
  */
 #ifndef PROXY_QUOTA_H
 #define PROXY_QUOTA_H
@@ -45,11 +47,11 @@
 uint64_t quota_workspace_hash(const char *name);
 
 /*
- * Freed with quota_free(). Copies its arguments; `instance` is the name of this
- * instance.
+ * Freed with quota_free(). Copies its arguments; `instance` and `zone` are
+ * those of this instance.
  */
 struct quota *quota_new(const struct quota_tolerance *tolerance,
-			const char *instance);
+			const char *instance, const char *zone);
 void quota_free(struct quota *q);
 
 void quota_set_tolerance(struct quota *q,
@@ -90,28 +92,39 @@
  * is used up, with *retry_us set to the expected wait for the next operation;
  * -ESTALE if this instance must not count the limit now, because others may be
  * counting it; or -EINPROGRESS if the operation has to be requested from the
- * homes of the limit's halves, see quota_requests.h.
+ * homes of the limit's parts, see quota_requests.h.
  */
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us);
 
-enum { QUOTA_HALVES = 2 };
+/* Parts of a limit without parts by zone. */
+enum { QUOTA_HALVES = 2, QUOTA_PARTS_MAX = ZONES_MAX };
 
-/* Returns the hash that names a half in messages between instances. */
+/* Return the hash that names a half or the part of a zone in messages. */
 uint64_t quota_half_hash(const char *workspace, uint32_t half);
+uint64_t quota_zone_part_hash(const char *workspace, const char *zone);
+
+/* A part of a limit as this instance knows it. */
+struct quota_source {
+	uint64_t part; /* hash */
+	/* Valid until an instance is removed; see quota_homes_find(). */
+	const char *home;
+	bool near; /* it is the part of this instance's zone */
+};
 
 /*
- * Returns the name of the instance that counts a half for all instances; see
- * quota_homes_find().
+ * Fills in the parts of the workspace's limit, at most QUOTA_PARTS_MAX. Returns
+ * their number, 0 if the workspace is not known.
  */
-const char *quota_find_home(struct quota *q, uint64_t half);
+uint32_t quota_get_sources(struct quota *q, const char *workspace,
+			   struct quota_source *out);
 
 /*
- * Takes one operation from a half for another instance, as the home of that
- * half. Returns 0; -EAGAIN if the half is used up, with *retry_us set; or
+ * Takes one operation from a part for another instance, as the home of that
+ * part. Returns 0; -EAGAIN if the part is used up, with *retry_us set; or
  * -ESTALE if this instance is not its home now.
  */
-int quota_take_for_peer(struct quota *q, uint64_t half, int64_t now_us,
+int quota_take_for_peer(struct quota *q, uint64_t part, int64_t now_us,
 			int64_t *retry_us);
 
 /* Counts an operation that was refused because the limit was used up. */
--- a/src/proxy/quota_homes.c
+++ b/src/proxy/quota_homes.c
@@ -1,5 +1,7 @@
 #include "proxy/quota_homes.h"
 
+#include "core/sizes.h"
+
 #include <glib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -16,13 +18,15 @@
 
 struct candidate {
 	char *name;
+	char zone[NAME_BYTES];
 	bool settled;
 	int64_t absent_us; /* see quota_homes_put() */
 };
 
-/* The home of one half, by the current entries. */
+/* The home of one part, by the current entries. */
 struct home {
-	uint64_t half;
+	uint64_t hash;
+	char zone[NAME_BYTES];
 	/* The settled candidate with the highest score, or NULL. */
 	const struct candidate *best_settled;
 	/* The highest score of all candidates, this instance included. */
@@ -36,7 +40,7 @@
 	 */
 	struct candidate *self;
 	GHashTable *candidates; /* instance name to struct candidate */
-	GHashTable *homes; /* &half to struct home; filled on demand */
+	GHashTable *homes; /* &hash to struct home; filled on demand */
 };
 
 static void candidate_free(gpointer p)
@@ -57,7 +61,7 @@
 	return lease_us * VIEW_AGE_PERCENT / PERCENT;
 }
 
-struct quota_homes *quota_homes_new(const char *self)
+struct quota_homes *quota_homes_new(const char *self, const char *zone)
 {
 	struct quota_homes *h = g_new0(struct quota_homes, 1);
 
@@ -65,7 +69,7 @@
 					      candidate_free);
 	h->homes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
-	quota_homes_put(h, self, false, INT64_MIN);
+	quota_homes_put(h, self, zone, false, INT64_MIN);
 	h->self = g_hash_table_lookup(h->candidates, self);
 	return h;
 }
@@ -77,23 +81,28 @@
 	g_free(h);
 }
 
-static uint64_t score_candidate(const struct candidate *c, uint64_t half)
+static uint64_t score_candidate(const struct candidate *c, uint64_t hash)
 {
-	return XXH64(c->name, strlen(c->name), half);
+	return XXH64(c->name, strlen(c->name), hash);
 }
 
-/* With equal scores the lower name wins, so that all instances agree. */
+/*
+ * The same order on all instances: first those of the part's zone; with equal
+ * scores the lower name wins.
+ */
 static const struct candidate *
 choose_better_candidate(const struct candidate *a, const struct candidate *b,
-			uint64_t half)
+			const struct quota_part *p)
 {
 	uint64_t score_a;
 	uint64_t score_b;
 
 	if (!a || !b || a == b)
 		return a ? a : b;
-	score_a = score_candidate(a, half);
-	score_b = score_candidate(b, half);
+	if (!strcmp(a->zone, p->zone) != !strcmp(b->zone, p->zone))
+		return strcmp(a->zone, p->zone) ? b : a;
+	score_a = score_candidate(a, p->hash);
+	score_b = score_candidate(b, p->hash);
 	if (score_a != score_b)
 		return score_a > score_b ? a : b;
 	return strcmp(a->name, b->name) < 0 ? a : b;
@@ -101,31 +110,38 @@
 
 static void add_candidate(struct home *home, const struct candidate *c)
 {
-	home->best = choose_better_candidate(home->best, c, home->half);
+	const struct quota_part p = { home->hash, home->zone };
+
+	home->best = choose_better_candidate(home->best, c, &p);
 	if (c->settled)
-		home->best_settled = choose_better_candidate(home->best_settled,
-							     c, home->half);
+		home->best_settled =
+			choose_better_candidate(home->best_settled, c, &p);
 }
 
-void quota_homes_put(struct quota_homes *h, const char *instance, bool settled,
-		     int64_t absent_us)
+void quota_homes_put(struct quota_homes *h, const char *instance,
+		     const char *zone, bool settled, int64_t absent_us)
 {
 	struct candidate *c = g_hash_table_lookup(h->candidates, instance);
 	GHashTableIter it;
 	gpointer home;
 
-	if (c && c->settled == settled)
+	if (c && c->settled == settled && !strcmp(c->zone, zone))
 		return;
-	if (c && !settled) {
-		/* Its settled entry was lost: treat it like a new instance. */
-		c->settled = false;
+	if (c && (!settled || strcmp(c->zone, zone) != 0)) {
+		/*
+		 * Its settled entry was lost, or it was in another zone: treat
+		 * it like a new instance.
+		 */
+		c->settled = settled;
 		c->absent_us = absent_us;
+		g_strlcpy(c->zone, zone, sizeof(c->zone));
 		g_hash_table_remove_all(h->homes);
 		return;
 	}
 	if (!c) {
 		c = g_new0(struct candidate, 1);
 		c->name = g_strdup(instance);
+		g_strlcpy(c->zone, zone, sizeof(c->zone));
 		c->absent_us = absent_us;
 		g_hash_table_insert(h->candidates, c->name, c);
 	}
@@ -155,35 +171,38 @@
 	g_hash_table_remove(h->candidates, instance);
 }
 
-static const struct home *find_home(struct quota_homes *h, uint64_t half)
+static const struct home *find_home(struct quota_homes *h,
+				    const struct quota_part *p)
 {
-	struct home *home = g_hash_table_lookup(h->homes, &half);
+	struct home *home = g_hash_table_lookup(h->homes, &p->hash);
 	GHashTableIter it;
 	gpointer c;
 
 	if (home)
 		return home;
 	home = g_new0(struct home, 1);
-	home->half = half;
+	home->hash = p->hash;
+	g_strlcpy(home->zone, p->zone, sizeof(home->zone));
 	g_hash_table_iter_init(&it, h->candidates);
 	while (g_hash_table_iter_next(&it, NULL, &c))
 		add_candidate(home, c);
-	g_hash_table_insert(h->homes, &home->half, home);
+	g_hash_table_insert(h->homes, &home->hash, home);
 	return home;
 }
 
-const char *quota_homes_find(struct quota_homes *h, uint64_t half)
+const char *quota_homes_find(struct quota_homes *h, const struct quota_part *p)
 {
-	const struct home *home = find_home(h, half);
+	const struct home *home = find_home(h, p);
 
 	return home->best_settled ? home->best_settled->name : home->best->name;
 }
 
 /*
- * Returns when this instance must stop counting the half: the earliest end set
+ * Returns when this instance must stop counting the part: the earliest end set
  * by the unsettled instances with a higher score.
  */
-static int64_t find_earliest_end_us(const struct quota_homes *h, uint64_t half,
+static int64_t find_earliest_end_us(const struct quota_homes *h,
+				    const struct quota_part *p,
 				    int64_t lease_us)
 {
 	int64_t end_us = INT64_MAX;
@@ -195,7 +214,7 @@
 		const struct candidate *c = value;
 
 		if (c == h->self ||
-		    choose_better_candidate(c, h->self, half) == h->self)
+		    choose_better_candidate(c, h->self, p) == h->self)
 			continue;
 		if (c->absent_us == INT64_MIN)
 			return INT64_MIN;
@@ -205,16 +224,15 @@
 	return end_us;
 }
 
-int64_t quota_homes_valid_until_us(struct quota_homes *h, uint64_t half,
-				   int64_t lease_us)
+int64_t quota_homes_valid_until_us(struct quota_homes *h,
+				   const struct quota_part *p, int64_t lease_us)
 {
-	const struct home *home = find_home(h, half);
+	const struct home *home = find_home(h, p);
 
 	if (home->best == h->self)
 		return INT64_MAX;
 	if (home->best_settled &&
-	    choose_better_candidate(home->best_settled, h->self, half) !=
-		    h->self)
+	    choose_better_candidate(home->best_settled, h->self, p) != h->self)
 		return INT64_MIN;
-	return find_earliest_end_us(h, half, lease_us);
+	return find_earliest_end_us(h, p, lease_us);
 }
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -1,13 +1,14 @@
 /*
- * quota_homes.h - selects the instance that counts half of a small limit.
+ * quota_homes.h - selects the instance that counts a part of a small limit.
  *
  * Divided among many instances, a small limit leaves less than one operation to
- * each. Such a limit is counted in two halves, and each half has a home: the
- * instance in the store with the highest score, a hash of its name and the
- * half. The other instances request every operation from the home; see
- * quota_requests.h.
+ * each. Such a limit is counted in a few parts, and each part has a home: the
+ * instance in the store with the highest score. An instance of the part's zone
+ * scores higher than any other; beyond that the score is a hash of the
+ * instance's name and the part. The other instances request every operation
+ * from a home; see quota_requests.h.
  *
- * Two instances never count the same half at the same time:
+ * Two instances never count the same part at the same time:
  *  - An instance becomes home only once its entry is settled, which takes
  *    longer than a lease (see store_feed.h). By then every other instance has
  *    seen the entry, or its view of the store is too old for it to be home, or
@@ -34,32 +35,39 @@
 
 struct quota_homes;
 
-/* Freed with quota_homes_free(). `self` is the name of this instance. */
-struct quota_homes *quota_homes_new(const char *self);
+/* A part of a limit. */
+struct quota_part {
+	uint64_t hash; /* names it in messages between instances */
+	const char *zone; /* of its home if there is any; "": no zone */
+};
+
+/* Freed with quota_homes_free(). `self` and `zone` are this instance's. */
+struct quota_homes *quota_homes_new(const char *self, const char *zone);
 void quota_homes_free(struct quota_homes *h);
 
 /*
  * Record that an instance's entry is in the store (put) or has left it
  * (remove). absent_us is the latest time at which the store is known not to
- * have had the entry with this value of `settled`.
+ * have had the entry with this value of `settled`, in this zone.
  */
-void quota_homes_put(struct quota_homes *h, const char *instance, bool settled,
-		     int64_t absent_us);
+void quota_homes_put(struct quota_homes *h, const char *instance,
+		     const char *zone, bool settled, int64_t absent_us);
 void quota_homes_remove(struct quota_homes *h, const char *instance);
 
 /*
- * Returns the name of the instance that gets requests for the half: the settled
+ * Returns the name of the instance that gets requests for the part: the settled
  * one with the highest score, or the one with the highest score of all if none
  * is settled. Valid until that instance is removed.
  */
-const char *quota_homes_find(struct quota_homes *h, uint64_t half);
+const char *quota_homes_find(struct quota_homes *h, const struct quota_part *p);
 
 /*
  * Returns until when this instance, if its own entry is settled, is the home of
- * the half, by what it knows of the others. INT64_MIN: it is not the home;
+ * the part, by what it knows of the others. INT64_MIN: it is not the home;
  * INT64_MAX: no end is known.
  */
-int64_t quota_homes_valid_until_us(struct quota_homes *h, uint64_t half,
+int64_t quota_homes_valid_until_us(struct quota_homes *h,
+				   const struct quota_part *p,
 				   int64_t lease_us);
 
 #endif
--- a/src/proxy/quota_requests.c
+++ b/src/proxy/quota_requests.c
@@ -12,7 +12,7 @@
 	char home[NAME_BYTES]; /* instance that got the last request */
 	int64_t started_us;
 	int64_t sent_us;
-	uint32_t tried; /* bit i: half i has been requested */
+	uint32_t tried; /* bit i: part i has been requested */
 	/* The most informative answer so far. */
 	int rc;
 	int64_t retry_us;
@@ -44,6 +44,7 @@
 	g_free(reqs);
 }
 
+/* Returns true if the home must not be asked now. */
 static bool home_is_silent(const struct quota_requests *reqs, const char *home,
 			   int64_t now_us)
 {
@@ -52,45 +53,73 @@
 	return until_us && now_us < *until_us;
 }
 
+static void set_silent_until(struct quota_requests *reqs, const char *home,
+			     int64_t until_us)
+{
+	g_hash_table_replace(reqs->silent, g_strdup(home),
+			     g_memdup2(&until_us, sizeof(until_us)));
+}
+
 static void send_request(struct quota_requests *reqs, struct quota_request *r,
-			 uint64_t half, const char *home, int64_t now_us)
+			 const struct quota_source *src, int64_t now_us)
 {
 	struct engine *e = reqs->engine;
 	struct peer_message m = { .type = PEER_QUOTA_REQUEST };
 
 	r->sequence = ++reqs->last_sequence;
 	r->sent_us = now_us;
-	g_strlcpy(r->home, home, sizeof(r->home));
+	g_strlcpy(r->home, src->home, sizeof(r->home));
 	g_hash_table_insert(reqs->pending, &r->sequence, r);
-	g_strlcpy(m.peer, home, sizeof(m.peer));
+	/* Only one request tries whether a silent home answers again. */
+	if (g_hash_table_contains(reqs->silent, src->home))
+		set_silent_until(reqs, src->home,
+				 now_us + QUOTA_REQUEST_TIMEOUT_US);
+	g_strlcpy(m.peer, src->home, sizeof(m.peer));
 	m.quota_request.sequence = r->sequence;
-	m.quota_request.half = half;
+	m.quota_request.half = src->part;
 	e->opts.ops->peer_send(e->opts.host, &m);
 }
 
 /*
- * Sends a request for a half that was not tried yet. Requests start with
- * alternating halves, so that each half gets half of the operations.
+ * Returns the part to ask next, or NULL: first the one of this zone, then the
+ * others, of which each is the first in turn.
  */
-static bool request_next_half(struct quota_requests *reqs,
-			      struct quota_request *r, int64_t now_us)
+static const struct quota_source *
+choose_source(const struct quota_requests *reqs, const struct quota_request *r,
+	      const struct quota_source *sources, uint32_t count,
+	      int64_t now_us)
 {
-	struct engine *e = reqs->engine;
+	const struct quota_source *found = NULL;
 
-	for (uint32_t i = 0; i < QUOTA_HALVES; i++) {
-		uint32_t half =
-			(uint32_t)((reqs->last_sequence + i) % QUOTA_HALVES);
-		uint64_t hash = quota_half_hash(r->session->workspace, half);
-		const char *home = quota_find_home(e->quota, hash);
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t at = (uint32_t)((reqs->last_sequence + i) % count);
+		const struct quota_source *src = &sources[at];
 
-		if (r->tried & 1U << half || !strcmp(home, e->opts.instance) ||
-		    home_is_silent(reqs, home, now_us))
+		if (r->tried & 1U << at ||
+		    !strcmp(src->home, reqs->engine->opts.instance) ||
+		    home_is_silent(reqs, src->home, now_us))
 			continue;
-		r->tried |= 1U << half;
-		send_request(reqs, r, hash, home, now_us);
-		return true;
+		if (!found || src->near)
+			found = src;
 	}
-	return false;
+	return found;
+}
+
+/* Sends a request for a part that was not tried yet. */
+static bool request_next_part(struct quota_requests *reqs,
+			      struct quota_request *r, int64_t now_us)
+{
+	struct quota_source sources[QUOTA_PARTS_MAX];
+	uint32_t count = quota_get_sources(reqs->engine->quota,
+					   r->session->workspace, sources);
+	const struct quota_source *src =
+		choose_source(reqs, r, sources, count, now_us);
+
+	if (!src || now_us - r->started_us >= QUOTA_ASK_MAX_US)
+		return false;
+	r->tried |= 1U << (src - sources);
+	send_request(reqs, r, src, now_us);
+	return true;
 }
 
 bool quota_requests_start(struct quota_requests *reqs, struct session *s,
@@ -101,7 +130,7 @@
 	r->session = s;
 	r->started_us = now_us;
 	r->rc = -ETIMEDOUT;
-	if (!request_next_half(reqs, r, now_us)) {
+	if (!request_next_part(reqs, r, now_us)) {
 		g_free(r);
 		return false;
 	}
@@ -124,7 +153,7 @@
 }
 
 /*
- * Keeps the more informative of two refusals: that a half is used up, rather
+ * Keeps the more informative of two refusals: that a part is used up, rather
  * than that it cannot be counted.
  */
 static void merge_answer(struct quota_request *r, int rc, int64_t retry_us)
@@ -135,8 +164,8 @@
 	r->retry_us = retry_us;
 }
 
-/* Handles the answer for one half; the other half may be left to try. */
-static void handle_half_answer(struct quota_requests *reqs,
+/* Handles the answer for one part; others may be left to try. */
+static void handle_part_answer(struct quota_requests *reqs,
 			       struct quota_request *r, int rc,
 			       int64_t retry_us, int64_t now_us)
 {
@@ -146,7 +175,7 @@
 	g_hash_table_steal(reqs->pending, &r->sequence);
 	metrics_add(m, "quota_asks_total", get_result_label(rc), 1);
 	merge_answer(r, rc, retry_us);
-	if (rc && request_next_half(reqs, r, now_us))
+	if (rc && request_next_part(reqs, r, now_us))
 		return;
 	metrics_observe(m, "quota_ask_seconds", NULL, now_us - r->started_us);
 	rc = r->rc;
@@ -171,13 +200,13 @@
 	g_hash_table_remove(reqs->silent, r->home);
 	switch (answer->verdict) {
 	case PEER_QUOTA_GRANTED:
-		handle_half_answer(reqs, r, 0, 0, now_us);
+		handle_part_answer(reqs, r, 0, 0, now_us);
 		break;
 	case PEER_QUOTA_EXHAUSTED:
-		handle_half_answer(reqs, r, -EAGAIN, answer->retry_us, now_us);
+		handle_part_answer(reqs, r, -EAGAIN, answer->retry_us, now_us);
 		break;
 	default:
-		handle_half_answer(reqs, r, -ESTALE, 0, now_us);
+		handle_part_answer(reqs, r, -ESTALE, 0, now_us);
 		break;
 	}
 }
@@ -233,15 +262,12 @@
 static void mark_home_silent(struct quota_requests *reqs, const char *home,
 			     int64_t now_us)
 {
-	int64_t until_us = now_us + QUOTA_HOME_RETRY_US;
-
 	if (!g_hash_table_contains(reqs->silent, home))
 		engine_log(reqs->engine, LOG_LIMIT_HOME_SILENT, 0, home,
 			   QUOTA_REQUEST_TIMEOUT_US,
 			   "no answer to a quota request; "
 			   "pausing requests to this home");
-	g_hash_table_replace(reqs->silent, g_strdup(home),
-			     g_memdup2(&until_us, sizeof(until_us)));
+	set_silent_until(reqs, home, now_us + QUOTA_HOME_RETRY_US);
 }
 
 void quota_requests_check_timeouts(struct quota_requests *reqs, int64_t now_us)
@@ -254,7 +280,7 @@
 		if (now_us - r->sent_us < QUOTA_REQUEST_TIMEOUT_US)
 			continue;
 		mark_home_silent(reqs, r->home, now_us);
-		handle_half_answer(reqs, r, -ETIMEDOUT, 0, now_us);
+		handle_part_answer(reqs, r, -ETIMEDOUT, 0, now_us);
 	}
 	g_list_free(all);
 }
--- a/src/proxy/quota_requests.h
+++ b/src/proxy/quota_requests.h
@@ -3,9 +3,9 @@
  * limits; see quota_homes.h.
  *
  * A statement that begins an operation waits here for the home's answer, for at
- * most QUOTA_REQUEST_TIMEOUT_US per half. A home that does not answer gets no
- * requests for QUOTA_HOME_RETRY_US; statements are refused at once if no other
- * home is left.
+ * most QUOTA_REQUEST_TIMEOUT_US per part. A home that does not answer gets no
+ * requests for QUOTA_HOME_RETRY_US, and then one at a time until it answers;
+ * statements are refused at once if no other home is left.
  */
 #ifndef PROXY_QUOTA_REQUESTS_H
 #define PROXY_QUOTA_REQUESTS_H
@@ -20,6 +20,9 @@
  */
 #define QUOTA_REQUEST_TIMEOUT_US (200 * US_PER_MS)
 
+/* After this time no other part is asked. */
+#define QUOTA_ASK_MAX_US (2 * QUOTA_REQUEST_TIMEOUT_US)
+
 /* A home that did not answer gets no requests for this long. */
 #define QUOTA_HOME_RETRY_US (500 * US_PER_MS)
 
@@ -30,8 +33,8 @@
 void quota_requests_free(struct quota_requests *reqs);
 
 /*
- * Sends a request to a home of the workspace's limit, and to the other home if
- * the first does not admit the operation. caller_handle_quota_result() gets the
+ * Sends a request to a home of the workspace's limit, the one of this zone
+ * first, and to others if that does not admit the operation. caller_handle_quota_result() gets the
  * result. Returns false if no request can be sent: each home is this instance
  * or has recently not answered.
  */
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -146,7 +146,9 @@
 		return;
 	}
 	f->previous_revision = i->revision;
-	f->previous_settled = i->instance.settled;
+	/* In another zone it counts other parts; see quota_homes.h. */
+	f->previous_settled = i->instance.settled &&
+			      !strcmp(i->instance.zone, f->opts.self.zone);
 }
 
 static void deliver_items(struct store_feed *f, const struct store_answer *a)
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -7,6 +7,7 @@
 
 #include "core/event.h"
 #include "core/sizes.h"
+#include "limits/zone_list.h"
 #include "proxy/fleet_config.h"
 
 #include <stdbool.h>
@@ -70,6 +71,7 @@
 	uint32_t size_class; /* see limits/size_class.h */
 	/* The entry has had these values for longer than a lease. */
 	bool settled;
+	struct zone_list zones; /* that count parts of small limits */
 };
 
 enum store_item_kind {
--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -144,7 +144,7 @@
  */
 TEST_F(KvStore, PutsTheRecordOfLimitsOnlyOverTheKnownOne)
 {
-	const struct limit_entry limits = { 2, true };
+	const struct limit_entry limits = { 2, true, {} };
 	struct store_change c = {};
 	std::vector<struct store_item> items;
 
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -536,9 +536,27 @@
 
 		g_strlcpy(copy.peer, n->name.c_str(), sizeof(copy.peer));
 		copy.incarnation = n->generation;
-		m->run_later(NETWORK_DELAY_US, [m, copy, to] {
+		if (m->is_lucky(m->opts.lost_messages_percent))
+			return;
+		deliver_message(n, copy, to);
+		if (m->is_lucky(m->opts.doubled_messages_percent))
+			deliver_message(n, copy, to);
+	}
+
+	static void deliver_message(ProxyNode *n,
+				    const struct peer_message &copy,
+				    const std::string &to)
+	{
+		ProxyModel *m = n->model;
+		int64_t delay_us = NETWORK_DELAY_US;
+
+		if (m->opts.message_jitter_us)
+			delay_us += (int64_t)(m->rand() %
+					      m->opts.message_jitter_us);
+		m->run_later(delay_us, [m, n, copy, to] {
 			for (auto &o : m->nodes) {
-				if (o->name == to && o->engine && !o->frozen)
+				if (o->name == to && o->engine && !o->frozen &&
+				    !n->cut_peers.count(o->index))
 					engine_peer_message(o->engine, &copy);
 			}
 		});
@@ -573,6 +591,17 @@
 	.now_us = ProxyHost::now_us,
 };
 
+void ProxyModel::lose_limit_record()
+{
+	if (items_.count("limits"))
+		remove_item("limits");
+}
+
+bool ProxyModel::is_lucky(int percent)
+{
+	return percent && (int)(rand() % 100) < percent;
+}
+
 /* Construction; starts and ends of nodes. */
 
 ProxyModel::ProxyModel(const ProxyModelOpts &o)
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -152,7 +152,8 @@
 	std::set<ProxyCaller *> callers;
 	std::set<std::shared_ptr<ProxyConn>> conns;
 	std::set<std::shared_ptr<ProxyHop>> hops; /* to its homes */
-	std::set<int> cut_peers; /* nodes that its lines don't reach */
+	/* Nodes that its lines and messages don't reach. */
+	std::set<int> cut_peers;
 	std::list<ProxyTransfer> transfers;
 };
 
@@ -191,6 +192,10 @@
 	 * 0: answers arrive at once.
 	 */
 	int64_t link_bytes_per_s = 0;
+	/* Of the messages between nodes; they overtake one another. */
+	int lost_messages_percent = 0;
+	int doubled_messages_percent = 0;
+	uint64_t message_jitter_us = 0;
 	bool log = false; /* print the engines' log events */
 };
 
@@ -273,6 +278,8 @@
 	void restart_all(int64_t off_us);
 	void withdraw_key(const std::string &key);
 	void set_limit(uint32_t rate_per_s, uint32_t burst);
+	/* The store loses the record of how limits are counted. */
+	void lose_limit_record();
 	/* Writes a new version of the configuration, of that size as sent. */
 	void change_config(int64_t bytes);
 	/* Counts the running nodes that have the newest configuration. */
@@ -328,6 +335,8 @@
 		uint64_t number;
 		bool dead; /* its connection was lost in an outage */
 	};
+	/* True in that share of the calls. */
+	bool is_lucky(int percent);
 	void record_violation(const std::string &what);
 	void run_next_event();
 	void tick_node(ProxyNode *n);
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -206,7 +206,7 @@
 {
 	for (uint32_t rate : { 1, 7, 200 }) {
 		struct fleet_config *c = make_limit_config(rate);
-		struct quota *q = quota_new(&tolerance, "self");
+		struct quota *q = quota_new(&tolerance, "self", "z0");
 		std::vector<int64_t> admitted;
 		double max_operations = (rate * 5.0 + rate) * 1.1 + 20;
 		int64_t retry_us = 0;
@@ -239,7 +239,7 @@
 {
 	struct fleet_config *high = make_limit_config(100);
 	struct fleet_config *low = make_limit_config(10);
-	struct quota *q = quota_new(&tolerance, "self");
+	struct quota *q = quota_new(&tolerance, "self", "z0");
 	int64_t retry_us;
 	int admitted_at_once = 0;
 	int admitted_later = 0;
@@ -267,6 +267,18 @@
 	fleet_config_free(low);
 }
 
+struct limit_entry make_record(uint32_t size_class, bool settled,
+			       const std::vector<const char *> &zones)
+{
+	struct limit_entry l = {};
+
+	l.size_class = size_class;
+	l.settled = settled;
+	for (const char *zone : zones)
+		zone_list_add(&l.zones, zone);
+	return l;
+}
+
 struct ModeCase {
 	const char *name;
 	bool recorded; /* the list has a record of this class */
@@ -294,9 +306,10 @@
 TEST(Quota, NewProcessCountsByTheRecord)
 {
 	for (const ModeCase &k : mode_cases) {
-		const struct limit_entry record = { k.size_class, k.settled };
+		const struct limit_entry record =
+			make_record(k.size_class, k.settled, { "z0" });
 		struct fleet_config *c = make_limit_config(10);
-		struct quota *q = quota_new(&tolerance, "self");
+		struct quota *q = quota_new(&tolerance, "self", "z0");
 		int64_t now_us = 100 * S;
 		int64_t retry_us;
 
@@ -315,13 +328,111 @@
 	}
 }
 
+/*
+ * The parts follow the record, not what is listed: an instance that lists a
+ * zone which the others do not know must not divide the limit in another way.
+ */
+TEST(Quota, PartsFollowTheRecord)
+{
+	const struct limit_entry two = make_record(2, true, { "z0", "z1" });
+	const struct limit_entry three = make_record(2, true, { "z2", "z0" });
+	struct instance_entry other = {};
+	struct instance_entry self = {};
+	struct fleet_config *c = make_limit_config(10);
+	struct quota *q = quota_new(&tolerance, "self", "z0");
+	struct quota_source sources[QUOTA_PARTS_MAX];
+	int64_t now_us = 100 * S;
+	int64_t retry_us;
+
+	g_strlcpy(other.name, "other", sizeof(other.name));
+	g_strlcpy(other.zone, "z9", sizeof(other.zone));
+	other.settled = true;
+	g_strlcpy(self.name, "self", sizeof(self.name));
+	g_strlcpy(self.zone, "z0", sizeof(self.zone));
+	self.settled = true;
+	EXPECT_EQ(0u, quota_get_sources(q, "a", sources));
+	quota_configure(q, c, now_us);
+	quota_put_instance(q, &other, now_us);
+	quota_put_instance(q, &self, now_us);
+	quota_set_record(q, &two, now_us);
+	set_settled_fleet(q, 14, INT64_MAX, now_us);
+	ASSERT_EQ(2u, quota_get_sources(q, "a", sources));
+	EXPECT_EQ(quota_zone_part_hash("a", "z0"), sources[0].part);
+	EXPECT_STREQ("self", sources[0].home);
+	EXPECT_TRUE(sources[0].near);
+	EXPECT_FALSE(sources[1].near);
+	/* The part of a zone without instances is counted by some instance. */
+	EXPECT_TRUE(!strcmp("self", sources[1].home) ||
+		    !strcmp("other", sources[1].home));
+	EXPECT_EQ(0, quota_take(q, "a", now_us, &retry_us));
+	g_strlcpy(other.zone, "z8", sizeof(other.zone));
+	quota_put_instance(q, &other, now_us);
+	set_settled_fleet(q, 15, INT64_MAX, now_us);
+	ASSERT_EQ(2u, quota_get_sources(q, "a", sources));
+	/* Zones only grow, and nothing is counted until a lease later. */
+	quota_set_record(q, &three, now_us);
+	ASSERT_EQ(3u, quota_get_sources(q, "a", sources));
+	EXPECT_EQ(-ESTALE,
+		  quota_take_for_peer(q, sources[0].part, now_us, &retry_us));
+	now_us += 5 * S;
+	set_settled_fleet(q, 15, INT64_MAX, now_us);
+	quota_take_for_peer(q, sources[0].part, now_us, &retry_us);
+	now_us += S; /* the part earns a token */
+	EXPECT_EQ(0,
+		  quota_take_for_peer(q, sources[0].part, now_us, &retry_us));
+	quota_free(q);
+	fleet_config_free(c);
+}
+
+/* A part that cannot hold one operation would never admit any. */
+TEST(Quota, TinyLimitIsNotDividedByZones)
+{
+	const struct quota_tolerance none = { 5 * S, 0, 0 };
+	const struct limit_entry record =
+		make_record(2, true, { "z0", "z1", "z2" });
+	struct quota_source sources[QUOTA_PARTS_MAX];
+
+	for (uint32_t rate : { 2, 3 }) {
+		struct fleet_config *c = make_limit_config(rate);
+		struct quota *q = quota_new(&none, "self", "z0");
+
+		quota_configure(q, c, 100 * S);
+		quota_set_record(q, &record, 100 * S);
+		set_settled_fleet(q, 14, INT64_MAX, 100 * S);
+		EXPECT_EQ(rate < 3 ? 2u : 3u,
+			  quota_get_sources(q, "a", sources));
+		quota_free(q);
+		fleet_config_free(c);
+	}
+}
+
+TEST(ZoneList, IsSortedAndOnlyGrows)
+{
+	struct zone_list a = {};
+	struct zone_list b = {};
+
+	for (const char *zone : { "c", "a", "b" })
+		EXPECT_TRUE(zone_list_add(&a, zone));
+	EXPECT_FALSE(zone_list_add(&a, "b"));
+	EXPECT_FALSE(zone_list_add(&a, ""));
+	EXPECT_STREQ("a", a.names[0]);
+	EXPECT_STREQ("c", a.names[2]);
+	EXPECT_TRUE(zone_list_merge(&b, &a));
+	EXPECT_TRUE(zone_list_equal(&a, &b));
+	EXPECT_FALSE(zone_list_merge(&b, &a));
+	for (int i = 0; i < 20; i++)
+		zone_list_add(&a, std::to_string(i).c_str());
+	EXPECT_EQ((uint32_t)ZONES_MAX, a.count);
+	EXPECT_FALSE(zone_list_equal(&a, &b));
+}
+
 /* With a record the class in force only rises, and only with the record. */
 TEST(Quota, ClassInForceOnlyRises)
 {
-	const struct limit_entry small = { 1, true };
-	const struct limit_entry large = { 2, true };
+	const struct limit_entry small = make_record(1, true, { "z0" });
+	const struct limit_entry large = make_record(2, true, { "z0" });
 	struct fleet_config *c = make_limit_config(10);
-	struct quota *q = quota_new(&tolerance, "self");
+	struct quota *q = quota_new(&tolerance, "self", "z0");
 	int64_t now_us = 100 * S;
 	int64_t retry_us;
 
@@ -370,7 +481,7 @@
 TEST(Quota, DividedLimitNeedsAFreshViewOfTheStore)
 {
 	struct fleet_config *c = make_limit_config(100);
-	struct quota *q = quota_new(&tolerance, "self");
+	struct quota *q = quota_new(&tolerance, "self", "z0");
 	struct quota_fleet f = { 1, 4 * S, INT64_MAX, true, 10 * S };
 	int64_t retry_us;
 
@@ -385,7 +496,7 @@
 TEST(Quota, InstanceWithoutLeaseAdmitsNothing)
 {
 	struct fleet_config *c = make_limit_config(100);
-	struct quota *q = quota_new(&tolerance, "self");
+	struct quota *q = quota_new(&tolerance, "self", "z0");
 	int64_t retry_us;
 
 	quota_configure(q, c, 0);
@@ -702,17 +813,31 @@
 };
 
 const LimitRecordCase limit_record_cases[] = {
-	{ "{\"size_class\":3,\"settled\":true}", true },
-	{ "{\"size_class\":3,\"settled\":true,\"new\":[1]}", true },
-	{ "{\"size_class\":14,\"settled\":false}", true },
-	{ "{\"size_class\":15,\"settled\":true}", false },
-	{ "{\"size_class\":-1,\"settled\":true}", false },
-	{ "{\"size_class\":4294967297,\"settled\":true}", false },
-	{ "{\"size_class\":\"3\",\"settled\":true}", false },
-	{ "{\"size_class\":3.0,\"settled\":true}", false },
-	{ "{\"size_class\":3,\"settled\":1}", false },
-	{ "{\"size_class\":3}", false },
-	{ "{\"settled\":true}", false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":[]}", true },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":[\"a\",\"b\"],\"new\":[1]}",
+	  true },
+	{ "{\"size_class\":14,\"settled\":false,\"zones\":[\"b\",\"a\"]}",
+	  true },
+	{ "{\"size_class\":15,\"settled\":true,\"zones\":[]}", false },
+	{ "{\"size_class\":-1,\"settled\":true,\"zones\":[]}", false },
+	{ "{\"size_class\":4294967297,\"settled\":true,\"zones\":[]}", false },
+	{ "{\"size_class\":\"3\",\"settled\":true,\"zones\":[]}", false },
+	{ "{\"size_class\":3.0,\"settled\":true,\"zones\":[]}", false },
+	{ "{\"size_class\":3,\"settled\":1,\"zones\":[]}", false },
+	{ "{\"size_class\":3,\"zones\":[]}", false },
+	{ "{\"size_class\":3,\"settled\":true}", false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":{}}", false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":[1]}", false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":[\"\"]}", false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":[\"a\",\"a\"]}",
+	  false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":["
+	  "\"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\"]}",
+	  false },
+	{ "{\"size_class\":3,\"settled\":true,\"zones\":[\"1\",\"2\",\"3\","
+	  "\"4\",\"5\",\"6\",\"7\",\"8\",\"9\"]}",
+	  false },
+	{ "{\"settled\":true,\"zones\":[]}", false },
 	{ "[]", false },
 	{ "", false },
 };
@@ -731,7 +856,12 @@
 TEST(RecordJson, LimitRecordSurvivesARoundTrip)
 {
 	for (bool settled : { false, true }) {
-		const struct limit_entry l = { 3, settled };
+		struct limit_entry l = {};
+
+		l.size_class = 3;
+		l.settled = settled;
+		zone_list_add(&l.zones, "b");
+		zone_list_add(&l.zones, "a");
 		struct store_item i =
 			read_item(LIMITS_KEY,
 				  decode_value(record_encode_limits(&l)));
@@ -739,6 +869,7 @@
 		EXPECT_TRUE(i.readable);
 		EXPECT_EQ(3u, i.limits.size_class);
 		EXPECT_EQ(settled, i.limits.settled);
+		EXPECT_TRUE(zone_list_equal(&l.zones, &i.limits.zones));
 		store_item_clear(&i);
 	}
 }
--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -39,15 +39,16 @@
 	int moved = 0;
 
 	for (const char *self : names) {
-		struct quota_homes *h = quota_homes_new(self);
+		struct quota_homes *h = quota_homes_new(self, "z0");
 
 		for (const char *other : names)
-			quota_homes_put(h, other, true, ABSENT_US);
+			quota_homes_put(h, other, "z0", true, ABSENT_US);
 		for (uint64_t w = 0; w < 200; w++) {
-			std::string home = quota_homes_find(h, w);
+			const struct quota_part p = { w, "" };
+			std::string home = quota_homes_find(h, &p);
 
 			EXPECT_EQ(home == self ? INT64_MAX : INT64_MIN,
-				  quota_homes_valid_until_us(h, w, LEASE_US));
+				  quota_homes_valid_until_us(h, &p, LEASE_US));
 			if (before.count(w)) {
 				EXPECT_EQ(before[w], home);
 			}
@@ -55,16 +56,20 @@
 		}
 		quota_homes_remove(h, "n1");
 		for (uint64_t w = 0; w < 200; w++) {
-			std::string home = quota_homes_find(h, w);
+			const struct quota_part p = { w, "" };
+			std::string home = quota_homes_find(h, &p);
 
 			moved += self != std::string("n1") && home != before[w];
 			if (before[w] != "n1") {
 				EXPECT_EQ(before[w], home);
 			}
 		}
-		quota_homes_put(h, "n1", true, ABSENT_US);
-		for (uint64_t w = 0; w < 200; w++)
-			EXPECT_EQ(before[w], quota_homes_find(h, w));
+		quota_homes_put(h, "n1", "z0", true, ABSENT_US);
+		for (uint64_t w = 0; w < 200; w++) {
+			const struct quota_part p = { w, "" };
+
+			EXPECT_EQ(before[w], quota_homes_find(h, &p));
+		}
 		quota_homes_free(h);
 	}
 	/* Only the halves of n1 move, on each of the four other instances. */
@@ -72,37 +77,64 @@
 	EXPECT_LT(moved, 4 * 70);
 }
 
+/* An instance of the part's zone is its home, or any if there is none. */
+TEST(QuotaHomes, ChosenInTheZoneOfThePart)
+{
+	struct quota_homes *h = quota_homes_new("n0", "z0");
+
+	quota_homes_put(h, "n0", "z0", true, ABSENT_US);
+	quota_homes_put(h, "n1", "z1", true, ABSENT_US);
+	quota_homes_put(h, "n2", "z2", true, ABSENT_US);
+	for (uint64_t w = 0; w < 50; w++) {
+		const struct quota_part near = { w, "z0" };
+		const struct quota_part far = { w + 1000, "z1" };
+
+		EXPECT_STREQ("n0", quota_homes_find(h, &near));
+		EXPECT_STREQ("n1", quota_homes_find(h, &far));
+		quota_homes_put(h, "n1", "z2", true, ABSENT_US);
+		EXPECT_STRNE("n3", quota_homes_find(h, &far));
+		quota_homes_put(h, "n3", "z1", true, ABSENT_US);
+		EXPECT_STREQ("n3", quota_homes_find(h, &far));
+		quota_homes_remove(h, "n3");
+		quota_homes_put(h, "n1", "z1", true, ABSENT_US);
+	}
+	quota_homes_free(h);
+}
+
 /*
  * When an instance with a higher score appears, the home stays for less than a
  * lease, or stops at once if that instance is settled.
  */
 TEST(QuotaHomes, HomeStaysUntilHigherScoreIsSettled)
 {
-	struct quota_homes *h = quota_homes_new("self");
+	struct quota_homes *h = quota_homes_new("self", "z0");
 	int64_t until_us = ABSENT_US + quota_home_max_view_age_us(LEASE_US);
 	int other_is_home = 0;
 
-	quota_homes_put(h, "self", true, ABSENT_US);
+	quota_homes_put(h, "self", "z0", true, ABSENT_US);
 	for (uint64_t w = 0; w < 50; w++) {
+		const struct quota_part p = { w, "" };
+
 		quota_homes_remove(h, "other");
 		EXPECT_EQ(INT64_MAX,
-			  quota_homes_valid_until_us(h, w, LEASE_US));
-		quota_homes_put(h, "other", false, ABSENT_US);
-		EXPECT_STREQ("self", quota_homes_find(h, w));
-		quota_homes_put(h, "other", true, ABSENT_US + 5 * S);
-		if (!strcmp("self", quota_homes_find(h, w)))
+			  quota_homes_valid_until_us(h, &p, LEASE_US));
+		quota_homes_put(h, "other", "z0", false, ABSENT_US);
+		EXPECT_STREQ("self", quota_homes_find(h, &p));
+		quota_homes_put(h, "other", "z0", true, ABSENT_US + 5 * S);
+		if (!strcmp("self", quota_homes_find(h, &p)))
 			continue;
 		other_is_home++;
 		EXPECT_EQ(INT64_MIN,
-			  quota_homes_valid_until_us(h, w, LEASE_US));
+			  quota_homes_valid_until_us(h, &p, LEASE_US));
 		quota_homes_remove(h, "other");
-		quota_homes_put(h, "other", false, ABSENT_US);
-		EXPECT_EQ(until_us, quota_homes_valid_until_us(h, w, LEASE_US));
+		quota_homes_put(h, "other", "z0", false, ABSENT_US);
+		EXPECT_EQ(until_us,
+			  quota_homes_valid_until_us(h, &p, LEASE_US));
 		/* The settled entry is lost and written again as unsettled. */
-		quota_homes_put(h, "other", true, ABSENT_US);
-		quota_homes_put(h, "other", false, ABSENT_US + 9 * S);
+		quota_homes_put(h, "other", "z0", true, ABSENT_US);
+		quota_homes_put(h, "other", "z0", false, ABSENT_US + 9 * S);
 		EXPECT_EQ(until_us + 9 * S,
-			  quota_homes_valid_until_us(h, w, LEASE_US));
+			  quota_homes_valid_until_us(h, &p, LEASE_US));
 	}
 	EXPECT_GT(other_is_home, 10);
 	EXPECT_LT(until_us, ABSENT_US + quota_home_settle_us(LEASE_US));
@@ -142,7 +174,7 @@
 					       k.lease_until_us,
 					       k.entry_settled,
 					       k.confirmed_us };
-		struct quota *q = quota_new(&tolerance, "self");
+		struct quota *q = quota_new(&tolerance, "self", "z0");
 		struct fleet_config *c = fleet_config_new();
 		struct workspace_config *w = g_new0(struct workspace_config, 1);
 		int64_t retry_us = 0;
@@ -235,16 +267,18 @@
 	}
 }
 
-/* Returns the index of the node that is home of workspace a's first half. */
+/* Returns the index of the node that is home of workspace a's first part. */
 int find_workspace_home(ProxyModel &m)
 {
-	struct quota_homes *h = quota_homes_new(m.nodes[0]->name.c_str());
+	struct quota_homes *h = quota_homes_new(m.nodes[0]->name.c_str(), "z0");
+	const struct quota_part part = { quota_zone_part_hash("a", "z0"),
+					 "z0" };
 	std::string home;
 	int at = 0;
 
 	for (auto &n : m.nodes)
-		quota_homes_put(h, n->name.c_str(), true, 0);
-	home = quota_homes_find(h, quota_half_hash("a", 0));
+		quota_homes_put(h, n->name.c_str(), n->zone.c_str(), true, 0);
+	home = quota_homes_find(h, &part);
 	quota_homes_free(h);
 	for (int i = 0; i < NODES; i++) {
 		if (m.nodes[i]->name == home)
@@ -256,13 +290,18 @@
 /* Returns true if the node counts a part of workspace a's limit. */
 bool is_counter(ProxyModel &m, const std::string &name)
 {
-	struct quota_homes *h = quota_homes_new(m.nodes[0]->name.c_str());
+	struct quota_homes *h = quota_homes_new(m.nodes[0]->name.c_str(), "z0");
 	bool found = false;
 
 	for (auto &n : m.nodes)
-		quota_homes_put(h, n->name.c_str(), true, 0);
-	for (uint32_t i = 0; i < QUOTA_HALVES; i++)
-		found |= name == quota_homes_find(h, quota_half_hash("a", i));
+		quota_homes_put(h, n->name.c_str(), n->zone.c_str(), true, 0);
+	for (const char *zone : { "z0", "z1", "z2" }) {
+		const struct quota_part part = {
+			quota_zone_part_hash("a", zone), zone
+		};
+
+		found |= name == quota_homes_find(h, &part);
+	}
 	quota_homes_free(h);
 	return found;
 }
@@ -278,8 +317,11 @@
 		ProxyCaller *c = m.connect(nodes[m.rand() % nodes.size()],
 					   "bounded", "key-a");
 
+		ProxyAnswer a = m.run_statement(c, "READ 1");
+
 		l.requested++;
-		l.served += m.run_statement(c, "READ 1").ok;
+		l.served += a.ok;
+		l.longest_us = std::max(l.longest_us, a.took_us);
 		m.disconnect(c);
 		m.run(150 * MS);
 	}
@@ -318,6 +360,89 @@
 	expect_no_violations(m);
 }
 
+void set_zone_cut(ProxyModel &m, const std::string &zone, bool cut)
+{
+	for (auto &from : m.nodes) {
+		for (auto &to : m.nodes) {
+			if ((from->zone == zone) == (to->zone == zone))
+				continue;
+			if (cut)
+				from->cut_peers.insert(to->index);
+			else
+				from->cut_peers.erase(to->index);
+		}
+	}
+}
+
+/*
+ * Guards against refusals and time-outs on both sides when the instances of a
+ * zone hear nothing from the others: each zone must have a counter of its own.
+ * The load is about one per second and side, of a rate of 10.
+ */
+TEST(ProxyQuotaHome, EachZoneCountsOnWhenOneIsCutOff)
+{
+	for (const char *zone : { "z0", "z1", "z2" }) {
+		ProxyModel m(make_fleet_opts(10));
+		std::vector<int> inside;
+		std::vector<int> outside;
+		Load l;
+
+		SCOPED_TRACE(zone);
+		m.run(START_US);
+		for (int i = 0; i < NODES; i++)
+			(m.nodes[i]->zone == zone ? inside : outside)
+				.push_back(i);
+		set_zone_cut(m, zone, true);
+		for (int i = 0; i < 20; i++) {
+			for (auto *nodes : { &inside, &outside }) {
+				Load part = run_load_on(m, *nodes, 150 * MS);
+
+				l.requested += part.requested;
+				l.served += part.served;
+				l.longest_us =
+					std::max(l.longest_us, part.longest_us);
+				m.run(300 * MS);
+			}
+		}
+		EXPECT_GE(l.served, l.requested * 98 / 100) << l.requested;
+		EXPECT_LT(l.longest_us, QUOTA_REQUEST_TIMEOUT_US);
+		set_zone_cut(m, zone, false);
+		run_load(m, 3 * S, 5 * MS);
+		expect_no_violations(m);
+	}
+}
+
+/*
+ * Guards against waits of many statements for the same silent counter. After
+ * the pause one of them tries it again; the others go on to the next part.
+ */
+TEST(ProxyQuotaHome, OneStatementAtATimeTriesASilentHome)
+{
+	ProxyModel m(make_fleet_opts(20));
+	std::vector<ProxyCaller *> callers;
+	int home;
+	int at;
+	int waited = 0;
+
+	m.run(START_US);
+	home = find_workspace_home(m);
+	at = home ? 0 : 3; /* another node of the same zone */
+	for (int i = 0; i < 8; i++) {
+		callers.push_back(m.connect(at, "bounded", "key-a"));
+		EXPECT_TRUE(m.wait_for_answer(callers[i], 1 * S).answered);
+	}
+	m.power_off(m.nodes[home].get());
+	m.run_statement(callers[0], "READ 1");
+	m.run(QUOTA_HOME_RETRY_US + 10 * MS);
+	for (ProxyCaller *c : callers)
+		m.send_statement(c, "READ 1");
+	m.run(QUOTA_REQUEST_TIMEOUT_US / 2);
+	for (ProxyCaller *c : callers)
+		waited += c->lines.empty();
+	EXPECT_LE(waited, 1);
+	expect_no_violations(m);
+}
+
 /*
  * A process that starts while a part of the fleet is gone counts in the same
  * way as those that have seen the whole fleet.
@@ -493,4 +618,87 @@
 	}
 }
 
+void start_later(ProxyModel &m, ProxyNode *n, int64_t delay_us)
+{
+	m.run_later(delay_us, [&m, n] {
+		if (!n->engine)
+			m.start(n);
+	});
+}
+
+/* One random trouble of a part of the fleet, its messages or its store. */
+void cause_trouble(ProxyModel &m)
+{
+	int64_t duration_us = (int64_t)(m.rand() % 7000) * MS;
+	std::string zone = "z" + std::to_string(m.rand() % 3);
+	int kind = (int)(m.rand() % 7);
+
+	switch (kind) {
+	case 0:
+		set_zone_cut(m, zone, true);
+		m.run_later(duration_us,
+			    [&m, zone] { set_zone_cut(m, zone, false); });
+		return;
+	case 1:
+		m.lose_limit_record();
+		return;
+	case 2:
+		m.start_store_outage(duration_us / 2, m.rand() % 2);
+		return;
+	case 3:
+		m.set_limit(m.rand() % 2 ? 6 : 40, 6);
+		return;
+	default:
+		break;
+	}
+	for (auto &node : m.nodes) {
+		ProxyNode *n = node.get();
+
+		if (m.rand() % 3)
+			continue;
+		if (kind == 4) {
+			n->cut_from_store = true;
+			m.run_later(duration_us,
+				    [n] { n->cut_from_store = false; });
+		} else if (kind == 5 && n->engine) {
+			m.kill(n);
+			start_later(m, n, duration_us / 4);
+		} else if (kind == 6 && n->engine) {
+			m.power_off(n);
+			start_later(m, n, duration_us);
+		}
+	}
+}
+
+/*
+ * Property: no window exceeds the limit, under overload, while messages are
+ * lost, doubled and overtake one another, zones are cut off, parts of the fleet
+ * lose the store or stop, the fleet grows into a larger size class, and the
+ * store loses the record.
+ */
+TEST(ProxyQuotaHome, LimitHoldsThroughCutsLossesAndGrowth)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		ProxyModelOpts o = make_fleet_opts(6);
+
+		SCOPED_TRACE(seed);
+		o.seed = seed;
+		o.lost_messages_percent = 5;
+		o.doubled_messages_percent = 10;
+		o.message_jitter_us = 30 * MS;
+		ProxyModel m(o);
+		for (int i = 5; i < NODES; i++) {
+			m.kill(m.nodes[i].get());
+			start_later(m, m.nodes[i].get(),
+				    (int64_t)(m.rand() % 12000) * MS);
+		}
+		m.run(2 * S);
+		for (int round = 0; round < 10; round++) {
+			cause_trouble(m);
+			run_load(m, 2 * S, 10 * MS);
+		}
+		expect_no_violations(m);
+	}
+}
+
 } // namespace
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -400,6 +400,7 @@
 	enum store_outcome outcome; /* of the first write */
 	int64_t expected_revision;
 	bool settles_at_once;
+	const char *zone = ""; /* of the previous entry */
 };
 
 constexpr int64_t PREVIOUS_REVISION = 4;
@@ -408,6 +409,8 @@
 	{ "no previous entry", false, false, STORE_DONE, -1, false },
 	{ "a settled entry", true, true, STORE_DONE, PREVIOUS_REVISION, true },
 	{ "an entry not yet settled", true, false, STORE_DONE, -1, false },
+	{ "a settled entry of another zone", true, true, STORE_DONE, -1, false,
+	  "z9" },
 	{ "it expires before it is taken over", true, true, STORE_REFUSED,
 	  PREVIOUS_REVISION, false },
 	{ "the outcome of taking over is unknown", true, true, STORE_UNKNOWN,
@@ -432,6 +435,8 @@
 		previous.instance.incarnation = 1;
 		previous.instance.settled = k.settled;
 		g_strlcpy(previous.name, "self", sizeof(previous.name));
+		g_strlcpy(previous.instance.zone, k.zone,
+			  sizeof(previous.instance.zone));
 		f.run(10 * MS);
 		EXPECT_EQ(0, f.call_counts[LEASE]);
 		f.answer(LIST, 5, STORE_DONE, k.previous ? &previous : nullptr);
