The route travels with an operation to its home

Cause: a home whose configuration was older than the entry's did not accept an operation. In quick changes of the configuration every home in turn did so, and the entry then opened a connection of its own for it Change: OP carries freshness, greatest age, time-out, target latency and priority of the route, and the configuration's version, both taken when the home was chosen. The home goes by the newer of the two configurations; an older home must have the service. Times beyond an hour are shortened when sent and refused when read. Version 2 of the hop.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -95,8 +95,7 @@
 static void log_slow_statement(const struct session *s, int64_t now_us)
 {
 	const struct operation *op = &s->op;
-	const struct route *r =
-		fleet_config_find_route(s->engine->config, s->database);
+	const struct route *r = session_find_route(s);
 	int64_t took_us = now_us - op->arrived_us;
 
 	if (!r || took_us <= r->target_us)
@@ -211,24 +210,24 @@
 
 /*
  * The other instance has checked the caller's key, and by its configuration the
- * operation goes to .service. It is run only if that is so by the configuration
- * here as well, and if that is not older.
+ * operation goes to .service. If the configuration here is not older, it must
+ * say so as well. An older one must have the service, as the limits of its
+ * endpoints are needed.
  */
 static enum answer_code check_relayed_access(const struct session *s,
 					     const char **reason)
 {
 	const struct engine *e = s->engine;
-	const struct route *r =
-		s->database ? fleet_config_find_route(e->config, s->database) :
-			      NULL;
+	bool newer = session_has_newer_route(s);
+	const struct route *r = session_find_route(s);
 
 	if (e->drain_since_us && s->transaction == TRANSACTION_NONE)
 		*reason = "the home is stopping";
 	else if (!s->database)
 		*reason = "no operation was announced";
-	else if (e->config->version < s->relayed_version)
+	else if (newer && !fleet_config_find_service(e->config, s->service))
 		*reason = "the home has an older configuration";
-	else if (!r || strcmp(r->service, s->service) != 0)
+	else if (!newer && (!r || strcmp(r->service, s->service) != 0))
 		*reason = "the home has another route";
 	else
 		return ANSWER_NONE;
@@ -344,6 +343,7 @@
 	s->database = g_strdup(op.database);
 	s->workspace = g_strdup(op.workspace);
 	s->relayed_version = op.config_version;
+	s->relayed_route = op.route;
 	s->relayed_elapsed_us = op.elapsed_us;
 	s->last_write = op.last_write;
 	s->last_write_us = now_us;
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -29,15 +29,12 @@
 	CONN_PREPARED_MAX = 200,
 };
 
-static const struct route *find_route(const struct session *s)
-{
-	return fleet_config_find_route(s->engine->config, s->database);
-}
-
 static struct service *find_service(const struct session *s)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 
+	if (s->relayed)
+		return engine_find_service(s->engine, s->service);
 	return r ? engine_find_service(s->engine, r->service) : NULL;
 }
 
@@ -183,14 +180,17 @@
  * Returns a connection to the home that is to run the statement, or NULL if
  * this instance runs it itself. The home decides where and when.
  */
-static struct upstream_conn *
-acquire_home_conn(struct session *s, struct service *svc, int64_t now_us)
+static struct upstream_conn *acquire_home_conn(struct session *s,
+					       const struct route *r,
+					       struct service *svc,
+					       int64_t now_us)
 {
 	struct engine *e = s->engine;
 	struct upstream_conn *c;
 	struct upstream *u;
 
-	if (!svc->has_homes || s->relayed)
+	/* One that waited while its route changed is in the old queue. */
+	if (!svc->has_homes || s->relayed || strcmp(r->service, svc->name) != 0)
 		return NULL;
 	u = homes_find(svc, e->opts.instance, s->workspace, &s->op, now_us);
 	if (!u)
@@ -200,6 +200,8 @@
 		c = dispatch_open_conn(e, u, "", false, now_us);
 	if (!c)
 		return NULL;
+	s->op.route = *r;
+	s->op.config_version = e->config->version;
 	memset(&s->op.min_mark, 0, sizeof(s->op.min_mark));
 	if (s->op.need == NEED_STRICT_READ)
 		s->op.need = NEED_READ;
@@ -212,7 +214,7 @@
  */
 static bool try_send(struct session *s, struct service *svc, int64_t now_us)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 	enum conn_source source = CONN_SOURCE_NONE;
 	struct upstream *u;
 	struct upstream_conn *c;
@@ -220,7 +222,7 @@
 	if (!r)
 		return false;
 	determine_need(s, r, svc);
-	c = acquire_home_conn(s, svc, now_us);
+	c = acquire_home_conn(s, r, svc, now_us);
 	if (!c) {
 		u = choose_endpoint(s, svc, &source, now_us);
 		if (!u)
@@ -245,12 +247,12 @@
 
 static void enqueue(struct session *s, struct service *svc)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 	guint i = 0;
 
 	for (; i < svc->waiting->len; i++) {
 		const struct session *o = g_ptr_array_index(svc->waiting, i);
-		const struct route *other = find_route(o);
+		const struct route *other = session_find_route(o);
 
 		if (other && r && r->priority < other->priority)
 			break;
@@ -299,7 +301,8 @@
 	int64_t wait_us = admission_expected_wait_us(&l);
 
 	s->op.wait_deadline_us =
-		s->op.arrived_us + admission_max_wait_us(find_route(s), &l);
+		s->op.arrived_us +
+		admission_max_wait_us(session_find_route(s), &l);
 	if (now_us + wait_us > s->op.wait_deadline_us) {
 		refuse_overloaded(s, wait_us, now_us);
 		return;
@@ -309,7 +312,7 @@
 
 void dispatch_statement(struct session *s, int64_t now_us)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 	struct service *svc = find_service(s);
 	struct operation *op = &s->op;
 
--- a/src/proxy/hop.c
+++ b/src/proxy/hop.c
@@ -9,24 +9,35 @@
 static const char OPERATION[] = "OP ";
 static const char LEAVING[] = "LEAVING";
 
-enum { OPERATION_WORDS = 6 };
+enum { OPERATION_WORDS = 11 };
 
-/* More than any statement may take; the route's timeout ends it earlier. */
-static const int64_t ELAPSED_MAX_US = 3600 * US_PER_S;
+/* More than any statement may take. */
+static const int64_t DURATION_MAX_US = 3600 * US_PER_S;
 
 void hop_put_start(GString *out, const char *service)
 {
 	g_string_append_printf(out, "%s%d %s\r\n", START, HOP_VERSION, service);
 }
 
+static int64_t limit_duration(int64_t us)
+{
+	return CLAMP(us, 0, DURATION_MAX_US);
+}
+
 void hop_put_operation(GString *out, const struct hop_operation *op)
 {
+	const struct route *r = &op->route;
+
 	g_string_append_printf(out,
-			       "%s%" PRId64 " %" PRId64 " %" PRIu64 " %" PRIu64
-			       " %s %s\r\n",
+			       "%s%" PRId64 " %" PRId64 " %" PRIu64 " %" PRIu64,
 			       OPERATION, op->config_version, op->elapsed_us,
-			       op->last_write.term, op->last_write.offset,
-			       op->workspace, op->database);
+			       op->last_write.term, op->last_write.offset);
+	g_string_append_printf(out,
+			       " %d %" PRId64 " %" PRId64 " %" PRId64 " %u",
+			       (int)r->freshness, limit_duration(r->max_age_us),
+			       limit_duration(r->timeout_us),
+			       limit_duration(r->target_us), r->priority);
+	g_string_append_printf(out, " %s %s\r\n", op->workspace, op->database);
 }
 
 void hop_put_leaving(GString *out)
@@ -82,23 +93,50 @@
 	return true;
 }
 
+static bool parse_duration(const char *text, int64_t *out)
+{
+	uint64_t v;
+
+	if (!parse_u64(text, (uint64_t)DURATION_MAX_US, &v))
+		return false;
+	*out = (int64_t)v;
+	return true;
+}
+
+/* Reads the words of a route; see hop_put_operation(). */
+static bool read_route(char **words, struct route *out)
+{
+	uint64_t freshness;
+	uint64_t priority;
+
+	memset(out, 0, sizeof(*out));
+	if (!parse_u64(words[0], FRESH_SESSION, &freshness) ||
+	    !parse_duration(words[1], &out->max_age_us) ||
+	    !parse_duration(words[2], &out->timeout_us) ||
+	    !parse_duration(words[3], &out->target_us) ||
+	    !parse_u64(words[4], UINT32_MAX, &priority))
+		return false;
+	out->freshness = (enum freshness)freshness;
+	out->priority = (uint32_t)priority;
+	return true;
+}
+
 bool hop_read_operation(char *line, struct hop_operation *out)
 {
 	char *words[OPERATION_WORDS];
 	uint64_t version;
-	uint64_t elapsed_us;
 
 	if (!hop_is_operation(line) ||
 	    !split(line + strlen(OPERATION), words, OPERATION_WORDS) ||
 	    !parse_u64(words[0], INT64_MAX, &version) ||
-	    !parse_u64(words[1], (uint64_t)ELAPSED_MAX_US, &elapsed_us) ||
+	    !parse_duration(words[1], &out->elapsed_us) ||
 	    !parse_u64(words[2], UINT64_MAX, &out->last_write.term) ||
 	    !parse_u64(words[3], UINT64_MAX, &out->last_write.offset) ||
-	    strlen(words[4]) >= NAME_BYTES)
+	    !read_route(&words[4], &out->route) ||
+	    strlen(words[9]) >= NAME_BYTES)
 		return false;
 	out->config_version = (int64_t)version;
-	out->elapsed_us = (int64_t)elapsed_us;
-	out->workspace = words[4];
-	out->database = words[5];
+	out->workspace = words[9];
+	out->database = words[10];
 	return true;
 }
--- a/src/proxy/hop.h
+++ b/src/proxy/hop.h
@@ -13,16 +13,22 @@
 #define PROXY_HOP_H
 
 #include "core/position.h"
+#include "proxy/fleet_config.h"
 
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { HOP_VERSION = 1 }; /* homes of other versions are not used */
+enum { HOP_VERSION = 2 }; /* homes of other versions are not used */
 
 /* Of one operation of a session. */
 struct hop_operation {
 	int64_t config_version; /* by which the sender routed it */
+	/*
+	 * By that configuration. Its service is that of the connection; it is
+	 * read without its names and without .is_public.
+	 */
+	struct route route;
 	int64_t elapsed_us; /* since it arrived from the caller */
 	struct position last_write; /* of the session; term 0: none */
 	const char *workspace;
@@ -30,6 +36,7 @@
 };
 
 void hop_put_start(GString *out, const char *service);
+/* A longer time than hop_read_operation() accepts is shortened. */
 void hop_put_operation(GString *out, const struct hop_operation *op);
 void hop_put_leaving(GString *out);
 
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -1,5 +1,7 @@
 #include "proxy/session.h"
 
+#include "proxy/engine_state.h"
+
 #include <string.h>
 
 static void prepared_statement_free(gpointer p)
@@ -42,6 +44,20 @@
 	g_free(s);
 }
 
+bool session_has_newer_route(const struct session *s)
+{
+	return s->relayed && s->relayed_version > s->engine->config->version;
+}
+
+const struct route *session_find_route(const struct session *s)
+{
+	if (!s->database)
+		return NULL;
+	if (session_has_newer_route(s))
+		return &s->relayed_route;
+	return fleet_config_find_route(s->engine->config, s->database);
+}
+
 static gint compare_names(gconstpointer a, gconstpointer b)
 {
 	return strcmp(a, b);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -64,6 +64,12 @@
 	struct upstream *avoid[OPERATION_AVOID_MAX];
 	uint32_t avoid_count;
 	struct mark min_mark; /* NEED_READ: minimum log position */
+	/*
+	 * Sent to a home: its route and the configuration that has it. The
+	 * route's names may have been freed.
+	 */
+	struct route route;
+	int64_t config_version;
 	GString *rows; /* result rows of the current attempt */
 };
 
@@ -81,6 +87,7 @@
 	bool relayed;
 	char *service; /* relayed: the one that the other instance expects */
 	int64_t relayed_version; /* of the other instance's configuration */
+	struct route relayed_route; /* by that configuration, without names */
 	int64_t relayed_elapsed_us; /* of the next operation, before it came */
 	bool started;
 	bool closing;
@@ -109,6 +116,16 @@
 struct session *session_new(struct engine *e, void *caller, int64_t now_us);
 void session_free(struct session *s);
 
+/*
+ * Returns the route of the session's operations, or NULL. It is that of the
+ * newest configuration known: this instance's, or the one by which another
+ * instance sent the operation.
+ */
+const struct route *session_find_route(const struct session *s);
+
+/* Returns true if another instance's operation has the newer configuration. */
+bool session_has_newer_route(const struct session *s);
+
 /* Sets a session value and updates values_key. */
 void session_set_value(struct session *s, const char *name, const char *value);
 
--- a/src/proxy/statement_send.c
+++ b/src/proxy/statement_send.c
@@ -23,7 +23,8 @@
 			  int64_t now_us)
 {
 	const struct hop_operation op = {
-		.config_version = c->engine->config->version,
+		.config_version = s->op.config_version,
+		.route = s->op.route,
 		.elapsed_us = now_us - s->op.arrived_us,
 		.last_write = s->last_write,
 		.workspace = s->workspace,
