A home is chosen by where the primary or a replica is

Cause: a workspace's home was a hash over the zones, so a write crossed zones on its way to the home and again to the primary, and a read went elsewhere although a replica was near Change: placement/home_choice: work for the primary goes to the home in its zone, other reads to the home of the entry's own zone if a replica is there, else to one in a zone that has a replica; among equals the workspace's order. A read's class is that of its route, as entries keep no marks.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -60,6 +60,8 @@
 	  "Bytes received in answers of the platform's store." },
 	{ "relayed_operations_total", COUNTER, "service",
 	  "Operations sent to a home instance" },
+	{ "home_choices_total", COUNTER, "fit",
+	  "Operations sent to a home, by how well its zone suits them" },
 	{ "relayed_not_accepted_total", COUNTER, "service",
 	  "Operations that a home instance did not accept" },
 	{ "homes", GAUGE, "service",
--- a/src/placement/home_choice.h
+++ b/src/placement/home_choice.h
@@ -26,12 +26,20 @@
 	bool in_entry_zone;
 	bool in_primary_zone;
 	bool has_replica; /* a replica in its zone can serve the read */
-	/* Round trip between the entry and it, as measured or assumed. */
-	int64_t round_trip_us;
-	/* Expected wait there, as it told; LOAD_UNKNOWN if too old. */
-	int64_t wait_us;
 };
 
+/* How well a home's place suits the work, worst first. */
+enum home_fit {
+	HOME_FIT_NONE, /* all that it asks is in other zones */
+	HOME_FIT_ENDPOINT, /* an endpoint in its zone can run the work */
+	HOME_FIT_NEAR, /* likewise, and the entry is in its zone as well */
+};
+
+enum home_fit home_choice_fit(const struct home_option *o, enum home_work work);
+
+/* Returns the name of the fit for metrics. */
+const char *home_fit_name(enum home_fit fit);
+
 /* Returns the index of the home to use, or -1 if none is available. */
 int home_choice(const struct home_option *o, uint32_t count,
 		enum home_work work);
--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -186,3 +186,14 @@
 	}
 	return found;
 }
+
+bool conn_pool_has_home_conn(const struct upstream *u)
+{
+	for (guint i = 0; i < u->conns->len; i++) {
+		const struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+
+		if (c->state == CONN_STATE_IDLE)
+			return true;
+	}
+	return u->conns->len < HOME_CONNS_MAX;
+}
--- a/src/proxy/conn_pool.h
+++ b/src/proxy/conn_pool.h
@@ -25,6 +25,9 @@
 struct upstream_conn *conn_pool_find_idle(const struct upstream *u,
 					  const struct session *s);
 
+/* Returns true if the home has an idle connection or may get another one. */
+bool conn_pool_has_home_conn(const struct upstream *u);
+
 /* Returns an idle connection to the home, preferably with the same values. */
 struct upstream_conn *conn_pool_find_idle_home(const struct upstream *u,
 					       const struct session *s);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -58,18 +58,22 @@
 	return true;
 }
 
+static bool reads_only(const struct session *s)
+{
+	return s->transaction != TRANSACTION_NONE ? s->transaction_reads_only :
+						    !s->op.writes;
+}
+
 /* Decides which endpoints may run the statement, again for each attempt. */
 static void determine_need(struct session *s, const struct route *r,
 			   struct service *svc)
 {
 	struct operation *op = &s->op;
 	bool in_transaction = s->transaction != TRANSACTION_NONE;
-	bool reads_only =
-		in_transaction ? s->transaction_reads_only : !op->writes;
 
 	op->opens_transaction = in_transaction && !s->pinned;
 	op->need = NEED_PRIMARY;
-	if (!reads_only)
+	if (!reads_only(s))
 		return;
 	if (r->freshness != FRESH_STRICT &&
 	    find_min_mark(s, r, svc, &op->min_mark))
@@ -186,13 +190,24 @@
 					       int64_t now_us)
 {
 	struct engine *e = s->engine;
+	/* Marks are kept at homes, so those known here say nothing. */
+	const struct home_request request = {
+		.instance = e->opts.instance,
+		.zone = e->opts.zone,
+		.workspace = s->workspace,
+		.op = &s->op,
+		.work = reads_only(s) && r->freshness != FRESH_STRICT ?
+				HOME_WORK_READ :
+				HOME_WORK_PRIMARY,
+	};
+	enum home_fit fit = HOME_FIT_NONE;
 	struct upstream_conn *c;
 	struct upstream *u;
 
 	/* One that waited while its route changed is in the old queue. */
 	if (!svc->has_homes || s->relayed || strcmp(r->service, svc->name) != 0)
 		return NULL;
-	u = homes_find(svc, e->opts.instance, s->workspace, &s->op, now_us);
+	u = homes_find(svc, &request, now_us, &fit);
 	if (!u)
 		return NULL;
 	c = conn_pool_find_idle_home(u, s);
@@ -200,6 +215,8 @@
 		c = dispatch_open_conn(e, u, "", false, now_us);
 	if (!c)
 		return NULL;
+	metrics_add(e->opts.metrics, "home_choices_total", home_fit_name(fit),
+		    1);
 	s->op.route = *r;
 	s->op.config_version = e->config->version;
 	memset(&s->op.min_mark, 0, sizeof(s->op.min_mark));
--- a/src/proxy/homes.c
+++ b/src/proxy/homes.c
@@ -1,5 +1,6 @@
 #include "proxy/homes.h"
 
+#include "proxy/conn_pool.h"
 #include "proxy/session.h"
 #include "proxy/upstream_conn.h"
 
@@ -82,27 +83,61 @@
 static bool is_available(const struct upstream *u, const struct operation *op,
 			 int64_t now_us)
 {
-	return !u->former_home && !u->entry.leaving &&
-	       now_us >= u->open_after_us &&
+	return !u->entry.leaving && now_us >= u->open_after_us &&
 	       !(u->silent_since_us && has_starting_conn(u)) &&
-	       !operation_avoids_endpoint(op, u);
+	       conn_pool_has_home_conn(u) && !operation_avoids_endpoint(op, u);
 }
 
-struct upstream *homes_find(const struct service *svc, const char *self,
-			    const char *workspace, const struct operation *op,
-			    int64_t now_us)
+/* Returns true if a replica of the service in the zone may be sent reads. */
+static bool has_replica_in(const struct service *svc, const char *zone)
 {
-	uint64_t best = svc->is_home ? score(workspace, self) : 0;
-	struct upstream *found = NULL;
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+
+		if (u != svc->primary && upstream_is_usable(u) &&
+		    !strcmp(u->entry.zone, zone))
+			return true;
+	}
+	return false;
+}
 
-	for (guint i = 0; i < svc->homes->len; i++) {
+static void fill_option(const struct service *svc, const struct home_request *r,
+			const char *name, const char *zone,
+			struct home_option *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->rank = score(r->workspace, name);
+	out->in_entry_zone = !strcmp(zone, r->zone);
+	out->in_primary_zone =
+		svc->primary && !strcmp(zone, svc->primary->entry.zone);
+	out->has_replica = has_replica_in(svc, zone);
+}
+
+struct upstream *homes_find(const struct service *svc,
+			    const struct home_request *r, int64_t now_us,
+			    enum home_fit *fit)
+{
+	struct home_option options[HOMES_MAX + 1];
+	struct upstream *homes[HOMES_MAX + 1] = { NULL };
+	uint32_t n = 0;
+	int best;
+
+	if (svc->is_home) {
+		fill_option(svc, r, r->instance, r->zone, &options[n]);
+		options[n++].available = true;
+	}
+	for (guint i = 0; i < svc->homes->len && n <= HOMES_MAX; i++) {
 		struct upstream *u = g_ptr_array_index(svc->homes, i);
-		uint64_t own = score(workspace, u->entry.id);
 
-		if (own <= best || !is_available(u, op, now_us))
+		if (u->former_home)
 			continue;
-		best = own;
-		found = u;
+		homes[n] = u;
+		fill_option(svc, r, u->entry.id, u->entry.zone, &options[n]);
+		options[n++].available = is_available(u, r->op, now_us);
 	}
-	return found;
+	best = home_choice(options, n, r->work);
+	if (best < 0)
+		return NULL;
+	*fit = home_choice_fit(&options[best], r->work);
+	return homes[best];
 }
--- a/src/proxy/homes.h
+++ b/src/proxy/homes.h
@@ -15,10 +15,20 @@
 #ifndef PROXY_HOMES_H
 #define PROXY_HOMES_H
 
+#include "placement/home_choice.h"
 #include "proxy/upstream.h"
 
 struct operation;
 
+/* The instance at which an operation arrived, and what it needs. */
+struct home_request {
+	const char *instance;
+	const char *zone; /* of that instance */
+	const char *workspace;
+	const struct operation *op;
+	enum home_work work;
+};
+
 /* An instance that may become a home. */
 struct home_candidate {
 	const char *name;
@@ -53,12 +63,13 @@
 		      uint32_t count, uint32_t out[HOMES_MAX]);
 
 /*
- * Returns the home that runs a workspace's next operation, or NULL if this
- * instance runs it itself: it is that home, or no home can be reached. Each
- * workspace has its own order of the homes, so its connections are at one home.
+ * Returns the home that runs an operation, or NULL if this instance runs it
+ * itself: it is that home, or no home can be reached. Each workspace has its
+ * own order of the homes that suit the work equally, so its connections to an
+ * endpoint are at few homes. *fit is set for a home that is returned.
  */
-struct upstream *homes_find(const struct service *svc, const char *self,
-			    const char *workspace, const struct operation *op,
-			    int64_t now_us);
+struct upstream *homes_find(const struct service *svc,
+			    const struct home_request *r, int64_t now_us,
+			    enum home_fit *fit);
 
 #endif
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -39,7 +39,7 @@
 int find_entry(ProxyModel &m, const std::string &key)
 {
 	for (auto &n : m.nodes) {
-		ProxyCaller *c = m.connect(n->index, "bounded", key);
+		ProxyCaller *c = m.connect(n->index, "strict", key);
 		int64_t before = count_relayed(*n);
 
 		m.run_statement(c, "READ 1");
@@ -252,6 +252,159 @@
 	expect_no_violations(m);
 }
 
+int64_t count_answered(const ProxyNode &n)
+{
+	return n.engine ? metrics_get(n.metrics, "statements_total", "ok") : 0;
+}
+
+/* Returns the node whose engine runs a statement of the caller, or -1. */
+int find_runner(ProxyModel &m, ProxyCaller *c, const char *text)
+{
+	std::vector<int64_t> before;
+	int found = c->node->index;
+
+	for (auto &n : m.nodes)
+		before.push_back(count_answered(*n));
+	if (!m.run_statement(c, text).ok)
+		return -1;
+	for (auto &n : m.nodes) {
+		if (n.get() != c->node && count_answered(*n) > before[n->index])
+			found = n->index;
+	}
+	return found;
+}
+
+/*
+ * Load: entries in three zones. Work ran at a home by chance, so most writes
+ * crossed zones twice, and reads did so although a replica was near.
+ */
+void expect_work_in_its_zone(ProxyModel &m)
+{
+	std::string primary_zone = m.primary()->zone;
+
+	for (auto &n : m.nodes) {
+		for (const char *key : { "key-a", "key-b", "key-c" }) {
+			ProxyCaller *c = m.connect(n->index, "bounded", key);
+			int read_at = find_runner(m, c, "READ 1");
+			int write_at = find_runner(m, c, "WRITE 1 x");
+
+			m.disconnect(c);
+			c = m.connect(n->index, "strict", key);
+			int strict_at = find_runner(m, c, "READ 1");
+
+			m.disconnect(c);
+			ASSERT_GE(std::min({ read_at, write_at, strict_at }),
+				  0);
+			EXPECT_EQ(m.nodes[write_at]->zone, primary_zone);
+			EXPECT_EQ(m.nodes[strict_at]->zone, primary_zone);
+			EXPECT_TRUE(m.nodes[read_at]->zone == n->zone ||
+				    n->zone == primary_zone);
+			EXPECT_NE(m.nodes[read_at]->zone, primary_zone);
+		}
+	}
+}
+
+TEST(ProxyHome, WorkRunsWhereItsEndpointIs)
+{
+	ProxyModelOpts o = home_opts();
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	expect_work_in_its_zone(m);
+
+	/* A replica that is leaving serves nothing, so nor does its zone. */
+	ProxyEndpoint *leaving = m.replica(0);
+	m.set_leaving(leaving, true);
+	m.run(500 * MS);
+	for (auto &n : m.nodes) {
+		ProxyCaller *c = m.connect(n->index, "bounded", "key-a");
+
+		EXPECT_EQ(m.nodes[find_runner(m, c, "READ 1")]->zone,
+			  m.replica(1)->zone);
+		m.disconnect(c);
+	}
+	expect_no_violations(m);
+}
+
+int64_t count_opened(const ProxyModel &m)
+{
+	int64_t opened = 0;
+
+	for (auto &n : m.nodes)
+		opened += !n->engine ? 0 :
+				       metrics_get(n->metrics,
+						   "connections_opened_total",
+						   "work");
+	return opened;
+}
+
+/*
+ * The home of one zone and the primary, in another, are lost at once. Work goes
+ * by the new primary, and connections move as they are used.
+ */
+TEST(ProxyHome, WorkFollowsThePrimaryWhileAHomeIsReplaced)
+{
+	ProxyModelOpts o = home_opts();
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	ProxyCaller *c = m.connect(find_entry(m, "key-a"), "strict", "key-a");
+	int home = find_runner(m, c, "WRITE 1 x");
+	ASSERT_GE(home, 0);
+	ASSERT_NE(home, c->node->index);
+	int64_t opened = count_opened(m);
+	std::string old = m.primary()->id;
+	m.crash(m.primary());
+	m.kill(m.nodes[home].get());
+	ASSERT_TRUE(m.run_until(
+		[&] { return m.primary() && m.primary()->id != old; }, 8 * S));
+	m.run(6 * S); /* the instance's entry has ended */
+	for (int i = 0; i < 60; i++) {
+		EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+		m.run(10 * MS);
+	}
+	EXPECT_EQ(m.nodes[find_runner(m, c, "WRITE 1 x")]->zone,
+		  m.primary()->zone);
+	EXPECT_LT(count_opened(m) - opened, 40);
+	expect_no_violations(m);
+}
+
+/* The primary's zone has no instance left: others reach the primary. */
+TEST(ProxyHome, OthersServeWhenAllHomesOfAZoneAreGone)
+{
+	ProxyModelOpts o = home_opts();
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	int entry = -1;
+	for (auto &n : m.nodes) {
+		if (n->zone != m.primary()->zone)
+			entry = n->index;
+	}
+	for (auto &n : m.nodes) {
+		if (n->zone == m.primary()->zone)
+			m.power_off(n.get());
+	}
+	ProxyCaller *c = m.connect(entry, "strict", "key-a");
+	int64_t served_us = m.now();
+	int64_t gap_us = 0;
+	for (int i = 0; i < 200; i++) {
+		if (c->closed)
+			c = m.connect(entry, "strict", "key-a");
+		if (m.run_statement(c, "WRITE 1 x").ok) {
+			gap_us = std::max(gap_us, m.now() - served_us);
+			served_us = m.now();
+		}
+		m.run(20 * MS);
+	}
+	EXPECT_LE(gap_us, 1500 * MS);
+	EXPECT_LT(m.now() - served_us, 200 * MS);
+	expect_no_violations(m);
+}
+
 /*
  * Lines on the port for statements of other instances, most of them such as no
  * instance sends. None may end the process, reach an endpoint if it should not,
