--- a/src/placement/conn_division.h
+++ b/src/placement/conn_division.h
@@ -15,13 +15,12 @@
 /* A home that takes part in the division. */
 struct division_member {
 	bool in_endpoint_zone;
-	/* What the instance can do, in thousandths of a usual one. */
-	uint32_t capability_milli;
 };
 
 /*
- * Returns how many of `total` the member at `index` gets. The parts of all
- * members together are at most `total`, but each gets at least one.
+ * Returns how many of `total` the member at `index` gets, whatever the order
+ * of the members. The parts of all members together are at most `total`, but
+ * each gets at least one. Without a member in the endpoint's zone all are equal.
  */
 uint32_t conn_division_part(const struct division_member *m, uint32_t count,
 			    uint32_t index, uint32_t total);
--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -1,6 +1,8 @@
 #include "proxy/conn_pool.h"
 
+#include "placement/conn_division.h"
 #include "proxy/engine_state.h"
+#include "proxy/homes.h"
 
 #include <string.h>
 
@@ -26,6 +28,28 @@
 	return s->conns_max - s->conns_max * CONN_RESERVE_PERCENT / PERCENT;
 }
 
+/*
+ * Returns how many of what the homes of the endpoint's service divide this
+ * instance gets, which is one of them.
+ */
+static uint32_t get_home_part(const struct engine *e, const struct upstream *u,
+			      uint32_t total)
+{
+	const struct service *s = u->service;
+	struct division_member m[HOMES_MAX];
+	uint32_t n = 0;
+
+	m[n++].in_endpoint_zone = !strcmp(e->opts.zone, u->entry.zone);
+	for (guint i = 0; i < s->homes->len && n < HOMES_MAX; i++) {
+		const struct upstream *h = g_ptr_array_index(s->homes, i);
+
+		if (h->former_home)
+			continue;
+		m[n++].in_endpoint_zone = !strcmp(h->entry.zone, u->entry.zone);
+	}
+	return conn_division_part(m, n, 0, total);
+}
+
 uint32_t conn_pool_limit(const struct engine *e, const struct upstream *u)
 {
 	const struct service *s = u->service;
@@ -37,7 +61,7 @@
 		return HOME_CONNS_MAX;
 	/* One for those that use none as a rule, if no home can be reached. */
 	if (s->has_homes)
-		return s->is_home ? MAX(usable / s->home_count, 1) : 1;
+		return s->is_home ? get_home_part(e, u, usable) : 1;
 
 	/* The remainder goes to the first instances by name, one each. */
 	return MAX(each + (e->instance_rank < rest), 1);
@@ -148,9 +172,10 @@
 {
 	const struct service *svc = u->service;
 	uint32_t all = u->entry.slots * RUNNING_PER_SLOT;
-	uint32_t sharers = svc->has_homes && svc->is_home ? svc->home_count :
-							    e->instance_count;
+	uint32_t sharers = e->instance_count;
 
+	if (svc->has_homes && svc->is_home)
+		return get_home_part(e, u, all);
 	return MAX((all + sharers / 2) / sharers, 1);
 }
 
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -405,6 +405,98 @@
 	expect_no_violations(m);
 }
 
+/* Reads the answers that have arrived; each such caller asks again. */
+void keep_asking(ProxyModel &m, const std::vector<ProxyCaller *> &callers,
+		 const char *text)
+{
+	for (ProxyCaller *c : callers) {
+		bool answered = !c->lines.empty() &&
+				c->lines.back().rfind("READY", 0) == 0;
+
+		if (answered)
+			m.wait_for_answer(c, 0);
+		if (!c->closed && c->statement_id.empty())
+			m.send_statement(c, text);
+	}
+}
+
+/*
+ * Load: forty nodes write at once. The home beside the primary, to which all of
+ * them go, had a third of the primary's statements.
+ */
+TEST(ProxyHome, TheHomeBesideThePrimaryKeepsItsSlotsBusy)
+{
+	constexpr int64_t LOAD_US = 4 * S;
+	ProxyModelOpts o = home_opts();
+	std::vector<ProxyCaller *> callers;
+
+	o.nodes = 40;
+	o.conns_max = 60;
+	ProxyModel m(o);
+	m.run(START_US);
+	for (int i = 0; i < o.nodes; i++)
+		callers.push_back(m.connect(i, "strict", "key-a"));
+	uint64_t before = m.acknowledged;
+	for (int64_t end_us = m.now() + LOAD_US; m.now() < end_us;) {
+		keep_asking(m, callers, "WRITE 1 x");
+		m.run(1 * MS);
+	}
+	double slots_used = (double)(m.acknowledged - before) *
+			    o.statement_duration_us / o.slots / LOAD_US;
+
+	printf("slots used %.3f\n", slots_used);
+	EXPECT_GT(slots_used, 0.9);
+	expect_no_violations(m);
+}
+
+size_t count_conns_from(const ProxyEndpoint &e, const ProxyNode &n)
+{
+	size_t count = 0;
+
+	for (auto &c : e.conns)
+		count += c->node == &n;
+	return count;
+}
+
+/*
+ * A home that is cut from the store still thinks itself one after another has
+ * taken its place. The endpoint's connections suffice for both.
+ */
+TEST(ProxyHome, TwoHomesOfOneZoneStayBelowTheConnections)
+{
+	constexpr int ROUNDS = 60;
+	ProxyModelOpts o = home_opts();
+	std::vector<ProxyCaller *> callers;
+	size_t most = 0;
+
+	o.nodes = 30;
+	o.conns_max = 20;
+	ProxyModel m(o);
+	m.run(START_US);
+	ProxyCaller *c = m.connect(find_entry(m, "key-a"), "strict", "key-a");
+	ProxyNode *old = m.nodes[find_runner(m, c, "WRITE 1 x")].get();
+	old->cut_from_store = true;
+	m.run(12 * S); /* its entry has ended */
+	int next = find_runner(m, c, "WRITE 1 x");
+	ASSERT_GE(next, 0);
+	ASSERT_NE(m.nodes[next].get(), old);
+	for (int i = 0; i < 40; i++) {
+		int node = i % 2 ? old->index : i / 2;
+
+		callers.push_back(m.connect(node, "open", ""));
+	}
+	for (int i = 0; i < ROUNDS; i++) {
+		keep_asking(m, callers, "WRITE 1 x");
+		m.run(5 * MS);
+		for (auto &e : m.endpoints)
+			most = std::max(most, e->conns.size());
+	}
+	EXPECT_GT(count_conns_from(*m.primary(), *old), 1u);
+	EXPECT_GT(count_conns_from(*m.primary(), *m.nodes[next]), 1u);
+	EXPECT_LE(most, o.conns_max);
+	expect_no_violations(m);
+}
+
 /*
  * Lines on the port for statements of other instances, most of them such as no
  * instance sends. None may end the process, reach an endpoint if it should not,
