Homes tell their load, and a slow or silent one is relieved

Cause: an entry went on to send all work to a home that was slow or frozen; each statement on an idle connection to a frozen home waited for its deadline Change: a home sends LOAD before each answer, and every 100 ms for an operation in progress: how long reads wait, and how long it had the statement. Of a home that is later than the next one by more than 20 ms that one takes up to half of the operations, in proportion. One that has work and says nothing for 250 ms gets no new work. Figures count for 0.5 s; a malformed one is logged once and ignored. Version 3 of the hop.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -62,6 +62,8 @@
 	  "Operations sent to a home instance" },
 	{ "home_choices_total", COUNTER, "fit",
 	  "Operations sent to a home, by how well its zone suits them" },
+	{ "home_loads_dropped_total", COUNTER, NULL,
+	  "Malformed loads of homes that were ignored" },
 	{ "relayed_not_accepted_total", COUNTER, "service",
 	  "Operations that a home instance did not accept" },
 	{ "homes", GAUGE, "service",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -87,6 +87,9 @@
 	X(HOME_REMOVED, 321, LOG_INFO, "home of a service removed")           \
 	X(HOME_LEAVING, 322, LOG_INFO, "home of a service is stopping")       \
 	X(HOME_REFUSED, 323, LOG_INFO, "statement not accepted from a peer")  \
+	X(HOME_LOAD_BAD, 324, LOG_WARNING, "invalid load of a home ignored")  \
+	X(HOME_STALLED, 325, LOG_INFO, "home of a service says nothing")      \
+	X(HOME_RESUMED, 326, LOG_INFO, "home of a service responding")        \
 	X(PEER_UP, 700, LOG_INFO, "peer responding")                          \
 	X(PEER_DOWN, 701, LOG_WARNING, "peer not responding")                 \
 	X(PEER_MESSAGE_BAD, 702, LOG_WARNING, "invalid peer message dropped")
--- a/src/placement/home_choice.h
+++ b/src/placement/home_choice.h
@@ -26,6 +26,9 @@
 	bool in_entry_zone;
 	bool in_primary_zone;
 	bool has_replica; /* a replica in its zone can serve the read */
+	/* It has work and says nothing, so it is used only if all do so. */
+	bool stalled;
+	int64_t wait_us; /* expected there, as it told */
 };
 
 /* How well a home's place suits the work, worst first. */
@@ -40,8 +43,22 @@
 /* Returns the name of the fit for metrics. */
 const char *home_fit_name(enum home_fit fit);
 
-/* Returns the index of the home to use, or -1 if none is available. */
+enum {
+	/*
+	 * A home is relieved only if another one has a shorter wait by this
+	 * much: several times what a longer way costs.
+	 */
+	HOME_WAIT_MARGIN_US = 20 * 1000,
+	HOME_TICKETS = 1000,
+};
+
+/*
+ * Returns the index of the home to use, or -1 if none is available. `ticket`,
+ * below HOME_TICKETS and evenly spread over operations, decides which of them
+ * a busy home is relieved of: at most half, so that homes don't take all work
+ * from one another in turn, and a wrong wait moves no more than that.
+ */
 int home_choice(const struct home_option *o, uint32_t count,
-		enum home_work work);
+		enum home_work work, uint32_t ticket);
 
 #endif
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -4,6 +4,7 @@
 #include "proxy/drain.h"
 #include "proxy/engine_state.h"
 #include "proxy/hop.h"
+#include "proxy/relay_load.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -79,6 +80,8 @@
 {
 	GString *out = g_string_new_len(body->str, (gssize)body->len);
 
+	if (s->relayed)
+		relay_load_put(out, s, now_us);
 	/* Another instance needs the position of what its caller wrote. */
 	s->engine->opts.wire->put_ready(out, s->transaction,
 					s->relayed && s->last_write.term ?
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -199,6 +199,7 @@
 		.work = reads_only(s) && r->freshness != FRESH_STRICT ?
 				HOME_WORK_READ :
 				HOME_WORK_PRIMARY,
+		.ticket = (uint32_t)g_rand_int_range(e->rand, 0, HOME_TICKETS),
 	};
 	enum home_fit fit = HOME_FIT_NONE;
 	struct upstream_conn *c;
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -5,6 +5,7 @@
 #include "proxy/drain.h"
 #include "proxy/engine_state.h"
 #include "proxy/relay.h"
+#include "proxy/relay_load.h"
 #include "proxy/exchange.h"
 #include "proxy/fleet.h"
 #include "proxy/primary_fence.h"
@@ -565,6 +566,7 @@
 	replica_sets_run(e->replica_sets, now_us);
 	quota_requests_check_timeouts(e->quota_requests, now_us);
 	enforce_timeouts(e, now_us);
+	relay_load_run(e, now_us);
 	g_hash_table_iter_init(&it, e->services);
 	while (g_hash_table_iter_next(&it, NULL, &svc))
 		run_service(e, svc, now_us);
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -4,6 +4,7 @@
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
 #include "proxy/hop.h"
+#include "proxy/relay_load.h"
 #include "proxy/statement_send.h"
 
 #include <string.h>
@@ -429,10 +430,16 @@
 
 	if (c->closed)
 		return;
+	if (c->upstream->is_home)
+		c->upstream->load.heard_us = now_us;
 	if (c->upstream->is_home && hop_is_leaving(line)) {
 		handle_home_leaving(c);
 		return;
 	}
+	if (c->upstream->is_home && hop_is_load(line)) {
+		relay_load_handle_line(c, line, now_us);
+		return;
+	}
 	c->engine->opts.wire->read_reply(line, &r);
 	switch (r.kind) {
 	case REPLY_ROW:
--- a/src/proxy/homes.c
+++ b/src/proxy/homes.c
@@ -124,6 +124,8 @@
 
 	if (svc->is_home) {
 		fill_option(svc, r, r->instance, r->zone, &options[n]);
+		if (r->work == HOME_WORK_READ)
+			options[n].wait_us = svc->read_wait_us;
 		options[n++].available = true;
 	}
 	for (guint i = 0; i < svc->homes->len && n <= HOMES_MAX; i++) {
@@ -133,9 +135,12 @@
 			continue;
 		homes[n] = u;
 		fill_option(svc, r, u->entry.id, u->entry.zone, &options[n]);
+		options[n].stalled = u->stalled;
+		options[n].wait_us =
+			home_load_wait_us(&u->load, r->work, now_us);
 		options[n++].available = is_available(u, r->op, now_us);
 	}
-	best = home_choice(options, n, r->work);
+	best = home_choice(options, n, r->work, r->ticket);
 	if (best < 0)
 		return NULL;
 	*fit = home_choice_fit(&options[best], r->work);
--- a/src/proxy/homes.h
+++ b/src/proxy/homes.h
@@ -27,6 +27,7 @@
 	const char *workspace;
 	const struct operation *op;
 	enum home_work work;
+	uint32_t ticket; /* see home_choice() */
 };
 
 /* An instance that may become a home. */
--- a/src/proxy/hop.c
+++ b/src/proxy/hop.c
@@ -8,8 +8,9 @@
 static const char START[] = "HOP ";
 static const char OPERATION[] = "OP ";
 static const char LEAVING[] = "LEAVING";
+static const char LOAD[] = "LOAD ";
 
-enum { OPERATION_WORDS = 11 };
+enum { OPERATION_WORDS = 11, LOAD_WORDS = 2 };
 
 /* More than any statement may take. */
 static const int64_t DURATION_MAX_US = 3600 * US_PER_S;
@@ -45,6 +46,16 @@
 	g_string_append_printf(out, "%s\r\n", LEAVING);
 }
 
+void hop_put_load(GString *out, const struct hop_load *l)
+{
+	g_string_append_printf(out, "%s%" PRId64, LOAD, l->read_wait_us);
+	if (l->took_us < 0)
+		g_string_append(out, " -\r\n");
+	else
+		g_string_append_printf(out, " %" PRId64 "\r\n",
+				       limit_duration(l->took_us));
+}
+
 bool hop_is_operation(const char *line)
 {
 	return g_str_has_prefix(line, OPERATION);
@@ -55,6 +66,11 @@
 	return !strcmp(line, LEAVING);
 }
 
+bool hop_is_load(const char *line)
+{
+	return g_str_has_prefix(line, LOAD);
+}
+
 /* Splits the line at its blanks; returns false unless it has `count` words. */
 static bool split(char *line, char **words, uint32_t count)
 {
@@ -140,3 +156,18 @@
 	out->database = words[10];
 	return true;
 }
+
+bool hop_read_load(char *line, struct hop_load *out)
+{
+	char *words[LOAD_WORDS];
+	uint64_t wait_us;
+
+	if (!hop_is_load(line) ||
+	    !split(line + strlen(LOAD), words, LOAD_WORDS) ||
+	    !parse_u64(words[0], LOAD_WAIT_MAX_US, &wait_us))
+		return false;
+	out->read_wait_us = (int64_t)wait_us;
+	out->took_us = -1;
+	return !strcmp(words[1], "-") ||
+	       parse_duration(words[1], &out->took_us);
+}
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -5,6 +5,7 @@
 #include "proxy/engine_state.h"
 #include "proxy/homes.h"
 #include "proxy/hop.h"
+#include "proxy/relay_load.h"
 
 #include <string.h>
 
@@ -165,6 +166,7 @@
 static void run_service(struct engine *e, struct service *svc, int64_t now_us)
 {
 	remove_former_homes(e, svc);
+	relay_load_update(e, svc, now_us);
 	svc->is_observed =
 		!svc->has_homes || duty_is_held(e->duty, now_us) ||
 		g_hash_table_contains(svc->observers, e->opts.instance);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -89,6 +89,7 @@
 	int64_t relayed_version; /* of the other instance's configuration */
 	struct route relayed_route; /* by that configuration, without names */
 	int64_t relayed_elapsed_us; /* of the next operation, before it came */
+	int64_t load_told_us; /* relayed: when the load was told last */
 	bool started;
 	bool closing;
 	int64_t idle_since_us; /* since when no statement is in progress */
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -7,6 +7,7 @@
 #ifndef PROXY_UPSTREAM_H
 #define PROXY_UPSTREAM_H
 
+#include "placement/home_load.h"
 #include "proxy/mark_ring.h"
 #include "proxy/store_item.h"
 
@@ -22,6 +23,10 @@
 	struct service *service;
 	bool is_home; /* another instance, which runs statements for this one */
 	bool former_home; /* it gets no more work */
+	/* Of a home. */
+	struct home_load load;
+	bool stalled; /* it has work and says nothing */
+	bool load_was_bad; /* it told a malformed load, which was logged */
 	int64_t missing_since_us; /* its entry in the store; 0: it is there */
 	/*
 	 * Its entry did not come back in time, so it gets no more work. It may
@@ -73,12 +78,13 @@
 	GPtrArray *upstreams; /* struct upstream */
 	/*
 	 * Home instances; see homes.h. Without homes every instance opens
-	 * connections of its own, and the next five fields are not used.
+	 * connections of its own, and the next six fields are not used.
 	 */
 	bool has_homes;
 	bool is_home; /* this instance is one */
 	bool is_observed; /* this instance keeps a connection to the primary */
 	uint32_t home_count; /* this one included */
+	int64_t read_wait_us; /* expected here, as of the last tick */
 	GPtrArray *homes; /* struct upstream; the others */
 	GHashTable *observers; /* set of instance names */
 	uint32_t conns_max; /* to one endpoint, over all instances */
--- a/tests/home_choice_test.cc
+++ b/tests/home_choice_test.cc
@@ -11,6 +11,7 @@
 
 extern "C" {
 #include "placement/home_choice.h"
+#include "placement/home_load.h"
 #include "proxy/homes.h"
 }
 
@@ -77,10 +78,86 @@
 
 		for (const char *text : t.homes)
 			o.push_back(make_option(text));
-		EXPECT_EQ(home_choice(o.data(), o.size(), t.work), t.chosen);
+		EXPECT_EQ(home_choice(o.data(), o.size(), t.work, 0), t.chosen);
 	}
 }
 
+/* How much of 1000 operations the second home takes from the first. */
+struct RelievesCase {
+	const char *name;
+	int64_t first_wait_us;
+	int64_t second_wait_us;
+	bool first_stalled;
+	bool second_stalled;
+	int taken;
+};
+
+const RelievesCase relieves_cases[] = {
+	{ "no load", 0, 0, false, false, 0 },
+	{ "below the margin", 20000, 0, false, false, 0 },
+	{ "the other has as much", 300000, 290000, false, false, 0 },
+	{ "half as much", 300000, 150000, false, false, 250 },
+	{ "the other is idle", 300000, 0, false, false, 500 },
+	{ "the greatest figure", INT64_MAX / 1000, 0, false, false, 500 },
+	{ "the other has more", 30000, 300000, false, false, 0 },
+	{ "stalled", 0, 0, true, false, 1000 },
+	{ "stalled, and the other is busy", 0, 300000, true, false, 1000 },
+	{ "the other is stalled", 300000, 0, false, true, 0 },
+	{ "both are stalled", 0, 0, true, true, 0 },
+};
+
+TEST(HomeChoice, ABusyHomeIsRelievedOfAtMostHalf)
+{
+	for (const RelievesCase &t : relieves_cases) {
+		SCOPED_TRACE(t.name);
+		struct home_option o[] = { make_option("p5"), make_option("e9"),
+					   make_option("1") };
+		int taken = 0;
+
+		o[0].wait_us = t.first_wait_us;
+		o[1].wait_us = t.second_wait_us;
+		o[0].stalled = t.first_stalled;
+		o[1].stalled = t.second_stalled;
+		o[2].available = false;
+		for (uint32_t i = 0; i < HOME_TICKETS; i++)
+			taken += home_choice(o, 3, HOME_WORK_PRIMARY, i) == 1;
+		EXPECT_EQ(taken, t.taken);
+	}
+}
+
+TEST(HomeLoad, OldFiguresAreNotBelieved)
+{
+	struct home_load l = {};
+
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_PRIMARY, 1), 0);
+	home_load_set(&l, 7000, 1000);
+	home_load_add_late(&l, 800, 1000);
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_PRIMARY, 2000), 100);
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_READ, 2000), 7100);
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_READ, 1000 + 500000), 7100);
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_READ, 1001 + 500000), 0);
+	home_load_add_late(&l, 1600, 1000000); /* the old average is gone */
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_READ, 1000000), 200);
+	home_load_add_late(&l, -INT64_MAX, 1000000);
+	EXPECT_EQ(home_load_wait_us(&l, HOME_WORK_READ, 1000000), 175);
+	home_load_add_late(&l, INT64_MAX, 1000000);
+	EXPECT_LE(home_load_wait_us(&l, HOME_WORK_READ, 1000000),
+		  LOAD_WAIT_MAX_US / 8 + 175);
+}
+
+TEST(HomeLoad, SilenceCountsOnlyWhileSomethingIsAsked)
+{
+	struct home_load l = {};
+
+	EXPECT_FALSE(home_load_is_stalled(&l, 0, 9000000));
+	EXPECT_FALSE(home_load_is_stalled(&l, 1000000, 1249999));
+	EXPECT_TRUE(home_load_is_stalled(&l, 1000000, 1250000));
+	l.heard_us = 1200000;
+	EXPECT_FALSE(home_load_is_stalled(&l, 1000000, 1449999));
+	EXPECT_TRUE(home_load_is_stalled(&l, 1000000, 1450000));
+	EXPECT_FALSE(home_load_is_stalled(&l, 0, 1450000));
+}
+
 constexpr int ZONES = 3;
 constexpr int INSTANCES = 200;
 constexpr int SERVICES = 40;
@@ -142,7 +219,8 @@
 }
 
 /* Chooses the home by rank only, as it was done before. */
-int choose_by_rank(const struct home_option *o, uint32_t count, enum home_work)
+int choose_by_rank(const struct home_option *o, uint32_t count, enum home_work,
+		   uint32_t)
 {
 	int best = 0;
 
@@ -153,7 +231,8 @@
 	return best;
 }
 
-using ChooseFn = int (*)(const struct home_option *, uint32_t, enum home_work);
+using ChooseFn = int (*)(const struct home_option *, uint32_t, enum home_work,
+			 uint32_t);
 
 /*
  * A service has its primary in one zone and replicas in the other two. A home
@@ -206,7 +285,7 @@
 			o.has_replica = !o.in_primary_zone;
 			options.push_back(o);
 		}
-		int best = choose(options.data(), options.size(), work);
+		int best = choose(options.data(), options.size(), work, 0);
 
 		result.crossings += count_crossings(options[best], work);
 		result.work[homes[service][best].name]++;
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -449,6 +449,130 @@
 	expect_no_violations(m);
 }
 
+/* Some callers at an entry, whose writes run at a home elsewhere. */
+struct BusyEntry {
+	ProxyNode *entry = nullptr;
+	ProxyNode *home = nullptr;
+	std::vector<ProxyCaller *> callers;
+};
+
+BusyEntry make_busy_entry(ProxyModel &m, int callers)
+{
+	BusyEntry b;
+
+	m.run(START_US);
+	b.entry = m.nodes[find_entry(m, "key-a")].get();
+	for (int i = 0; i < callers; i++)
+		b.callers.push_back(
+			m.connect(b.entry->index, "strict", "key-a"));
+	b.home = m.nodes[find_runner(m, b.callers[0], "WRITE 1 x")].get();
+	EXPECT_NE(b.home, b.entry);
+	for (int64_t end_us = m.now() + 1 * S; m.now() < end_us;) {
+		keep_asking(m, b.callers, "WRITE 1 x");
+		m.run(1 * MS);
+	}
+	return b;
+}
+
+/* Returns how much of the answers in some time came from the home, in %. */
+int64_t measure_share(ProxyModel &m, BusyEntry &b, int64_t duration_us)
+{
+	int64_t home = -count_answered(*b.home);
+	int64_t all = -count_answered(*b.entry);
+
+	for (int64_t end_us = m.now() + duration_us; m.now() < end_us;) {
+		keep_asking(m, b.callers, "WRITE 1 x");
+		m.run(1 * MS);
+	}
+	home += count_answered(*b.home);
+	all += count_answered(*b.entry);
+	return home * 100 / std::max<int64_t>(all, 1);
+}
+
+/*
+ * A home that handles each line 100 ms late: its entries went on to send it all
+ * work. It gets it back once it is as quick as before.
+ */
+TEST(ProxyHome, ASlowHomeGetsLess)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 4);
+
+	EXPECT_EQ(measure_share(m, b, 1 * S), 100);
+	b.home->slow_us = 100 * MS;
+	measure_share(m, b, 1 * S);
+	EXPECT_LT(measure_share(m, b, 2 * S), 50);
+	b.home->slow_us = 0;
+	measure_share(m, b, 1 * S);
+	EXPECT_EQ(measure_share(m, b, 1 * S), 100);
+	expect_no_violations(m);
+}
+
+/*
+ * A frozen home has idle connections, and each statement on one of them waited
+ * for its deadline. New work goes elsewhere after 250 ms; what was sent is
+ * neither sent again nor given up.
+ */
+TEST(ProxyHome, AFrozenHomeGetsNoNewWork)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 20);
+	int late = 0;
+
+	m.run(1 * S);
+	for (ProxyCaller *c : b.callers)
+		m.wait_for_answer(c, 0);
+	b.home->frozen = true;
+	for (ProxyCaller *c : b.callers) {
+		m.send_statement(c, "WRITE 1 x");
+		m.run(50 * MS);
+	}
+	for (ProxyCaller *c : b.callers) {
+		ProxyAnswer a = m.wait_for_answer(c, 2 * S);
+
+		late += !a.ok;
+	}
+	EXPECT_LE(late, 7);
+	EXPECT_EQ(b.entry->log_counts[LOG_HOME_STALLED], 1);
+	b.home->frozen = false;
+	m.run(3 * S);
+	EXPECT_GE(measure_share(m, b, 1 * S), 95);
+	expect_no_violations(m);
+}
+
+/* A home whose endpoint takes long for a statement says that it runs. */
+TEST(ProxyHome, AHomeThatWaitsIsNotStalled)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 1);
+
+	m.opts.statement_duration_us = 600 * MS;
+	EXPECT_EQ(measure_share(m, b, 3 * S), 100);
+	EXPECT_EQ(b.entry->log_counts[LOG_HOME_STALLED], 0);
+	expect_no_violations(m);
+}
+
+/* Neither the waits nor the connection are harmed by what cannot be read. */
+TEST(ProxyHome, IgnoresMalformedLoads)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 4);
+
+	for (const char *line :
+	     { "LOAD x 0", "LOAD 0", "LOAD 0 0 0", "LOAD -1 0",
+	       "LOAD 10000001 0", "LOAD 99999999999999999999 0",
+	       "LOAD 0 3600000001", "LOAD  0" }) {
+		ASSERT_FALSE(b.entry->hops.empty());
+		engine_conn_line((*b.entry->hops.begin())->engine_conn, line);
+	}
+	EXPECT_EQ(metrics_get(b.entry->metrics, "home_loads_dropped_total",
+			      nullptr),
+		  8);
+	EXPECT_EQ(b.entry->log_counts[LOG_HOME_LOAD_BAD], 1);
+	EXPECT_EQ(measure_share(m, b, 1 * S), 100);
+	expect_no_violations(m);
+}
+
 size_t count_conns_from(const ProxyEndpoint &e, const ProxyNode &n)
 {
 	size_t count = 0;
@@ -510,33 +634,33 @@
 };
 
 const HopLinesCase hop_lines[] = {
-	{ { "HOP 2 svc0", "OP 3 0 0 0 " ROUTE " a strict", "QUERY q READ 1" },
+	{ { "HOP 3 svc0", "OP 3 0 0 0 " ROUTE " a strict", "QUERY q READ 1" },
 	  "COMPLETE" },
-	{ { "HOP 2 svc0", "OP 2 5000 0 0 " ROUTE " a strict",
+	{ { "HOP 3 svc0", "OP 2 5000 0 0 " ROUTE " a strict",
 	    "QUERY q READ 1" },
 	  "COMPLETE" },
 	{ { "STARTUP strict key-a", "QUERY q READ 1", "" }, "ERROR MALFORMED" },
-	{ { "HOP 1 svc0", "", "" }, "ERROR MALFORMED" },
-	{ { "HOP 2 svc0", "QUERY q READ 1", "QUERY q WRITE 1 x" },
+	{ { "HOP 2 svc0", "", "" }, "ERROR MALFORMED" },
+	{ { "HOP 3 svc0", "QUERY q READ 1", "QUERY q WRITE 1 x" },
 	  "ERROR MISROUTED no operation" },
-	{ { "HOP 2 svc0", "QUERY q BEGIN", "QUERY q COMMIT" },
+	{ { "HOP 3 svc0", "QUERY q BEGIN", "QUERY q COMMIT" },
 	  "ERROR MISROUTED no operation" },
-	{ { "HOP 2 svc0", "OP", "QUERY q READ 1" }, nullptr },
-	{ { "HOP 2 svc0", "OP 1 0 0 0 a", "QUERY q READ 1" }, nullptr },
-	{ { "HOP 2 svc0", "OP 3 0 0 0 " ROUTE " a nowhere", "QUERY q READ 1" },
+	{ { "HOP 3 svc0", "OP", "QUERY q READ 1" }, nullptr },
+	{ { "HOP 3 svc0", "OP 1 0 0 0 a", "QUERY q READ 1" }, nullptr },
+	{ { "HOP 3 svc0", "OP 3 0 0 0 " ROUTE " a nowhere", "QUERY q READ 1" },
 	  "ERROR MISROUTED the home has another route" },
-	{ { "HOP 2 other", "OP 3 0 0 0 " ROUTE " a strict", "QUERY q READ 1" },
+	{ { "HOP 3 other", "OP 3 0 0 0 " ROUTE " a strict", "QUERY q READ 1" },
 	  "ERROR MISROUTED the home has another route" },
-	{ { "HOP 2 svc0", "OP 999 0 0 0 " ROUTE " a nowhere",
+	{ { "HOP 3 svc0", "OP 999 0 0 0 " ROUTE " a nowhere",
 	    "QUERY q WRITE 1 x" },
 	  "COMPLETE" },
-	{ { "HOP 2 other", "OP 999 0 0 0 " ROUTE " a strict",
+	{ { "HOP 3 other", "OP 999 0 0 0 " ROUTE " a strict",
 	    "QUERY q WRITE 1 x" },
 	  "ERROR MISROUTED the home has an older configuration" },
-	{ { "HOP 2 svc0", "OP 3 0 0 0 " ROUTE " a strict",
+	{ { "HOP 3 svc0", "OP 3 0 0 0 " ROUTE " a strict",
 	    "OP 3 0 0 0 " ROUTE " a strict" },
 	  nullptr },
-	{ { "HOP 2 svc0", "LEAVING", "\x01\xff" }, "ERROR MALFORMED" },
+	{ { "HOP 3 svc0", "LEAVING", "\x01\xff" }, "ERROR MALFORMED" },
 	{ { "", "", "" }, "ERROR MALFORMED" },
 };
 
@@ -617,7 +741,7 @@
 		m.allow_unasked = true;
 		raw.node = m.nodes[0].get();
 		raw.session = engine_relay_opened(raw.node->engine, &raw);
-		engine_caller_line(raw.session, "HOP 2 svc0");
+		engine_caller_line(raw.session, "HOP 3 svc0");
 		uint64_t reads = m.replica_reads;
 		for (int i = 0; i < 5; i++) {
 			std::string id = "q" + std::to_string(i);
@@ -645,12 +769,12 @@
 	m.run(START_US);
 	early.node = n;
 	early.session = engine_relay_opened(n->engine, &early);
-	engine_caller_line(early.session, "HOP 2 svc0");
+	engine_caller_line(early.session, "HOP 3 svc0");
 	engine_drain(n->engine);
 	EXPECT_TRUE(has_line(early, "LEAVING"));
 	late.node = n;
 	late.session = engine_relay_opened(n->engine, &late);
-	engine_caller_line(late.session, "HOP 2 svc0");
+	engine_caller_line(late.session, "HOP 3 svc0");
 	EXPECT_TRUE(has_line(late, "LEAVING"));
 	for (ProxyCaller *c : { &early, &late }) {
 		engine_caller_line(c->session, "OP 3 0 0 0 " ROUTE " a strict");
@@ -860,8 +984,8 @@
 		EXPECT_FALSE(hop_read_operation(copy, &op)) << line;
 		g_free(copy);
 	}
-	for (const char *line : { "HOP", "HOP 2", "HOP 1 svc", "HOP x svc",
-				  "HOP 2 svc more", "STARTUP strict key-a" }) {
+	for (const char *line : { "HOP", "HOP 3", "HOP 2 svc", "HOP x svc",
+				  "HOP 3 svc more", "STARTUP strict key-a" }) {
 		char *copy = g_strdup(line);
 
 		EXPECT_FALSE(hop_read_start(copy, &service)) << line;
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -536,6 +536,7 @@
 	{
 		ProxyNode *n = node(host);
 
+		n->log_counts[e->number]++;
 		if (!n->model->opts.log)
 			return;
 		printf("%9.4f %s %d %s %lld %s\n",
@@ -705,7 +706,7 @@
 			line.pop_back();
 		queue.emplace_back(now_us_, line);
 	}
-	run_later(NETWORK_DELAY_US,
+	run_later(NETWORK_DELAY_US + (to_home && h->to ? h->to->slow_us : 0),
 		  [this, h, to_home] { deliver_hop_lines(h, to_home); });
 }
 
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -148,11 +148,13 @@
 	bool cut_from_store = false;
 	bool powerless = false; /* its peers hear nothing, not even a reset */
 	bool frozen = false; /* handles neither ticks nor peer messages */
+	int64_t slow_us = 0; /* until it handles a line of another node */
 	uint64_t generation = 0; /* incremented at each start and end */
 	std::set<ProxyCaller *> callers;
 	std::set<std::shared_ptr<ProxyConn>> conns;
 	std::set<std::shared_ptr<ProxyHop>> hops; /* to its homes */
 	std::set<int> cut_peers; /* nodes that its lines don't reach */
+	std::map<int, int> log_counts; /* by number of the event */
 	std::list<ProxyTransfer> transfers;
 };
 
