--- a/src/placement/home_choice.h
+++ b/src/placement/home_choice.h
@@ -26,14 +26,39 @@
 	bool in_entry_zone;
 	bool in_primary_zone;
 	bool has_replica; /* a replica in its zone can serve the read */
-	/* Round trip between the entry and it, as measured or assumed. */
-	int64_t round_trip_us;
-	/* Expected wait there, as it told; LOAD_UNKNOWN if too old. */
-	int64_t wait_us;
+	/* It has work and says nothing, so it is used only if all do so. */
+	bool stalled;
+	int64_t wait_us; /* expected there, as it told */
 };
 
-/* Returns the index of the home to use, or -1 if none is available. */
+/* How well a home's place suits the work, worst first. */
+enum home_fit {
+	HOME_FIT_NONE, /* all that it asks is in other zones */
+	HOME_FIT_ENDPOINT, /* an endpoint in its zone can run the work */
+	HOME_FIT_NEAR, /* likewise, and the entry is in its zone as well */
+};
+
+enum home_fit home_choice_fit(const struct home_option *o, enum home_work work);
+
+/* Returns the name of the fit for metrics. */
+const char *home_fit_name(enum home_fit fit);
+
+enum {
+	/*
+	 * A home is relieved only if another one has a shorter wait by this
+	 * much: several times what a longer way costs.
+	 */
+	HOME_WAIT_MARGIN_US = 20 * 1000,
+	HOME_TICKETS = 1000,
+};
+
+/*
+ * Returns the index of the home to use, or -1 if none is available. `ticket`,
+ * below HOME_TICKETS and evenly spread over operations, decides which of them
+ * a busy home is relieved of: at most half, so that homes don't take all work
+ * from one another in turn, and a wrong wait moves no more than that.
+ */
 int home_choice(const struct home_option *o, uint32_t count,
-		enum home_work work);
+		enum home_work work, uint32_t ticket);
 
 #endif
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -29,15 +29,12 @@
 	CONN_PREPARED_MAX = 200,
 };
 
-static const struct route *find_route(const struct session *s)
-{
-	return fleet_config_find_route(s->engine->config, s->database);
-}
-
 static struct service *find_service(const struct session *s)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 
+	if (s->relayed)
+		return engine_find_service(s->engine, s->service);
 	return r ? engine_find_service(s->engine, r->service) : NULL;
 }
 
@@ -61,18 +58,22 @@
 	return true;
 }
 
+static bool reads_only(const struct session *s)
+{
+	return s->transaction != TRANSACTION_NONE ? s->transaction_reads_only :
+						    !s->op.writes;
+}
+
 /* Decides which endpoints may run the statement, again for each attempt. */
 static void determine_need(struct session *s, const struct route *r,
 			   struct service *svc)
 {
 	struct operation *op = &s->op;
 	bool in_transaction = s->transaction != TRANSACTION_NONE;
-	bool reads_only =
-		in_transaction ? s->transaction_reads_only : !op->writes;
 
 	op->opens_transaction = in_transaction && !s->pinned;
 	op->need = NEED_PRIMARY;
-	if (!reads_only)
+	if (!reads_only(s))
 		return;
 	if (r->freshness != FRESH_STRICT &&
 	    find_min_mark(s, r, svc, &op->min_mark))
@@ -183,16 +184,31 @@
  * Returns a connection to the home that is to run the statement, or NULL if
  * this instance runs it itself. The home decides where and when.
  */
-static struct upstream_conn *
-acquire_home_conn(struct session *s, struct service *svc, int64_t now_us)
+static struct upstream_conn *acquire_home_conn(struct session *s,
+					       const struct route *r,
+					       struct service *svc,
+					       int64_t now_us)
 {
 	struct engine *e = s->engine;
+	/* Marks are kept at homes, so those known here say nothing. */
+	const struct home_request request = {
+		.instance = e->opts.instance,
+		.zone = e->opts.zone,
+		.workspace = s->workspace,
+		.op = &s->op,
+		.work = reads_only(s) && r->freshness != FRESH_STRICT ?
+				HOME_WORK_READ :
+				HOME_WORK_PRIMARY,
+		.ticket = (uint32_t)g_rand_int_range(e->rand, 0, HOME_TICKETS),
+	};
+	enum home_fit fit = HOME_FIT_NONE;
 	struct upstream_conn *c;
 	struct upstream *u;
 
-	if (!svc->has_homes || s->relayed)
+	/* One that waited while its route changed is in the old queue. */
+	if (!svc->has_homes || s->relayed || strcmp(r->service, svc->name) != 0)
 		return NULL;
-	u = homes_find(svc, e->opts.instance, s->workspace, &s->op, now_us);
+	u = homes_find(svc, &request, now_us, &fit);
 	if (!u)
 		return NULL;
 	c = conn_pool_find_idle_home(u, s);
@@ -200,6 +216,10 @@
 		c = dispatch_open_conn(e, u, "", false, now_us);
 	if (!c)
 		return NULL;
+	metrics_add(e->opts.metrics, "home_choices_total", home_fit_name(fit),
+		    1);
+	s->op.route = *r;
+	s->op.config_version = e->config->version;
 	memset(&s->op.min_mark, 0, sizeof(s->op.min_mark));
 	if (s->op.need == NEED_STRICT_READ)
 		s->op.need = NEED_READ;
@@ -212,7 +232,7 @@
  */
 static bool try_send(struct session *s, struct service *svc, int64_t now_us)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 	enum conn_source source = CONN_SOURCE_NONE;
 	struct upstream *u;
 	struct upstream_conn *c;
@@ -220,7 +240,7 @@
 	if (!r)
 		return false;
 	determine_need(s, r, svc);
-	c = acquire_home_conn(s, svc, now_us);
+	c = acquire_home_conn(s, r, svc, now_us);
 	if (!c) {
 		u = choose_endpoint(s, svc, &source, now_us);
 		if (!u)
@@ -245,12 +265,12 @@
 
 static void enqueue(struct session *s, struct service *svc)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 	guint i = 0;
 
 	for (; i < svc->waiting->len; i++) {
 		const struct session *o = g_ptr_array_index(svc->waiting, i);
-		const struct route *other = find_route(o);
+		const struct route *other = session_find_route(o);
 
 		if (other && r && r->priority < other->priority)
 			break;
@@ -299,7 +319,8 @@
 	int64_t wait_us = admission_expected_wait_us(&l);
 
 	s->op.wait_deadline_us =
-		s->op.arrived_us + admission_max_wait_us(find_route(s), &l);
+		s->op.arrived_us +
+		admission_max_wait_us(session_find_route(s), &l);
 	if (now_us + wait_us > s->op.wait_deadline_us) {
 		refuse_overloaded(s, wait_us, now_us);
 		return;
@@ -309,7 +330,7 @@
 
 void dispatch_statement(struct session *s, int64_t now_us)
 {
-	const struct route *r = find_route(s);
+	const struct route *r = session_find_route(s);
 	struct service *svc = find_service(s);
 	struct operation *op = &s->op;
 
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -39,7 +39,7 @@
 int find_entry(ProxyModel &m, const std::string &key)
 {
 	for (auto &n : m.nodes) {
-		ProxyCaller *c = m.connect(n->index, "bounded", key);
+		ProxyCaller *c = m.connect(n->index, "strict", key);
 		int64_t before = count_relayed(*n);
 
 		m.run_statement(c, "READ 1");
@@ -252,38 +252,415 @@
 	expect_no_violations(m);
 }
 
+int64_t count_answered(const ProxyNode &n)
+{
+	return n.engine ? metrics_get(n.metrics, "statements_total", "ok") : 0;
+}
+
+/* Returns the node whose engine runs a statement of the caller, or -1. */
+int find_runner(ProxyModel &m, ProxyCaller *c, const char *text)
+{
+	std::vector<int64_t> before;
+	int found = c->node->index;
+
+	for (auto &n : m.nodes)
+		before.push_back(count_answered(*n));
+	if (!m.run_statement(c, text).ok)
+		return -1;
+	for (auto &n : m.nodes) {
+		if (n.get() != c->node && count_answered(*n) > before[n->index])
+			found = n->index;
+	}
+	return found;
+}
+
+/*
+ * Load: entries in three zones. Work ran at a home by chance, so most writes
+ * crossed zones twice, and reads did so although a replica was near.
+ */
+void expect_work_in_its_zone(ProxyModel &m)
+{
+	std::string primary_zone = m.primary()->zone;
+
+	for (auto &n : m.nodes) {
+		for (const char *key : { "key-a", "key-b", "key-c" }) {
+			ProxyCaller *c = m.connect(n->index, "bounded", key);
+			int read_at = find_runner(m, c, "READ 1");
+			int write_at = find_runner(m, c, "WRITE 1 x");
+
+			m.disconnect(c);
+			c = m.connect(n->index, "strict", key);
+			int strict_at = find_runner(m, c, "READ 1");
+
+			m.disconnect(c);
+			ASSERT_GE(std::min({ read_at, write_at, strict_at }),
+				  0);
+			EXPECT_EQ(m.nodes[write_at]->zone, primary_zone);
+			EXPECT_EQ(m.nodes[strict_at]->zone, primary_zone);
+			EXPECT_TRUE(m.nodes[read_at]->zone == n->zone ||
+				    n->zone == primary_zone);
+			EXPECT_NE(m.nodes[read_at]->zone, primary_zone);
+		}
+	}
+}
+
+TEST(ProxyHome, WorkRunsWhereItsEndpointIs)
+{
+	ProxyModelOpts o = home_opts();
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	expect_work_in_its_zone(m);
+
+	/* A replica that is leaving serves nothing, so nor does its zone. */
+	ProxyEndpoint *leaving = m.replica(0);
+	m.set_leaving(leaving, true);
+	m.run(500 * MS);
+	for (auto &n : m.nodes) {
+		ProxyCaller *c = m.connect(n->index, "bounded", "key-a");
+
+		EXPECT_EQ(m.nodes[find_runner(m, c, "READ 1")]->zone,
+			  m.replica(1)->zone);
+		m.disconnect(c);
+	}
+	expect_no_violations(m);
+}
+
+int64_t count_opened(const ProxyModel &m)
+{
+	int64_t opened = 0;
+
+	for (auto &n : m.nodes)
+		opened += !n->engine ? 0 :
+				       metrics_get(n->metrics,
+						   "connections_opened_total",
+						   "work");
+	return opened;
+}
+
+/*
+ * The home of one zone and the primary, in another, are lost at once. Work goes
+ * by the new primary, and connections move as they are used.
+ */
+TEST(ProxyHome, WorkFollowsThePrimaryWhileAHomeIsReplaced)
+{
+	ProxyModelOpts o = home_opts();
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	ProxyCaller *c = m.connect(find_entry(m, "key-a"), "strict", "key-a");
+	int home = find_runner(m, c, "WRITE 1 x");
+	ASSERT_GE(home, 0);
+	ASSERT_NE(home, c->node->index);
+	int64_t opened = count_opened(m);
+	std::string old = m.primary()->id;
+	m.crash(m.primary());
+	m.kill(m.nodes[home].get());
+	ASSERT_TRUE(m.run_until(
+		[&] { return m.primary() && m.primary()->id != old; }, 8 * S));
+	m.run(6 * S); /* the instance's entry has ended */
+	for (int i = 0; i < 60; i++) {
+		EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+		m.run(10 * MS);
+	}
+	EXPECT_EQ(m.nodes[find_runner(m, c, "WRITE 1 x")]->zone,
+		  m.primary()->zone);
+	EXPECT_LT(count_opened(m) - opened, 40);
+	expect_no_violations(m);
+}
+
+/* The primary's zone has no instance left: others reach the primary. */
+TEST(ProxyHome, OthersServeWhenAllHomesOfAZoneAreGone)
+{
+	ProxyModelOpts o = home_opts();
+
+	o.nodes = 12;
+	ProxyModel m(o);
+	m.run(START_US);
+	int entry = -1;
+	for (auto &n : m.nodes) {
+		if (n->zone != m.primary()->zone)
+			entry = n->index;
+	}
+	for (auto &n : m.nodes) {
+		if (n->zone == m.primary()->zone)
+			m.power_off(n.get());
+	}
+	ProxyCaller *c = m.connect(entry, "strict", "key-a");
+	int64_t served_us = m.now();
+	int64_t gap_us = 0;
+	for (int i = 0; i < 200; i++) {
+		if (c->closed)
+			c = m.connect(entry, "strict", "key-a");
+		if (m.run_statement(c, "WRITE 1 x").ok) {
+			gap_us = std::max(gap_us, m.now() - served_us);
+			served_us = m.now();
+		}
+		m.run(20 * MS);
+	}
+	EXPECT_LE(gap_us, 1500 * MS);
+	EXPECT_LT(m.now() - served_us, 200 * MS);
+	expect_no_violations(m);
+}
+
+/* Reads the answers that have arrived; each such caller asks again. */
+void keep_asking(ProxyModel &m, const std::vector<ProxyCaller *> &callers,
+		 const char *text)
+{
+	for (ProxyCaller *c : callers) {
+		bool answered = !c->lines.empty() &&
+				c->lines.back().rfind("READY", 0) == 0;
+
+		if (answered)
+			m.wait_for_answer(c, 0);
+		if (!c->closed && c->statement_id.empty())
+			m.send_statement(c, text);
+	}
+}
+
+/*
+ * Load: forty nodes write at once. The home beside the primary, to which all of
+ * them go, had a third of the primary's statements.
+ */
+TEST(ProxyHome, TheHomeBesideThePrimaryKeepsItsSlotsBusy)
+{
+	constexpr int64_t LOAD_US = 4 * S;
+	ProxyModelOpts o = home_opts();
+	std::vector<ProxyCaller *> callers;
+
+	o.nodes = 40;
+	o.conns_max = 60;
+	ProxyModel m(o);
+	m.run(START_US);
+	for (int i = 0; i < o.nodes; i++)
+		callers.push_back(m.connect(i, "strict", "key-a"));
+	uint64_t before = m.acknowledged;
+	for (int64_t end_us = m.now() + LOAD_US; m.now() < end_us;) {
+		keep_asking(m, callers, "WRITE 1 x");
+		m.run(1 * MS);
+	}
+	double slots_used = (double)(m.acknowledged - before) *
+			    o.statement_duration_us / o.slots / LOAD_US;
+
+	printf("slots used %.3f\n", slots_used);
+	EXPECT_GT(slots_used, 0.9);
+	expect_no_violations(m);
+}
+
+/* Some callers at an entry, whose writes run at a home elsewhere. */
+struct BusyEntry {
+	ProxyNode *entry = nullptr;
+	ProxyNode *home = nullptr;
+	std::vector<ProxyCaller *> callers;
+};
+
+BusyEntry make_busy_entry(ProxyModel &m, int callers)
+{
+	BusyEntry b;
+
+	m.run(START_US);
+	b.entry = m.nodes[find_entry(m, "key-a")].get();
+	for (int i = 0; i < callers; i++)
+		b.callers.push_back(
+			m.connect(b.entry->index, "strict", "key-a"));
+	b.home = m.nodes[find_runner(m, b.callers[0], "WRITE 1 x")].get();
+	EXPECT_NE(b.home, b.entry);
+	for (int64_t end_us = m.now() + 1 * S; m.now() < end_us;) {
+		keep_asking(m, b.callers, "WRITE 1 x");
+		m.run(1 * MS);
+	}
+	return b;
+}
+
+/* Returns how much of the answers in some time came from the home, in %. */
+int64_t measure_share(ProxyModel &m, BusyEntry &b, int64_t duration_us)
+{
+	int64_t home = -count_answered(*b.home);
+	int64_t all = -count_answered(*b.entry);
+
+	for (int64_t end_us = m.now() + duration_us; m.now() < end_us;) {
+		keep_asking(m, b.callers, "WRITE 1 x");
+		m.run(1 * MS);
+	}
+	home += count_answered(*b.home);
+	all += count_answered(*b.entry);
+	return home * 100 / std::max<int64_t>(all, 1);
+}
+
+/*
+ * A home that handles each line 100 ms late: its entries went on to send it all
+ * work. It gets it back once it is as quick as before.
+ */
+TEST(ProxyHome, ASlowHomeGetsLess)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 4);
+
+	EXPECT_EQ(measure_share(m, b, 1 * S), 100);
+	b.home->slow_us = 100 * MS;
+	measure_share(m, b, 1 * S);
+	EXPECT_LT(measure_share(m, b, 2 * S), 50);
+	b.home->slow_us = 0;
+	measure_share(m, b, 1 * S);
+	EXPECT_EQ(measure_share(m, b, 1 * S), 100);
+	expect_no_violations(m);
+}
+
+/*
+ * A frozen home has idle connections, and each statement on one of them waited
+ * for its deadline. New work goes elsewhere after 250 ms; what was sent is
+ * neither sent again nor given up.
+ */
+TEST(ProxyHome, AFrozenHomeGetsNoNewWork)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 20);
+	int late = 0;
+
+	m.run(1 * S);
+	for (ProxyCaller *c : b.callers)
+		m.wait_for_answer(c, 0);
+	b.home->frozen = true;
+	for (ProxyCaller *c : b.callers) {
+		m.send_statement(c, "WRITE 1 x");
+		m.run(50 * MS);
+	}
+	for (ProxyCaller *c : b.callers) {
+		ProxyAnswer a = m.wait_for_answer(c, 2 * S);
+
+		late += !a.ok;
+	}
+	EXPECT_LE(late, 7);
+	EXPECT_EQ(b.entry->log_counts[LOG_HOME_STALLED], 1);
+	b.home->frozen = false;
+	m.run(3 * S);
+	EXPECT_GE(measure_share(m, b, 1 * S), 95);
+	expect_no_violations(m);
+}
+
+/* A home whose endpoint takes long for a statement says that it runs. */
+TEST(ProxyHome, AHomeThatWaitsIsNotStalled)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 1);
+
+	m.opts.statement_duration_us = 600 * MS;
+	EXPECT_EQ(measure_share(m, b, 3 * S), 100);
+	EXPECT_EQ(b.entry->log_counts[LOG_HOME_STALLED], 0);
+	expect_no_violations(m);
+}
+
+/* Neither the waits nor the connection are harmed by what cannot be read. */
+TEST(ProxyHome, IgnoresMalformedLoads)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 4);
+
+	for (const char *line :
+	     { "LOAD x 0", "LOAD 0", "LOAD 0 0 0", "LOAD -1 0",
+	       "LOAD 10000001 0", "LOAD 99999999999999999999 0",
+	       "LOAD 0 3600000001", "LOAD  0" }) {
+		ASSERT_FALSE(b.entry->hops.empty());
+		engine_conn_line((*b.entry->hops.begin())->engine_conn, line);
+	}
+	EXPECT_EQ(metrics_get(b.entry->metrics, "home_loads_dropped_total",
+			      nullptr),
+		  8);
+	EXPECT_EQ(b.entry->log_counts[LOG_HOME_LOAD_BAD], 1);
+	EXPECT_EQ(measure_share(m, b, 1 * S), 100);
+	expect_no_violations(m);
+}
+
+size_t count_conns_from(const ProxyEndpoint &e, const ProxyNode &n)
+{
+	size_t count = 0;
+
+	for (auto &c : e.conns)
+		count += c->node == &n;
+	return count;
+}
+
+/*
+ * A home that is cut from the store still thinks itself one after another has
+ * taken its place. The endpoint's connections suffice for both.
+ */
+TEST(ProxyHome, TwoHomesOfOneZoneStayBelowTheConnections)
+{
+	constexpr int ROUNDS = 60;
+	ProxyModelOpts o = home_opts();
+	std::vector<ProxyCaller *> callers;
+	size_t most = 0;
+
+	o.nodes = 30;
+	o.conns_max = 20;
+	ProxyModel m(o);
+	m.run(START_US);
+	ProxyCaller *c = m.connect(find_entry(m, "key-a"), "strict", "key-a");
+	ProxyNode *old = m.nodes[find_runner(m, c, "WRITE 1 x")].get();
+	old->cut_from_store = true;
+	m.run(12 * S); /* its entry has ended */
+	int next = find_runner(m, c, "WRITE 1 x");
+	ASSERT_GE(next, 0);
+	ASSERT_NE(m.nodes[next].get(), old);
+	for (int i = 0; i < 40; i++) {
+		int node = i % 2 ? old->index : i / 2;
+
+		callers.push_back(m.connect(node, "open", ""));
+	}
+	for (int i = 0; i < ROUNDS; i++) {
+		keep_asking(m, callers, "WRITE 1 x");
+		m.run(5 * MS);
+		for (auto &e : m.endpoints)
+			most = std::max(most, e->conns.size());
+	}
+	EXPECT_GT(count_conns_from(*m.primary(), *old), 1u);
+	EXPECT_GT(count_conns_from(*m.primary(), *m.nodes[next]), 1u);
+	EXPECT_LE(most, o.conns_max);
+	expect_no_violations(m);
+}
+
 /*
  * Lines on the port for statements of other instances, most of them such as no
  * instance sends. None may end the process, reach an endpoint if it should not,
  * or spoil the next session.
  */
+#define ROUTE "0 0 1000000 400000 1" /* as the model's route "strict" */
+
 struct HopLinesCase {
 	const char *lines[3];
 	const char *answer; /* that must be among the lines; NULL: any */
 };
 
 const HopLinesCase hop_lines[] = {
-	{ { "HOP 1 svc0", "OP 3 0 0 0 a strict", "QUERY q READ 1" },
+	{ { "HOP 3 svc0", "OP 3 0 0 0 " ROUTE " a strict", "QUERY q READ 1" },
 	  "COMPLETE" },
-	{ { "HOP 1 svc0", "OP 2 5000 0 0 a strict", "QUERY q READ 1" },
+	{ { "HOP 3 svc0", "OP 2 5000 0 0 " ROUTE " a strict",
+	    "QUERY q READ 1" },
 	  "COMPLETE" },
 	{ { "STARTUP strict key-a", "QUERY q READ 1", "" }, "ERROR MALFORMED" },
 	{ { "HOP 2 svc0", "", "" }, "ERROR MALFORMED" },
-	{ { "HOP 1 svc0", "QUERY q READ 1", "QUERY q WRITE 1 x" },
+	{ { "HOP 3 svc0", "QUERY q READ 1", "QUERY q WRITE 1 x" },
 	  "ERROR MISROUTED no operation" },
-	{ { "HOP 1 svc0", "QUERY q BEGIN", "QUERY q COMMIT" },
+	{ { "HOP 3 svc0", "QUERY q BEGIN", "QUERY q COMMIT" },
 	  "ERROR MISROUTED no operation" },
-	{ { "HOP 1 svc0", "OP", "QUERY q READ 1" }, nullptr },
-	{ { "HOP 1 svc0", "OP 1 0 0 0 a", "QUERY q READ 1" }, nullptr },
-	{ { "HOP 1 svc0", "OP 3 0 0 0 a nowhere", "QUERY q READ 1" },
+	{ { "HOP 3 svc0", "OP", "QUERY q READ 1" }, nullptr },
+	{ { "HOP 3 svc0", "OP 1 0 0 0 a", "QUERY q READ 1" }, nullptr },
+	{ { "HOP 3 svc0", "OP 3 0 0 0 " ROUTE " a nowhere", "QUERY q READ 1" },
 	  "ERROR MISROUTED the home has another route" },
-	{ { "HOP 1 other", "OP 3 0 0 0 a strict", "QUERY q READ 1" },
+	{ { "HOP 3 other", "OP 3 0 0 0 " ROUTE " a strict", "QUERY q READ 1" },
 	  "ERROR MISROUTED the home has another route" },
-	{ { "HOP 1 svc0", "OP 999 0 0 0 a strict", "QUERY q WRITE 1 x" },
+	{ { "HOP 3 svc0", "OP 999 0 0 0 " ROUTE " a nowhere",
+	    "QUERY q WRITE 1 x" },
+	  "COMPLETE" },
+	{ { "HOP 3 other", "OP 999 0 0 0 " ROUTE " a strict",
+	    "QUERY q WRITE 1 x" },
 	  "ERROR MISROUTED the home has an older configuration" },
-	{ { "HOP 1 svc0", "OP 3 0 0 0 a strict", "OP 3 0 0 0 a strict" },
+	{ { "HOP 3 svc0", "OP 3 0 0 0 " ROUTE " a strict",
+	    "OP 3 0 0 0 " ROUTE " a strict" },
 	  nullptr },
-	{ { "HOP 1 svc0", "LEAVING", "\x01\xff" }, "ERROR MALFORMED" },
+	{ { "HOP 3 svc0", "LEAVING", "\x01\xff" }, "ERROR MALFORMED" },
 	{ { "", "", "" }, "ERROR MALFORMED" },
 };
 
@@ -330,6 +707,57 @@
 	expect_no_violations(m);
 }
 
+/*
+ * The newest configuration counts, be it the home's own or the one by which the
+ * operation was sent: by neither may a read be older than it allows.
+ */
+struct RouteCase {
+	const char *name;
+	const char *announcement;
+	bool at_replica;
+};
+
+const RouteCase route_cases[] = {
+	{ "the same version", "OP 3 0 0 0 0 0 1000000 400000 1 a bounded",
+	  true },
+	{ "the home's is newer, and allows replicas",
+	  "OP 2 0 0 0 0 0 1000000 400000 1 a bounded", true },
+	{ "the home's is newer, and strict",
+	  "OP 2 0 0 0 1 5000000 1000000 400000 1 a strict", false },
+	{ "the entry's is newer, and strict",
+	  "OP 4 0 0 0 0 0 1000000 400000 1 a bounded", false },
+	{ "the entry's is newer, and allows replicas",
+	  "OP 4 0 0 0 1 5000000 1000000 400000 1 a strict", true },
+};
+
+TEST(ProxyHome, TheNewestConfigurationCounts)
+{
+	for (const RouteCase &t : route_cases) {
+		SCOPED_TRACE(t.name);
+		ProxyModel m(home_opts());
+		ProxyCaller raw;
+
+		m.run(START_US);
+		m.allow_unasked = true;
+		raw.node = m.nodes[0].get();
+		raw.session = engine_relay_opened(raw.node->engine, &raw);
+		engine_caller_line(raw.session, "HOP 3 svc0");
+		uint64_t reads = m.replica_reads;
+		for (int i = 0; i < 5; i++) {
+			std::string id = "q" + std::to_string(i);
+
+			engine_caller_line(raw.session, t.announcement);
+			engine_caller_line(raw.session,
+					   ("QUERY " + id + " READ 1").c_str());
+			m.run(100 * MS);
+		}
+		EXPECT_EQ(m.replica_reads > reads, t.at_replica);
+		EXPECT_TRUE(has_line(raw, "COMPLETE"));
+		engine_caller_closed(raw.session);
+		expect_no_violations(m);
+	}
+}
+
 /* A stopping home tells every other end, and accepts nothing new. */
 TEST(ProxyHome, StoppingHomeAcceptsNothingNew)
 {
@@ -341,15 +769,15 @@
 	m.run(START_US);
 	early.node = n;
 	early.session = engine_relay_opened(n->engine, &early);
-	engine_caller_line(early.session, "HOP 1 svc0");
+	engine_caller_line(early.session, "HOP 3 svc0");
 	engine_drain(n->engine);
 	EXPECT_TRUE(has_line(early, "LEAVING"));
 	late.node = n;
 	late.session = engine_relay_opened(n->engine, &late);
-	engine_caller_line(late.session, "HOP 1 svc0");
+	engine_caller_line(late.session, "HOP 3 svc0");
 	EXPECT_TRUE(has_line(late, "LEAVING"));
 	for (ProxyCaller *c : { &early, &late }) {
-		engine_caller_line(c->session, "OP 3 0 0 0 a strict");
+		engine_caller_line(c->session, "OP 3 0 0 0 " ROUTE " a strict");
 		engine_caller_line(c->session, "QUERY q READ 1");
 		m.run(100 * MS);
 		EXPECT_TRUE(
@@ -359,6 +787,43 @@
 	expect_no_violations(m);
 }
 
+/*
+ * Load: configurations that change faster than they reach the homes. Every
+ * statement was sent again and ran on a connection that its entry opened.
+ */
+TEST(ProxyHome, HomesWithAnOlderConfigurationServe)
+{
+	ProxyModel m(home_opts());
+
+	m.run(START_US);
+	int entry = find_entry(m, "key-a");
+	ASSERT_GE(entry, 0);
+	ProxyNode *n = m.nodes[entry].get();
+	for (auto &other : m.nodes)
+		other->cut_from_store = other->index != entry;
+	m.change_config(20000);
+	m.run(100 * MS);
+	int64_t relayed = count_relayed(*n);
+	int64_t opened =
+		metrics_get(n->metrics, "connections_opened_total", "work");
+	for (const char *database : { "strict", "bounded", "session" }) {
+		ProxyCaller *c = m.connect(entry, database, "key-a");
+
+		for (const char *text :
+		     { "WRITE 1 x", "READ 1", "BEGIN", "WRITE 2 y", "COMMIT" })
+			EXPECT_TRUE(m.run_statement(c, text).ok) << text;
+		m.disconnect(c);
+	}
+	/* A transaction is one operation. */
+	EXPECT_EQ(count_relayed(*n) - relayed, 9);
+	EXPECT_EQ(metrics_get(n->metrics, "relayed_not_accepted_total", "svc0"),
+		  0);
+	EXPECT_EQ(metrics_get(n->metrics, "connections_opened_total", "work"),
+		  opened);
+	EXPECT_EQ(m.count_nodes_with_newest_config(), 1);
+	expect_no_violations(m);
+}
+
 struct ChoiceCase {
 	const char *name;
 	std::vector<const char *> endpoint_zones;
@@ -489,14 +954,23 @@
 const char *const bad_hop_lines[] = {
 	"OP",
 	"OP ",
-	"OP 1 0 0 0 a",
-	"OP 1 0 0 0 a b c",
-	"OP -1 0 0 0 a strict",
-	"OP 99999999999999999999 0 0 0 a strict",
-	"OP 1 x 0 0 a strict",
-	"OP 1 999999999999999 0 0 a strict",
-	"OP 1 0 0 0  strict",
-	"OP 1 0 0 0 a-name-that-is-longer-than-any-workspace-may-have-1234 s",
+	"OP 1 0 0 0 a strict",
+	"OP 1 0 0 0 " ROUTE " a",
+	"OP 1 0 0 0 " ROUTE " a b c",
+	"OP -1 0 0 0 " ROUTE " a strict",
+	"OP 99999999999999999999 0 0 0 " ROUTE " a strict",
+	"OP 1 x 0 0 " ROUTE " a strict",
+	"OP 1 999999999999999 0 0 " ROUTE " a strict",
+	"OP 1 0 0 0 " ROUTE "  strict",
+	"OP 1 0 0 0 " ROUTE
+	" a-name-that-is-longer-than-any-workspace-may-have-1234 s",
+	"OP 1 0 0 0 3 0 1000000 400000 1 a strict",
+	"OP 1 0 0 0 -1 0 1000000 400000 1 a strict",
+	"OP 1 0 0 0 1 -5 1000000 400000 1 a strict",
+	"OP 1 0 0 0 1 3600000001 1000000 400000 1 a strict",
+	"OP 1 0 0 0 1 0 9223372036854775807 400000 1 a strict",
+	"OP 1 0 0 0 1 0 1000000 x 1 a strict",
+	"OP 1 0 0 0 1 0 1000000 400000 4294967296 a strict",
 };
 
 TEST(ProxyHome, RefusesMalformedLines)
@@ -510,8 +984,8 @@
 		EXPECT_FALSE(hop_read_operation(copy, &op)) << line;
 		g_free(copy);
 	}
-	for (const char *line : { "HOP", "HOP 1", "HOP 2 svc", "HOP x svc",
-				  "HOP 1 svc more", "STARTUP strict key-a" }) {
+	for (const char *line : { "HOP", "HOP 3", "HOP 2 svc", "HOP x svc",
+				  "HOP 3 svc more", "STARTUP strict key-a" }) {
 		char *copy = g_strdup(line);
 
 		EXPECT_FALSE(hop_read_start(copy, &service)) << line;
@@ -521,19 +995,30 @@
 
 TEST(ProxyHome, OperationKeepsItsFields)
 {
-	const struct hop_operation in = { .config_version = 17,
-					  .elapsed_us = 1234,
-					  .last_write = { 3, 99 },
-					  .workspace = "a",
-					  .database = "strict" };
+	struct hop_operation in = {};
 	struct hop_operation out;
 	GString *line = g_string_new(nullptr);
 
+	in.config_version = 17;
+	in.elapsed_us = 1234;
+	in.last_write = { 3, 99 };
+	in.workspace = "a";
+	in.database = "strict";
+	in.route.freshness = FRESH_SESSION;
+	in.route.max_age_us = 700;
+	in.route.timeout_us = 7200 * S;
+	in.route.target_us = 55;
+	in.route.priority = 2;
 	hop_put_operation(line, &in);
 	g_string_truncate(line, line->len - 2);
 	ASSERT_TRUE(hop_read_operation(line->str, &out));
 	EXPECT_EQ(out.config_version, 17);
 	EXPECT_EQ(out.elapsed_us, 1234);
+	EXPECT_EQ(out.route.freshness, FRESH_SESSION);
+	EXPECT_EQ(out.route.max_age_us, 700);
+	EXPECT_EQ(out.route.timeout_us, 3600 * S); /* as much as is read */
+	EXPECT_EQ(out.route.target_us, 55);
+	EXPECT_EQ(out.route.priority, 2u);
 	EXPECT_EQ(out.last_write.term, 3u);
 	EXPECT_EQ(out.last_write.offset, 99u);
 	EXPECT_STREQ(out.workspace, "a");
