Operators' requests: keep work away, move a primary, pause writes

Cause: operators could not steer sessions' load: an endpoint, instance or zone that should get no new work kept it until it left for good Change: zinnialine steer put|list|delete writes requests to the platform's store, each with an operator and an end, under the condition that nobody changed them meanwhile; instances apply them from their watch (src/steering). The host tells the engine the time of day, which is read once for each request; then the steady clock counts.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -78,6 +78,8 @@
 	{ "log_lines_left_out_total", COUNTER, NULL,
 	  "Log lines beyond the allowed rate or a full pipe." },
 	{ "draining", GAUGE, NULL, "1 while the instance shuts down." },
+	{ "steer_requests", GAUGE, NULL,
+	  "Operators' requests in force at the instance." },
 	{ "quota_ask_seconds", HISTOGRAM, NULL,
 	  "Time until the home of a limit answered." },
 	{ "statement_seconds", HISTOGRAM, "kind",
--- a/src/cli/command.c
+++ b/src/cli/command.c
@@ -6,12 +6,15 @@
 #include "cli/instance_command.h"
 #include "cli/key_command.h"
 #include "cli/secrets_command.h"
+#include "cli/steer_command.h"
 
 #include <stddef.h>
 
 static const struct command registry[] = {
 	{ "serve", "Run an instance", serve_command },
 	{ "proxy", "Run an instance that serves sessions", proxy_command },
+	{ "steer", "Steer load: put, list and delete operators' requests",
+	  steer_command },
 	{ "check", "Check a settings file", check_command },
 	{ "secrets", "Generate secrets for the settings", secrets_command },
 	{ "profile", "List, show, set and delete profiles", profile_command },
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -17,6 +17,8 @@
 	REASON_BYTES = 96,
 	/* Default retry delay: the cause has usually gone by then. */
 	RETRY_DEFAULT_US = 200 * 1000,
+	/* An operator may end a pause of writes before its time. */
+	WRITE_PAUSE_RETRY_US = 1000 * 1000,
 };
 
 /* Workspace of sessions on open routes that give no valid key. */
@@ -435,6 +437,22 @@
 		apply_quota_result(s, rc, retry_us, now_us);
 }
 
+/*
+ * Returns how long operators still pause writes of the workspace; 0: this may
+ * run. A transaction that has written may end.
+ */
+static int64_t find_write_pause_us(const struct session *s, int64_t now_us)
+{
+	const struct engine *e = s->engine;
+	bool has_written =
+		s->transaction != TRANSACTION_NONE && s->transaction_wrote;
+
+	if (!s->op.writes || s->relayed || has_written)
+		return 0;
+	return steer_remaining_us(e->steer, STEER_PAUSE_WRITES, s->workspace,
+				  now_us);
+}
+
 /* Checks access and, for a new operation, takes one from the quota. */
 static void admit_statement(struct session *s, bool new_operation,
 			    int64_t now_us)
@@ -443,6 +461,7 @@
 	const char *reason = "";
 	enum answer_code code = check_access(s, &reason, now_us);
 	int64_t retry_us = RETRY_DEFAULT_US;
+	int64_t pause_us;
 	int rc = 0;
 
 	if (code) {
@@ -450,6 +469,14 @@
 					now_us);
 		return;
 	}
+	pause_us = find_write_pause_us(s, now_us);
+	if (pause_us) {
+		caller_refuse_statement(s, ANSWER_OVERLOADED,
+					"writes are paused by an operator",
+					MIN(pause_us, WRITE_PAUSE_RETRY_US),
+					now_us);
+		return;
+	}
 	if (new_operation && !s->relayed)
 		rc = quota_take(e->quota, s->workspace, now_us, &retry_us);
 	if (rc != -EINPROGRESS)
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -133,7 +133,8 @@
 			      conn_pool_find_source(e, u, s, now_us);
 	out->is_primary = s->op.need == NEED_READ && u == u->service->primary;
 	out->same_zone = !strcmp(u->entry.zone, e->opts.zone);
-	out->likely_to_fail = is_likely_to_fail(s, u, now_us);
+	out->likely_to_fail =
+		is_likely_to_fail(s, u, now_us) || engine_avoids_endpoint(e, u);
 	out->running = u->running;
 	out->slots = u->entry.slots;
 	out->latency_us = upstream_expected_latency_us(u, now_us);
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -82,6 +82,24 @@
 	return g_hash_table_lookup(e->services, name);
 }
 
+bool engine_avoids_endpoint(const struct engine *e, const struct upstream *u)
+{
+	int64_t now_us = engine_now(e);
+
+	return steer_applies(e->steer, STEER_AVOID_ENDPOINT, u->entry.id,
+			     now_us) ||
+	       steer_applies(e->steer, STEER_AVOID_ZONE, u->entry.zone, now_us);
+}
+
+bool engine_avoids_instance(const struct engine *e, const char *name,
+			    const char *zone)
+{
+	int64_t now_us = engine_now(e);
+
+	return steer_applies(e->steer, STEER_AVOID_INSTANCE, name, now_us) ||
+	       steer_applies(e->steer, STEER_AVOID_ZONE, zone, now_us);
+}
+
 bool engine_keys_are_fresh(const struct engine *e, int64_t now_us)
 {
 	return store_feed_age_us(e->feed, now_us) <
@@ -258,6 +276,7 @@
 	quota_division_set_overrun(e->division, opts->tolerance.overrun_milli);
 	e->failovers = failovers_new(e);
 	e->replica_sets = replica_sets_new(e);
+	e->steer = steer_table_new();
 	e->feed = create_feed(e);
 	e->duty = create_duty(e);
 	e->keys_were_fresh = true;
@@ -312,6 +331,7 @@
 	free_closed(e);
 	failovers_free(e->failovers);
 	replica_sets_free(e->replica_sets);
+	steer_table_free(e->steer);
 	quota_division_free(e->division);
 	quota_requests_free(e->quota_requests);
 	quota_free(e->quota);
@@ -609,11 +629,30 @@
 	       engine_now(e) - e->drain_since_us > drain_min_duration_us();
 }
 
+/* Returns true if operators ask so, and others remain that they don't name. */
+static bool is_avoided_itself(const struct engine *e)
+{
+	int64_t now_us = engine_now(e);
+	GHashTableIter it;
+	gpointer name;
+
+	if (!steer_applies(e->steer, STEER_AVOID_INSTANCE, e->opts.instance,
+			   now_us))
+		return false;
+	g_hash_table_iter_init(&it, e->instances);
+	while (g_hash_table_iter_next(&it, &name, NULL)) {
+		if (!steer_applies(e->steer, STEER_AVOID_INSTANCE, name,
+				   now_us))
+			return true;
+	}
+	return false;
+}
+
 bool engine_is_ready(const struct engine *e)
 {
 	int64_t now_us = engine_now(e);
 
-	return e->config && !e->drain_since_us &&
+	return e->config && !e->drain_since_us && !is_avoided_itself(e) &&
 	       engine_config_is_usable(e, now_us) &&
 	       engine_keys_are_fresh(e, now_us) &&
 	       now_us < store_feed_lease_end_us(e->feed) &&
@@ -629,6 +668,7 @@
 	metrics_set(m, "sessions", NULL, g_hash_table_size(e->sessions));
 	metrics_set(m, "instances", NULL, e->instance_count);
 	metrics_set(m, "draining", NULL, e->drain_since_us != 0);
+	metrics_set(m, "steer_requests", NULL, steer_table_count(e->steer));
 	metrics_set(m, "store_confirmed_age_ms", NULL,
 		    store_feed_age_us(e->feed, engine_now(e)) / US_PER_MS);
 	if (e->config)
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -51,6 +51,8 @@
 	void (*peer_send)(void *host, const struct peer_message *m);
 	void (*log)(void *host, const struct log_entry *entry);
 	int64_t (*now_us)(void *host); /* monotonic clock */
+	/* Time of day, Unix milliseconds; may jump. */
+	int64_t (*time_ms)(void *host);
 };
 
 /* How far all instances together may exceed a limit. */
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -18,6 +18,7 @@
 #include "proxy/replica_set.h"
 #include "proxy/upstream.h"
 #include "proxy/upstream_conn.h"
+#include "steering/steer_request.h"
 
 #include <glib.h>
 
@@ -46,6 +47,7 @@
 	struct quota_requests *quota_requests;
 	struct failovers *failovers;
 	struct replica_sets *replica_sets;
+	struct steer_table *steer; /* operators' requests */
 	GPtrArray *closed_conns; /* freed at the end of a tick */
 	GPtrArray *closed_sessions; /* likewise */
 	uint64_t last_session_number;
@@ -74,6 +76,16 @@
 		const char *subject, int64_t value, const char *format, ...)
 	__attribute__((format(printf, 6, 7)));
 
+/*
+ * Returns true if operators ask to keep new work from the endpoint, itself or
+ * its zone.
+ */
+bool engine_avoids_endpoint(const struct engine *e, const struct upstream *u);
+
+/* Returns true if operators ask that the instance is no home. */
+bool engine_avoids_instance(const struct engine *e, const char *name,
+			    const char *zone);
+
 /* Returns the service of that name, or NULL. */
 struct service *engine_find_service(const struct engine *e, const char *name);
 
--- a/src/proxy/failover.c
+++ b/src/proxy/failover.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 enum {
+	/* Between rounds in which operators ask to move a primary. */
+	MOVE_INTERVAL_US = 120 * 1000 * 1000,
 	/* Time between messages to an endpoint, and before short retries. */
 	POLL_INTERVAL_US = 100 * 1000,
 	/* A control connection without an answer for this long is closed. */
@@ -99,6 +101,9 @@
 	bool save_pending; /* writing the choice has no answer yet */
 	int64_t ordered_us; /* when the last order was sent */
 	int64_t not_before_us; /* earliest start of the next round */
+	/* Operators' requests move no primary away from there until then. */
+	char move_tried[NAME_BYTES]; /* endpoint */
+	int64_t move_after_us;
 	/* A primary has reported its term since the duty was taken. */
 	bool term_known;
 	/* Replication may have to be paused or resumed somewhere. */
@@ -172,6 +177,31 @@
 		       NULL;
 }
 
+/* Returns true if operators ask that the endpoint does not lead. */
+static bool is_moved_away(const struct failover *f, const struct upstream *u)
+{
+	const struct engine *e = f->failovers->engine;
+
+	return steer_applies(e->steer, STEER_MOVE_PRIMARY, u->entry.id,
+			     engine_now(e));
+}
+
+/* A round that left it there is not repeated at once: commits wait in it. */
+static bool may_move(const struct failover *f, const struct upstream *u,
+		     int64_t now_us)
+{
+	return (now_us >= f->move_after_us ||
+		strcmp(f->move_tried, u->entry.id) != 0) &&
+	       is_moved_away(f, u);
+}
+
+/* Returns true if an endpoint is chosen only if no other is as good. */
+static bool is_unwanted(const struct failover *f, const struct upstream *u)
+{
+	return is_moved_away(f, u) ||
+	       engine_avoids_endpoint(f->failovers->engine, u);
+}
+
 /* Returns the reason to replace the service's primary, or NULL. */
 static const char *find_failover_reason(const struct failover *f,
 					int64_t now_us)
@@ -191,6 +221,8 @@
 		return "the primary's entry is missing from the store";
 	if (u->entry.leaving)
 		return "the primary is leaving";
+	if (may_move(f, u, now_us))
+		return "operators ask to move the primary";
 	if (failure_reports_confirm_silence(fs->failure_reports, u, now_us))
 		return "at least half of the instances cannot reach the primary";
 	return find_fence_reason(f);
@@ -330,6 +362,8 @@
 	f->chosen[0] = '\0';
 	f->stepped_down_us = 0;
 	f->not_before_us = now_us + NEXT_ROUND_DELAY_US;
+	if (f->reason)
+		f->move_after_us = now_us + MOVE_INTERVAL_US;
 }
 
 static void set_state(struct failover *f, enum failover_state state,
@@ -692,6 +726,7 @@
 		candidates[i].stepped_down = ep->stepped_down;
 		candidates[i].paused = is_paused(f, ep);
 		candidates[i].leaving = ep->upstream->entry.leaving;
+		candidates[i].unwanted = is_unwanted(f, ep->upstream);
 		candidates[i].unlisted = !ep->upstream->listed;
 		candidates[i].id_unknown = upstream_has_ended(ep->upstream);
 		candidates[i].id_awaited = candidates[i].id_unknown &&
@@ -947,6 +982,15 @@
 	return f->adjust_due && now_us >= f->adjust_not_before_us;
 }
 
+/* Remembers which endpoint the round may move the primary away from. */
+static void begin_move(struct failover *f)
+{
+	const struct upstream *u = f->service->primary;
+
+	g_strlcpy(f->move_tried, u ? u->entry.id : "", sizeof(f->move_tried));
+	f->move_after_us = 0;
+}
+
 static void run_failover(struct failover *f, int64_t now_us)
 {
 	switch (f->state) {
@@ -965,6 +1009,7 @@
 			break;
 		f->planned = f->service->primary &&
 			     !f->service->primary->silent_since_us;
+		begin_move(f);
 		request_token(f, now_us);
 		break;
 	case FAILOVER_GETTING_TOKEN:
--- a/src/proxy/failover_plan.c
+++ b/src/proxy/failover_plan.c
@@ -20,6 +20,8 @@
 		return !a->unlisted;
 	if (a->leaving != b->leaving)
 		return !a->leaving;
+	if (a->unwanted != b->unwanted)
+		return !a->unwanted;
 	return a->local && !b->local;
 }
 
--- a/src/proxy/failover_plan.h
+++ b/src/proxy/failover_plan.h
@@ -32,6 +32,7 @@
 	bool stepped_down; /* the previous primary is a replica now */
 	bool paused; /* it is a replica, and receives nothing */
 	bool leaving; /* its shutdown has been announced */
+	bool unwanted; /* operators ask for another */
 	/* No entry in the store: it gets no work as long as it has none. */
 	bool unlisted;
 	/*
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -274,6 +274,50 @@
 			   "endpoint entry is malformed; it is ignored");
 }
 
+static void remove_steer(struct engine *e, const struct store_item *item)
+{
+	steer_table_remove(e->steer, item->steer_kind, item->name);
+	if (item->removed && item->steer_kind != STEER_KINDS)
+		engine_log(e, LOG_STEER_CHANGED, 0, item->name, item->revision,
+			   "%s: withdrawn", steer_kind_name(item->steer_kind));
+}
+
+static void handle_steer_item(struct engine *e, const struct store_item *item,
+			      int64_t now_us)
+{
+	const struct steer_request *r = &item->steer;
+	int64_t time_ms = e->opts.ops->time_ms(e->opts.host);
+
+	e->homes_changed = true;
+	if (item->removed) {
+		remove_steer(e, item);
+		return;
+	}
+	if (!item->readable || !steer_table_put(e->steer, r, now_us, time_ms)) {
+		/* What it asked for before is not what it asks for now. */
+		remove_steer(e, item);
+		engine_log(e, LOG_STEER_MALFORMED, 0, item->name,
+			   item->revision,
+			   "an operator's request is malformed; not in force");
+		return;
+	}
+	engine_log(e, LOG_STEER_CHANGED, 0, r->subject,
+		   steer_remaining_us(e->steer, r->kind, r->subject, now_us) /
+			   US_PER_MS,
+		   "%s: requested by %s", steer_kind_name(r->kind), r->by);
+}
+
+static void expire_steer_requests(struct engine *e, int64_t now_us)
+{
+	uint32_t count = steer_table_expire(e->steer, now_us);
+
+	if (!count)
+		return;
+	e->homes_changed = true;
+	engine_log(e, LOG_STEER_CHANGED, 0, e->opts.instance, count,
+		   "requests have ended; the value is their number");
+}
+
 void fleet_handle_item(struct engine *e, struct store_item *item,
 		       int64_t now_us)
 {
@@ -299,6 +343,9 @@
 	case ITEM_REPLICA_SET:
 		replica_sets_handle_item(e->replica_sets, item, now_us);
 		break;
+	case ITEM_STEER:
+		handle_steer_item(e, item, now_us);
+		break;
 	default:
 		break;
 	}
@@ -342,10 +389,12 @@
 	duty_handle_list(e->duty, ends);
 	if (!ends) {
 		g_hash_table_remove_all(e->listed_names);
+		steer_table_begin_list(e->steer);
 		e->listing = true;
 		return;
 	}
 	e->listing = false;
+	steer_table_end_list(e->steer);
 	remove_unlisted_instances(e, now_us);
 	mark_unlisted_upstreams(e, now_us);
 }
@@ -372,6 +421,7 @@
 	gpointer value;
 
 	update_quota(e, now_us);
+	expire_steer_requests(e, now_us);
 	if (now_us < e->entries_settle_us)
 		return;
 	/*
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -17,8 +17,8 @@
 /* At most this often: a fleet that starts changes with every entry. */
 static const int64_t UPDATE_INTERVAL_US = 100 * US_PER_MS;
 
-/* All instances that may be a home, this one included. */
-static GArray *list_candidates(const struct engine *e)
+/* Lists the instances that may be a home, this one included. */
+static GArray *list_instances(const struct engine *e, bool with_avoided)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct home_candidate));
 	struct home_candidate self = { .name = e->opts.instance,
@@ -26,19 +26,33 @@
 	GHashTableIter it;
 	gpointer value;
 
-	if (e->opts.relay_address[0] && !e->drain_since_us)
+	if (e->opts.relay_address[0] && !e->drain_since_us &&
+	    (with_avoided || !engine_avoids_instance(e, self.name, self.zone)))
 		g_array_append_val(all, self);
 	g_hash_table_iter_init(&it, e->instances);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct instance_entry *i = value;
 		struct home_candidate c = { .name = i->name, .zone = i->zone };
 
-		if (i->relay[0] && strcmp(i->name, self.name) != 0)
+		if (i->relay[0] && strcmp(i->name, self.name) != 0 &&
+		    (with_avoided ||
+		     !engine_avoids_instance(e, i->name, i->zone)))
 			g_array_append_val(all, c);
 	}
 	return all;
 }
 
+/* Operators can't ask for a fleet without homes. */
+static GArray *list_candidates(const struct engine *e)
+{
+	GArray *c = list_instances(e, false);
+
+	if (c->len)
+		return c;
+	g_array_free(c, TRUE);
+	return list_instances(e, true);
+}
+
 static struct upstream *find_home(const struct service *svc,
 				  const struct instance_entry *i)
 {
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -46,6 +46,10 @@
 	/* Of `service`, without a lease. */
 	const struct replica_set_entry *put_replica_set;
 	const char *service;
+	/* An operator's request, without a lease. */
+	const struct steer_request *put_steer;
+	const struct steer_request *remove_steer; /* of its kind and subject */
+	int64_t steer_revision; /* only if that entry has it; 0: there is none */
 	bool remove_duty;
 	bool remove_instance; /* the entry of `instance` */
 	const char *instance;
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -8,6 +8,7 @@
 #include "core/event.h"
 #include "core/sizes.h"
 #include "proxy/fleet_config.h"
+#include "steering/steer_request.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -69,13 +70,17 @@
 	ITEM_DUTY, /* .duty */
 	ITEM_CHOICE, /* .choice */
 	ITEM_REPLICA_SET, /* .replica_set */
+	ITEM_STEER, /* .steer */
 	ITEM_OTHER, /* not used by the proxy */
 	ITEM_KIND_COUNT,
 };
 
 struct store_item {
 	enum store_item_kind kind;
-	char name[NAME_BYTES]; /* of the endpoint, instance or service */
+	/* Of the endpoint, instance or service; subject of a request. */
+	char name[NAME_BYTES];
+	/* ITEM_STEER, also of one that is removed; STEER_KINDS: unknown. */
+	enum steer_kind steer_kind;
 	int64_t revision; /* of its last change */
 	bool removed;
 	bool readable; /* false: the value is malformed; the union is not set */
@@ -86,6 +91,7 @@
 		struct duty_entry duty;
 		struct choice_entry choice;
 		struct replica_set_entry replica_set; /* owned by the item */
+		struct steer_request steer;
 	};
 };
 
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -164,6 +164,11 @@
 	return loop_now_us();
 }
 
+static int64_t time_ms(void *host)
+{
+	return g_get_real_time() / US_PER_MS;
+}
+
 static const struct engine_host engine_ops = {
 	.caller_send = caller_send,
 	.caller_close = caller_close,
@@ -174,6 +179,7 @@
 	.peer_send = peer_send,
 	.log = write_log,
 	.now_us = now_us,
+	.time_ms = time_ms,
 };
 
 /* Connections of callers. */
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -547,6 +547,11 @@
 	{
 		return node(host)->model->now();
 	}
+
+	static int64_t time_ms(void *host)
+	{
+		return node(host)->model->time_ms();
+	}
 };
 
 static const struct engine_host model_host_ops = {
@@ -559,6 +564,7 @@
 	.peer_send = ProxyHost::peer_send,
 	.log = ProxyHost::log,
 	.now_us = ProxyHost::now_us,
+	.time_ms = ProxyHost::time_ms,
 };
 
 /* Construction; starts and ends of nodes. */
@@ -905,6 +911,39 @@
 				rate_per_s_, burst_ };
 }
 
+int64_t ProxyModel::time_ms() const
+{
+	return time_offset_ms + now_us_ / 1000;
+}
+
+static std::string steer_key(enum steer_kind kind, const std::string &subject)
+{
+	return std::string("steer/") + steer_kind_name(kind) + "/" + subject;
+}
+
+void ProxyModel::steer(enum steer_kind kind, const std::string &subject,
+		       int64_t lasts_us, bool readable)
+{
+	struct store_item i;
+
+	memset(&i, 0, sizeof(i));
+	i.kind = ITEM_STEER;
+	i.readable = readable;
+	i.steer_kind = kind;
+	g_strlcpy(i.name, subject.c_str(), sizeof(i.name));
+	i.steer.kind = kind;
+	g_strlcpy(i.steer.subject, subject.c_str(), sizeof(i.steer.subject));
+	g_strlcpy(i.steer.by, "ann", sizeof(i.steer.by));
+	i.steer.until_ms = time_ms() + lasts_us / 1000;
+	put_item(steer_key(kind, subject), i, 0);
+}
+
+void ProxyModel::withdraw_steer(enum steer_kind kind,
+				const std::string &subject)
+{
+	remove_item(steer_key(kind, subject));
+}
+
 void ProxyModel::change_config(int64_t bytes)
 {
 	config_bytes_ = bytes;
@@ -1648,6 +1687,7 @@
 	auto sent = sent_statements_.find(id);
 
 	executed_count++;
+	executed_at[c->endpoint->id]++;
 	if (sent == sent_statements_.end()) {
 		if (!allow_unasked)
 			record_violation("UNASKED: " + id + " " + text);
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -273,6 +273,12 @@
 	void restart_all(int64_t off_us);
 	void withdraw_key(const std::string &key);
 	void set_limit(uint32_t rate_per_s, uint32_t burst);
+	/* Writes an operator's request that ends after lasts_us. */
+	void steer(enum steer_kind kind, const std::string &subject,
+		   int64_t lasts_us, bool readable = true);
+	void withdraw_steer(enum steer_kind kind, const std::string &subject);
+	int64_t time_ms() const; /* time of day */
+	int64_t time_offset_ms = 1700000000000; /* of it to the steady clock */
 	/* Writes a new version of the configuration, of that size as sent. */
 	void change_config(int64_t bytes);
 	/* Counts the running nodes that have the newest configuration. */
@@ -295,6 +301,7 @@
 	uint64_t acknowledged = 0; /* commits */
 	uint64_t promotions = 0;
 	uint64_t executed_count = 0; /* callers' statements, at endpoints */
+	std::map<std::string, int> executed_at; /* likewise, by endpoint */
 	uint64_t replica_reads = 0;
 	/* Number of answers by code; "ok": success, "none": no answer. */
 	std::map<std::string, int> answers;
