--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -49,6 +49,10 @@
 	/* Without a lease; only if its entry has this revision, 0: none. */
 	const struct limit_entry *put_limits;
 	int64_t limits_revision;
+	/* An operator's request, without a lease. */
+	const struct steer_request *put_steer;
+	const struct steer_request *remove_steer; /* of its kind and subject */
+	int64_t steer_revision; /* only if that entry has it; 0: there is none */
 	bool remove_duty;
 	bool remove_instance; /* the entry of `instance` */
 	const char *instance;
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -9,6 +9,7 @@
 #include "core/sizes.h"
 #include "limits/zone_list.h"
 #include "proxy/fleet_config.h"
+#include "steering/steer_request.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -82,13 +83,17 @@
 	ITEM_CHOICE, /* .choice */
 	ITEM_REPLICA_SET, /* .replica_set */
 	ITEM_LIMITS, /* .limits */
+	ITEM_STEER, /* .steer */
 	ITEM_OTHER, /* not used by the proxy */
 	ITEM_KIND_COUNT,
 };
 
 struct store_item {
 	enum store_item_kind kind;
-	char name[NAME_BYTES]; /* of the endpoint, instance or service */
+	/* Of the endpoint, instance or service; subject of a request. */
+	char name[NAME_BYTES];
+	/* ITEM_STEER, also of one that is removed; STEER_KINDS: unknown. */
+	enum steer_kind steer_kind;
 	int64_t revision; /* of its last change */
 	bool removed;
 	bool readable; /* false: the value is malformed; the union is not set */
@@ -100,6 +105,7 @@
 		struct choice_entry choice;
 		struct replica_set_entry replica_set; /* owned by the item */
 		struct limit_entry limits;
+		struct steer_request steer;
 	};
 };
 
