--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -73,6 +73,8 @@
 	X(CONN_OUT_OF_STEP, 310, LOG_WARNING,                                 \
 	  "unexpected response from endpoint")                                \
 	X(CONN_DENIED, 311, LOG_INFO, "endpoint rejected a connection")       \
+	X(ENDPOINT_STEP, 312, LOG_INFO, "endpoint gets more or less work")    \
+	X(READ_HEDGED, 313, LOG_INFO, "late statement sent elsewhere")        \
 	X(READY_CHANGED, 104, LOG_INFO, "readiness changed")                  \
 	X(SETTINGS_RELOADED, 105, LOG_INFO, "settings reloaded")              \
 	X(SETTINGS_REFUSED, 107, LOG_ERROR, "changed settings rejected")      \
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -8,6 +8,7 @@
 #include "proxy/homes.h"
 #include "proxy/hop.h"
 #include "proxy/placement.h"
+#include "proxy/service_health.h"
 #include "proxy/statement_send.h"
 
 #include <string.h>
@@ -123,17 +124,50 @@
 	return !position_covers(u->position, s->op.min_mark.position);
 }
 
+/* Returns true if it has what the statement needs and would run it. */
+static bool is_fit(const struct session *s, const struct upstream *u,
+		   int64_t now_us)
+{
+	return can_run(s, u) && !is_behind(s, u, now_us) &&
+	       !is_likely_to_fail(s, u, now_us);
+}
+
+/*
+ * Returns true if the endpoint is on trial and has its share of trials. It is
+ * used nevertheless if no other replica could run the statement.
+ */
+static bool is_kept_out(const struct session *s, const struct upstream *u,
+			int64_t now_us)
+{
+	const GPtrArray *all = u->service->upstreams;
+
+	if (s->op.need != NEED_READ ||
+	    endpoint_health_may_read(u->health, u->running))
+		return false;
+	for (guint i = 0; i < all->len; i++) {
+		const struct upstream *other = g_ptr_array_index(all, i);
+
+		if (other != u && other != u->service->primary &&
+		    endpoint_health_step(other->health) != HEALTH_STEP_TRIALS &&
+		    is_fit(s, other, now_us))
+			return true;
+	}
+	return false;
+}
+
 static void fill_candidate(const struct session *s, const struct upstream *u,
 			   struct placement_candidate *out, int64_t now_us)
 {
 	const struct engine *e = s->engine;
 
-	out->source = is_behind(s, u, now_us) ?
+	out->source = is_behind(s, u, now_us) || is_kept_out(s, u, now_us) ?
 			      CONN_SOURCE_NONE :
 			      conn_pool_find_source(e, u, s, now_us);
 	out->is_primary = s->op.need == NEED_READ && u == u->service->primary;
 	out->same_zone = !strcmp(u->entry.zone, e->opts.zone);
 	out->likely_to_fail = is_likely_to_fail(s, u, now_us);
+	out->reduced_milli = HEALTH_WEIGHT_FULL_MILLI -
+			     endpoint_health_weight_milli(u->health);
 	out->running = u->running;
 	out->slots = u->entry.slots;
 	out->latency_us = upstream_expected_latency_us(u, now_us);
@@ -143,6 +177,20 @@
 /* More than any service has endpoints; further ones would be ignored. */
 enum { CANDIDATES_MAX = 16 };
 
+/*
+ * Returns true if the read should show how the endpoint serves now. Only its
+ * first attempt does.
+ */
+static bool is_trial(const struct session *s, const struct upstream *u,
+		     enum conn_source source, int64_t now_us)
+{
+	return s->op.need == NEED_READ && !s->op.sends &&
+	       !s->op.opens_transaction &&
+	       (source == CONN_SOURCE_IDLE || source == CONN_SOURCE_OPEN) &&
+	       endpoint_health_trial_is_due(u->health, u->running, now_us) &&
+	       is_fit(s, u, now_us);
+}
+
 static struct upstream *choose_endpoint(const struct session *s,
 					const struct service *svc,
 					enum conn_source *source,
@@ -159,7 +207,13 @@
 		if (!can_run(s, u))
 			continue;
 		endpoints[n] = u;
-		fill_candidate(s, u, &c[n++], now_us);
+		fill_candidate(s, u, &c[n], now_us);
+		if (is_trial(s, u, c[n].source, now_us)) {
+			endpoint_health_begin_trial(u->health, now_us);
+			*source = c[n].source;
+			return u;
+		}
+		n++;
 	}
 	best = placement_choose(c, n);
 	if (best < 0)
@@ -168,6 +222,36 @@
 	return endpoints[best];
 }
 
+/* Returns true if the statement may leave `from` for the endpoint. */
+static bool can_move_to(const struct session *s, const struct upstream *from,
+			const struct upstream *u, int64_t now_us)
+{
+	enum conn_source source =
+		conn_pool_find_source(s->engine, u, s, now_us);
+
+	if (source != CONN_SOURCE_IDLE && source != CONN_SOURCE_OPEN)
+		return false;
+	/* Another connection to the only endpoint that can run it. */
+	if (u == from)
+		return s->op.need != NEED_READ && can_run(s, u) &&
+		       !u->silent_since_us;
+	return is_fit(s, u, now_us) && !is_kept_out(s, u, now_us);
+}
+
+bool dispatch_can_move(const struct session *s, const struct upstream *from,
+		       int64_t now_us)
+{
+	const GPtrArray *all = from->service->upstreams;
+
+	if (s->op.sends + 1 >= SENDS_MAX || now_us >= s->op.deadline_us)
+		return false;
+	for (guint i = 0; i < all->len; i++) {
+		if (can_move_to(s, from, g_ptr_array_index(all, i), now_us))
+			return true;
+	}
+	return false;
+}
+
 static struct upstream_conn *acquire_conn(struct session *s, struct upstream *u,
 					  enum conn_source source,
 					  int64_t now_us)
@@ -236,6 +320,8 @@
 		   s->op.min_mark.requested_us && s->op.need == NEED_READ ?
 			   (long long)(now_us - s->op.min_mark.requested_us) :
 			   0);
+	if (!u->is_home && s->op.need != NEED_PRIMARY && !s->op.sends)
+		service_health_count_read(svc);
 	s->conn = c;
 	c->session = s;
 	if (c->state == CONN_STATE_IDLE)
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -19,6 +19,13 @@
  */
 void dispatch_retry(struct session *s, const char *reason, int64_t now_us);
 
+/*
+ * Returns true if another connection is free for the statement: to another
+ * endpoint than `from`, or to `from` if no other one can run it.
+ */
+bool dispatch_can_move(const struct session *s, const struct upstream *from,
+		       int64_t now_us);
+
 /* Removes the session from its service's queue. */
 void dispatch_dequeue(struct session *s);
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -6,6 +6,8 @@
 #include "proxy/engine_state.h"
 #include "proxy/relay.h"
 #include "proxy/exchange.h"
+#include "proxy/hedging.h"
+#include "proxy/service_health.h"
 #include "proxy/fleet.h"
 #include "proxy/primary_fence.h"
 #include "proxy/mark_probe.h"
@@ -462,6 +464,8 @@
 		time_out_statement(s, now_us);
 		return;
 	}
+	if (hedging_try(s, now_us))
+		return;
 	if (s->op.active || s->transaction != TRANSACTION_OPEN || !c ||
 	    !e->config)
 		return;
@@ -521,6 +525,7 @@
 		time_out_conns(g_ptr_array_index(svc->upstreams, i), now_us);
 	for (guint i = 0; i < svc->homes->len; i++)
 		time_out_conns(g_ptr_array_index(svc->homes, i), now_us);
+	service_health_run(e, svc, now_us);
 	mark_probe_run(e, svc, now_us);
 	dispatch_run_queue(svc, now_us);
 }
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -3,7 +3,9 @@
 #include "proxy/caller.h"
 #include "proxy/dispatch.h"
 #include "proxy/engine_state.h"
+#include "proxy/hedging.h"
 #include "proxy/hop.h"
+#include "proxy/service_health.h"
 #include "proxy/statement_send.h"
 
 #include <string.h>
@@ -162,6 +164,7 @@
 		update_last_write(s, ready, now_us);
 	if (op->writes && !ends)
 		s->transaction_wrote = true;
+	hedging_handle_result(s, now_us - request->sent_us, now_us);
 	s->conn = NULL;
 	if (ends) {
 		if (commits)
@@ -211,7 +214,11 @@
 				      now_us);
 		return;
 	}
-	upstream_record_latency(c->upstream, now_us - request->sent_us, now_us);
+	service_health_record_answer(c, now_us - request->sent_us, now_us);
+	/* A failure that comes quickly does not make it a fast endpoint. */
+	if (!c->answer.failed)
+		upstream_record_latency(c->upstream, now_us - request->sent_us,
+					now_us);
 	metrics_observe(c->engine->opts.metrics, "endpoint_seconds",
 			c->upstream->entry.id, now_us - request->sent_us);
 	if (!c->session)
@@ -324,6 +331,7 @@
 	if (!c->any_id)
 		c->upstream->replaced = false;
 	upstream_record_handshake(c->upstream, now_us - request->sent_us);
+	service_health_record_start(c, now_us - request->sent_us, now_us);
 	c->idle_since_us = now_us;
 	c->state = CONN_STATE_IDLE;
 	if (c->control)
@@ -525,6 +533,7 @@
 		return;
 	engine_log(e, LOG_CONN_LOST, s ? s->number : 0, c->upstream->entry.id,
 		   now_us - c->opened_us, "%s", reason);
+	service_health_record_loss(c, now_us);
 	if (c->state == CONN_STATE_STARTING || c->request_count)
 		record_conn_failure(c, now_us);
 	if (c->state == CONN_STATE_PROBING)
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -1,5 +1,7 @@
 #include "proxy/placement.h"
 
+#include <glib.h>
+
 enum {
 	/*
 	 * Round trip between availability zones of a region: a few
@@ -12,6 +14,12 @@
 	 * much.
 	 */
 	PRIMARY_BIAS_US = 30 * 1000,
+	/*
+	 * An endpoint that fails does so quickly, so its time does not show
+	 * what it costs: about a second attempt.
+	 */
+	REDUCED_US = 30 * 1000,
+	MILLI = 1000,
 	/*
 	 * A refused attempt costs a round trip, so other endpoints come first.
 	 */
@@ -30,6 +38,9 @@
 	/* Statements beyond the endpoint's slots wait there. */
 	if (c->running >= c->slots)
 		cost += c->latency_us * (c->running - c->slots + 1) / c->slots;
+	if (c->reduced_milli)
+		cost = cost * MILLI / MAX(MILLI - c->reduced_milli, 1) +
+		       (int64_t)REDUCED_US * c->reduced_milli / MILLI;
 	if (c->source == CONN_SOURCE_OPEN)
 		cost += c->handshake_us;
 	else if (c->source == CONN_SOURCE_EVICT)
--- a/src/proxy/placement.h
+++ b/src/proxy/placement.h
@@ -23,6 +23,7 @@
 	bool is_primary;
 	bool same_zone;
 	bool likely_to_fail; /* an attempt there would probably be refused */
+	uint32_t reduced_milli; /* part of its work that others should get */
 	uint32_t running; /* this instance's statements there */
 	uint32_t slots; /* statements that the endpoint runs at once */
 	int64_t latency_us; /* recent duration of a statement there */
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -57,12 +57,16 @@
 	int64_t sent_us;
 	uint32_t sends; /* number of attempts so far */
 	uint32_t refusals; /* number of refusals by endpoints */
+	uint32_t hedges; /* number of attempts given up as late */
 	enum answer_code last_code; /* of the last refusal */
 	/* Last endpoint it was sent to, for the log. */
 	char endpoint[NAME_BYTES];
 	/* Endpoints that refused or lost it. */
 	struct upstream *avoid[OPERATION_AVOID_MAX];
 	uint32_t avoid_count;
+	/* Endpoint that did not answer in .hedge_delay_us; NULL: none. */
+	const struct upstream *hedged;
+	int64_t hedge_delay_us;
 	struct mark min_mark; /* NEED_READ: minimum log position */
 	GString *rows; /* result rows of the current attempt */
 };
--- a/src/proxy/statement_send.c
+++ b/src/proxy/statement_send.c
@@ -47,6 +47,7 @@
 
 	c->upstream->running++;
 	c->state = CONN_STATE_RUNNING;
+	c->writes = s->transaction ? !s->transaction_reads_only : op->writes;
 	if (c->upstream->is_home && !s->pinned)
 		put_operation(c, s, now_us);
 	setup = upstream_conn_put_setup(c, c->engine->opts.wire, s, name,
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -35,6 +35,7 @@
 	struct upstream *u = p;
 
 	g_ptr_array_free(u->conns, TRUE);
+	endpoint_health_free(u->health);
 	g_free(u);
 }
 
@@ -71,6 +72,7 @@
 	u->service = s;
 	u->listed = true;
 	u->conns = g_ptr_array_new();
+	u->health = endpoint_health_new();
 	u->latency_us = INITIAL_LATENCY_US;
 	u->handshake_us = INITIAL_HANDSHAKE_US;
 	return u;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -7,6 +7,8 @@
 #ifndef PROXY_UPSTREAM_H
 #define PROXY_UPSTREAM_H
 
+#include "health/endpoint_health.h"
+#include "health/hedge.h"
 #include "proxy/mark_ring.h"
 #include "proxy/store_item.h"
 
@@ -55,6 +57,8 @@
 	int64_t latency_at_us;
 	int64_t handshake_us; /* of opening a connection */
 
+	struct endpoint_health *health; /* of a home: not used */
+
 	uint32_t running; /* statements in progress there */
 	uint32_t open_failures; /* consecutive failures to open */
 	bool listed; /* the store has its entry */
@@ -105,6 +109,11 @@
 	GPtrArray *waiting; /* struct session, highest priority first */
 	bool probing; /* a probe of the primary is pending */
 	int64_t probe_due_us;
+	/* For work that is late; see hedging.h. */
+	struct hedge_budget hedge_budget;
+	struct hedge_times read_times;
+	struct hedge_times handshake_times;
+	int64_t judge_due_us; /* of the health of its endpoints */
 	/* Smallest max_age_us of its routes; 0: all of them are strict. */
 	int64_t smallest_max_age_us;
 };
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -71,6 +71,7 @@
 	struct session *session;
 	bool control; /* carries only statements of the proxy itself */
 	bool any_id; /* it was opened without the endpoint's id */
+	bool writes; /* its last statement writes, or its transaction may */
 	bool in_transaction; /* the endpoint has an open transaction on it */
 	bool closed;
 	int64_t opened_us;
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -15,6 +15,7 @@
 constexpr int PLATFORM_SEED_COUNT = 4;
 constexpr int NEW_ID_SEED_COUNT = 4;
 constexpr int HOME_SEED_COUNT = 16;
+constexpr int HEALTH_SEED_COUNT = 20;
 /* Fewer connections may be used than there are nodes, so homes are needed. */
 constexpr int HOME_NODES = 6;
 constexpr uint32_t HOME_CONNS_MAX = 9;
@@ -530,11 +531,49 @@
 	  } },
 };
 
+void serve_well(ProxyEndpoint *e)
+{
+	e->slow_factor = 1;
+	e->hung_read_percent = 0;
+	e->failed_read_percent = 0;
+	e->hung_starts = false;
+}
+
+/* Serves badly in one of several ways, and well again later. */
+void serve_badly(ProxyModel &m, ProxyEndpoint *e, int way)
+{
+	serve_well(e);
+	if (way == 0)
+		e->slow_factor = 2 + random_below(m, 30);
+	else if (way == 1)
+		e->hung_read_percent = 1 + random_below(m, 100);
+	else if (way == 2)
+		e->failed_read_percent = 1 + random_below(m, 100);
+	else
+		e->hung_starts = true;
+	m.run_later(random_us(m, 200 * MS, 6 * S), [e] { serve_well(e); });
+}
+
+const Fault health_faults[] = {
+	{ "an endpoint serves badly",
+	  [](ProxyModel &m) {
+		  serve_badly(m, pick_endpoint(m), random_below(m, 4));
+	  } },
+	{ "all endpoints serve badly",
+	  [](ProxyModel &m) {
+		  int way = random_below(m, 4);
+
+		  for (auto &e : m.endpoints)
+			  serve_badly(m, e.get(), way);
+	  } },
+};
+
 enum fault_mix {
 	FAULTS_RANDOM,
 	FAULTS_PLATFORM, /* and random ones */
 	FAULTS_NEW_ID,
 	FAULTS_HOMES, /* and random ones, of nodes that use homes */
+	FAULTS_HEALTH, /* and random ones, half of the seeds with homes */
 };
 
 const Fault &pick_fault(ProxyModel &m, enum fault_mix mix)
@@ -546,7 +585,10 @@
 		return faults[random_below(m, count)];
 	if (mix == FAULTS_HOMES && random_below(m, 2))
 		return home_faults[random_below(m, (int)std::size(home_faults))];
-	if (mix == FAULTS_HOMES)
+	if (mix == FAULTS_HEALTH && random_below(m, 2))
+		return health_faults[random_below(m, (int)std::size(
+							     health_faults))];
+	if (mix == FAULTS_HOMES || mix == FAULTS_HEALTH)
 		return faults[random_below(m, count)];
 	if (mix == FAULTS_NEW_ID)
 		return new_id_faults[random_below(m, (int)std::size(
@@ -563,7 +605,7 @@
 
 	o.seed = seed;
 	o.nodes = 4;
-	if (mix == FAULTS_HOMES) {
+	if (mix == FAULTS_HOMES || (mix == FAULTS_HEALTH && seed % 2)) {
 		o.nodes = HOME_NODES;
 		o.conns_max = HOME_CONNS_MAX;
 	}
@@ -691,4 +733,12 @@
 	run_seeds(seeds, FAULTS_HOMES);
 }
 
+TEST(ProxyFuzz, NoViolationsWhenEndpointsServeBadly)
+{
+	std::vector<uint64_t> seeds;
+
+	append_seeds(seeds, HEALTH_SEED_COUNT);
+	run_seeds(seeds, FAULTS_HEALTH);
+}
+
 } // namespace
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1499,6 +1499,8 @@
 			return;
 		}
 		c->workspace = w[2];
+		if (e->hung_starts)
+			return;
 		run_later(opts.handshake_duration_us, [this, c] {
 			if (c->open)
 				send_reply(c, format_ready_line(*c));
@@ -1712,6 +1714,12 @@
 				 " lacks the last write of its session");
 }
 
+/* Returns true in so many percent of the calls. */
+bool ProxyModel::meets(int percent)
+{
+	return percent && (int)(rand() % 100) < percent;
+}
+
 void ProxyModel::execute_statement(const std::shared_ptr<ProxyConn> &c,
 				   const std::string &id,
 				   const std::string &text, bool writes)
@@ -1721,13 +1729,24 @@
 				     e->slot_free_us.end());
 	int64_t start = std::max(*slot, now_us_);
 
-	*slot = start + opts.statement_duration_us;
+	*slot = start + opts.statement_duration_us * e->slow_factor;
 	c->busy = true;
+	e->reads += !writes;
+	if (!writes && meets(e->hung_read_percent))
+		return;
 	run_later(*slot - now_us_, [this, c, id, text, writes, e] {
 		bool commits = starts_with(text, "COMMIT");
 
 		if (!e->alive || e->unresponsive || !c->open)
 			return;
+		if (!writes && meets(e->failed_read_percent)) {
+			if (c->state == 'T')
+				c->state = 'E';
+			send_reply(c,
+				   "ERROR FAILED x\n" + format_ready_line(*c));
+			finish_statement(c);
+			return;
+		}
 		if (writes && !e->primary) {
 			if (c->state == 'T')
 				c->state = 'E';
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -90,6 +90,12 @@
 	int64_t lag_us = 20000; /* from receiving an entry to applying it */
 	std::vector<int64_t> slot_free_us; /* when each slot is free */
 	std::set<int> cut_nodes; /* nodes that cannot reach it */
+	int slow_factor = 1; /* of the time that statements take */
+	/* Parts of the reads that it never answers, or with FAILED. */
+	int hung_read_percent = 0;
+	int failed_read_percent = 0;
+	bool hung_starts = false; /* new connections get no answer */
+	uint64_t reads = 0; /* that began here, answered or not */
 	bool cut_replication = false; /* neither sends nor receives the log */
 	bool listed = true; /* the store has its entry */
 	bool cut_from_store = false; /* its entry is not written */
@@ -351,6 +357,7 @@
 	void execute_statement(const std::shared_ptr<ProxyConn> &c,
 			       const std::string &id, const std::string &text,
 			       bool writes);
+	bool meets(int percent);
 	bool execute_proxy_statement(const std::shared_ptr<ProxyConn> &c,
 				     const std::string &text);
 	void finish_statement(const std::shared_ptr<ProxyConn> &c);
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -94,6 +94,18 @@
 				   c.likely_to_fail = true;
 			   }),
 	  make_candidate(CONN_SOURCE_EVICT, 200 * MS), 1 },
+	{ "avoids an endpoint that fails although it is quick",
+	  modify_candidate(make_candidate(CONN_SOURCE_IDLE, 2 * MS),
+			   [](struct placement_candidate &c) {
+				   c.reduced_milli = 500;
+			   }),
+	  make_candidate(CONN_SOURCE_IDLE, 18 * MS), 1 },
+	{ "reduces, but does not exclude",
+	  modify_candidate(make_candidate(CONN_SOURCE_IDLE, 20 * MS),
+			   [](struct placement_candidate &c) {
+				   c.reduced_milli = 500;
+			   }),
+	  make_candidate(CONN_SOURCE_IDLE, 90 * MS), 0 },
 	{ "counts the wait for a slot",
 	  modify_candidate(make_candidate(CONN_SOURCE_IDLE, 20 * MS),
 			   [](struct placement_candidate &c) { c.running = 8; }),
