--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -19,6 +19,10 @@
 /* Fewer connections may be used than there are nodes, so homes are needed. */
 constexpr int HOME_NODES = 6;
 constexpr uint32_t HOME_CONNS_MAX = 9;
+/* A fleet at which the limits of the fuzz are counted at homes. */
+constexpr int LIMIT_NODES = 14;
+constexpr uint32_t LIMIT_CONNS_MAX = 60;
+constexpr int LIMIT_SEED_COUNT = 10;
 constexpr int STEP_COUNT = 120;
 constexpr int PLATFORM_STEP_COUNT = 300;
 /*
@@ -568,12 +572,69 @@
 	  } },
 };
 
+/* Nodes whose numbers give `part` modulo `parts`. */
+std::vector<ProxyNode *> get_nodes(ProxyModel &m, int part, int parts)
+{
+	std::vector<ProxyNode *> nodes;
+
+	for (auto &n : m.nodes) {
+		if (n->index % parts == part)
+			nodes.push_back(n.get());
+	}
+	return nodes;
+}
+
+const Fault limit_faults[] = {
+	{ "a zone is cut off from the others",
+	  [](ProxyModel &m) {
+		  std::vector<ProxyNode *> zone =
+			  get_nodes(m, random_below(m, 3), 3);
+		  int64_t duration_us = random_us(m, 500 * MS, 7 * S);
+
+		  for (ProxyNode *a : zone) {
+			  for (auto &b : m.nodes) {
+				  if (a->zone == b->zone)
+					  continue;
+				  cut_peer(m, a, b.get(), duration_us);
+				  cut_peer(m, b.get(), a, duration_us);
+			  }
+		  }
+	  } },
+	{ "a third of the nodes is cut off from the store",
+	  [](ProxyModel &m) {
+		  int64_t duration_us = random_us(m, 1 * S, 9 * S);
+
+		  for (ProxyNode *n : get_nodes(m, random_below(m, 3), 3)) {
+			  n->cut_from_store = true;
+			  m.run_later(duration_us,
+				      [n] { n->cut_from_store = false; });
+		  }
+	  } },
+	{ "a fourth of the nodes is away for long",
+	  [](ProxyModel &m) {
+		  int64_t duration_us = random_us(m, 1 * S, 9 * S);
+
+		  for (ProxyNode *n : get_nodes(m, random_below(m, 4), 4)) {
+			  if (!n->engine)
+				  continue;
+			  m.kill(n);
+			  m.run_later(duration_us, [&m, n] {
+				  if (!n->engine)
+					  m.start(n);
+			  });
+		  }
+	  } },
+	{ "the store loses the record of the limits",
+	  [](ProxyModel &m) { m.lose_limit_record(); } },
+};
+
 enum fault_mix {
 	FAULTS_RANDOM,
 	FAULTS_PLATFORM, /* and random ones */
 	FAULTS_NEW_ID,
 	FAULTS_HOMES, /* and random ones, of nodes that use homes */
 	FAULTS_HEALTH, /* and random ones, half of the seeds with homes */
+	FAULTS_LIMITS, /* the same, with limits that are counted at homes */
 };
 
 const Fault &pick_fault(ProxyModel &m, enum fault_mix mix)
@@ -583,6 +644,11 @@
 
 	if (mix == FAULTS_RANDOM)
 		return faults[random_below(m, count)];
+	if (mix == FAULTS_LIMITS && random_below(m, 2))
+		return limit_faults[random_below(m,
+						 (int)std::size(limit_faults))];
+	if (mix == FAULTS_LIMITS)
+		mix = FAULTS_HOMES;
 	if (mix == FAULTS_HOMES && random_below(m, 2))
 		return home_faults[random_below(m, (int)std::size(home_faults))];
 	if (mix == FAULTS_HEALTH && random_below(m, 2))
@@ -609,6 +675,15 @@
 		o.nodes = HOME_NODES;
 		o.conns_max = HOME_CONNS_MAX;
 	}
+	if (mix == FAULTS_LIMITS) {
+		o.nodes = LIMIT_NODES;
+		o.conns_max = LIMIT_CONNS_MAX;
+		o.rate_per_s = 6;
+		o.burst = 6;
+		o.lost_messages_percent = 3;
+		o.doubled_messages_percent = 3;
+		o.message_jitter_us = 20 * MS;
+	}
 	o.refuse_ended_endpoint = has_platform_faults;
 	o.frozen_nodes_read_nothing = has_platform_faults;
 	if (has_platform_faults && seed % 3 == 0)
@@ -741,4 +816,13 @@
 	run_seeds(seeds, FAULTS_HEALTH);
 }
 
+/* Small limits, counted in the zones of a fleet that is never whole. */
+TEST(ProxyFuzz, NoViolationsWithSmallLimits)
+{
+	std::vector<uint64_t> seeds;
+
+	append_seeds(seeds, LIMIT_SEED_COUNT);
+	run_seeds(seeds, FAULTS_LIMITS);
+}
+
 } // namespace
--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -360,6 +360,24 @@
 	expect_no_violations(m);
 }
 
+/*
+ * Guards against a longer first start: the record is not there yet, and it must
+ * not change how the instances count when it comes. Homes count once their
+ * entries are settled.
+ */
+TEST(ProxyQuotaHome, RecordDelaysNoFirstStart)
+{
+	ProxyModel m(make_fleet_opts(10));
+	std::vector<int> all;
+	Load l;
+
+	for (int i = 0; i < NODES; i++)
+		all.push_back(i);
+	m.run(quota_home_settle_us(LEASE_US) + 1 * S);
+	l = run_load_on(m, all, 3 * S);
+	EXPECT_EQ(l.requested, l.served);
+}
+
 void set_zone_cut(ProxyModel &m, const std::string &zone, bool cut)
 {
 	for (auto &from : m.nodes) {
