Test what the last fit replica serves; figures of a step in one line

Cause: the mutant that keeps the last fit replica out survived: the primary had the room for all reads of its test.

--- a/src/proxy/service_health.c
+++ b/src/proxy/service_health.c
@@ -112,13 +112,13 @@
 
 	engine_log(e, LOG_ENDPOINT_STEP, 0, u->entry.id,
 		   endpoint_health_weight_milli(u->health),
-		   "%s: %s to %s; %s: %u done in %lld us, %u failed, "
-		   "%u refused; others: %u in %lld us, %u, %u",
+		   "%s: %s to %s; %s %u ok %u failed %u refused %lld us; "
+		   "others %u %u %u %lld us",
 		   u->service->name, step_names[before], step_names[now],
-		   work_names[f->work], f->own.done,
-		   (long long)mean_us(&f->own), f->own.failed, f->own.refused,
-		   f->others.done, (long long)mean_us(&f->others),
-		   f->others.failed, f->others.refused);
+		   work_names[f->work], f->own.done, f->own.failed,
+		   f->own.refused, (long long)mean_us(&f->own), f->others.done,
+		   f->others.failed, f->others.refused,
+		   (long long)mean_us(&f->others));
 }
 
 struct judged {
--- a/tests/proxy_health_test.cc
+++ b/tests/proxy_health_test.cc
@@ -265,14 +265,16 @@
 }
 
 struct FreshCase {
-	uint32_t slots;
+	int nodes;
+	int primary_slow_factor;
+	int callers;
 	int served; /* at least */
 };
 
 const FreshCase fresh_cases[] = {
-	{ 4, 1500 },
+	{ 2, 1, 8, 1500 },
 	/* The primary alone has not the room for all. */
-	{ 1, 1 },
+	{ 1, 8, 16, 1500 },
 };
 
 /* The other replica lacks the data: the primary serves, and what it can't. */
@@ -280,15 +282,16 @@
 {
 	ProxyModelOpts opts = make_opts();
 
-	opts.slots = k.slots;
+	opts.nodes = k.nodes;
 	ProxyModel m(opts);
 	m.run(START_US);
 	Load writes(m, "bounded", 1, "WRITE 1 x");
-	Load load(m, "bounded", 8);
+	Load load(m, "bounded", k.callers);
 	writes.run(1 * S);
 	load.run(1 * S);
 	m.replica(1)->lag_us = 60 * S;
 	m.replica(0)->failed_read_percent = 50;
+	m.primary()->slow_factor = k.primary_slow_factor;
 	Outcome sum;
 	for (int i = 0; i < 60; i++) {
 		writes.run(50 * MS);
@@ -308,7 +311,7 @@
 TEST(ProxyHealth, OnlyFreshReplicaFails)
 {
 	for (const FreshCase &k : fresh_cases) {
-		SCOPED_TRACE(k.slots);
+		SCOPED_TRACE(k.nodes);
 		run_fresh_case(k);
 	}
 }
