Order and admit waiting statements by class, workspace and time

Cause: The queue of a service was a list by class and arrival, and the expected wait counted all that waited, also what would run later. A burst of a lower class made the most urgent one look hopeless; one workspace could fill the queue. Change: src/scheduler decides: classes in order, workspaces by virtual start times, in a workspace the earliest latest time. Admission counts what would run before, apart for work that needs the primary. Lower classes that are late behind a new statement are refused at once. Each class below the first keeps 5% of the room. Retry times are the drain of the queue before the refused, spread by up to half. A refusal tells class and cause; event 216 and statements_refused_total. A new statement no longer takes released room before those that wait. A read that failed and waits again is refused with its own code, not "overloaded". Remains: Expected run time by quantile, adaptive concurrency, a retry budget and a command that shows the queue are not begun.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -50,6 +50,8 @@
 	  "Parts of shares lent and borrowed." },
 	{ "statements_total", COUNTER, "result",
 	  "Callers' statements by the answer they got." },
+	{ "statements_refused_total", COUNTER, "cause",
+	  "Statements that found no room, by class and what they lost to." },
 	{ "endpoint_refusals_total", COUNTER, "reason",
 	  "Statements and connections that endpoints refused unrun." },
 	{ "hedged_statements_total", COUNTER, "service",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -72,6 +72,7 @@
 	X(SESSION_REFUSED, 214, LOG_INFO, "session rejected")                 \
 	X(SESSION_UNCONFIRMED, 215, LOG_INFO,                                 \
 	  "session accepted by an unconfirmed configuration")                 \
+	X(STATEMENT_CROWDED_OUT, 216, LOG_DEBUG, "statement found no room")   \
 	X(CONN_OUT_OF_STEP, 310, LOG_WARNING,                                 \
 	  "unexpected response from endpoint")                                \
 	X(CONN_DENIED, 311, LOG_INFO, "endpoint rejected a connection")       \
--- a/src/proxy/admission.c
+++ b/src/proxy/admission.c
@@ -18,24 +18,21 @@
 };
 
 int64_t admission_max_wait_us(const struct route *r,
-			      const struct admission_load *l)
+			      const struct admission_outage *o)
 {
-	if (l->outage_age_us != ADMISSION_NO_OUTAGE)
+	if (o->age_us != ADMISSION_NO_OUTAGE)
 		return r->timeout_us * OUTAGE_MAX_WAIT_PERCENT / PERCENT;
 	return r->target_us * MAX_WAIT_PERCENT / PERCENT;
 }
 
-int64_t admission_expected_wait_us(const struct admission_load *l)
+int64_t admission_expected_outage_us(const struct admission_outage *o)
 {
+	if (o->age_us == ADMISSION_NO_OUTAGE)
+		return 0;
 	/*
 	 * An outage that exceeds the typical duration is expected to last as
 	 * long again.
 	 */
-	if (l->outage_age_us != ADMISSION_NO_OUTAGE)
-		return l->outage_age_us < l->typical_outage_us ?
-			       l->typical_outage_us - l->outage_age_us :
-			       l->typical_outage_us;
-	if (!l->running)
-		return 0;
-	return l->latency_us * (l->waiting + 1) / l->running;
+	return o->age_us < o->typical_us ? o->typical_us - o->age_us :
+					   o->typical_us;
 }
--- a/src/proxy/admission.h
+++ b/src/proxy/admission.h
@@ -1,5 +1,5 @@
 /*
- * admission.h - decides whether a statement that cannot be sent now may wait.
+ * admission.h - how long a statement that cannot be sent now may wait.
  *
  * Statements queue up when there are more of them than connections, or while a
  * service's primary is being replaced. A statement waits only as long as the
@@ -16,14 +16,11 @@
 /* Retry delay for callers if the expected wait is not known. */
 #define ADMISSION_DEFAULT_RETRY_US (100 * US_PER_MS)
 
-/* The load ahead of a statement. */
-struct admission_load {
-	uint32_t running; /* statements that run on connections */
-	uint32_t waiting; /* statements queued ahead of it */
-	int64_t latency_us; /* expected duration of one statement */
+/* The outage of the primary, for a statement that needs it. */
+struct admission_outage {
 	/* Time without a primary, or ADMISSION_NO_OUTAGE. */
-	int64_t outage_age_us;
-	int64_t typical_outage_us; /* expected duration of an outage */
+	int64_t age_us;
+	int64_t typical_us; /* expected duration of an outage */
 };
 
 #define ADMISSION_NO_OUTAGE (-1)
@@ -33,9 +30,9 @@
  * arrival.
  */
 int64_t admission_max_wait_us(const struct route *r,
-			      const struct admission_load *l);
+			      const struct admission_outage *o);
 
-/* Returns the expected time until the statement can be sent. */
-int64_t admission_expected_wait_us(const struct admission_load *l);
+/* Returns the expected time until the outage ends; 0: there is none. */
+int64_t admission_expected_outage_us(const struct admission_outage *o);
 
 #endif
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -12,6 +12,7 @@
 #include "proxy/statement_send.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum {
 	/* Attempts per statement: each endpoint twice, in services of three. */
@@ -28,6 +29,7 @@
 	LOCAL_OPEN_RETRY_DELAY_US = 100 * 1000,
 	/* A connection with more prepared statements than this is closed. */
 	CONN_PREPARED_MAX = 200,
+	REFUSAL_BYTES = 96, /* reason of a refusal from the queue */
 };
 
 static struct service *find_service(const struct session *s)
@@ -290,8 +292,7 @@
 	struct upstream_conn *c;
 	struct upstream *u;
 
-	/* One that waited while its route changed is in the old queue. */
-	if (!svc->has_homes || s->relayed || strcmp(r->service, svc->name) != 0)
+	if (!svc->has_homes || s->relayed)
 		return NULL;
 	u = homes_find(svc, &request, now_us, &fit);
 	if (!u)
@@ -303,8 +304,6 @@
 		return NULL;
 	metrics_add(e->opts.metrics, "home_choices_total", home_fit_name(fit),
 		    1);
-	s->op.route = *r;
-	s->op.config_version = e->config->version;
 	memset(&s->op.min_mark, 0, sizeof(s->op.min_mark));
 	if (s->op.need == NEED_STRICT_READ)
 		s->op.need = NEED_READ;
@@ -350,69 +349,215 @@
 	return true;
 }
 
-static void enqueue(struct session *s, struct service *svc)
+static bool needs_primary(const struct session *s)
 {
-	const struct route *r = session_find_route(s);
-	guint i = 0;
+	return s->op.need != NEED_READ;
+}
 
-	for (; i < svc->waiting->len; i++) {
-		const struct session *o = g_ptr_array_index(svc->waiting, i);
-		const struct route *other = session_find_route(o);
+/* Spreads the retries of those who are refused together. */
+static int64_t spread_retry_us(const struct engine *e, int64_t wait_us)
+{
+	int64_t retry_us = wait_us ? wait_us : ADMISSION_DEFAULT_RETRY_US;
 
-		if (other && r && r->priority < other->priority)
-			break;
-	}
-	g_ptr_array_insert(svc->waiting, (gint)i, s);
-	s->op.waiting = true;
+	return retry_us +
+	       (int64_t)((double)retry_us / 2.0 * g_rand_double(e->rand));
 }
 
-static void refuse_overloaded(struct session *s, int64_t wait_us,
-			      int64_t now_us)
+/* Refuses a statement that is not in the queue or no longer there. */
+static void refuse_waiting(const struct sched_refusal *r, struct service *svc,
+			   int64_t now_us)
 {
-	caller_refuse_statement(s, ANSWER_OVERLOADED,
-				s->op.need == NEED_READ ?
-					"no endpoint is free" :
-					"the primary is not free",
-				wait_us, now_us);
+	const struct sched_job *j = r->job;
+	struct session *s = j->owner;
+	struct engine *e = s->engine;
+	char label[REFUSAL_BYTES];
+	char reason[REFUSAL_BYTES];
+
+	if (s->closing || !s->op.active)
+		return;
+	engine_log(e, LOG_STATEMENT_CROWDED_OUT, s->number, s->op.query.id,
+		   r->wait_us,
+		   "class %u lost to %s; workspace %s has %u of %u waiting",
+		   j->class_number, sched_cause_text(r->cause), s->workspace,
+		   scheduler_count_workspace(svc->queue, j->workspace),
+		   scheduler_count(svc->queue));
+	g_snprintf(label, sizeof(label), "class %u, %s", j->class_number,
+		   sched_cause_text(r->cause));
+	metrics_add(e->opts.metrics, "statements_refused_total", label, 1);
+	g_snprintf(reason, sizeof(reason), "%s, class %u lost to %s",
+		   needs_primary(s) ? "the primary is not free" :
+				      "no endpoint is free",
+		   j->class_number, sched_cause_text(r->cause));
+	caller_refuse_statement(s, operation_refusal_code(&s->op), reason,
+				spread_retry_us(e, r->wait_us), now_us);
 }
 
-/* Measures the load ahead of a statement that has to wait. */
-static struct admission_load
-measure_load(const struct session *s, const struct service *svc, int64_t now_us)
+static struct admission_outage
+find_outage(const struct session *s, const struct service *svc, int64_t now_us)
 {
-	struct admission_load l = { .waiting = svc->waiting->len };
+	int64_t since_us = service_outage_since_us(svc, now_us);
+	struct admission_outage o = { .age_us = ADMISSION_NO_OUTAGE,
+				      .typical_us = svc->typical_outage_us };
+
+	if (needs_primary(s) && since_us)
+		o.age_us = now_us - since_us;
+	return o;
+}
+
+/* Measures the room at the endpoints that can run a statement. */
+static struct sched_room measure_room(const struct session *s,
+				      const struct service *svc, int64_t now_us)
+{
+	struct admission_outage o = find_outage(s, svc, now_us);
+	struct sched_room room = { .blocked_us =
+					   admission_expected_outage_us(&o) };
+	guint usable = 0;
 
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
 
+		usable += upstream_is_usable(u);
 		if (!can_run(s, u))
 			continue;
-		l.running += u->running;
-		l.latency_us = MAX(l.latency_us,
-				   upstream_expected_latency_us(u, now_us));
+		room.running += u->running;
 	}
-	l.typical_outage_us = svc->typical_outage_us;
-	if (s->op.need != NEED_READ && service_outage_since_us(svc, now_us))
-		l.outage_age_us = now_us - service_outage_since_us(svc, now_us);
-	else
-		l.outage_age_us = ADMISSION_NO_OUTAGE;
-	return l;
+	room.shared = usable == 1 && svc->primary &&
+		      upstream_is_usable(svc->primary) &&
+		      upstream_is_usable_primary(svc->primary);
+	return room;
+}
+
+static int64_t expected_run_us(const struct session *s,
+			       const struct service *svc, int64_t now_us)
+{
+	int64_t run_us = 0;
+	int64_t any_us = 0; /* used while none can run it */
+
+	for (guint i = 0; i < svc->upstreams->len; i++) {
+		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
+		int64_t latency_us = upstream_expected_latency_us(u, now_us);
+
+		any_us = MAX(any_us, latency_us);
+		if (can_run(s, u))
+			run_us = MAX(run_us, latency_us);
+	}
+	return run_us ? run_us : any_us;
 }
 
 static void enqueue_or_refuse(struct session *s, struct service *svc,
 			      int64_t now_us)
 {
-	struct admission_load l = measure_load(s, svc, now_us);
-	int64_t wait_us = admission_expected_wait_us(&l);
+	struct admission_outage o = find_outage(s, svc, now_us);
+	struct sched_room room = measure_room(s, svc, now_us);
+	struct sched_refusal refused[SCHED_REFUSED_MAX];
+	const struct route *r = session_find_route(s);
+	struct operation *op = &s->op;
+	uint32_t n;
+
+	op->wait_deadline_us = op->arrived_us + admission_max_wait_us(r, &o);
+	op->job = (struct sched_job){
+		.owner = s,
+		.class_number = r->priority,
+		.workspace = XXH64(s->workspace, strlen(s->workspace), 0),
+		.needs_primary = needs_primary(s),
+		.latest_us = op->wait_deadline_us,
+		.run_us = expected_run_us(s, svc, now_us),
+	};
+	n = scheduler_add(svc->queue, &op->job, &room, refused, now_us);
+	/* A refused caller's next statement may change the queue again. */
+	for (uint32_t i = 0; i < n; i++)
+		refuse_waiting(&refused[i], svc, now_us);
+}
+
+/*
+ * Returns true if the statement's route leads to another service by now, or is
+ * gone.
+ */
+static bool is_rerouted(const struct session *s, const struct service *svc)
+{
+	const struct route *r = session_find_route(s);
 
-	s->op.wait_deadline_us =
-		s->op.arrived_us +
-		admission_max_wait_us(session_find_route(s), &l);
-	if (now_us + wait_us > s->op.wait_deadline_us) {
-		refuse_overloaded(s, wait_us, now_us);
+	return !session_has_newer_route(s) &&
+	       (!r || strcmp(r->service, svc->name) != 0);
+}
+
+/* Sends a statement to the service of its present route; it was not sent. */
+static void reroute(struct session *s, int64_t now_us)
+{
+	if (s->relayed)
+		caller_refuse_statement(s, ANSWER_WRONG_ENDPOINT,
+					"the home has another route",
+					ADMISSION_DEFAULT_RETRY_US, now_us);
+	else
+		dispatch_statement(s, now_us);
+}
+
+/* Takes out the queued statements whose routes lead elsewhere by now. */
+static void reroute_waiting(struct service *svc, int64_t now_us)
+{
+	GPtrArray *moved = g_ptr_array_new();
+
+	for (struct sched_job *j = scheduler_first(svc->queue); j;
+	     j = scheduler_skip(svc->queue)) {
+		if (is_rerouted(j->owner, svc))
+			g_ptr_array_add(moved, j->owner);
+	}
+	for (guint i = 0; i < moved->len; i++)
+		dispatch_dequeue(g_ptr_array_index(moved, i));
+	for (guint i = 0; i < moved->len; i++) {
+		struct session *s = g_ptr_array_index(moved, i);
+
+		/* Others' answers may have closed it. */
+		if (!s->closing && s->op.active)
+			reroute(s, now_us);
+	}
+	g_ptr_array_free(moved, TRUE);
+}
+
+/* Sends the queued statements that can be sent now. */
+static void send_waiting(struct service *svc, int64_t now_us)
+{
+	struct sched_job *j;
+
+	svc->room_freed = false;
+	if (svc->routes_changed) {
+		svc->routes_changed = false;
+		reroute_waiting(svc, now_us);
+	}
+	j = scheduler_first(svc->queue);
+	while (j) {
+		struct session *s = j->owner;
+
+		if (now_us >= s->op.backoff_until_us &&
+		    try_send(s, svc, now_us)) {
+			j = scheduler_send(svc->queue);
+		} else {
+			j->needs_primary = needs_primary(s);
+			j = scheduler_skip(svc->queue);
+		}
+	}
+}
+
+void dispatch_use_started_conn(struct upstream_conn *c, int64_t now_us)
+{
+	struct session *s = c->session;
+
+	if (!is_rerouted(s, c->upstream->service)) {
+		statement_send_setup(c, now_us);
 		return;
 	}
-	enqueue(s, svc);
+	dispatch_release_conn(c, now_us);
+	reroute(s, now_us);
+}
+
+/* Sends the statement unless those that wait take the room. */
+static void send_or_enqueue(struct session *s, struct service *svc,
+			    int64_t now_us)
+{
+	if (svc->room_freed || svc->routes_changed)
+		send_waiting(svc, now_us);
+	if (now_us < s->op.backoff_until_us || !try_send(s, svc, now_us))
+		enqueue_or_refuse(s, svc, now_us);
 }
 
 void dispatch_statement(struct session *s, int64_t now_us)
@@ -433,8 +578,7 @@
 		statement_send_setup(s->pinned, now_us);
 		return;
 	}
-	if (!try_send(s, svc, now_us))
-		enqueue_or_refuse(s, svc, now_us);
+	send_or_enqueue(s, svc, now_us);
 }
 
 void dispatch_retry(struct session *s, const char *reason, int64_t now_us)
@@ -452,49 +596,43 @@
 					now_us);
 		return;
 	}
+	if (is_rerouted(s, svc)) {
+		reroute(s, now_us);
+		return;
+	}
 	engine_log(s->engine, LOG_STATEMENT_AGAIN, s->number, op->query.id,
 		   now_us - op->arrived_us, "%s, tries %u", reason, op->sends);
 	op->backoff_until_us = now_us + (op->refusals > 1 ? RETRY_DELAY_US : 0);
-	if (op->backoff_until_us > now_us || !try_send(s, svc, now_us))
-		enqueue_or_refuse(s, svc, now_us);
+	send_or_enqueue(s, svc, now_us);
 }
 
 void dispatch_dequeue(struct session *s)
 {
-	GHashTableIter it;
-	gpointer svc;
-
-	if (!s->op.waiting)
-		return;
-	s->op.waiting = false;
-	g_hash_table_iter_init(&it, s->engine->services);
-	while (g_hash_table_iter_next(&it, NULL, &svc))
-		g_ptr_array_remove(((struct service *)svc)->waiting, s);
+	scheduler_remove(&s->op.job);
 }
 
-void dispatch_run_queue(struct service *svc, int64_t now_us)
+/* Refuses the queued statements that waited too long. */
+static void refuse_late(struct service *svc, int64_t now_us)
 {
-	guint i = 0;
+	struct sched_job *j;
 
-	while (i < svc->waiting->len) {
-		struct session *s = g_ptr_array_index(svc->waiting, i);
+	while ((j = scheduler_find_late(svc->queue, now_us))) {
+		struct sched_room room = measure_room(j->owner, svc, now_us);
+		struct sched_refusal r = scheduler_estimate(j, &room);
 
-		if (now_us >= s->op.wait_deadline_us) {
-			dispatch_dequeue(s);
-			refuse_overloaded(s, ADMISSION_DEFAULT_RETRY_US,
-					  now_us);
-			i = 0;
-			continue;
-		}
-		if (now_us < s->op.backoff_until_us ||
-		    !try_send(s, svc, now_us)) {
-			i++;
-			continue;
-		}
-		dispatch_dequeue(s);
+		/* It was expected to be sent by now. */
+		r.wait_us = MAX(r.wait_us, ADMISSION_DEFAULT_RETRY_US);
+		scheduler_remove(j);
+		refuse_waiting(&r, svc, now_us);
 	}
 }
 
+void dispatch_run_queue(struct service *svc, int64_t now_us)
+{
+	refuse_late(svc, now_us);
+	send_waiting(svc, now_us);
+}
+
 static void start_cleanup(struct upstream_conn *c, int64_t now_us)
 {
 	const struct proxy_message rollback = {
@@ -540,6 +678,7 @@
 	}
 	c->state = CONN_STATE_IDLE;
 	c->idle_since_us = now_us;
+	c->upstream->service->room_freed = true;
 	if (!c->control && should_close(c))
 		dispatch_close_conn(c);
 }
@@ -580,6 +719,7 @@
 	if (c->closed)
 		return;
 	c->closed = true;
+	c->upstream->service->room_freed = true;
 	if (c->state == CONN_STATE_RUNNING)
 		c->upstream->running--;
 	g_ptr_array_remove(c->upstream->conns, c);
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -26,6 +26,12 @@
 bool dispatch_can_move(const struct session *s, const struct upstream *from,
 		       int64_t now_us);
 
+/*
+ * Sends the statement that waited for the connection to open, or sends it
+ * elsewhere if its route changed meanwhile.
+ */
+void dispatch_use_started_conn(struct upstream_conn *c, int64_t now_us);
+
 /* Removes the session from its service's queue. */
 void dispatch_dequeue(struct session *s);
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -482,7 +482,8 @@
 {
 	struct upstream_conn *c = s->pinned;
 
-	if (s->op.active && !s->op.waiting && !s->op.awaiting_quota &&
+	if (s->op.active && !operation_is_waiting(&s->op) &&
+	    !s->op.awaiting_quota &&
 	    now_us >= s->op.deadline_us - ANSWER_MARGIN_US) {
 		time_out_statement(s, now_us);
 		return;
@@ -696,7 +697,7 @@
 
 		metrics_set(m, "homes", svc->name, svc->home_count);
 		metrics_set(m, "waiting_statements", svc->name,
-			    svc->waiting->len);
+			    scheduler_count(svc->queue));
 		metrics_set(m, "mark_age_ms", svc->name,
 			    svc->marks.count ?
 				    (engine_now(e) -
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -338,7 +338,7 @@
 	if (c->control)
 		failover_handle_conn_ready(c->engine->failovers, c, now_us);
 	else if (c->session)
-		statement_send_setup(c, now_us);
+		dispatch_use_started_conn(c, now_us);
 }
 
 typedef void (*answer_fn)(struct upstream_conn *c,
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -52,6 +52,16 @@
 	}
 }
 
+static void mark_routes_changed(struct engine *e)
+{
+	GHashTableIter it;
+	gpointer svc;
+
+	g_hash_table_iter_init(&it, e->services);
+	while (g_hash_table_iter_next(&it, NULL, &svc))
+		((struct service *)svc)->routes_changed = true;
+}
+
 static void apply_config(struct engine *e, struct store_item *item,
 			 int64_t now_us)
 {
@@ -69,6 +79,7 @@
 	e->config = g_steal_pointer(&item->config);
 	e->config_revision = item->revision;
 	configure_services(e);
+	mark_routes_changed(e);
 	e->homes_changed = true;
 	quota_configure(e->quota, e->config, now_us);
 	engine_log(e, LOG_CONFIG_APPLIED, 0, "config", e->config->version,
--- a/src/proxy/hedging.c
+++ b/src/proxy/hedging.c
@@ -34,7 +34,7 @@
 	const struct conn_request *request;
 
 	if (!c || c->closed || c->session != s || s->pinned == c ||
-	    c->upstream->is_home || !s->op.active || s->op.waiting)
+	    c->upstream->is_home || !s->op.active || s->op.job.scheduler)
 		return 0;
 	if (c->state == CONN_STATE_STARTING)
 		return c->opened_us;
@@ -48,8 +48,7 @@
 			    const struct upstream_conn *c, int64_t since_us)
 {
 	const struct service *svc = c->upstream->service;
-	const struct route *r =
-		fleet_config_find_route(s->engine->config, s->database);
+	const struct route *r = session_find_route(s);
 	const struct hedge_times *t = c->state == CONN_STATE_STARTING ?
 					      &svc->handshake_times :
 					      &svc->read_times;
--- a/src/proxy/relay_load.c
+++ b/src/proxy/relay_load.c
@@ -1,6 +1,5 @@
 #include "proxy/relay_load.h"
 
-#include "proxy/admission.h"
 #include "proxy/engine_state.h"
 #include "proxy/hop.h"
 
@@ -9,23 +8,25 @@
 /* Returns the expected wait of a new read. */
 static int64_t measure_read_wait(const struct service *svc, int64_t now_us)
 {
-	struct admission_load l = { .outage_age_us = ADMISSION_NO_OUTAGE };
+	uint32_t waiting = scheduler_count_reads(svc->queue);
+	int64_t latency_us = 0;
+	uint32_t running = 0;
 
-	for (guint i = 0; i < svc->waiting->len; i++) {
-		const struct session *s = g_ptr_array_index(svc->waiting, i);
-
-		l.waiting += s->op.need == NEED_READ;
-	}
-	for (guint i = 0; l.waiting && i < svc->upstreams->len; i++) {
+	for (guint i = 0; waiting && i < svc->upstreams->len; i++) {
 		const struct upstream *u = g_ptr_array_index(svc->upstreams, i);
 
-		if (!upstream_is_usable(u))
+		/* The primary serves reads only where nothing else can. */
+		if (!upstream_is_usable(u) ||
+		    (u == svc->primary && svc->upstreams->len > 1))
 			continue;
-		l.running += u->running;
-		l.latency_us = MAX(l.latency_us,
-				   upstream_expected_latency_us(u, now_us));
+		running += u->running;
+		latency_us = MAX(latency_us,
+				 upstream_expected_latency_us(u, now_us));
 	}
-	return MIN(admission_expected_wait_us(&l), LOAD_WAIT_MAX_US);
+	if (!waiting)
+		return 0;
+	return MIN(latency_us * (waiting + 1) / MAX(running, 1),
+		   LOAD_WAIT_MAX_US);
 }
 
 static void put_load(GString *out, struct session *s, int64_t took_us,
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -124,6 +124,19 @@
 	op->arrived_us = now_us;
 }
 
+bool operation_is_waiting(const struct operation *op)
+{
+	return op->job.scheduler;
+}
+
+enum answer_code operation_refusal_code(const struct operation *op)
+{
+	if (op->last_code &&
+	    answer_code_verdict(op->last_code) != VERDICT_NOT_RUN)
+		return op->last_code;
+	return ANSWER_OVERLOADED;
+}
+
 void operation_end(struct operation *op)
 {
 	query_clear(&op->query);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -14,6 +14,7 @@
 #include "proxy/mark_ring.h"
 #include "proxy/query.h"
 #include "proxy/wire.h"
+#include "scheduler/scheduler.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -51,7 +52,7 @@
 	int64_t deadline_us; /* must be answered by then */
 	int64_t wait_deadline_us; /* refused if it is still queued then */
 	int64_t backoff_until_us; /* not sent before this time */
-	bool waiting; /* in its service's queue */
+	struct sched_job job; /* in its service's queue while it waits */
 	bool awaiting_quota; /* waits for the limit's home instance */
 	bool sent; /* the caller's statement was sent to an endpoint */
 	int64_t sent_us;
@@ -68,12 +69,6 @@
 	const struct upstream *hedged;
 	int64_t hedge_delay_us;
 	struct mark min_mark; /* NEED_READ: minimum log position */
-	/*
-	 * Sent to a home: its route and the configuration that has it. The
-	 * route's names may have been freed.
-	 */
-	struct route route;
-	int64_t config_version;
 	GString *rows; /* result rows of the current attempt */
 };
 
@@ -147,6 +142,15 @@
 
 /* Starts an operation; takes ownership of the contents of `q`. */
 void operation_start(struct operation *op, struct query *q, int64_t now_us);
+/* Returns true while it is in its service's queue. */
+bool operation_is_waiting(const struct operation *op);
+
+/*
+ * Returns the code with which it is refused if there is no room for it. A read
+ * that failed, and waits to run again, has run.
+ */
+enum answer_code operation_refusal_code(const struct operation *op);
+
 /* Frees the query and marks the operation as not active. */
 void operation_end(struct operation *op);
 
--- a/src/proxy/statement_send.c
+++ b/src/proxy/statement_send.c
@@ -22,9 +22,10 @@
 static void put_operation(struct upstream_conn *c, const struct session *s,
 			  int64_t now_us)
 {
+	const struct fleet_config *config = c->engine->config;
 	const struct hop_operation op = {
-		.config_version = s->op.config_version,
-		.route = s->op.route,
+		.config_version = config->version,
+		.route = *fleet_config_find_route(config, s->database),
 		.elapsed_us = now_us - s->op.arrived_us,
 		.last_write = s->last_write,
 		.workspace = s->workspace,
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -28,6 +28,13 @@
 	/* An average that is not renewed halves in this time. */
 	LATENCY_HALF_LIFE_US = 1000 * 1000,
 	LATENCY_EXPIRY_US = 8 * LATENCY_HALF_LIFE_US,
+	/* Statements that wait; many times what an endpoint runs at once. */
+	QUEUE_JOBS_MAX = 2048,
+	/*
+	 * Part of the room, in thousandths, that a class keeps while more
+	 * urgent ones wait: enough to see that its work is still done.
+	 */
+	CLASS_PART_MILLI = 50,
 };
 
 static void upstream_destroy(gpointer p)
@@ -41,6 +48,8 @@
 
 struct service *service_new(const char *name)
 {
+	const struct scheduler_opts queue = { .jobs_max = QUEUE_JOBS_MAX,
+					      .part_milli = CLASS_PART_MILLI };
 	struct service *s = g_new0(struct service, 1);
 
 	g_strlcpy(s->name, name, sizeof(s->name));
@@ -48,7 +57,7 @@
 	s->homes = g_ptr_array_new_with_free_func(upstream_destroy);
 	s->observers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	s->waiting = g_ptr_array_new();
+	s->queue = scheduler_new(&queue);
 	s->conns_max = 1;
 	s->typical_outage_us = INITIAL_OUTAGE_US;
 	return s;
@@ -59,7 +68,7 @@
 	g_ptr_array_free(s->upstreams, TRUE);
 	g_ptr_array_free(s->homes, TRUE);
 	g_hash_table_destroy(s->observers);
-	g_ptr_array_free(s->waiting, TRUE);
+	scheduler_free(s->queue);
 	g_free(s);
 }
 
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -12,6 +12,7 @@
 #include "health/hedge.h"
 #include "proxy/mark_ring.h"
 #include "proxy/store_item.h"
+#include "scheduler/scheduler.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -112,7 +113,10 @@
 	/* Average duration of outages of the primary. */
 	int64_t typical_outage_us;
 	struct mark_ring marks;
-	GPtrArray *waiting; /* struct session, highest priority first */
+	struct scheduler *queue; /* statements that wait for an endpoint */
+	/* Connections were released since the queue was last run. */
+	bool room_freed;
+	bool routes_changed; /* since statements that wait were last sent */
 	bool probing; /* a probe of the primary is pending */
 	int64_t probe_due_us;
 	/* For work that is late; see hedging.h. */
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -3,7 +3,13 @@
  * the order in which they are sent.
  *
  * Pure: the caller passes the time and does what the outcomes say. One
- * scheduler serves one service; the engine's service owns it.
+ * scheduler serves one service, which owns it.
+ *
+ * Jobs are sent by class. Within a class each workspace gets the same part of
+ * the room, by virtual start times, and within a workspace the job that must be
+ * sent earliest goes first. Each class below the first that waits keeps a small
+ * part of the room. Work that has begun holds its connection and does not wait
+ * here.
  */
 #ifndef SCHEDULER_SCHEDULER_H
 #define SCHEDULER_SCHEDULER_H
@@ -11,75 +17,99 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+struct scheduler;
+
 /* A waiting statement. Owned by its session; the scheduler only links it. */
 struct sched_job {
 	void *owner; /* the session */
-	uint32_t class; /* priority of its route, 0 is the highest */
+	uint32_t class_number; /* priority of its route; 0: the most urgent */
 	uint64_t workspace; /* hash of its name */
-	bool begun; /* part of work that holds a connection already */
-	bool needs_primary;
-	int64_t arrived_us;
-	int64_t aim_us; /* when its answer should be there at the latest */
+	bool needs_primary; /* may change while it waits */
 	int64_t latest_us; /* when it must have been sent, or is of no use */
 	int64_t run_us; /* expected duration */
 	/* Set by the scheduler. */
 	uint64_t tag; /* virtual start time within its class */
-	bool queued;
+	struct scheduler *scheduler; /* NULL: it does not wait */
 };
 
-/* The room that the caller sees now, for work of one kind. */
+/* The room for jobs of one kind: those that need the primary, or the others. */
 struct sched_room {
-	uint32_t running; /* statements of this instance at the endpoints */
-	uint32_t limit; /* of them, over all endpoints that can run the work */
+	uint32_t running; /* statements in progress at the endpoints */
 	int64_t blocked_us; /* expected time until any can run; 0: none */
+	/* Jobs of the other kind have no other endpoint. */
+	bool shared;
 };
 
-enum sched_verdict {
-	SCHED_ENTERED,
-	SCHED_REFUSED, /* it would miss latest_us; it has not entered */
+/* What a refused job lost to. */
+enum sched_cause {
+	SCHED_CAUSE_URGENT, /* jobs of a higher class */
+	SCHED_CAUSE_WORKSPACE, /* earlier jobs of its workspace */
+	SCHED_CAUSE_CLASS, /* other workspaces of its class */
+	SCHED_CAUSE_RUNNING, /* statements in progress */
+	SCHED_CAUSE_BLOCKED, /* no endpoint can run it now */
+	SCHED_CAUSE_FULL, /* the number of waiting jobs */
+	SCHED_CAUSE_COUNT,
 };
 
-enum { SCHED_DISPLACED_MAX = 16 };
+/* Returns a phrase that follows "lost to". */
+const char *sched_cause_text(enum sched_cause cause);
 
-struct sched_outcome {
-	enum sched_verdict verdict;
-	int64_t retry_us; /* refused: when the caller should come back */
-	const char *reason; /* refused: what it lost to; a constant */
-	/* Taken out, as they would now miss latest_us: refuse them at once. */
-	struct sched_job *displaced[SCHED_DISPLACED_MAX];
-	uint32_t displaced_count;
+struct sched_refusal {
+	struct sched_job *job;
+	enum sched_cause cause;
+	int64_t wait_us; /* expected time until what is before it has run */
 };
 
+enum { SCHED_REFUSED_MAX = 16 };
+
 struct scheduler_opts {
 	uint32_t jobs_max; /* waiting at once */
-	/* Part of the room that the lowest class gets, in thousandths. */
-	uint32_t lowest_part_milli;
+	/*
+	 * Part of the room, in thousandths, that each class keeps while a
+	 * higher one waits.
+	 */
+	uint32_t part_milli;
 };
 
-struct scheduler;
-
 /* Freed with scheduler_free(), which does not free the jobs. */
 struct scheduler *scheduler_new(const struct scheduler_opts *opts);
 void scheduler_free(struct scheduler *s);
 
-/* Adds a job or refuses it. */
-void scheduler_add(struct scheduler *s, struct sched_job *j,
-		   const struct sched_room *room, struct sched_outcome *out,
-		   int64_t now_us);
+/*
+ * Adds a job. Returns the number of jobs that must be refused at once, which
+ * are not in the queue: the job itself if it cannot be sent in time, or those
+ * of lower classes that can no longer be sent in time behind it. A job that
+ * does not fit into the queue displaces the last one.
+ */
+uint32_t scheduler_add(struct scheduler *s, struct sched_job *j,
+		       const struct sched_room *room,
+		       struct sched_refusal out[SCHED_REFUSED_MAX],
+		       int64_t now_us);
+
+/* Removes a job that was not sent, if it waits. */
+void scheduler_remove(struct sched_job *j);
 
-/* Removes a job: its caller has left, it ended, or it is being sent. */
-void scheduler_remove(struct scheduler *s, struct sched_job *j, bool sent);
+/* Returns what a waiting job waits for. */
+struct sched_refusal scheduler_estimate(const struct sched_job *j,
+					const struct sched_room *room);
 
 /*
- * Return the first job in the order of sending, and the one after `j`; NULL: no
- * more. A job that cannot be sent now, as its endpoint has no room, is skipped.
+ * Return the jobs in the order of sending; NULL: no more. scheduler_send()
+ * removes the current job, which is being sent, and scheduler_skip() keeps it;
+ * both return the one to try next. No job may be added or removed in between.
  */
-struct sched_job *scheduler_first(struct scheduler *s, int64_t now_us);
-struct sched_job *scheduler_next(struct scheduler *s, struct sched_job *j);
+struct sched_job *scheduler_first(struct scheduler *s);
+struct sched_job *scheduler_send(struct scheduler *s);
+struct sched_job *scheduler_skip(struct scheduler *s);
 
 /* Returns a job that can no longer be sent in time, or NULL. */
-struct sched_job *scheduler_find_late(struct scheduler *s, int64_t now_us);
+struct sched_job *scheduler_find_late(const struct scheduler *s,
+				      int64_t now_us);
 
 uint32_t scheduler_count(const struct scheduler *s);
+/* Returns the number of jobs that do not need the primary. */
+uint32_t scheduler_count_reads(const struct scheduler *s);
+uint32_t scheduler_count_workspace(const struct scheduler *s,
+				   uint64_t workspace);
 
 #endif
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1480,4 +1480,193 @@
 	expect_no_violations(m);
 }
 
+/* One instance and a primary that runs 25 statements a second. */
+ProxyModelOpts make_slow_opts()
+{
+	ProxyModelOpts o;
+
+	o.nodes = 1;
+	o.slots = 1;
+	o.statement_duration_us = 40 * MS;
+	o.unlimited = true;
+	return o;
+}
+
+std::vector<ProxyCaller *> send_writes(ProxyModel &m, int count,
+				       const char *database, const char *key)
+{
+	std::vector<ProxyCaller *> callers;
+
+	for (int i = 0; i < count; i++) {
+		ProxyCaller *c = m.connect(0, database, key);
+
+		m.wait_for_answer(c, 1 * S);
+		callers.push_back(c);
+	}
+	for (ProxyCaller *c : callers)
+		m.send_statement(c, "WRITE 1 x");
+	return callers;
+}
+
+/* Opens the connections and shows how long the primary takes. */
+void warm_up(ProxyModel &m)
+{
+	m.run(START_US);
+	for (int i = 0; i < 4; i++) {
+		for (ProxyCaller *c : send_writes(m, 3, "strict", "key-a"))
+			EXPECT_TRUE(m.wait_for_answer(c, 1 * S).ok);
+	}
+}
+
+struct Served {
+	int ok = 0;
+	int refused_at_once = 0;
+	std::set<std::string> retry_after; /* of those refused at once */
+	std::set<std::string> reasons;
+};
+
+Served count_served(ProxyModel &m, const std::vector<ProxyCaller *> &callers)
+{
+	std::set<ProxyCaller *> answered;
+	Served s;
+
+	for (ProxyCaller *c : callers) {
+		if (!c->lines.empty())
+			answered.insert(c);
+	}
+	for (ProxyCaller *c : callers) {
+		ProxyAnswer a = m.wait_for_answer(c, 2 * S);
+		size_t at = a.text.find("; retry-after-ms=");
+
+		s.ok += a.ok;
+		if (a.ok || !answered.count(c))
+			continue;
+		EXPECT_NE(std::string::npos, at) << a.text;
+		s.refused_at_once++;
+		s.retry_after.insert(a.text.substr(at));
+		s.reasons.insert(a.text.substr(0, at));
+	}
+	return s;
+}
+
+/* Load: more writes of two classes at once than the primary runs in time. */
+TEST(ProxyEngine, MoreUrgentStatementsDisplaceOthers)
+{
+	ProxyModel m(make_slow_opts());
+
+	warm_up(m);
+	auto usual = send_writes(m, 11, "session", "key-a");
+	auto urgent = send_writes(m, 4, "strict", "key-b");
+	Served low = count_served(m, usual);
+	Served high = count_served(m, urgent);
+
+	EXPECT_EQ(4, high.ok);
+	EXPECT_GE(low.ok, 1); /* that the primary ran already */
+	EXPECT_GE(low.refused_at_once, 3);
+	for (const std::string &r : low.reasons)
+		EXPECT_NE(std::string::npos,
+			  r.find("the primary is not free, class 2 lost to "
+				 "more urgent work"))
+			<< r;
+	m.run(1 * S);
+	expect_no_violations(m);
+}
+
+/* Load: callers who are refused together. */
+TEST(ProxyEngine, RefusedCallersReturnAtDifferentTimes)
+{
+	ProxyModel m(make_slow_opts());
+
+	warm_up(m);
+	Served s = count_served(m, send_writes(m, 40, "strict", "key-a"));
+
+	EXPECT_GE(s.refused_at_once, 20);
+	EXPECT_GE(s.retry_after.size(), (size_t)s.refused_at_once / 2);
+	expect_no_violations(m);
+}
+
+/* Load: one workspace sends many statements, another one a few. */
+TEST(ProxyEngine, WorkspaceTakesWhatOthersLeave)
+{
+	ProxyModel m(make_slow_opts());
+
+	warm_up(m);
+	auto many = send_writes(m, 40, "strict", "key-a");
+	auto few = send_writes(m, 2, "strict", "key-b");
+
+	EXPECT_EQ(2, count_served(m, few).ok);
+	EXPECT_GE(count_served(m, many).ok, 3);
+	m.run(1 * S);
+	expect_no_violations(m);
+}
+
+/*
+ * A refusal handles the caller's next line: it may send a statement, or close
+ * the session, while other refusals are pending.
+ */
+TEST(ProxyEngine, DisplacedCallersGoOn)
+{
+	ProxyModel m(make_slow_opts());
+
+	warm_up(m);
+	auto usual = send_writes(m, 11, "session", "key-a");
+	for (size_t i = 0; i < usual.size(); i++) {
+		std::string next = "QUERY own" + std::to_string(i) + " READ 1";
+
+		engine_caller_line(usual[i]->session,
+				   i % 2 ? "TERMINATE" : next.c_str());
+	}
+	m.allow_unasked = true; /* the model knows only its callers' lines */
+	auto urgent = send_writes(m, 4, "strict", "key-b");
+	int closed = 0;
+
+	EXPECT_EQ(4, count_served(m, urgent).ok);
+	m.run(2 * S);
+	for (ProxyCaller *c : usual)
+		closed += c->closed;
+	EXPECT_EQ(5, closed);
+	expect_no_violations(m);
+}
+
+/* A session that ends while it waits leaves the queue, and nothing is sent. */
+TEST(ProxyEngine, CallerWhoLeavesIsNotSent)
+{
+	ProxyModel m(make_slow_opts());
+
+	warm_up(m);
+	auto callers = send_writes(m, 6, "strict", "key-a");
+	uint64_t executed = m.executed_count;
+
+	for (ProxyCaller *c : callers)
+		m.disconnect(c);
+	EXPECT_EQ(0, metrics_get(m.nodes[0]->metrics, "waiting_statements",
+				 "svc0"));
+	m.run(2 * S);
+	EXPECT_LE(m.executed_count, executed + 3);
+	expect_no_violations(m);
+}
+
+/*
+ * Load: sessions that send their next statements without waiting for answers.
+ * These don't pass others' statements that wait already.
+ */
+TEST(ProxyEngine, StatementsOfOneSessionDoNotPassOthers)
+{
+	ProxyModel m(make_slow_opts());
+
+	warm_up(m);
+	auto many = send_writes(m, 3, "session", "key-a");
+	m.allow_unasked = true; /* the model knows only its callers' lines */
+	for (int i = 0; i < 30; i++) {
+		std::string next =
+			"QUERY own" + std::to_string(i) + " WRITE 1 x";
+
+		engine_caller_line(many[(size_t)i % 3]->session, next.c_str());
+	}
+	auto others = send_writes(m, 3, "strict", "key-a");
+
+	EXPECT_EQ(3, count_served(m, others).ok);
+	expect_no_violations(m);
+}
+
 } // namespace
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -14,6 +14,7 @@
 #include "proxy/quota.h"
 #include "proxy/quota_division.h"
 #include "proxy/replica_set.h"
+#include "proxy/session.h"
 #include "proxy/unsettled_order.h"
 #include "settings/proxy_settings.h"
 }
@@ -122,26 +123,23 @@
 	}
 }
 
-/* Admission of statements that have to wait. */
+/*
+ * Admission of statements that wait for a primary; scheduler_test has those
+ * that wait for others to run.
+ */
 
 struct AdmissionCase {
 	const char *name;
-	struct admission_load load;
+	struct admission_outage outage;
 	bool waits;
 };
 
 const AdmissionCase admission_cases[] = {
-	{ "no load", { 0, 0, 20 * MS, ADMISSION_NO_OUTAGE, 0 }, true },
-	{ "a short queue", { 4, 8, 30 * MS, ADMISSION_NO_OUTAGE, 0 }, true },
-	{ "a long queue", { 4, 80, 30 * MS, ADMISSION_NO_OUTAGE, 0 }, false },
-	{ "the outage has just begun",
-	  { 0, 0, 20 * MS, 50 * MS, 1500 * MS },
-	  false },
-	{ "the outage is expected to end soon",
-	  { 0, 0, 20 * MS, 1300 * MS, 1500 * MS },
-	  true },
+	{ "no outage", { ADMISSION_NO_OUTAGE, 1500 * MS }, true },
+	{ "the outage has just begun", { 50 * MS, 1500 * MS }, false },
+	{ "the outage is expected to end soon", { 1300 * MS, 1500 * MS }, true },
 	{ "the outage exceeds the typical duration",
-	  { 0, 0, 20 * MS, 1600 * MS, 1500 * MS },
+	  { 1600 * MS, 1500 * MS },
 	  false },
 };
 
@@ -152,12 +150,42 @@
 	r.target_us = 400 * MS;
 	r.timeout_us = 1 * S;
 	for (const AdmissionCase &k : admission_cases) {
-		EXPECT_EQ(k.waits, admission_expected_wait_us(&k.load) <=
-					   admission_max_wait_us(&r, &k.load))
+		EXPECT_EQ(k.waits, admission_expected_outage_us(&k.outage) <=
+					   admission_max_wait_us(&r, &k.outage))
 			<< k.name;
 	}
 }
 
+/* Refusals of statements that wait. */
+
+struct RefusalCase {
+	const char *name;
+	uint32_t sends;
+	enum answer_code last_code;
+	enum answer_code refusal;
+};
+
+const RefusalCase refusal_cases[] = {
+	{ "never sent", 0, ANSWER_NONE, ANSWER_OVERLOADED },
+	{ "its connection was lost", 1, ANSWER_NONE, ANSWER_OVERLOADED },
+	{ "refused by a replica", 1, ANSWER_NOT_PRIMARY, ANSWER_OVERLOADED },
+	{ "not accepted by a home", 2, ANSWER_WRONG_ENDPOINT,
+	  ANSWER_OVERLOADED },
+	{ "a read that failed", 1, ANSWER_FAILED, ANSWER_FAILED },
+	{ "a read that timed out", 2, ANSWER_TIMEOUT, ANSWER_TIMEOUT },
+};
+
+TEST(Operation, RefusalSaysWhetherItHasRun)
+{
+	for (const RefusalCase &k : refusal_cases) {
+		struct operation op = {};
+
+		op.sends = k.sends;
+		op.last_code = k.last_code;
+		EXPECT_EQ(k.refusal, operation_refusal_code(&op)) << k.name;
+	}
+}
+
 /* The ring of log position marks. */
 
 TEST(MarkRing, FindsTheOldestMarkWithinTheAge)
