Tests for mutants of the queue that survived or only crashed

Cause: scheduler-unused-time-charged survived: the test added no statement after the others had left. Two mutants ended in a crash, and dispatch-late-kept was killed by a test that has nothing to do with it. Change: The row adds one; the mutants take the rule out and nothing else; ProxyEngine.LateStatementsAreRefusedInTime.

--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1669,4 +1669,22 @@
 	expect_no_violations(m);
 }
 
+/* Load: a primary that answers nothing; each answer must come in time. */
+TEST(ProxyEngine, LateStatementsAreRefusedInTime)
+{
+	ProxyModel m(make_slow_opts());
+	int answered = 0;
+
+	warm_up(m);
+	m.make_unresponsive(m.primary());
+	auto callers = send_writes(m, 8, "strict", "key-a");
+	/* 45% of the timeout, during an outage, and some ticks. */
+	m.run(500 * MS);
+	for (ProxyCaller *c : callers)
+		answered += !c->lines.empty();
+	EXPECT_EQ(5, answered); /* three were sent */
+	m.run(2 * S);
+	expect_no_violations(m);
+}
+
 } // namespace
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -132,10 +132,18 @@
 	jobs.push_back(make_job(1, 2, S));
 	jobs.push_back(make_job(1, 2, S));
 	jobs.push_back(make_job(1, 1, S));
+	jobs.push_back(make_job(1, 2, S));
 	add_all(q.s, jobs);
 	for (size_t i = 1; i < 10; i++)
 		scheduler_remove(&jobs[i]);
-	EXPECT_EQ((std::vector<long>{ 0, 10, 12, 11 }), list_order(q.s, jobs));
+	EXPECT_EQ((std::vector<long>{ 0, 10, 12, 11, 13 }),
+		  list_order(q.s, jobs));
+	scheduler_remove(&jobs[12]);
+	jobs[1] = make_job(1, 1, S);
+	struct sched_refusal out[SCHED_REFUSED_MAX];
+	EXPECT_EQ(0u, scheduler_add(q.s, &jobs[1], &ROOM, out, 0));
+	EXPECT_EQ((std::vector<long>{ 0, 10, 11, 1, 13 }),
+		  list_order(q.s, jobs));
 }
 
 TEST(Scheduler, SentJobCountsAgainstItsWorkspace)
