Hand-over of a home: its successors open connections ahead of need

Cause: when a home stops, the homes that get its workspaces open their connections while statements wait for the handshakes Change: at SIGTERM a home tells its service's other homes which connections they will need (PEER_HANDOVER), serves on for 300 ms, at most a tenth of the grace time, and then says LEAVING as before. A successor opens them paced, within its part.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -70,6 +70,8 @@
 	  "Malformed loads of homes that were ignored" },
 	{ "relayed_not_accepted_total", COUNTER, "service",
 	  "Operations that a home instance did not accept" },
+	{ "connections_ahead_total", COUNTER, "service",
+	  "Connections opened ahead of need, told by a home that stops." },
 	{ "homes", GAUGE, "service",
 	  "Home instances of the service; 0: none are needed" },
 	{ "store_watches_abandoned_total", COUNTER, NULL,
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -10,6 +10,7 @@
 #include "core/position.h"
 #include "core/record.h"
 #include "core/sizes.h"
+#include "handover/home_handover.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -30,6 +31,7 @@
 	PEER_QUOTA_REQUEST, /* asks the home of a half to count an operation */
 	PEER_QUOTA_REPLY,
 	PEER_CHOICE, /* an endpoint is being promoted; see proxy/failover.h */
+	PEER_HANDOVER, /* what a home that is stopping uses */
 	PEER_MESSAGE_TYPE_COUNT,
 };
 
@@ -152,6 +154,7 @@
 		struct peer_quota_request quota_request;
 		struct peer_quota_reply quota_reply;
 		struct peer_choice choice;
+		struct home_handover handover;
 	};
 };
 
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -395,6 +395,19 @@
 	codec_u64(c, &p->term, UINT64_MAX);
 }
 
+static void codec_handover(struct codec *c, struct home_handover *h)
+{
+	codec_name(c, h->service);
+	codec_u64(c, &h->incarnation, UINT64_MAX);
+	codec_i64(c, &h->valid_us);
+	codec_u32(c, &h->need_count, HANDOVER_NEEDS_MAX);
+	for (uint32_t i = 0; !c->error && i < h->need_count; i++) {
+		codec_u64(c, &h->needs[i].workspace, UINT64_MAX);
+		codec_u64(c, &h->needs[i].endpoint, UINT64_MAX);
+		codec_u32(c, &h->needs[i].rate_milli_per_s, UINT32_MAX);
+	}
+}
+
 static void codec_body(struct codec *c, struct peer_message *m)
 {
 	switch (m->type) {
@@ -434,6 +447,9 @@
 	case PEER_CHOICE:
 		codec_choice(c, &m->choice);
 		break;
+	case PEER_HANDOVER:
+		codec_handover(c, &m->handover);
+		break;
 	case PEER_MESSAGE_TYPE_COUNT:
 		set_error(c, -EINVAL);
 		break;
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -226,7 +226,7 @@
 	bool newer = session_has_newer_route(s);
 	const struct route *r = session_find_route(s);
 
-	if (e->drain_since_us && s->transaction == TRANSACTION_NONE)
+	if (e->leaving && s->transaction == TRANSACTION_NONE)
 		*reason = "the home is stopping";
 	else if (!s->database)
 		*reason = "no operation was announced";
@@ -323,7 +323,7 @@
 	s->started = true;
 	out = g_string_new(NULL);
 	s->engine->opts.wire->put_ready(out, TRANSACTION_NONE, NULL);
-	if (s->engine->drain_since_us)
+	if (s->engine->leaving)
 		hop_put_leaving(out);
 	send_to_caller(s, out);
 	g_string_free(out, TRUE);
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -4,6 +4,7 @@
 #include "proxy/dispatch.h"
 #include "proxy/drain.h"
 #include "proxy/engine_state.h"
+#include "proxy/leave.h"
 #include "proxy/relay.h"
 #include "proxy/relay_load.h"
 #include "proxy/exchange.h"
@@ -281,6 +282,7 @@
 	e->failovers = failovers_new(e);
 	e->replica_sets = replica_sets_new(e);
 	e->steer = steer_table_new();
+	e->handover = handover_plan_new();
 	e->feed = create_feed(e);
 	e->duty = create_duty(e);
 	e->keys_were_fresh = true;
@@ -336,6 +338,7 @@
 	failovers_free(e->failovers);
 	replica_sets_free(e->replica_sets);
 	steer_table_free(e->steer);
+	handover_plan_free(e->handover);
 	quota_division_free(e->division);
 	quota_requests_free(e->quota_requests);
 	limit_record_free(e->limit_record);
@@ -446,6 +449,8 @@
 	if (m->type == PEER_QUOTA_REQUEST || m->type == PEER_QUOTA_REPLY)
 		quota_requests_handle_message(e->quota_requests, m,
 					      engine_now(e));
+	else if (m->type == PEER_HANDOVER)
+		leave_handle_message(e, m, engine_now(e));
 	else if (m->type == PEER_CHOICE)
 		primary_fence_handle_choice(e, &m->choice, engine_now(e));
 	else
@@ -551,6 +556,7 @@
 		time_out_conns(g_ptr_array_index(svc->homes, i), now_us);
 	service_health_run(e, svc, now_us);
 	mark_probe_run(e, svc, now_us);
+	leave_open_conns(e, svc, now_us);
 	dispatch_run_queue(svc, now_us);
 }
 
@@ -590,6 +596,7 @@
 	store_feed_run(e->feed, now_us);
 	duty_run(e->duty, e->instance_rank, now_us);
 	fleet_run(e, now_us);
+	leave_run(e, now_us);
 	relay_run(e, now_us);
 	replica_sets_run(e->replica_sets, now_us);
 	limit_record_run(e->limit_record, now_us);
@@ -623,8 +630,7 @@
 		return;
 	e->drain_since_us = engine_now(e);
 	duty_release(e->duty);
-	e->homes_changed = true;
-	relay_announce_leaving(e);
+	leave_start(e, e->drain_since_us);
 	engine_log(e, LOG_STOPPING, 0, e->opts.instance,
 		   g_hash_table_size(e->sessions), "sessions");
 }
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -6,6 +6,7 @@
 #ifndef PROXY_ENGINE_STATE_H
 #define PROXY_ENGINE_STATE_H
 
+#include "handover/home_handover.h"
 #include "proxy/duty.h"
 #include "proxy/engine.h"
 #include "proxy/fleet_config.h"
@@ -60,6 +61,9 @@
 	char grantor[NAME_BYTES]; /* sender of the last grant applied */
 	uint64_t grant_confirmed; /* sequence number of that grant */
 	int64_t drain_since_us; /* 0: not draining */
+	int64_t leave_due_us; /* when it may be announced, while draining */
+	bool leaving; /* that this home is leaving has been announced */
+	struct handover_plan *handover; /* of other homes */
 	bool was_ready; /* as last logged */
 	bool keys_were_fresh; /* as last logged */
 	bool config_was_usable; /* as last logged */
--- a/src/proxy/homes.c
+++ b/src/proxy/homes.c
@@ -146,3 +146,22 @@
 	*fit = home_choice_fit(&options[best], r->work);
 	return homes[best];
 }
+
+struct upstream *homes_find_successor(const struct service *svc,
+				      const char *workspace)
+{
+	struct upstream *found = NULL;
+	uint64_t best = 0;
+
+	for (guint i = 0; i < svc->homes->len; i++) {
+		struct upstream *u = g_ptr_array_index(svc->homes, i);
+		uint64_t own = score(workspace, u->entry.id);
+
+		if (own <= best || u->former_home || u->entry.leaving ||
+		    u->silent_since_us)
+			continue;
+		best = own;
+		found = u;
+	}
+	return found;
+}
--- a/src/proxy/homes.h
+++ b/src/proxy/homes.h
@@ -73,4 +73,8 @@
 			    const struct home_request *r, int64_t now_us,
 			    enum home_fit *fit);
 
+/* Returns the other home that gets the workspace if this one stops, or NULL. */
+struct upstream *homes_find_successor(const struct service *svc,
+				      const char *workspace);
+
 #endif
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -27,7 +27,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	if (e->opts.relay_address[0] && !e->drain_since_us &&
+	if (e->opts.relay_address[0] && !e->leaving &&
 	    (with_avoided || !engine_avoids_instance(e, self.name, self.zone)))
 		g_array_append_val(all, self);
 	g_hash_table_iter_init(&it, e->instances);
--- a/src/proxy/statement_send.c
+++ b/src/proxy/statement_send.c
@@ -89,6 +89,7 @@
 	op->sent = true;
 	op->sent_us = now_us;
 	op->sends++;
+	c->statements++;
 	g_strlcpy(op->endpoint, c->upstream->entry.id, sizeof(op->endpoint));
 	if (op->need == NEED_STRICT_READ)
 		upstream_conn_put_message(c, wire, &rollback,
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -75,6 +75,7 @@
 	bool in_transaction; /* the endpoint has an open transaction on it */
 	bool closed;
 	int64_t opened_us;
+	uint64_t statements; /* that were sent on it */
 	int64_t idle_since_us; /* when it last became idle */
 	int64_t answered_us; /* when the last complete answer arrived */
 
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -62,6 +62,13 @@
 	strcpy(all.back().choice.service, "svc");
 	strcpy(all.back().choice.endpoint, "e1");
 	all.back().choice.term = UINT64_MAX;
+	all.push_back(make_message(PEER_HANDOVER));
+	strcpy(all.back().handover.service, "svc");
+	all.back().handover.incarnation = UINT64_MAX;
+	all.back().handover.valid_us = INT64_MAX;
+	all.back().handover.need_count = HANDOVER_NEEDS_MAX;
+	for (uint32_t i = 0; i < HANDOVER_NEEDS_MAX; i++)
+		all.back().handover.needs[i] = { UINT64_MAX, i, UINT32_MAX };
 	return all;
 }
 
@@ -146,6 +153,10 @@
 	peer_message unterminated = make_message(PEER_LOAN_REQUEST);
 	peer_message large = make_record_message(RECORD_SHARE);
 
+	peer_message needs = make_message(PEER_HANDOVER);
+
+	needs.handover.need_count = HANDOVER_NEEDS_MAX + 1;
+	EXPECT_EQ(-EINVAL, peer_encode(&needs, "a", out, sizeof(out)));
 	negative.pong.sync_age_us = -1;
 	memset(unterminated.loan_request.workspace, 'x', NAME_BYTES);
 	EXPECT_EQ(-EINVAL, peer_encode(&negative, "a", out, sizeof(out)));
@@ -156,7 +167,8 @@
 RC_GTEST_PROP(PeerCodec, RandomInputIsRejectedOrRoundTrips,
 	      (uint8_t type, Bytes tail))
 {
-	Bytes bytes = { 1, 0xa1, 'a', 1, static_cast<uint8_t>(type % 8) };
+	Bytes bytes = { 1, 0xa1, 'a', 1,
+			static_cast<uint8_t>(type % PEER_MESSAGE_TYPE_COUNT) };
 	peer_message m;
 
 	bytes.insert(bytes.end(), tail.begin(), tail.end());
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -536,10 +536,12 @@
 
 		g_strlcpy(copy.peer, n->name.c_str(), sizeof(copy.peer));
 		copy.incarnation = n->generation;
-		if (m->is_lucky(m->opts.lost_messages_percent))
+		if ((int)msg->type == m->lost_message_type ||
+		    m->is_lucky(m->opts.lost_messages_percent))
 			return;
 		deliver_message(n, copy, to);
-		if (m->is_lucky(m->opts.doubled_messages_percent))
+		if (m->double_peer_messages ||
+		    m->is_lucky(m->opts.doubled_messages_percent))
 			deliver_message(n, copy, to);
 	}
 
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -292,6 +292,8 @@
 	void steer(enum steer_kind kind, const std::string &subject,
 		   int64_t lasts_us, bool readable = true);
 	void withdraw_steer(enum steer_kind kind, const std::string &subject);
+	int lost_message_type = -1; /* enum peer_message_type; -1: none */
+	bool double_peer_messages = false;
 	int64_t time_ms() const; /* time of day */
 	int64_t time_offset_ms = 1700000000000; /* of it to the steady clock */
 	/* Writes a new version of the configuration, of that size as sent. */
