--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 #   demo     install packages, build, run scripts/demo
 #   fuzz     a longer stateful run: make fuzz SEED=7 RUNS=2000
 #   prove    take out each promise's mechanism and see a test fail (slow)
+#   soak     seeded faults on real processes: make soak SEED=7 RUNS=10
 #   bench    measurements of one deployment: make bench SITE=hanbit
 
 CC = gcc
@@ -33,13 +34,16 @@
 PLATFORM_OBJS = $(patsubst %.c,$(B)/%.o,$(wildcard standin/platform/*.c))
 TEST_OBJS = $(patsubst %.cc,$(B)/%.o,$(wildcard tests/*.cc))
 BENCH_OBJS = $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c))
+SOAK_OBJS = $(patsubst %.cc,$(B)/%.o,$(wildcard soak/*.cc))
+SEED ?= 1
+RUNS ?= 1
 BINS = $(if $(wildcard src/main.c),$(B)/zinnialine) \
 	$(if $(ENDPOINT_OBJS),$(B)/standin-endpoint) \
 	$(if $(PLATFORM_OBJS),$(B)/standin-platform) \
 	$(if $(BENCH_OBJS),$(B)/bench-load)
 C_FILES = $(wildcard src/*.c src/*/*.c platform/*.c standin/*/*.c bench/*.c fuzz/*.c)
-CC_FILES = $(wildcard tests/*.cc)
-H_FILES = $(wildcard src/*/*.h platform/*.h standin/*/*.h tests/*.h bench/*.h)
+CC_FILES = $(wildcard tests/*.cc soak/*.cc)
+H_FILES = $(wildcard src/*/*.h platform/*.h standin/*/*.h tests/*.h bench/*.h soak/*.h)
 
 all: $(BINS)
 
@@ -59,6 +63,9 @@
 $(B)/bench-load: $(BENCH_OBJS) $(B)/libzinnialine.a
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(B)/soak/run: $(SOAK_OBJS)
+	@$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lpthread
+
 $(B)/tests/run: $(TEST_OBJS) $(B)/libzinnialine.a $(BINS)
 	@$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJS) $(B)/libzinnialine.a \
 		$(PKG_LIBS) -lrapidcheck -lgtest -lgmock -lpthread
@@ -106,6 +113,9 @@
 	@$(MAKE) --no-print-directory -j8 CONFIG=release all
 	@BIN_DIR=build/release scripts/demo
 
+soak: $(B)/zinnialine $(B)/soak/run
+	@BIN_DIR=$(B) scripts/soak $(SEED) $(RUNS)
+
 bench: all
 	@BIN_DIR=$(B) bench/measure $(SITE)
 
@@ -115,4 +125,4 @@
 -include $(shell find build target -name '*.d' 2>/dev/null)
 
 .PHONY: all deps test test-asan format format-check lint check prove demo \
-	bench clean
+	soak bench clean
--- /dev/null
+++ b/soak/client.h
@@ -0,0 +1,74 @@
+/* client.h - a caller: sessions with reads, writes and transactions. */
+#ifndef SOAK_CLIENT_H
+#define SOAK_CLIENT_H
+
+#include "operator.h"
+#include "service.h"
+
+struct ClientOptions {
+	size_t number;
+	uint64_t seed;
+	size_t route; /* in `routes` */
+	size_t workspace; /* in `workspaces` */
+	bool floods; /* asks without a pause */
+	Fleet *fleet;
+	Operator *operator_;
+	Service *service;
+};
+
+class Client
+{
+      public:
+	explicit Client(const ClientOptions &options);
+	~Client();
+
+      private:
+	struct Prepared {
+		bool writes;
+		std::string shape;
+	};
+	struct Session {
+		explicit Session(int fd) : stream(fd)
+		{
+		}
+		LineStream stream;
+		int64_t id = 0;
+		size_t instance = 0;
+		std::string key;
+		Texts values;
+		std::map<std::string, Prepared> prepared;
+		char state = 'I';
+		bool open = true;
+	};
+	enum class Outcome { DONE, PROMISE, UNCLEAR };
+
+	void run();
+	void run_session();
+	bool run_operation(Session *s);
+	Outcome run_single(Session *s);
+	Outcome run_transaction(Session *s);
+	Outcome ask(Session *s, const std::string &text,
+		    const std::shared_ptr<Unit> &u, const std::string &shape);
+	Outcome read_answer(Session *s, const std::shared_ptr<Statement> &q);
+	Outcome take_error(Session *s, const std::shared_ptr<Statement> &q,
+			   std::string text);
+	/* Statements that the instance answers itself. */
+	bool control(Session *s, const std::string &text);
+	void set_value(Session *s);
+	void prepare(Session *s);
+	void note_broken(Session *s, const std::shared_ptr<Statement> &q);
+	std::shared_ptr<Unit> new_unit(const Session &s, bool transaction,
+				       bool writes);
+	std::string make_statement(Session *s, bool may_write, bool *writes,
+				   std::string *shape);
+	std::string new_id();
+	int64_t random(int64_t below);
+
+	ClientOptions opts;
+	uint64_t random_state;
+	int64_t count = 0;
+	std::atomic<bool> ends{ false };
+	std::thread thread;
+};
+
+#endif
