--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -20,8 +20,8 @@
 const int64_t PLANNED_US = 8 * SECOND;
 const int64_t FAULTY_US = 8 * SECOND;
 const size_t PLANNED_MAX = 3;
-const size_t UNPLANNED_MIN = 2;
-const size_t UNPLANNED_MAX = 6;
+const size_t UNPLANNED_MIN = 3;
+const size_t UNPLANNED_MAX = 9;
 const int64_t KEY_OVERLAP_US = 1500 * MS;
 const size_t LONG_LINE_BYTES = 1200 * 1000;
 
@@ -130,6 +130,12 @@
 	  SECOND, 5 * SECOND },
 	{ "store forgets history", Disturbance::STORE, STEP(o.store->compact()),
 	  nullptr, 0, 0 },
+	{ "store restored from a copy", Disturbance::STORE,
+	  STEP(o.store->down = true;
+	       o.store->set_fault(-1, StoreFault::REFUSED)),
+	  STEP(o.store->restore(); o.store->set_fault(-1, StoreFault::NONE);
+	       o.store->down = false),
+	  200 * MS, SECOND },
 	{ "endpoint killed", Disturbance::ENDPOINT,
 	  STEP(o.service->kill(t.endpoint)),
 	  STEP(o.service->restart(t.endpoint)), SECOND, 6 * SECOND },
@@ -218,6 +224,16 @@
 	});
 }
 
+const Faults::Kind &Faults::choose_fault()
+{
+	for (const Kind &k : unplanned) {
+		if (opts.only == k.name)
+			return k;
+	}
+	return random(5) ? unplanned[random(unplanned.size())] :
+			   planned[random(planned.size())];
+}
+
 int64_t Faults::plan_round()
 {
 	int64_t planned_us = now_us() + CALM_US;
@@ -230,8 +246,7 @@
 		schedule(planned[random(planned.size())],
 			 planned_us + static_cast<int64_t>(random(2 * SECOND)));
 	for (size_t i = 0; i < faults; i++)
-		schedule(random(5) ? unplanned[random(unplanned.size())] :
-				     planned[random(planned.size())],
+		schedule(choose_fault(),
 			 faulty_us + static_cast<int64_t>(random(5 * SECOND)));
 	return CALM_US + PLANNED_US + FAULTY_US;
 }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -14,6 +14,7 @@
 	Store *store;
 	Service *service;
 	Operator *operator_;
+	std::string only; /* name of the one kind of fault, or empty */
 };
 
 /* What one occurrence of a fault acts on. */
@@ -45,6 +46,7 @@
 	static const std::vector<Kind> unplanned;
 
 	size_t random(size_t below);
+	const Kind &choose_fault();
 	void schedule(const Kind &k, int64_t at_us);
 
 	FaultOptions opts;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -3,7 +3,7 @@
  * the endpoints and the callers, injects faults chosen by the seed, and checks
  * the promises from what callers and endpoints saw.
  *
- * Usage: soak --binary PATH --directory PATH --seed N [--rounds N]
+ * Usage: soak --binary PATH --directory PATH --seed N [--rounds N] [--fault NAME]
  * Exits with 1 if a promise was broken.
  */
 #include "faults.h"
@@ -37,6 +37,7 @@
 	std::string directory;
 	uint64_t seed = 1;
 	int rounds = 3;
+	std::string only; /* kind of fault */
 };
 
 bool parse_options(int argc, char **argv, Options *o)
@@ -53,6 +54,8 @@
 			o->seed = strtoull(value.c_str(), nullptr, 10);
 		else if (name == "--rounds")
 			o->rounds = atoi(value.c_str());
+		else if (name == "--fault")
+			o->only = value;
 		else
 			return false;
 	}
@@ -250,7 +253,7 @@
 	});
 	Fleet fleet({ o.binary, o.directory, zones }, store);
 	Operator op(&store, &fleet, service.name);
-	Faults faults({ o.seed, &fleet, &store, &service, &op });
+	Faults faults({ o.seed, &fleet, &store, &service, &op, o.only });
 	StallMeter stalls;
 
 	service.start(&store);
@@ -281,7 +284,7 @@
 
 	if (!parse_options(argc, argv, &o)) {
 		std::cerr << "usage: soak --binary PATH --directory PATH "
-			     "--seed N [--rounds N]\n";
+			     "--seed N [--rounds N] [--fault NAME]\n";
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -13,6 +13,8 @@
 const size_t PAGE_ITEMS = 500;
 const size_t EVENTS_MAX = 2000;
 const int64_t IDLE_CONNECTION_US = 60 * SECOND;
+const int64_t COPY_EVERY_US = SECOND / 2;
+const int64_t COPY_AGE_US = 3 * SECOND; /* of the oldest copy */
 const int64_t SILENCE_POLL_US = 20 * MS;
 
 std::string lower(std::string s)
@@ -199,6 +201,41 @@
 	leases.erase(id);
 }
 
+void Store::keep_copy_locked(int64_t at_us)
+{
+	if (!copies.empty() && at_us - copies.back().at_us < COPY_EVERY_US)
+		return;
+	copies.push_back({ at_us, revision, items });
+	if (at_us - copies.front().at_us > COPY_AGE_US)
+		copies.pop_front();
+}
+
+void Store::restore()
+{
+	std::lock_guard<std::mutex> lock(mutex);
+	std::map<std::string, Item> now = items;
+
+	items = copies.front().items;
+	revision = copies.front().revision;
+	copies.clear();
+	events.clear();
+	history_start = revision;
+	leases.clear();
+	era++;
+	for (auto i = items.begin(); i != items.end();) {
+		if (i->second.lease)
+			i = items.erase(i);
+		else
+			++i;
+	}
+	for (const auto &i : now) {
+		if (has_prefix(i.first, "op/") ||
+		    has_prefix(i.first, "servers/"))
+			put_locked(i.first, i.second.value, 0);
+	}
+	changed.notify_all();
+}
+
 void Store::expire_leases()
 {
 	int64_t last_us = now_us();
@@ -218,6 +255,7 @@
 		}
 		for (uint64_t id : ended)
 			drop_lease_locked(id);
+		keep_copy_locked(at_us);
 		last_us = at_us;
 	}
 }
@@ -469,7 +507,8 @@
 			return;
 		}
 		if (!s.write("HTTP/1.1 " + std::to_string(a.status) +
-			     " X\r\nStore-Era: 1\r\nContent-Type: "
+			     " X\r\nStore-Era: " + std::to_string(era) +
+			     "\r\nContent-Type: "
 			     "application/json\r\nContent-Length: " +
 			     std::to_string(a.body.size()) + "\r\n\r\n" +
 			     a.body))
--- a/soak/store.h
+++ b/soak/store.h
@@ -52,6 +52,11 @@
 
 	/* Discards the history, so that watches get 410. */
 	void compact();
+	/*
+	 * Returns to a copy that is some seconds old. What the operator and the
+	 * endpoints wrote is written again; leases are gone.
+	 */
+	void restore();
 	/* Writes as the operator or an endpoint; returns the revision. */
 	int64_t put(const std::string &key, const std::string &value);
 	void remove(const std::string &key);
@@ -89,12 +94,21 @@
 	void remove_locked(const std::string &key);
 	void drop_lease_locked(uint64_t id);
 	void expire_leases();
+	void keep_copy_locked(int64_t at_us);
 	std::string format_event(const Event &e) const;
 
 	Promote promote_fn;
 	std::mutex mutex;
 	std::condition_variable changed;
+	struct Copy {
+		int64_t at_us;
+		int64_t revision;
+		std::map<std::string, Item> items;
+	};
+
 	std::map<std::string, Item> items;
+	std::deque<Copy> copies; /* of the last seconds */
+	std::atomic<int> era{ 1 }; /* rises with each restore() */
 	std::deque<Event> events;
 	int64_t history_start = 0; /* events after this revision are kept */
 	int64_t revision = 100;
