--- a/Makefile
+++ b/Makefile
@@ -102,6 +102,7 @@
 	@$(MAKE) --no-print-directory -j8 CONFIG=release all
 	@$(MAKE) --no-print-directory -j8 CONFIG=release test
 	@BIN_DIR=build/release scripts/run-examples
+	@ROUNDS=1 $(MAKE) --no-print-directory -j8 CONFIG=release soak SEED=1
 	@$(MAKE) --no-print-directory -j8 test-asan
 	@$(MAKE) --no-print-directory format-check lint
 	@test ! -x scripts/fuzz-decoders || scripts/fuzz-decoders
--- a/soak/client.cc
+++ b/soak/client.cc
@@ -93,6 +93,13 @@
 	history.count("requests " + routes[opts.route].database, code);
 	if (code == "UNAUTH")
 		s->open = false;
+	/*
+	 * A transaction whose endpoint was lost between two statements has
+	 * failed; every request but its end is answered MALFORMED.
+	 */
+	if (code == "NOSTMT" || (code == "MALFORMED" && !q->unit->transaction))
+		history.fail("answer",
+			     q->id + ": '" + q->text + "' got " + text);
 	if (!promises.count(code))
 		return Outcome::UNCLEAR;
 	history.promised(q->unit, code);
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -23,12 +23,14 @@
 const size_t UNPLANNED_MIN = 3;
 const size_t UNPLANNED_MAX = 9;
 const int64_t KEY_OVERLAP_US = 1500 * MS;
+const int64_t APPLIED_US = 1500 * MS; /* all instances have a change */
 const size_t LONG_LINE_BYTES = 1200 * 1000;
 
 /* Bytes that no listener expects; none of them may end the process. */
 std::string malformed(size_t choice)
 {
 	static const std::string cases[] = {
+		"\r\n \r\n",
 		"QUERY 1 READ 1\r\nSTARTUP\r\n\r\n",
 		"GET /readyz HTTP/9.9\r\nContent-Length: -1\r\n\r\n",
 		"STARTUP strict\r\nQUERY\r\nQUERY  \r\nQUERY x \r\n",
@@ -130,12 +132,6 @@
 	  SECOND, 5 * SECOND },
 	{ "store forgets history", Disturbance::STORE, STEP(o.store->compact()),
 	  nullptr, 0, 0 },
-	{ "store restored from a copy", Disturbance::STORE,
-	  STEP(o.store->down = true;
-	       o.store->set_fault(-1, StoreFault::REFUSED)),
-	  STEP(o.store->restore(); o.store->set_fault(-1, StoreFault::NONE);
-	       o.store->down = false),
-	  200 * MS, SECOND },
 	{ "endpoint killed", Disturbance::ENDPOINT,
 	  STEP(o.service->kill(t.endpoint)),
 	  STEP(o.service->restart(t.endpoint)), SECOND, 6 * SECOND },
@@ -175,6 +171,18 @@
 	  STEP(o.service->link(t.endpoint).silence_open_connections()), nullptr,
 	  0, 0 },
 };
+
+/* Not in the plans of seeds: see KNOWN-RED.txt. */
+const std::vector<Faults::Kind> Faults::known_red = {
+	{ "store restored from a copy", Disturbance::STORE,
+	  /* One change that the copy lacks is known, the next one is not. */
+	  STEP(o.operator_->change_routes(); sleep_us(APPLIED_US);
+	       o.store->set_fault(-1, StoreFault::REFUSED);
+	       o.operator_->change_routes(); o.store->down = true),
+	  STEP(o.store->restore(); o.store->set_fault(-1, StoreFault::NONE);
+	       o.store->down = false),
+	  200 * MS, SECOND },
+};
 /* clang-format on */
 
 Faults::Faults(const FaultOptions &options)
@@ -226,9 +234,12 @@
 
 const Faults::Kind &Faults::choose_fault()
 {
-	for (const Kind &k : unplanned) {
-		if (opts.only == k.name)
-			return k;
+	for (const std::vector<Kind> *list :
+	     { &planned, &unplanned, &known_red }) {
+		for (const Kind &k : *list) {
+			if (opts.only == k.name)
+				return k;
+		}
 	}
 	return random(5) ? unplanned[random(unplanned.size())] :
 			   planned[random(planned.size())];
--- a/soak/service.cc
+++ b/soak/service.cc
@@ -9,6 +9,7 @@
 
 const int64_t REPLICATION_STEP_US = 2 * MS;
 const int64_t NETWORK_US = 2 * MS;
+const int64_t FAR_NETWORK_US = 40 * MS; /* to the last replica */
 const int64_t APPLY_US = 20 * MS;
 const int64_t WORK_US = 4 * MS;
 const int64_t PROMOTE_US = 300 * MS;
@@ -203,6 +204,8 @@
 {
 	Endpoint *p = current_primary();
 	size_t same = 0;
+	bool far = e == endpoints.back().get() || p == endpoints.back().get();
+	int64_t received_us = at_us - (far ? FAR_NETWORK_US : NETWORK_US);
 
 	if (e == p || !e->alive || e->dark || !p->alive || p->dark ||
 	    !p->primary || e->paused_below || replication_cut)
@@ -216,7 +219,7 @@
 		e->term = p->term;
 	}
 	while (e->log.size() < p->log.size() &&
-	       p->log[e->log.size()]->made_us + NETWORK_US <= at_us)
+	       p->log[e->log.size()]->made_us <= received_us)
 		e->log.push_back(p->log[e->log.size()]);
 	while (e->applied < e->log.size() &&
 	       e->log[e->applied]->made_us + e->lag_us <= at_us)
