--- a/src/cli/steer_command.c
+++ b/src/cli/steer_command.c
@@ -249,8 +249,10 @@
 		return;
 	if (!a->for_s)
 		argp_error(state, "--for must be a duration up to 24h");
-	if (!a->by || !a->by[0] || strlen(a->by) >= NAME_BYTES)
-		argp_error(state, "--by must be the operator's name");
+	/* Instances take no names with blanks. */
+	if (!a->by || !a->by[0] || strlen(a->by) >= NAME_BYTES ||
+	    strpbrk(a->by, " \t\r\n"))
+		argp_error(state, "--by must be the operator's name, a word");
 }
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
