A home that says nothing is tried by one statement at a time

Cause: review: a stall was taken as over once the statements sent there had timed out, so the home's other idle connections were used up, batch after batch Change: after a stall a home is on trial until it says something: one statement at a time.

--- a/src/proxy/homes.c
+++ b/src/proxy/homes.c
@@ -85,7 +85,8 @@
 {
 	return !u->entry.leaving && now_us >= u->open_after_us &&
 	       !(u->silent_since_us && has_starting_conn(u)) &&
-	       conn_pool_has_home_conn(u) && !operation_avoids_endpoint(op, u);
+	       !(u->on_trial && u->running) && conn_pool_has_home_conn(u) &&
+	       !operation_avoids_endpoint(op, u);
 }
 
 /* Returns true if a replica of the service in the zone may be sent reads. */
--- a/src/proxy/relay_load.c
+++ b/src/proxy/relay_load.c
@@ -109,21 +109,32 @@
 	return oldest_us;
 }
 
+/*
+ * A stall may end without a word from the home, as its statements time out. It
+ * is then on trial until it says something.
+ */
+static void update_stalled(struct engine *e, struct upstream *u, int64_t now_us)
+{
+	bool was_on_trial = u->on_trial;
+
+	u->stalled = home_load_is_stalled(&u->load, find_oldest_request_us(u),
+					  now_us);
+	if (u->stalled && !was_on_trial)
+		u->stalled_at_us = now_us;
+	u->on_trial = u->stalled ||
+		      (was_on_trial && u->load.heard_us < u->stalled_at_us);
+	if (u->on_trial != was_on_trial)
+		engine_log(e, u->on_trial ? LOG_HOME_STALLED : LOG_HOME_RESUMED,
+			   0, u->entry.id, now_us - u->load.heard_us, "%s",
+			   u->service->name);
+}
+
 void relay_load_update(struct engine *e, struct service *svc, int64_t now_us)
 {
 	svc->read_wait_us = measure_read_wait(svc, now_us);
 	for (guint i = 0; i < svc->homes->len; i++) {
 		struct upstream *u = g_ptr_array_index(svc->homes, i);
-		bool stalled =
-			home_load_is_stalled(&u->load,
-					     find_oldest_request_us(u), now_us);
-
-		if (stalled != u->stalled)
-			engine_log(e,
-				   stalled ? LOG_HOME_STALLED :
-					     LOG_HOME_RESUMED,
-				   0, u->entry.id, now_us - u->load.heard_us,
-				   "%s", svc->name);
-		u->stalled = stalled;
+
+		update_stalled(e, u, now_us);
 	}
 }
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -29,6 +29,9 @@
 	/* Of a home. */
 	struct home_load load;
 	bool stalled; /* it has work and says nothing */
+	/* It was, and has said nothing since: one statement at a time. */
+	bool on_trial;
+	int64_t stalled_at_us; /* when it was found to be */
 	bool load_was_bad; /* it told a malformed load, which was logged */
 	int64_t missing_since_us; /* its entry in the store; 0: it is there */
 	/*
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -536,6 +536,38 @@
 	EXPECT_EQ(b.entry->log_counts[LOG_HOME_STALLED], 1);
 	b.home->frozen = false;
 	m.run(3 * S);
+	/* The first statement of all is a trial. */
+	EXPECT_GE(measure_share(m, b, 1 * S), 80);
+	EXPECT_GE(measure_share(m, b, 1 * S), 95);
+	expect_no_violations(m);
+}
+
+/*
+ * Its other idle connections are not used up one batch after the other: until
+ * it says something, one statement at a time tries it.
+ */
+TEST(ProxyHome, AHomeThatStaysFrozenIsTriedByOneStatementAtATime)
+{
+	ProxyModel m(home_opts());
+	BusyEntry b = make_busy_entry(m, 20);
+	int late = 0;
+
+	m.run(1 * S);
+	for (ProxyCaller *c : b.callers)
+		m.wait_for_answer(c, 0);
+	b.home->frozen = true;
+	for (int round = 0; round < 4; round++) {
+		for (ProxyCaller *c : b.callers) {
+			m.send_statement(c, "WRITE 1 x");
+			m.run(50 * MS);
+		}
+		for (ProxyCaller *c : b.callers)
+			late += !m.wait_for_answer(c, 2 * S).ok;
+	}
+	/* The first batch, and one for each time-out of two seconds. */
+	EXPECT_LE(late, 7 + 6);
+	b.home->frozen = false;
+	m.run(3 * S);
 	EXPECT_GE(measure_share(m, b, 1 * S), 95);
 	expect_no_violations(m);
 }
