--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -916,7 +916,10 @@
 			struct route *r = g_new0(struct route, 1);
 
 			r->database = g_strdup((k.name + suffix).c_str());
-			r->service = g_strdup(sc->name);
+			r->service = g_strdup(
+				("svc" + std::to_string((s + v.routes_swapped) %
+							opts.services))
+					.c_str());
 			r->freshness = k.freshness;
 			r->max_age_us =
 				k.freshness == FRESH_STRICT ? 0 : MAX_AGE_US;
@@ -951,8 +954,16 @@
 	i.kind = ITEM_CONFIG;
 	i.readable = true;
 	put_item("op/config", i, 0);
-	configs_[revision_] = { config_version_, config_bytes_, keys_,
-				rate_per_s_, burst_ };
+	configs_[revision_] = {
+		config_version_, config_bytes_, keys_,
+		rate_per_s_,	 burst_,	routes_swapped_
+	};
+}
+
+void ProxyModel::swap_routes()
+{
+	routes_swapped_ = !routes_swapped_;
+	put_config();
 }
 
 int64_t ProxyModel::time_ms() const
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -296,6 +296,8 @@
 	bool double_peer_messages = false;
 	int64_t time_ms() const; /* time of day */
 	int64_t time_offset_ms = 1700000000000; /* of it to the steady clock */
+	/* Writes a configuration by which each route leads to the next service. */
+	void swap_routes();
 	/* Writes a new version of the configuration, of that size as sent. */
 	void change_config(int64_t bytes);
 	/* Counts the running nodes that have the newest configuration. */
@@ -456,11 +458,13 @@
 		std::set<std::string> keys;
 		uint32_t rate_per_s;
 		uint32_t burst;
+		bool routes_swapped; /* each leads to the next service */
 	};
 	std::map<int64_t, ConfigVersion> configs_; /* by revision */
 	int64_t config_version_ = 0;
 	int64_t config_bytes_ = 20000;
 	std::set<std::string> keys_;
+	bool routes_swapped_ = false;
 	std::map<std::string, int64_t> withdrawn_us_;
 	uint32_t rate_per_s_;
 	uint32_t burst_;
