--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -28,7 +28,7 @@
 	PEER_RECORD, /* a configuration record or its deletion */
 	PEER_REPORT, /* demand, silent endpoints; sent to the duty's holder */
 	PEER_GRANT, /* answers a report with parts of the limits */
-	PEER_QUOTA_REQUEST, /* asks the home of a half to count an operation */
+	PEER_QUOTA_REQUEST, /* asks the home of a part to count an operation */
 	PEER_QUOTA_REPLY,
 	PEER_CHOICE, /* an endpoint is being promoted; see proxy/failover.h */
 	PEER_HANDOVER, /* what a home that is stopping uses */
@@ -115,13 +115,13 @@
 
 struct peer_quota_request {
 	uint64_t sequence; /* increases within the sender's process */
-	uint64_t half; /* hash of the half of a limit; see proxy/quota.h */
+	uint64_t part; /* hash of a part of a limit; see proxy/quota.h */
 };
 
 enum peer_quota_verdict {
 	PEER_QUOTA_GRANTED,
 	PEER_QUOTA_EXHAUSTED, /* the limit is used up for now */
-	PEER_QUOTA_NOT_HOME, /* another instance counts this half now */
+	PEER_QUOTA_NOT_HOME, /* another instance counts this part now */
 	PEER_QUOTA_VERDICT_COUNT,
 };
 
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -375,7 +375,7 @@
 static void codec_quota_request(struct codec *c, struct peer_quota_request *r)
 {
 	codec_u64(c, &r->sequence, UINT64_MAX);
-	codec_u64(c, &r->half, UINT64_MAX);
+	codec_u64(c, &r->part, UINT64_MAX);
 }
 
 static void codec_quota_reply(struct codec *c, struct peer_quota_reply *r)
--- a/src/placement/conn_division.h
+++ b/src/placement/conn_division.h
@@ -5,6 +5,10 @@
  * Every instance works the same division out from the entries in the store; no
  * message passes. The home in the endpoint's availability zone gets most of
  * them, as most work for the endpoint comes to it.
+ *
+ * Instances that disagree for a moment may together take more than the total:
+ * two that both hold the near part take up to 1.6 times it with three homes and
+ * twice it with one. Callers keep that much of an endpoint's limit unused.
  */
 #ifndef PLACEMENT_CONN_DIVISION_H
 #define PLACEMENT_CONN_DIVISION_H
@@ -19,8 +23,8 @@
 
 /*
  * Returns how many of `total` the member at `index` gets, whatever the order
- * of the members. The parts of all members together are at most `total`, but
- * each gets at least one. Without a member in the endpoint's zone all are equal.
+ * of the members. The parts of all members together are at most `total`, unless
+ * there are more members than that: each gets at least one. Without a member in the endpoint's zone all are equal.
  */
 uint32_t conn_division_part(const struct division_member *m, uint32_t count,
 			    uint32_t index, uint32_t total);
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -19,13 +19,6 @@
  */
 void dispatch_retry(struct session *s, const char *reason, int64_t now_us);
 
-/*
- * Returns true if another connection is free for the statement: to another
- * endpoint than `from`, or to `from` if no other one can run it.
- */
-bool dispatch_can_move(const struct session *s, const struct upstream *from,
-		       int64_t now_us);
-
 /*
  * Sends the statement that waited for the connection to open, or sends it
  * elsewhere if its route changed meanwhile.
--- a/src/proxy/hedging.c
+++ b/src/proxy/hedging.c
@@ -1,6 +1,7 @@
 #include "proxy/hedging.h"
 
 #include "proxy/dispatch.h"
+#include "proxy/endpoint_choice.h"
 #include "proxy/engine_state.h"
 
 enum {
@@ -87,7 +88,7 @@
 	    now_us - since_us < get_delay_us(s, c, since_us))
 		return false;
 	svc = c->upstream->service;
-	if (!dispatch_can_move(s, c->upstream, now_us) ||
+	if (!endpoint_choice_can_move(s, c->upstream, now_us) ||
 	    !hedge_take(&svc->hedge_budget))
 		return false;
 	engine_log(e, LOG_READ_HEDGED, s->number, c->upstream->entry.id,
--- a/src/proxy/quota_requests.c
+++ b/src/proxy/quota_requests.c
@@ -76,7 +76,7 @@
 				 now_us + QUOTA_REQUEST_TIMEOUT_US);
 	g_strlcpy(m.peer, src->home, sizeof(m.peer));
 	m.quota_request.sequence = r->sequence;
-	m.quota_request.half = src->part;
+	m.quota_request.part = src->part;
 	e->opts.ops->peer_send(e->opts.host, &m);
 }
 
@@ -218,7 +218,7 @@
 	struct peer_message out = { .type = PEER_QUOTA_REPLY };
 	struct peer_quota_reply *answer = &out.quota_reply;
 
-	switch (quota_take_for_peer(e->quota, m->quota_request.half, now_us,
+	switch (quota_take_for_peer(e->quota, m->quota_request.part, now_us,
 				    &answer->retry_us)) {
 	case 0:
 		answer->verdict = PEER_QUOTA_GRANTED;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -39,7 +39,11 @@
 	NEED_READ, /* any endpoint whose log covers .min_mark */
 };
 
-enum { OPERATION_AVOID_MAX = 4 };
+enum {
+	OPERATION_AVOID_MAX = 4,
+	/* Attempts per statement: each endpoint twice, in services of three. */
+	OPERATION_SENDS_MAX = 6,
+};
 
 /* The statement in progress. */
 struct operation {
