--- a/src/placement/conn_division.h
+++ b/src/placement/conn_division.h
@@ -24,7 +24,8 @@
 /*
  * Returns how many of `total` the member at `index` gets, whatever the order
  * of the members. The parts of all members together are at most `total`, unless
- * there are more members than that: each gets at least one. Without a member in the endpoint's zone all are equal.
+ * there are more members than that: each gets at least one. Without a member in
+ * the endpoint's zone all are equal.
  */
 uint32_t conn_division_part(const struct division_member *m, uint32_t count,
 			    uint32_t index, uint32_t total);
--- a/src/proxy/quota_requests.h
+++ b/src/proxy/quota_requests.h
@@ -34,9 +34,9 @@
 
 /*
  * Sends a request to a home of the workspace's limit, the one of this zone
- * first, and to others if that does not admit the operation. caller_handle_quota_result() gets the
- * result. Returns false if no request can be sent: each home is this instance
- * or has recently not answered.
+ * first, and to others if that does not admit the operation.
+ * caller_handle_quota_result() gets the result. Returns false if no request can
+ * be sent: each home is this instance or has recently not answered.
  */
 bool quota_requests_start(struct quota_requests *reqs, struct session *s,
 			  int64_t now_us);
--- a/src/proxy/replica_set.h
+++ b/src/proxy/replica_set.h
@@ -15,8 +15,8 @@
  * set, and it is released only once the entry with that id is there.
  *
  * The holder of the duty and its likely successors check such endpoints once a
- * second. The holder releases them and writes the set to the store. From there an instance that starts later
- * learns of the endpoints that have no entry.
+ * second. The holder releases them and writes the set to the store. From there
+ * an instance that starts later learns of the endpoints that have no entry.
  */
 #ifndef PROXY_REPLICA_SET_H
 #define PROXY_REPLICA_SET_H
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -405,7 +405,7 @@
 	return d.count;
 }
 
-/* Returns true if higher classes had the rest of the room since its last job. */
+/* Returns true if higher classes had their part of the room since its last. */
 static bool is_due(const struct scheduler *s, const struct class_queue *q)
 {
 	return q != g_ptr_array_index(s->queues, 0) &&
