Say which disagreements the unused connections cover

Cause: reading the change again: the comment said that the 45 % kept free cover two homes that both hold the near part in every case; with one home two take 2.0 times the total, and 1 / 0.55 is 1.8 Change: the comment only; by calculation from the parts, as in the review

--- a/src/placement/conn_division.h
+++ b/src/placement/conn_division.h
@@ -7,8 +7,9 @@
  * them, as most work for the endpoint comes to it.
  *
  * Instances that disagree for a moment may together take more than the total:
- * two that both hold the near part take up to 1.6 times it with three homes and
- * twice it with one. Callers keep that much of an endpoint's limit unused.
+ * two that both hold the near part take 1.7 times it with three homes, 1.8 times
+ * with two, and twice with one. The connections that are kept unused cover the
+ * first two, not the last.
  */
 #ifndef PLACEMENT_CONN_DIVISION_H
 #define PLACEMENT_CONN_DIVISION_H
