--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -134,10 +134,15 @@
 					  .start_us = k->start_us,
 					  .body = k->response->str,
 					  .body_len = k->response->len };
+	struct curl_header *header;
 	long status = 0;
 
 	curl_easy_getinfo(k->curl, CURLINFO_RESPONSE_CODE, &status);
 	r.status = (int)status;
+	if (c->opts.noted_header &&
+	    !curl_easy_header(k->curl, c->opts.noted_header, 0, CURLH_HEADER,
+			      -1, &header))
+		r.noted_header = header->value;
 	c->force_new_connection = error != 0;
 	g_hash_table_remove(c->calls, &k->number);
 	k->fn(k->data, &r);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -41,6 +41,7 @@
 	const char *body; /* as far as it was received; NUL-terminated */
 	size_t body_len;
 	int64_t start_us; /* when the call was started */
+	const char *noted_header; /* value of opts.noted_header, or NULL */
 };
 
 typedef void (*http_client_response_fn)(void *data,
@@ -56,6 +57,8 @@
 	 */
 	int64_t paced_bytes_per_s;
 	int64_t paced_us;
+	/* Name of a header whose value is passed on; NULL: none. */
+	const char *noted_header;
 };
 
 /*
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -74,6 +74,8 @@
 	  "Connections opened ahead of need, told by a home that stops." },
 	{ "homes", GAUGE, "service",
 	  "Home instances of the service; 0: none are needed" },
+	{ "store_restored_total", COUNTER, NULL,
+	  "Times that the store came back from an older copy" },
 	{ "store_watches_abandoned_total", COUNTER, NULL,
 	  "Watches that did not deliver a known change in time." },
 	{ "unconfirmed_sessions_total", COUNTER, NULL,
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -59,6 +59,8 @@
 	X(STORE_CALL_FAILED, 512, LOG_INFO, "call to the store failed")        \
 	X(STORE_WATCH_ABANDONED, 513, LOG_INFO,                                \
 	  "watch of the store abandoned")                                      \
+	X(STORE_RESTORED, 514, LOG_WARNING,                                    \
+	  "store came back from an older copy")                                \
 	X(STEER_CHANGED, 520, LOG_INFO, "operator's request changed")          \
 	X(STEER_MALFORMED, 521, LOG_WARNING, "operator's request malformed")   \
 	X(SHARE_GRANTED, 600, LOG_INFO, "rate limit share granted")            \
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -149,27 +149,32 @@
 {
 	struct duty *d = data;
 	bool requested = d->token_requested;
+	enum store_outcome outcome;
 
 	d->call_pending = false;
 	d->token_requested = false;
-	schedule_call(d, a->outcome == STORE_DONE ?
+	/* A write of an earlier era is undone, and so is its lease. */
+	outcome = a->outcome == STORE_DONE && a->revision < d->revision ?
+			  STORE_REFUSED :
+			  a->outcome;
+	schedule_call(d, outcome == STORE_DONE ?
 				 d->opts.ttl_us / RENEWALS_PER_LEASE :
 				 RETRY_DELAY_US);
-	if (a->outcome == STORE_DONE) {
+	if (outcome == STORE_DONE) {
 		d->token = (uint64_t)a->revision;
 		d->revision = a->revision;
 		d->present = true;
 		g_strlcpy(d->entry.holder, d->opts.instance,
 			  sizeof(d->entry.holder));
 		d->entry.incarnation = d->opts.incarnation;
-	} else if (a->outcome == STORE_REFUSED) {
+	} else if (outcome == STORE_REFUSED) {
 		/* Another instance was first, or the lease has ended. */
 		clear_held(d);
 	}
 	notify_change(d);
 	if (requested)
 		d->opts.on_token(d->opts.data,
-				 a->outcome == STORE_DONE ? d->token : 0);
+				 outcome == STORE_DONE ? d->token : 0);
 }
 
 static void write_entry(struct duty *d)
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -180,6 +180,15 @@
 	metrics_add(e->opts.metrics, "store_watches_abandoned_total", NULL, 1);
 }
 
+static void on_restored(void *data, uint32_t era)
+{
+	struct engine *e = data;
+
+	engine_log(e, LOG_STORE_RESTORED, 0, "store", era,
+		   "listing everything again, writing the own entry again");
+	metrics_add(e->opts.metrics, "store_restored_total", NULL, 1);
+}
+
 static void on_reachable(void *data, bool reachable, const char *reason)
 {
 	struct engine *e = data;
@@ -229,6 +238,7 @@
 		.on_list = on_list,
 		.on_confirmed = on_confirmed,
 		.on_watch_abandoned = on_watch_abandoned,
+		.on_restored = on_restored,
 		.on_reachable = on_reachable,
 		.now_us = read_clock,
 		.data = e,
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -2,7 +2,8 @@
  * store.h - the interface to the platform's store and promotion service.
  *
  * Implementations provide tables of functions. Each call invokes its callback
- * exactly once, unless it is canceled. It ends with STORE_UNKNOWN when the
+ * exactly once, unless it is canceled. Revisions are positions, see
+ * store_position.h. A call ends with STORE_UNKNOWN when the
  * store is silent for too long; an answer that keeps arriving is not given up.
  */
 #ifndef PROXY_STORE_H
@@ -26,7 +27,12 @@
 struct store_answer {
 	enum store_outcome outcome;
 	int64_t requested_us; /* when the call was made */
-	int64_t revision; /* of the store, or of the change */
+	/*
+	 * Of the store, as it answered; 0: not known. A rise means that it came
+	 * back from an older copy, see store_position.h.
+	 */
+	uint32_t era;
+	int64_t revision; /* position of the store, or of the change */
 	uint64_t lease; /* lease: the new one */
 	int64_t ttl_us; /* lease, renew: as granted; 0: unknown */
 	/* Items of a list or watch; valid during the callback. */
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -1,5 +1,7 @@
 #include "proxy/store_feed.h"
 
+#include "proxy/store_position.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -55,6 +57,7 @@
 	/* Revision of an entry left by a previous process; 0: none. */
 	int64_t previous_revision;
 
+	uint32_t era; /* latest of the store's eras; 0: not known */
 	uint32_t failures; /* consecutive failed calls */
 	bool listed; /* the list is complete; watches follow */
 	bool probe_pending;
@@ -124,6 +127,47 @@
 	f->list_after[0] = '\0';
 }
 
+static void clear_lease(struct store_feed *f)
+{
+	f->lease = 0;
+	f->entry_written = false;
+	f->settled = false;
+}
+
+/*
+ * Records the era of an answer. In a new era the store lacks what it had
+ * acknowledged last, and all leases: everything is listed and written again.
+ * Nothing that was read before is taken back; see fleet_handle_item().
+ */
+static void record_era(struct store_feed *f, const struct store_answer *a)
+{
+	bool first = !f->era;
+
+	if (a->era <= f->era)
+		return;
+	f->era = a->era;
+	if (first)
+		return;
+	if (f->call)
+		f->opts.store->ops->cancel(f->opts.store, f->call);
+	f->call = 0;
+	f->behind_since_us = 0;
+	restart_list(f);
+	clear_lease(f);
+	/* The others no longer list this instance and count without it. */
+	f->lease_until_us = INT64_MIN;
+	f->previous_revision = 0;
+	if (f->opts.on_restored)
+		f->opts.on_restored(f->opts.data, f->era);
+}
+
+/* Returns true if the store has begun a later era since it answered. */
+static bool is_outdated(const struct store_feed *f,
+			const struct store_answer *a)
+{
+	return a->era && a->era < f->era;
+}
+
 static void handle_success(struct store_feed *f)
 {
 	f->answered_us = f->opts.now_us(f->opts.data);
@@ -169,14 +213,19 @@
 {
 	struct store_feed *f = data;
 
+	bool is_first_page = !f->list_after[0];
+
 	f->call = 0;
-	if (a->outcome != STORE_DONE) {
+	if (a->outcome != STORE_DONE || is_outdated(f, a)) {
 		/* The same page is requested again. */
 		handle_failure(f, a->outcome);
 		return;
 	}
+	record_era(f, a);
 	handle_success(f);
-	if (!f->list_after[0]) {
+	if (!is_first_page && !f->list_after[0])
+		return; /* the pages before it are of an earlier era */
+	if (is_first_page) {
 		/*
 		 * Later pages may be newer, so the watch starts from the
 		 * revision of the first one.
@@ -213,12 +262,14 @@
 	f->behind_since_us = 0;
 	if (a->outcome == STORE_COMPACTED)
 		restart_list(f);
-	if (a->outcome != STORE_DONE && a->outcome != STORE_COMPACTED) {
+	if ((a->outcome != STORE_DONE && a->outcome != STORE_COMPACTED) ||
+	    is_outdated(f, a)) {
 		handle_failure(f, a->outcome);
 		return;
 	}
+	record_era(f, a);
 	handle_success(f);
-	if (a->outcome == STORE_COMPACTED)
+	if (!f->listed)
 		return;
 	deliver_items(f, a);
 	if (a->revision > MAX(find_newest_revision(a), f->revision)) {
@@ -307,6 +358,7 @@
 		handle_failure(f, a->outcome);
 		return;
 	}
+	record_era(f, a);
 	handle_success(f);
 	store_feed_observe_revision(f, a->revision, a->requested_us,
 				    f->opts.now_us(f->opts.data));
@@ -361,22 +413,16 @@
 	f->lease_due_us = f->opts.now_us(f->opts.data) + delay_us;
 }
 
-static void clear_lease(struct store_feed *f)
-{
-	f->lease = 0;
-	f->entry_written = false;
-	f->settled = false;
-}
-
 static void on_entry_written(void *data, const struct store_answer *a)
 {
 	struct store_feed *f = data;
 
 	f->lease_call_pending = false;
+	record_era(f, a);
 	if (a->outcome == STORE_REFUSED)
 		clear_lease(f);
 	/* After an unknown outcome the entry is written and settles again. */
-	f->entry_written = a->outcome == STORE_DONE;
+	f->entry_written = a->outcome == STORE_DONE && f->lease;
 	f->settled = f->entry_written && f->taking_over;
 	f->previous_revision = 0;
 	if (f->entry_written) {
@@ -393,6 +439,7 @@
 	struct store_feed *f = data;
 
 	f->lease_call_pending = false;
+	record_era(f, a);
 	if (a->outcome == STORE_DONE) {
 		f->settled = true;
 		f->entry_revision = a->revision;
@@ -416,7 +463,8 @@
 	struct store_feed *f = data;
 
 	f->lease_call_pending = false;
-	if (a->outcome != STORE_DONE) {
+	record_era(f, a);
+	if (a->outcome != STORE_DONE || is_outdated(f, a)) {
 		schedule_lease_call(f, get_backoff_us(f));
 		return;
 	}
@@ -428,16 +476,18 @@
 static void on_lease_renewed(void *data, const struct store_answer *a)
 {
 	struct store_feed *f = data;
+	bool renewed;
 
 	f->lease_call_pending = false;
+	record_era(f, a);
+	renewed = a->outcome == STORE_DONE && f->lease && !is_outdated(f, a);
 	if (a->outcome == STORE_REFUSED)
 		clear_lease(f);
-	if (a->outcome == STORE_DONE)
+	if (renewed)
 		record_lease(f, a);
-	schedule_lease_call(f,
-			    a->outcome == STORE_DONE ?
-				    f->opts.lease_ttl_us / RENEWALS_PER_LEASE :
-				    RETRY_MIN_US);
+	schedule_lease_call(f, renewed ? f->opts.lease_ttl_us /
+						 RENEWALS_PER_LEASE :
+					 RETRY_MIN_US);
 }
 
 static void write_entry(struct store_feed *f, store_answer_fn fn)
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -12,7 +12,9 @@
  * missed nothing up to that time. A feed that has not done so within
  * STORE_FEED_LAG_US abandons its watch, whose connection may be dead. The next
  * watch has changes to deliver at once, so it gets the timeout of an ordinary
- * call. A watch whose answer has begun to arrive is never abandoned, however
+ * call. An answer of a later era (store_position.h) means that changes were
+ * undone: all items are listed again and this instance's entry is written
+ * again, with a new lease. A watch whose answer has begun to arrive is never abandoned, however
  * long that takes: the next one would transfer the same again.
  */
 #ifndef PROXY_STORE_FEED_H
@@ -57,6 +59,8 @@
 	 * store is known to have. May be NULL.
 	 */
 	void (*on_watch_abandoned)(void *data, int64_t pending_us);
+	/* The store came back from an older copy. May be NULL. */
+	void (*on_restored)(void *data, uint32_t era);
 	/* The store began or stopped answering. */
 	void (*on_reachable)(void *data, bool reachable, const char *reason);
 	int64_t (*now_us)(void *data); /* monotonic clock */
--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -6,6 +6,7 @@
 #include "../platform/kv_store.h"
 #include "../platform/record_json.h"
 #include "http/http_server.h"
+#include "proxy/store_position.h"
 }
 
 namespace
@@ -58,6 +59,8 @@
 		a.status = 200;
 		a.content_type = "application/json";
 		a.text = strdup(t->answer_.c_str());
+		if (!t->era_.empty())
+			a.headers[0] = { "Store-Era", t->era_.c_str() };
 		http_server_send_response(t->server_, http_request_id(r), &a);
 	}
 
@@ -93,8 +96,68 @@
 	std::string path_;
 	std::string body_;
 	std::string answer_ = "{\"revision\":9}";
+	std::string era_; /* header of the answers; "": none */
 };
 
+struct EraHeaderCase {
+	const char *header;
+	uint32_t era; /* as read */
+};
+
+/* The first one is read last known era 0; the last ones are no numbers. */
+const EraHeaderCase era_headers[] = {
+	{ "", 0 }, { "1", 1 }, { "7", 7 }, { "x", 7 }, { "99999999", 7 },
+};
+
+TEST_F(KvStore, ReadsTheEraOfEveryAnswer)
+{
+	struct store *s = kv_store_get_store(kv_);
+
+	for (const EraHeaderCase &k : era_headers) {
+		struct store_answer got = {};
+
+		SCOPED_TRACE(k.header);
+		era_ = k.header;
+		answer_ = "{\"lease\":4,\"ttl_ms\":1000}";
+		got.lease = 0;
+		s->ops->lease(
+			s, US_PER_S,
+			[](void *data, const struct store_answer *a) {
+				*static_cast<struct store_answer *>(data) = *a;
+			},
+			&got);
+		EXPECT_TRUE(run_loop_until(loop_, [&] { return got.lease; }));
+		EXPECT_EQ(k.era, got.era);
+	}
+}
+
+/*
+ * A condition on a revision of an earlier era must not hold because the store
+ * has given that revision out again.
+ */
+TEST_F(KvStore, ConditionsOfAnEarlierEraDoNotHold)
+{
+	const struct limit_entry entry = {};
+	struct store_change c = {};
+	int64_t expected[2];
+	int i = 0;
+
+	c.put_limits = &entry;
+	for (const char *era : { "1", "2" }) {
+		era_ = era;
+		make_change(c); /* its answer brings the era */
+		c.limits_revision = store_position_make(1, 9);
+		make_change(c);
+		yajl_val body = json_tree_parse(body_.c_str(), body_.size());
+		expected[i++] = json_tree_get_int(
+			json_tree_at(json_tree_get(body, "expected_rev"), 0),
+			"revision", -1);
+		yajl_tree_free(body);
+	}
+	EXPECT_EQ(9, expected[0]);
+	EXPECT_EQ(store_position_make(1, 9), expected[1]);
+}
+
 /* Both entries are of `service` and have no lease, though the change has. */
 TEST_F(KvStore, PutsTheChoiceAndTheReplicaSetOfAService)
 {
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -39,6 +39,8 @@
 	bool arriving = false; /* a part of the pending answer is here */
 	std::string last_page; /* where the last list began */
 	std::string more_after; /* lists go on after it; "": they end */
+	uint32_t era = 0; /* of the answers */
+	uint32_t restored_era = 0; /* as reported by the feed */
 	struct store_feed *feed;
 	int64_t confirmed_us = 0;
 	/* The entry and the condition of the last change. */
@@ -123,6 +125,9 @@
 			static_cast<Feed *>(data)->confirmed_us = asked_us;
 		};
 		o.on_reachable = [](void *, bool, const char *) {};
+		o.on_restored = [](void *data, uint32_t era) {
+			static_cast<Feed *>(data)->restored_era = era;
+		};
 		o.now_us = [](void *data) {
 			return static_cast<Feed *>(data)->now_us;
 		};
@@ -150,6 +155,7 @@
 			a.outcome = outcome;
 			a.requested_us = p.asked_us;
 			a.revision = revision;
+			a.era = era;
 			a.lease = 7;
 			a.items = item;
 			a.item_count = item ? 1 : 0;
@@ -469,4 +475,87 @@
 	}
 }
 
+struct EraCase {
+	const char *name;
+	Kind kind; /* of the call whose answer is of the next era */
+	enum store_outcome outcome;
+};
+
+const EraCase era_cases[] = {
+	{ "a watch", WATCH, STORE_DONE },
+	{ "a watch of a lost history", WATCH, STORE_COMPACTED },
+	{ "a probe", PROBE, STORE_DONE },
+	{ "a renewal", RENEW, STORE_REFUSED },
+};
+
+/*
+ * A store that came back from an older copy gives revisions out again: a watch
+ * from one of before would miss what was written up to it. So whatever call
+ * shows the new era, everything is listed again, and what is bound to a lease
+ * of before is written anew.
+ */
+TEST(StoreFeed, ListsAgainInALaterEra)
+{
+	for (const EraCase &k : era_cases) {
+		Feed f;
+
+		SCOPED_TRACE(k.name);
+		f.era = 3;
+		f.start_watch();
+		f.answer(LEASE, 0);
+		f.run(10 * MS);
+		f.answer(CHANGE, 6);
+		f.run(3 * S);
+		ASSERT_TRUE(f.has(k.kind));
+		EXPECT_EQ(0u, f.restored_era);
+		EXPECT_LT(f.now_us, store_feed_lease_end_us(f.feed));
+		f.era = 4;
+		f.answer(k.kind, 2, k.outcome);
+		EXPECT_EQ(4u, f.restored_era);
+		EXPECT_GT(f.now_us, store_feed_lease_end_us(f.feed));
+		f.run(500 * MS);
+		EXPECT_FALSE(f.has(WATCH));
+		EXPECT_EQ(2, f.call_counts[LIST]);
+		f.answer(LIST, 2);
+		f.run(300 * MS);
+		EXPECT_EQ(2, f.pending.front().kind == WATCH ?
+				     f.pending.front().after :
+				     f.pending.back().after);
+	}
+}
+
+/* Pages of two eras are no list: it begins again with the first page. */
+TEST(StoreFeed, BeginsTheListAgainInALaterEra)
+{
+	Feed f;
+
+	f.era = 3;
+	f.more_after = "k1";
+	f.run(10 * MS);
+	f.answer(LIST, 5);
+	f.run(10 * MS);
+	EXPECT_EQ("k1", f.last_page);
+	f.era = 4;
+	f.answer(LIST, 2);
+	f.run(10 * MS);
+	EXPECT_EQ("", f.last_page);
+	EXPECT_EQ(0, store_feed_revision(f.feed));
+}
+
+/* An answer of before that arrives late confirms nothing. */
+TEST(StoreFeed, IgnoresAnswersOfAnEarlierEra)
+{
+	Feed f;
+
+	f.era = 4;
+	f.start_watch();
+	f.confirmed_us = 0;
+	f.era = 3;
+	f.answer(WATCH, 9);
+	EXPECT_EQ(0, f.confirmed_us);
+	EXPECT_EQ(5, store_feed_revision(f.feed));
+	f.answer(LEASE, 0);
+	EXPECT_GT(f.now_us, store_feed_lease_end_us(f.feed));
+}
+
 } // namespace
