--- a/src/base/log.c
+++ b/src/base/log.c
@@ -210,6 +210,12 @@
 	if (l.level < logger.min_level)
 		return G_LOG_WRITER_HANDLED;
 	read_fields(&l, fields, count);
+	if (level & G_LOG_LEVEL_ERROR) {
+		/* GLib ends the process next: nothing may stay buffered. */
+		log_flush();
+		fprintf(stderr, "zinnialine: %s\n", l.message);
+		return G_LOG_WRITER_HANDLED;
+	}
 	if (logger.rate_limit.lines_per_s &&
 	    !within_rate_limit(!l.entry ||
 			       log_event_has_priority(l.entry->number))) {
--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -51,6 +51,13 @@
 	g_free(s);
 }
 
+static void free_closed(struct stream_set *set)
+{
+	for (guint i = 0; i < set->closed->len; i++)
+		stream_free(g_ptr_array_index(set->closed, i));
+	g_ptr_array_set_size(set->closed, 0);
+}
+
 struct stream_set *stream_set_new(const struct stream_set_opts *opts)
 {
 	struct stream_set *set = g_new0(struct stream_set, 1);
@@ -71,6 +78,7 @@
 	g_hash_table_iter_init(&it, set->streams);
 	while (g_hash_table_iter_next(&it, &s, NULL))
 		stream_free(s);
+	free_closed(set);
 	g_hash_table_destroy(set->streams);
 	g_ptr_array_free(set->dirty, TRUE);
 	g_ptr_array_free(set->finishing, TRUE);
@@ -365,9 +373,7 @@
 			write_output(s);
 	}
 	g_ptr_array_set_size(set->dirty, 0);
-	for (guint i = 0; i < set->closed->len; i++)
-		stream_free(g_ptr_array_index(set->closed, i));
-	g_ptr_array_set_size(set->closed, 0);
+	free_closed(set);
 }
 
 int stream_listen(const char *address)
--- a/src/main.c
+++ b/src/main.c
@@ -1,3 +1,4 @@
+#include "base/crash.h"
 #include "cli/command.h"
 
 #include <argp.h>
@@ -63,6 +64,7 @@
 				   .doc = doc };
 	struct selection selection = { 0 };
 
+	crash_install();
 	argp_err_exit_status = EXIT_USAGE;
 	if (argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &selection) ||
 	    !selection.command)
--- a/src/serve/proxy_command.c
+++ b/src/serve/proxy_command.c
@@ -88,6 +88,7 @@
 		rc = session_host_run(h);
 	log_flush();
 	apr_pool_destroy(pool);
+	log_flush(); /* what the clean-up has logged */
 	return rc ? EXIT_FAILED : EXIT_OK;
 }
 
