--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -10,6 +10,8 @@
 	RETRY_MIN_US = 100 * 1000,
 	RETRY_MAX_US = 400 * 1000,
 	RENEWALS_PER_LEASE = 4,
+	/* Leaves several attempts before the lease ends. */
+	LEASE_RETRY_MAX_US = 800 * 1000,
 	/*
 	 * Each change answers the pending watch of every instance, and calls to
 	 * the store are rate limited and cost money. So after WATCH_BURST
@@ -59,6 +61,7 @@
 
 	uint32_t era; /* latest of the store's eras; 0: not known */
 	uint32_t failures; /* consecutive failed calls */
+	uint32_t lease_failures; /* likewise, for the lease or the entry */
 	bool listed; /* the list is complete; watches follow */
 	bool probe_pending;
 	bool duty_held; /* this instance holds the singleton duty */
@@ -100,11 +103,12 @@
 	f->opts.on_reachable(f->opts.data, reachable, reason);
 }
 
-static int64_t get_backoff_us(const struct store_feed *f)
+static int64_t get_backoff_us(const struct store_feed *f, uint32_t failures,
+			      int64_t max_us)
 {
-	int64_t us = RETRY_MIN_US << MIN(f->failures, 3);
+	int64_t us = RETRY_MIN_US << MIN(failures, 3);
 
-	us = MIN(us, RETRY_MAX_US);
+	us = MIN(us, max_us);
 	/* Jitter, so that the instances do not all retry at the same time. */
 	return us + us * (int64_t)(f->opts.self.incarnation % 100) / 200;
 }
@@ -117,7 +121,7 @@
 			 outcome == STORE_UNKNOWN ?
 				 "no answer; retrying" :
 				 "the call failed; retrying");
-	f->retry_due_us = now_us + get_backoff_us(f);
+	f->retry_due_us = now_us + get_backoff_us(f, f->failures, RETRY_MAX_US);
 	f->failures++;
 }
 
@@ -172,6 +176,10 @@
 {
 	f->answered_us = f->opts.now_us(f->opts.data);
 	f->failures = 0;
+	if (f->lease_failures) {
+		f->lease_failures = 0;
+		f->lease_due_us = f->answered_us;
+	}
 	f->retry_due_us = 0;
 	notify_reachable(f, true, "the store answers");
 }
@@ -410,9 +418,35 @@
 
 static void schedule_lease_call(struct store_feed *f, int64_t delay_us)
 {
+	f->lease_failures = 0;
 	f->lease_due_us = f->opts.now_us(f->opts.data) + delay_us;
 }
 
+/*
+ * Each instance fails on its own while the store refuses or is away, and every
+ * call counts against the store's rate. The other calls show when it is back:
+ * see handle_success().
+ */
+static void schedule_lease_retry(struct store_feed *f)
+{
+	uint32_t failures = f->lease_failures;
+
+	schedule_lease_call(f, get_backoff_us(f, failures, LEASE_RETRY_MAX_US));
+	f->lease_failures = failures + 1;
+}
+
+/* Schedules the next call for the lease or the entry after an answer. */
+static void schedule_after(struct store_feed *f, enum store_outcome outcome,
+			   int64_t done_us)
+{
+	if (outcome == STORE_DONE)
+		schedule_lease_call(f, done_us);
+	else if (outcome == STORE_REFUSED)
+		schedule_lease_call(f, RETRY_MIN_US);
+	else
+		schedule_lease_retry(f);
+}
+
 static void on_entry_written(void *data, const struct store_answer *a)
 {
 	struct store_feed *f = data;
@@ -429,9 +463,8 @@
 		f->entry_written_us = f->opts.now_us(f->opts.data);
 		f->entry_revision = a->revision;
 	}
-	schedule_lease_call(f, f->entry_written ? f->opts.lease_ttl_us /
-							  RENEWALS_PER_LEASE :
-						  RETRY_MIN_US);
+	schedule_after(f, a->outcome,
+		       f->opts.lease_ttl_us / RENEWALS_PER_LEASE);
 }
 
 static void on_entry_settled(void *data, const struct store_answer *a)
@@ -446,7 +479,7 @@
 	} else if (a->outcome == STORE_REFUSED) {
 		clear_lease(f);
 	}
-	schedule_lease_call(f, RETRY_MIN_US);
+	schedule_after(f, a->outcome, RETRY_MIN_US);
 }
 
 static void record_lease(struct store_feed *f, const struct store_answer *a)
@@ -465,7 +498,7 @@
 	f->lease_call_pending = false;
 	record_era(f, a);
 	if (a->outcome != STORE_DONE || is_outdated(f, a)) {
-		schedule_lease_call(f, get_backoff_us(f));
+		schedule_lease_retry(f);
 		return;
 	}
 	f->lease = a->lease;
@@ -485,9 +518,10 @@
 		clear_lease(f);
 	if (renewed)
 		record_lease(f, a);
-	schedule_lease_call(f, renewed ? f->opts.lease_ttl_us /
-						 RENEWALS_PER_LEASE :
-					 RETRY_MIN_US);
+	schedule_after(f,
+		       renewed || a->outcome != STORE_DONE ? a->outcome :
+							     STORE_REFUSED,
+		       f->opts.lease_ttl_us / RENEWALS_PER_LEASE);
 }
 
 static void write_entry(struct store_feed *f, store_answer_fn fn)
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -558,4 +558,52 @@
 	EXPECT_GT(f.now_us, store_feed_lease_end_us(f.feed));
 }
 
+struct OutageCase {
+	const char *name;
+	enum store_outcome outcome; /* of every call in the outage */
+	int calls_max; /* for the lease, in the outage */
+	int calls_min;
+};
+
+const OutageCase outage_cases[] = {
+	{ "the store refuses", STORE_FAILED, 12, 7 },
+	{ "answers are lost", STORE_UNKNOWN, 12, 7 },
+};
+
+/*
+ * Load: a store that is away for eight seconds, or refuses a part of the
+ * fleet. Each instance tries its lease a few times only, and renews it as soon
+ * as another call shows that the store is back.
+ */
+TEST(StoreFeed, TriesTheLeaseSeldomWhileTheStoreIsAway)
+{
+	for (const OutageCase &k : outage_cases) {
+		Feed f;
+		int64_t end_us;
+		int tries;
+
+		SCOPED_TRACE(k.name);
+		f.start_watch();
+		f.answer(LEASE, 0);
+		f.run(10 * MS);
+		f.answer(CHANGE, 6);
+		end_us = f.now_us + 8 * S;
+		while (f.now_us < end_us) {
+			f.run(10 * MS);
+			for (Kind call : { WATCH, PROBE, RENEW, CHANGE }) {
+				if (f.has(call))
+					f.answer(call, 0, k.outcome);
+			}
+		}
+		tries = f.call_counts[RENEW] + f.call_counts[CHANGE] - 1;
+		EXPECT_LE(tries, k.calls_max);
+		EXPECT_GE(tries, k.calls_min);
+		while (!f.has(WATCH))
+			f.run(10 * MS);
+		f.answer(WATCH, 7);
+		f.run(20 * MS);
+		EXPECT_TRUE(f.has(RENEW) || f.has(CHANGE));
+	}
+}
+
 } // namespace
