--- a/soak/store.cc
+++ b/soak/store.cc
@@ -215,6 +215,8 @@
 	std::lock_guard<std::mutex> lock(mutex);
 	std::map<std::string, Item> now = items;
 
+	/* None was kept yet if the store came back just before. */
+	keep_copy_locked(now_us());
 	items = copies.front().items;
 	revision = copies.front().revision;
 	copies.clear();
@@ -322,7 +324,7 @@
 
 	while (!ends) {
 		if (after < history_start || after > revision)
-			return { 410, "{}" };
+			return { 410, "{}", era };
 		for (const Event &e : events) {
 			if (e.revision > after && has_prefix(e.key, prefix))
 				list += (list.empty() ? "" : ",") +
@@ -333,8 +335,10 @@
 			break;
 		changed.wait_for(lock, std::chrono::microseconds(left_us));
 	}
-	return { 200, "{\"events\":[" + list +
-			      "],\"as_of\":" + std::to_string(revision) + "}" };
+	return { 200,
+		 "{\"events\":[" + list +
+			 "],\"as_of\":" + std::to_string(revision) + "}",
+		 era };
 }
 
 HttpAnswer Store::change(const HttpRequest &r)
@@ -496,8 +500,14 @@
 		if (f == StoreFault::RESET || ends)
 			return;
 		sleep_us(delay_us);
+		int arrived_in = era;
 		if (f == StoreFault::NONE)
 			a = run_call(r);
+		/* It may have run before the store came back, or after. */
+		if (!a.era && arrived_in != era)
+			return;
+		if (!a.era)
+			a.era = arrived_in;
 		/* A fault that began while a watch waited cuts its answer. */
 		f = *faults[instance];
 		if (f == StoreFault::RESET || f == StoreFault::SILENT ||
@@ -507,7 +517,7 @@
 			return;
 		}
 		if (!s.write("HTTP/1.1 " + std::to_string(a.status) +
-			     " X\r\nStore-Era: " + std::to_string(era) +
+			     " X\r\nStore-Era: " + std::to_string(a.era) +
 			     "\r\nContent-Type: "
 			     "application/json\r\nContent-Length: " +
 			     std::to_string(a.body.size()) + "\r\n\r\n" +
--- a/soak/store.h
+++ b/soak/store.h
@@ -24,6 +24,7 @@
 struct HttpAnswer {
 	int status = 200;
 	std::string body = "{}";
+	int era = 0; /* in which it ran; 0: that of the call's arrival */
 };
 
 /* How the store treats the calls of one instance. */
