--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -223,6 +223,8 @@
 		.lease_ttl_us = engine_lease_ttl_us(e),
 		.lease_until_us = store_feed_lease_end_us(e->feed),
 		.settled = store_feed_is_settled(e->feed, now_us),
+		.entry_asked_us = store_feed_entry_asked_us(e->feed, now_us),
+		.entry_written_us = store_feed_entry_written_us(e->feed),
 		.confirmed_us = store_feed_confirmed_us(e->feed),
 	};
 
@@ -260,7 +262,7 @@
 		g_hash_table_replace(e->instances, g_strdup(item->name),
 				     g_memdup2(&item->instance,
 					       sizeof(item->instance)));
-		quota_put_instance(e->quota, &item->instance,
+		quota_put_instance(e->quota, &item->instance, item->revision,
 				   store_feed_confirmed_us(e->feed));
 	}
 	e->opts.ops->peer_changed(e->opts.host, item->name,
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -198,16 +198,34 @@
 		       quota_home_max_view_age_us(f->lease_ttl_us);
 }
 
+/*
+ * Returns true if this instance is the founder. The others can't settle before
+ * their entries are older than a lease, and this one's is older than theirs.
+ */
+static bool acts_as_founder(const struct quota *q, int64_t now_us)
+{
+	const struct quota_fleet *f = &q->fleet;
+
+	return q->record_settled && f->entry_asked_us != INT64_MIN &&
+	       f->confirmed_us >= f->entry_written_us &&
+	       now_us - f->entry_asked_us <
+		       quota_home_max_view_age_us(f->lease_ttl_us) &&
+	       !g_strcmp0(quota_homes_find_founder(q->homes), q->instance);
+}
+
 static bool acts_as_home(const struct quota *q, const struct quota_row *r,
 			 const struct quota_count *c, int64_t now_us)
 {
 	const struct quota_fleet *f = &q->fleet;
 	const struct quota_part part = { c->hash, c->zone };
 
-	return r->counted_at_homes && f->settled && knows_fleet(f, now_us) &&
-	       is_settled(q, r, now_us) &&
-	       now_us < quota_homes_valid_until_us(q->homes, &part,
-						   f->lease_ttl_us);
+	if (!r->counted_at_homes || !knows_fleet(f, now_us) ||
+	    !is_settled(q, r, now_us))
+		return false;
+	if (!f->settled)
+		return acts_as_founder(q, now_us);
+	return now_us <
+	       quota_homes_valid_until_us(q->homes, &part, f->lease_ttl_us);
 }
 
 static uint32_t calculate_local_rate(const struct quota *q,
@@ -474,9 +492,15 @@
 }
 
 void quota_put_instance(struct quota *q, const struct instance_entry *e,
-			int64_t absent_us)
+			int64_t position, int64_t absent_us)
 {
-	quota_homes_put(q->homes, e->name, e->zone, e->settled, absent_us);
+	const struct quota_home_entry entry = { .instance = e->name,
+						.zone = e->zone,
+						.settled = e->settled,
+						.absent_us = absent_us,
+						.position = position };
+
+	quota_homes_put(q->homes, &entry);
 	if (!q->recorded && zone_list_add(&q->zones, e->zone))
 		q->zones_version++;
 }
@@ -507,6 +531,13 @@
 	return quota_homes_find(q->homes, &part);
 }
 
+static bool is_founded_elsewhere(const struct quota *q)
+{
+	const char *founder = quota_homes_find_founder(q->homes);
+
+	return founder && strcmp(founder, q->instance) != 0;
+}
+
 /*
  * Takes an operation from a part that is counted here. Returns -EINPROGRESS if
  * that fails and another instance is the home of a part.
@@ -525,7 +556,8 @@
 			if (!rc)
 				return 0;
 		}
-		elsewhere |= strcmp(find_home(q, c), q->instance) != 0;
+		elsewhere |= strcmp(find_home(q, c), q->instance) != 0 ||
+			     is_founded_elsewhere(q);
 	}
 	return elsewhere ? -EINPROGRESS : rc;
 }
@@ -534,17 +566,22 @@
 			   struct quota_source *out)
 {
 	const struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+	const char *founder = quota_homes_find_founder(q->homes);
+	uint32_t n = 0;
 
-	if (!r)
-		return 0;
-	for (uint32_t i = 0; i < r->part_count; i++) {
+	for (uint32_t i = 0; r && i < r->part_count; i++) {
 		const struct quota_count *c = &r->parts[i];
-
-		out[i].part = c->hash;
-		out[i].home = find_home(q, c);
-		out[i].near = *c->zone && !strcmp(c->zone, q->zone);
+		struct quota_source s = { .part = c->hash, .home = founder };
+
+		s.near = *c->zone && !strcmp(c->zone, q->zone);
+		if (founder)
+			out[n++] = s;
+		s.home = find_home(q, c);
+		s.after_founder = founder != NULL;
+		if (g_strcmp0(s.home, founder) != 0)
+			out[n++] = s;
 	}
-	return r->part_count;
+	return n;
 }
 
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -67,6 +67,12 @@
 	int64_t lease_ttl_us;
 	int64_t lease_until_us; /* end of this instance's lease */
 	bool settled; /* this instance's entry is; see store_feed.h */
+	/*
+	 * When this process asked for its entry to be written, and when that
+	 * was answered. INT64_MIN: it may not be the founder, see quota_homes.h.
+	 */
+	int64_t entry_asked_us;
+	int64_t entry_written_us;
 	int64_t confirmed_us; /* no change in the store up to then was missed */
 };
 
@@ -81,10 +87,10 @@
 /*
  * Record that an instance's entry is in the store (put) or has left it
  * (remove). absent_us is the latest time at which the store is known not to
- * have had the entry with this value of `settled`.
+ * have had the entry with this value of `settled`, `position` that of the entry.
  */
 void quota_put_instance(struct quota *q, const struct instance_entry *e,
-			int64_t absent_us);
+			int64_t position, int64_t absent_us);
 void quota_remove_instance(struct quota *q, const char *instance);
 
 /*
@@ -110,11 +116,15 @@
 	/* Valid until an instance is removed; see quota_homes_find(). */
 	const char *home;
 	bool near; /* it is the part of this instance's zone */
+	/* Asked only if the founder does not count (any more). */
+	bool after_founder;
 };
 
+enum { QUOTA_SOURCES_MAX = 2 * QUOTA_PARTS_MAX };
+
 /*
- * Fills in the parts of the workspace's limit, at most QUOTA_PARTS_MAX. Returns
- * their number, 0 if the workspace is not known.
+ * Fills in whom to ask for the parts of the workspace's limit, at most
+ * QUOTA_SOURCES_MAX. Returns their number, 0 if the workspace is not known.
  */
 uint32_t quota_get_sources(struct quota *q, const char *workspace,
 			   struct quota_source *out);
--- a/src/proxy/quota_homes.c
+++ b/src/proxy/quota_homes.c
@@ -21,6 +21,7 @@
 	char zone[NAME_BYTES];
 	bool settled;
 	int64_t absent_us; /* see quota_homes_put() */
+	int64_t position; /* of the entry; 0: it is not in the store yet */
 };
 
 /* The home of one part, by the current entries. */
@@ -41,6 +42,8 @@
 	struct candidate *self;
 	GHashTable *candidates; /* instance name to struct candidate */
 	GHashTable *homes; /* &hash to struct home; filled on demand */
+	const struct candidate *founder; /* NULL: there is none */
+	bool founder_known; /* false: the candidates have changed */
 };
 
 static void candidate_free(gpointer p)
@@ -69,7 +72,10 @@
 					      candidate_free);
 	h->homes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
-	quota_homes_put(h, self, zone, false, INT64_MIN);
+	quota_homes_put(h,
+			&(struct quota_home_entry){ .instance = self,
+						    .zone = zone,
+						    .absent_us = INT64_MIN });
 	h->self = g_hash_table_lookup(h->candidates, self);
 	return h;
 }
@@ -118,39 +124,69 @@
 			choose_better_candidate(home->best_settled, c, &p);
 }
 
-void quota_homes_put(struct quota_homes *h, const char *instance,
-		     const char *zone, bool settled, int64_t absent_us)
+void quota_homes_put(struct quota_homes *h, const struct quota_home_entry *e)
 {
-	struct candidate *c = g_hash_table_lookup(h->candidates, instance);
+	struct candidate *c = g_hash_table_lookup(h->candidates, e->instance);
 	GHashTableIter it;
 	gpointer home;
 
-	if (c && c->settled == settled && !strcmp(c->zone, zone))
+	h->founder_known = false;
+	if (c)
+		c->position = e->position;
+	if (c && c->settled == e->settled && !strcmp(c->zone, e->zone))
 		return;
-	if (c && (!settled || strcmp(c->zone, zone) != 0)) {
+	if (c && (!e->settled || strcmp(c->zone, e->zone) != 0)) {
 		/*
 		 * Its settled entry was lost, or it was in another zone: treat
 		 * it like a new instance.
 		 */
-		c->settled = settled;
-		c->absent_us = absent_us;
-		g_strlcpy(c->zone, zone, sizeof(c->zone));
+		c->settled = e->settled;
+		c->absent_us = e->absent_us;
+		g_strlcpy(c->zone, e->zone, sizeof(c->zone));
 		g_hash_table_remove_all(h->homes);
 		return;
 	}
 	if (!c) {
 		c = g_new0(struct candidate, 1);
-		c->name = g_strdup(instance);
-		g_strlcpy(c->zone, zone, sizeof(c->zone));
-		c->absent_us = absent_us;
+		c->name = g_strdup(e->instance);
+		g_strlcpy(c->zone, e->zone, sizeof(c->zone));
+		c->absent_us = e->absent_us;
+		c->position = e->position;
 		g_hash_table_insert(h->candidates, c->name, c);
 	}
-	c->settled = settled;
+	c->settled = e->settled;
 	g_hash_table_iter_init(&it, h->homes);
 	while (g_hash_table_iter_next(&it, NULL, &home))
 		add_candidate(home, c);
 }
 
+static const struct candidate *choose_founder(const struct quota_homes *h)
+{
+	const struct candidate *founder = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, h->candidates);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct candidate *c = value;
+
+		if (c->settled)
+			return NULL;
+		if (c->position &&
+		    (!founder || c->position < founder->position))
+			founder = c;
+	}
+	return founder;
+}
+
+const char *quota_homes_find_founder(struct quota_homes *h)
+{
+	if (!h->founder_known)
+		h->founder = choose_founder(h);
+	h->founder_known = true;
+	return h->founder ? h->founder->name : NULL;
+}
+
 void quota_homes_remove(struct quota_homes *h, const char *instance)
 {
 	const struct candidate *c =
@@ -158,6 +194,13 @@
 	GHashTableIter it;
 	gpointer value;
 
+	h->founder_known = false;
+	if (c == h->self) {
+		/* The entry is gone; this instance may write it again. */
+		h->self->settled = false;
+		h->self->position = 0;
+		g_hash_table_remove_all(h->homes);
+	}
 	if (!c || c == h->self)
 		return;
 	g_hash_table_iter_init(&it, h->homes);
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -18,6 +18,11 @@
  *    instance with the higher score was absent.
  *  - When the home's entry leaves the store, its lease has ended, and the next
  *    instance counts at once.
+ *
+ * If no entry is settled, all leases have ended, and with them the counting of
+ * whoever counted before. Then one instance, the founder, counts all parts: the
+ * one with the oldest entry. No other entry can settle before the founder's
+ * own; see docs/design/limits.md.
  */
 #ifndef PROXY_QUOTA_HOMES_H
 #define PROXY_QUOTA_HOMES_H
@@ -45,22 +50,34 @@
 struct quota_homes *quota_homes_new(const char *self, const char *zone);
 void quota_homes_free(struct quota_homes *h);
 
-/*
- * Record that an instance's entry is in the store (put) or has left it
- * (remove). absent_us is the latest time at which the store is known not to
- * have had the entry with this value of `settled`, in this zone.
- */
-void quota_homes_put(struct quota_homes *h, const char *instance,
-		     const char *zone, bool settled, int64_t absent_us);
+/* An instance's entry in the store. */
+struct quota_home_entry {
+	const char *instance;
+	const char *zone;
+	bool settled;
+	/*
+	 * The latest time at which the store is known not to have had the entry
+	 * with this value of `settled`, in this zone.
+	 */
+	int64_t absent_us;
+	int64_t position; /* in the store; 0: it is not there yet */
+};
+
+/* Record that an entry is in the store (put) or has left it (remove). */
+void quota_homes_put(struct quota_homes *h, const struct quota_home_entry *e);
 void quota_homes_remove(struct quota_homes *h, const char *instance);
 
 /*
- * Returns the name of the instance that gets requests for the part: the settled
- * one with the highest score, or the one with the highest score of all if none
- * is settled. Valid until that instance is removed.
+ * Returns the name of the instance that gets requests for the part once there
+ * is no founder (any more): the settled one with the highest score, or the one
+ * with the highest score of all if none is settled. Valid until that instance is
+ * removed.
  */
 const char *quota_homes_find(struct quota_homes *h, const struct quota_part *p);
 
+/* Returns the founder, or NULL if an entry is settled or none is known. */
+const char *quota_homes_find_founder(struct quota_homes *h);
+
 /*
  * Returns until when this instance, if its own entry is settled, is the home of
  * the part, by what it knows of the others. INT64_MIN: it is not the home;
--- a/src/proxy/quota_requests.c
+++ b/src/proxy/quota_requests.c
@@ -95,6 +95,8 @@
 		uint32_t at = (uint32_t)((reqs->last_sequence + i) % count);
 		const struct quota_source *src = &sources[at];
 
+		if (src->after_founder && r->rc != -ESTALE)
+			continue;
 		if (r->tried & 1U << at ||
 		    !strcmp(src->home, reqs->engine->opts.instance) ||
 		    home_is_silent(reqs, src->home, now_us))
@@ -109,7 +111,7 @@
 static bool request_next_part(struct quota_requests *reqs,
 			      struct quota_request *r, int64_t now_us)
 {
-	struct quota_source sources[QUOTA_PARTS_MAX];
+	struct quota_source sources[QUOTA_SOURCES_MAX];
 	uint32_t count = quota_get_sources(reqs->engine->quota,
 					   r->session->workspace, sources);
 	const struct quota_source *src =
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -54,12 +54,14 @@
 	uint64_t lease; /* 0: none */
 	int64_t lease_until_us; /* end of the lease, less the margin */
 	int64_t lease_due_us; /* next call for the lease or the entry */
+	int64_t entry_asked_us; /* when the write was sent */
 	int64_t entry_written_us; /* when the write was answered */
 	int64_t entry_revision; /* as written by this process */
 	/* Revision of an entry left by a previous process; 0: none. */
 	int64_t previous_revision;
 
 	uint32_t era; /* latest of the store's eras; 0: not known */
+	int64_t era_since_us; /* since when it is known */
 	uint32_t failures; /* consecutive failed calls */
 	uint32_t lease_failures; /* likewise, for the lease or the entry */
 	bool listed; /* the list is complete; watches follow */
@@ -150,6 +152,7 @@
 	if (a->era <= f->era)
 		return;
 	f->era = a->era;
+	f->era_since_us = f->opts.now_us(f->opts.data);
 	if (first)
 		return;
 	if (f->call)
@@ -460,6 +463,7 @@
 	f->settled = f->entry_written && f->taking_over;
 	f->previous_revision = 0;
 	if (f->entry_written) {
+		f->entry_asked_us = a->requested_us;
 		f->entry_written_us = f->opts.now_us(f->opts.data);
 		f->entry_revision = a->revision;
 	}
@@ -613,6 +617,23 @@
 		now_us - f->entry_written_us >= f->opts.settle_us);
 }
 
+/* A store in its first era has not come back from a copy yet. */
+#define FIRST_ERA 1
+
+int64_t store_feed_entry_asked_us(const struct store_feed *f, int64_t now_us)
+{
+	bool era_is_young = f->era > FIRST_ERA &&
+			    now_us - f->era_since_us < f->opts.settle_us;
+
+	return f->entry_written && !era_is_young ? f->entry_asked_us :
+						   INT64_MIN;
+}
+
+int64_t store_feed_entry_written_us(const struct store_feed *f)
+{
+	return f->entry_written_us;
+}
+
 static void on_lease_ended(void *data, const struct store_answer *a)
 {
 	/* If the call failed, the entry expires with its lease. */
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -113,6 +113,16 @@
 /* Returns true while this instance's entry is in the store and settled. */
 bool store_feed_is_settled(const struct store_feed *f, int64_t now_us);
 
+/*
+ * Returns when this process asked for its present entry to be written;
+ * INT64_MIN if there is none, or if instances that have not noticed the store's
+ * era may still count by entries of the one before.
+ */
+int64_t store_feed_entry_asked_us(const struct store_feed *f, int64_t now_us);
+
+/* Returns when that was answered. */
+int64_t store_feed_entry_written_us(const struct store_feed *f);
+
 /* Removes this instance's entry by revoking its lease; not written again. */
 void store_feed_remove_entry(struct store_feed *f);
 
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1043,7 +1043,7 @@
 {
 	std::vector<std::string> expired_keys;
 
-	if (now_us_ < store_down_until_us_)
+	if (now_us_ < store_down_until_us_ && !leases_lapse_)
 		return;
 	for (auto l = leases_.begin(); l != leases_.end();) {
 		if (now_us_ < l->second.until_us) {
@@ -1458,13 +1458,18 @@
 		start(n.get());
 }
 
-void ProxyModel::start_store_outage(int64_t duration_us, bool lose_answers)
+void ProxyModel::start_store_outage(int64_t duration_us, bool lose_answers,
+				    bool lapse_leases)
 {
 	store_down_until_us_ = now_us_ + duration_us;
 	store_loses_answers_ = lose_answers;
+	leases_lapse_ = lapse_leases;
 	for (auto &w : watches_)
 		w.dead = w.number % 2;
 	run_later(duration_us, [this] {
+		if (leases_lapse_)
+			expire_leases();
+		leases_lapse_ = false;
 		store_loses_answers_ = false;
 		/*
 		 * Leases do not expire during the outage and last for at least
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -308,7 +308,8 @@
 	 * The store is down. With lose_answers it executes changes, but their
 	 * answers are lost.
 	 */
-	void start_store_outage(int64_t duration_us, bool lose_answers);
+	void start_store_outage(int64_t duration_us, bool lose_answers,
+				bool lapse_leases = false);
 	/*
 	 * For duration_us, promotion orders have an unknown outcome and are
 	 * executed after delay_us.
@@ -448,6 +449,7 @@
 	uint64_t last_call_number_ = 0;
 	uint64_t last_statement_id_ = 0;
 	int64_t store_down_until_us_ = 0;
+	bool leases_lapse_ = false; /* in the outage */
 	bool store_loses_answers_ = false;
 	int64_t promotions_delayed_until_us_ = 0;
 	int64_t promotion_delay_us_ = 0;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -235,7 +235,8 @@
 void set_settled_fleet(struct quota *q, uint32_t instances,
 		       int64_t lease_until_us, int64_t now_us)
 {
-	const struct quota_fleet f = { instances, 4 * S, lease_until_us, true,
+	const struct quota_fleet f = { instances, 4 * S,     lease_until_us,
+				       true,	  INT64_MIN, INT64_MIN,
 				       now_us };
 
 	quota_set_fleet(q, &f, now_us);
@@ -380,7 +381,7 @@
 	struct instance_entry self = {};
 	struct fleet_config *c = make_limit_config(10);
 	struct quota *q = quota_new(&tolerance, "self", "z0");
-	struct quota_source sources[QUOTA_PARTS_MAX];
+	struct quota_source sources[QUOTA_SOURCES_MAX];
 	int64_t now_us = 100 * S;
 	int64_t retry_us;
 
@@ -392,8 +393,8 @@
 	self.settled = true;
 	EXPECT_EQ(0u, quota_get_sources(q, "a", sources));
 	quota_configure(q, c, now_us);
-	quota_put_instance(q, &other, now_us);
-	quota_put_instance(q, &self, now_us);
+	quota_put_instance(q, &other, 1, now_us);
+	quota_put_instance(q, &self, 2, now_us);
 	quota_set_record(q, &two, now_us);
 	set_settled_fleet(q, 14, INT64_MAX, now_us);
 	ASSERT_EQ(2u, quota_get_sources(q, "a", sources));
@@ -406,7 +407,7 @@
 		    !strcmp("other", sources[1].home));
 	EXPECT_EQ(0, quota_take(q, "a", now_us, &retry_us));
 	g_strlcpy(other.zone, "z8", sizeof(other.zone));
-	quota_put_instance(q, &other, now_us);
+	quota_put_instance(q, &other, 1, now_us);
 	set_settled_fleet(q, 15, INT64_MAX, now_us);
 	ASSERT_EQ(2u, quota_get_sources(q, "a", sources));
 	/* Zones only grow, and nothing is counted until a lease later. */
@@ -522,7 +523,8 @@
 {
 	struct fleet_config *c = make_limit_config(100);
 	struct quota *q = quota_new(&tolerance, "self", "z0");
-	struct quota_fleet f = { 1, 4 * S, INT64_MAX, true, 10 * S };
+	struct quota_fleet f = { 1,	    4 * S,     INT64_MAX, true,
+				 INT64_MIN, INT64_MIN, 10 * S };
 	int64_t retry_us;
 
 	quota_configure(q, c, 10 * S);
--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -6,6 +6,8 @@
 #include <set>
 
 extern "C" {
+#include "limits/size_class.h"
+#include "limits/zone_list.h"
 #include "proxy/quota.h"
 #include "proxy/quota_requests.h"
 #include "proxy/quota_homes.h"
@@ -32,6 +34,15 @@
 constexpr int64_t LEASE_US = 4 * S;
 constexpr int64_t ABSENT_US = 50 * S;
 
+void put_home(struct quota_homes *h, const char *instance, const char *zone,
+	      bool settled, int64_t absent_us, int64_t position = 1)
+{
+	const struct quota_home_entry e = { instance, zone, settled, absent_us,
+					    position };
+
+	quota_homes_put(h, &e);
+}
+
 TEST(QuotaHomes, SameOnAllInstancesAndFewMove)
 {
 	const char *names[] = { "n0", "n1", "n2", "n3", "n4" };
@@ -42,7 +53,7 @@
 		struct quota_homes *h = quota_homes_new(self, "z0");
 
 		for (const char *other : names)
-			quota_homes_put(h, other, "z0", true, ABSENT_US);
+			put_home(h, other, "z0", true, ABSENT_US);
 		for (uint64_t w = 0; w < 200; w++) {
 			const struct quota_part p = { w, "" };
 			std::string home = quota_homes_find(h, &p);
@@ -64,7 +75,7 @@
 				EXPECT_EQ(before[w], home);
 			}
 		}
-		quota_homes_put(h, "n1", "z0", true, ABSENT_US);
+		put_home(h, "n1", "z0", true, ABSENT_US);
 		for (uint64_t w = 0; w < 200; w++) {
 			const struct quota_part p = { w, "" };
 
@@ -82,21 +93,21 @@
 {
 	struct quota_homes *h = quota_homes_new("n0", "z0");
 
-	quota_homes_put(h, "n0", "z0", true, ABSENT_US);
-	quota_homes_put(h, "n1", "z1", true, ABSENT_US);
-	quota_homes_put(h, "n2", "z2", true, ABSENT_US);
+	put_home(h, "n0", "z0", true, ABSENT_US);
+	put_home(h, "n1", "z1", true, ABSENT_US);
+	put_home(h, "n2", "z2", true, ABSENT_US);
 	for (uint64_t w = 0; w < 50; w++) {
 		const struct quota_part near = { w, "z0" };
 		const struct quota_part far = { w + 1000, "z1" };
 
 		EXPECT_STREQ("n0", quota_homes_find(h, &near));
 		EXPECT_STREQ("n1", quota_homes_find(h, &far));
-		quota_homes_put(h, "n1", "z2", true, ABSENT_US);
+		put_home(h, "n1", "z2", true, ABSENT_US);
 		EXPECT_STRNE("n3", quota_homes_find(h, &far));
-		quota_homes_put(h, "n3", "z1", true, ABSENT_US);
+		put_home(h, "n3", "z1", true, ABSENT_US);
 		EXPECT_STREQ("n3", quota_homes_find(h, &far));
 		quota_homes_remove(h, "n3");
-		quota_homes_put(h, "n1", "z1", true, ABSENT_US);
+		put_home(h, "n1", "z1", true, ABSENT_US);
 	}
 	quota_homes_free(h);
 }
@@ -111,28 +122,28 @@
 	int64_t until_us = ABSENT_US + quota_home_max_view_age_us(LEASE_US);
 	int other_is_home = 0;
 
-	quota_homes_put(h, "self", "z0", true, ABSENT_US);
+	put_home(h, "self", "z0", true, ABSENT_US);
 	for (uint64_t w = 0; w < 50; w++) {
 		const struct quota_part p = { w, "" };
 
 		quota_homes_remove(h, "other");
 		EXPECT_EQ(INT64_MAX,
 			  quota_homes_valid_until_us(h, &p, LEASE_US));
-		quota_homes_put(h, "other", "z0", false, ABSENT_US);
+		put_home(h, "other", "z0", false, ABSENT_US);
 		EXPECT_STREQ("self", quota_homes_find(h, &p));
-		quota_homes_put(h, "other", "z0", true, ABSENT_US + 5 * S);
+		put_home(h, "other", "z0", true, ABSENT_US + 5 * S);
 		if (!strcmp("self", quota_homes_find(h, &p)))
 			continue;
 		other_is_home++;
 		EXPECT_EQ(INT64_MIN,
 			  quota_homes_valid_until_us(h, &p, LEASE_US));
 		quota_homes_remove(h, "other");
-		quota_homes_put(h, "other", "z0", false, ABSENT_US);
+		put_home(h, "other", "z0", false, ABSENT_US);
 		EXPECT_EQ(until_us,
 			  quota_homes_valid_until_us(h, &p, LEASE_US));
 		/* The settled entry is lost and written again as unsettled. */
-		quota_homes_put(h, "other", "z0", true, ABSENT_US);
-		quota_homes_put(h, "other", "z0", false, ABSENT_US + 9 * S);
+		put_home(h, "other", "z0", true, ABSENT_US);
+		put_home(h, "other", "z0", false, ABSENT_US + 9 * S);
 		EXPECT_EQ(until_us + 9 * S,
 			  quota_homes_valid_until_us(h, &p, LEASE_US));
 	}
@@ -141,6 +152,126 @@
 	quota_homes_free(h);
 }
 
+struct FounderCase {
+	const char *name;
+	/* Of n0 (this instance), n1 and n2; 0: no entry. */
+	int64_t positions[3];
+	bool settled[3];
+	const char *founder;
+};
+
+const FounderCase founder_cases[] = {
+	{ "the oldest entry", { 7, 5, 9 }, {}, "n1" },
+	{ "this instance has it", { 4, 5, 9 }, {}, "n0" },
+	{ "this instance has no entry yet", { 0, 5, 9 }, {}, "n1" },
+	{ "nobody has", { 0, 0, 0 }, {}, nullptr },
+	{ "an entry is settled", { 4, 5, 9 }, { false, false, true }, nullptr },
+	{ "that of this instance is", { 4, 5, 9 }, { true }, nullptr },
+};
+
+TEST(QuotaHomes, FounderHasTheOldestEntryIfNoneIsSettled)
+{
+	static const char *const names[] = { "n0", "n1", "n2" };
+
+	for (const FounderCase &k : founder_cases) {
+		struct quota_homes *h = quota_homes_new("n0", "z0");
+
+		SCOPED_TRACE(k.name);
+		for (int i = 0; i < 3; i++) {
+			if (k.positions[i])
+				put_home(h, names[i], "z0", k.settled[i],
+					 ABSENT_US, k.positions[i]);
+		}
+		EXPECT_STREQ(k.founder, quota_homes_find_founder(h));
+		/* It is chosen again when its entry goes, or is rewritten. */
+		if (k.founder && strcmp(k.founder, "n0") != 0) {
+			put_home(h, k.founder, "z0", false, ABSENT_US, 99);
+			EXPECT_STRNE(k.founder, quota_homes_find_founder(h));
+		}
+		if (k.founder) {
+			quota_homes_remove(h, k.founder);
+			EXPECT_STRNE(k.founder, quota_homes_find_founder(h));
+		}
+		quota_homes_free(h);
+	}
+}
+
+struct FoundingCase {
+	const char *name;
+	bool record_settled;
+	int64_t asked_us; /* for the entry, before now; -1: it may not */
+	int64_t written_us; /* before now */
+	int64_t confirmed_us; /* likewise */
+	int64_t other_position; /* of another entry; this one's is 5 */
+	bool other_settled;
+	int rc;
+};
+
+const FoundingCase founding_cases[] = {
+	{ "founder", true, 1 * S, 900 * MS, 500 * MS, 6, false, 0 },
+	{ "way of counting not agreed", false, 1 * S, 900 * MS, 500 * MS, 6,
+	  false, -ESTALE },
+	{ "of a young era", true, -1, 900 * MS, 500 * MS, 6, false, -ESTALE },
+	{ "listed before its entry was written", true, 1 * S, 900 * MS,
+	  950 * MS, 6, false, -ESTALE },
+	{ "others may settle now", true, LEASE_US * 97 / 100, 1 * S, 0, 6,
+	  false, -ESTALE },
+	{ "another entry is older", true, 1 * S, 900 * MS, 500 * MS, 4, false,
+	  -ESTALE },
+	{ "another entry is settled", true, 1 * S, 900 * MS, 500 * MS, 6, true,
+	  -ESTALE },
+};
+
+/* After all leases have ended, one instance counts before any is settled. */
+TEST(QuotaHomes, FounderCountsOnlyWhenNobodyElseCan)
+{
+	const struct quota_tolerance tolerance = { 5 * S, 100, 20000 };
+	const int64_t now_us = 100 * S;
+
+	for (const FoundingCase &k : founding_cases) {
+		struct quota_fleet f = {};
+		struct limit_entry record = {};
+		struct instance_entry self = {};
+		struct instance_entry other = {};
+		struct quota *q = quota_new(&tolerance, "self", "z0");
+		struct fleet_config *c = fleet_config_new();
+		struct workspace_config *w = g_new0(struct workspace_config, 1);
+		struct quota_source sources[QUOTA_SOURCES_MAX];
+		int64_t retry_us = 0;
+
+		SCOPED_TRACE(k.name);
+		f.instances = NODES;
+		f.lease_ttl_us = LEASE_US;
+		f.lease_until_us = now_us + S;
+		f.entry_asked_us =
+			k.asked_us < 0 ? INT64_MIN : now_us - k.asked_us;
+		f.entry_written_us = now_us - k.written_us;
+		f.confirmed_us = now_us - k.confirmed_us;
+		w->name = g_strdup("a");
+		w->rate_milli_per_s = 10000;
+		w->burst_milli = 10000;
+		fleet_config_add_workspace(c, w);
+		record.size_class = size_class_of(NODES);
+		zone_list_add(&record.zones, "z0");
+		record.settled = k.record_settled;
+		quota_set_record(q, &record, 10 * S);
+		quota_set_fleet(q, &f, 10 * S);
+		quota_configure(q, c, 10 * S);
+		g_strlcpy(self.name, "self", sizeof(self.name));
+		g_strlcpy(self.zone, "z0", sizeof(self.zone));
+		g_strlcpy(other.name, "other", sizeof(other.name));
+		g_strlcpy(other.zone, "z0", sizeof(other.zone));
+		other.settled = k.other_settled;
+		quota_put_instance(q, &self, 5, 0);
+		quota_put_instance(q, &other, k.other_position, 0);
+		ASSERT_LT(0u, quota_get_sources(q, "a", sources));
+		EXPECT_EQ(k.rc, quota_take_for_peer(q, sources[0].part, now_us,
+						    &retry_us));
+		fleet_config_free(c);
+		quota_free(q);
+	}
+}
+
 struct HomeCase {
 	const char *name;
 	bool entry_settled;
@@ -170,10 +301,10 @@
 	const struct quota_tolerance tolerance = { 5 * S, 100, 20000 };
 
 	for (const HomeCase &k : home_cases) {
-		const struct quota_fleet f = { NODES, LEASE_US,
-					       k.lease_until_us,
-					       k.entry_settled,
-					       k.confirmed_us };
+		const struct quota_fleet f = {
+			NODES,	   LEASE_US,  k.lease_until_us, k.entry_settled,
+			INT64_MIN, INT64_MIN, k.confirmed_us
+		};
 		struct quota *q = quota_new(&tolerance, "self", "z0");
 		struct fleet_config *c = fleet_config_new();
 		struct workspace_config *w = g_new0(struct workspace_config, 1);
@@ -277,7 +408,7 @@
 	int at = 0;
 
 	for (auto &n : m.nodes)
-		quota_homes_put(h, n->name.c_str(), n->zone.c_str(), true, 0);
+		put_home(h, n->name.c_str(), n->zone.c_str(), true, 0);
 	home = quota_homes_find(h, &part);
 	quota_homes_free(h);
 	for (int i = 0; i < NODES; i++) {
@@ -294,7 +425,7 @@
 	bool found = false;
 
 	for (auto &n : m.nodes)
-		quota_homes_put(h, n->name.c_str(), n->zone.c_str(), true, 0);
+		put_home(h, n->name.c_str(), n->zone.c_str(), true, 0);
 	for (const char *zone : { "z0", "z1", "z2" }) {
 		const struct quota_part part = {
 			quota_zone_part_hash("a", zone), zone
@@ -627,7 +758,8 @@
 					    [n] { n->cut_from_store = false; });
 				break;
 			default:
-				m.start_store_outage(duration_us / 2, seed % 2);
+				m.start_store_outage(duration_us, seed % 2,
+						     seed % 3 == 0);
 				break;
 			}
 			run_load(m, 2 * S, 10 * MS);
@@ -661,7 +793,7 @@
 		m.lose_limit_record();
 		return;
 	case 2:
-		m.start_store_outage(duration_us / 2, m.rand() % 2);
+		m.start_store_outage(duration_us, m.rand() % 2, m.rand() % 2);
 		return;
 	case 3:
 		m.set_limit(m.rand() % 2 ? 6 : 40, 6);
@@ -719,4 +851,45 @@
 	}
 }
 
+struct LapseCase {
+	const char *name;
+	int64_t outage_us;
+	bool killed; /* all instances, as the store comes back */
+};
+
+const LapseCase lapse_cases[] = {
+	{ "leases lapse while the store is away", 6 * S, false },
+	{ "and all processes are killed then", 6 * S, true },
+	{ "all are off for longer than a lease", 0, true },
+};
+
+/*
+ * Load: all instances are asked for a small workspace's operations after all
+ * leases have ended. They count again within a second of the store's first
+ * good answer, not a lease later, and no window exceeds the limit.
+ */
+TEST(ProxyQuotaHome, CountsSoonAfterAllLeasesEnded)
+{
+	for (const LapseCase &k : lapse_cases) {
+		ProxyModel m(make_fleet_opts(10));
+		Load l;
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		run_load(m, 2 * S, 10 * MS);
+		if (k.outage_us) {
+			m.start_store_outage(k.outage_us, false, true);
+			m.run(k.outage_us);
+		}
+		if (k.killed)
+			m.restart_all(k.outage_us ? 500 * MS : 5 * S);
+		m.run(1 * S);
+		l = run_load(m, 2500 * MS, 150 * MS);
+		EXPECT_GE(l.served, l.requested - 1) << l.requested;
+		/* Nothing is counted twice as the others settle. */
+		run_load(m, 6 * S, 10 * MS);
+		expect_no_violations(m);
+	}
+}
+
 } // namespace
