--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -482,10 +482,14 @@
 	}
 	if (new_operation && !s->relayed)
 		rc = quota_take(e->quota, s->workspace, now_us, &retry_us);
-	if (rc != -EINPROGRESS)
+	if (rc != -EINPROGRESS && rc != -EDQUOT) {
+		apply_quota_result(s, rc, retry_us, now_us);
+		return;
+	}
+	/* What the answer is if no other instance gives one. */
+	rc = rc == -EDQUOT ? -EAGAIN : -ETIMEDOUT;
+	if (!quota_requests_start(e->quota_requests, s, rc, retry_us, now_us))
 		apply_quota_result(s, rc, retry_us, now_us);
-	else if (!quota_requests_start(e->quota_requests, s, now_us))
-		apply_quota_result(s, -ETIMEDOUT, 0, now_us);
 }
 
 static void on_begin(struct session *s, int64_t now_us)
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -263,7 +263,7 @@
 				     g_memdup2(&item->instance,
 					       sizeof(item->instance)));
 		quota_put_instance(e->quota, &item->instance, item->revision,
-				   store_feed_confirmed_us(e->feed));
+				   store_feed_confirmed_us(e->feed), now_us);
 	}
 	e->opts.ops->peer_changed(e->opts.host, item->name,
 				  item->removed || !item->readable ?
--- a/src/proxy/quota.c
+++ b/src/proxy/quota.c
@@ -34,6 +34,9 @@
 	 * homes may have spent all of it shortly before.
 	 */
 	HOME_INITIAL_TOKENS_PERCENT = 10,
+	/* Pause after no instance had an operation to lend. */
+	NO_LENDER_MIN_US = 10 * 1000,
+	NO_LENDER_MAX_US = 200 * 1000,
 };
 
 /* A part of a small limit, for when this instance is its home. */
@@ -67,6 +70,9 @@
 	uint64_t requested_milli; /* operations since the last report */
 	int64_t measured_since_us;
 	uint32_t demand_milli_per_s;
+	/* Whom to ask first for an operation of a divided limit, and when. */
+	uint32_t first_lender;
+	int64_t no_lender_until_us;
 	uint32_t admitted; /* since quota_for_each() */
 	uint32_t refused;
 };
@@ -198,6 +204,12 @@
 		       quota_home_max_view_age_us(f->lease_ttl_us);
 }
 
+static const char *find_founder(const struct quota *q, int64_t now_us)
+{
+	return quota_homes_find_founder(q->homes, q->fleet.lease_ttl_us,
+					now_us);
+}
+
 /*
  * Returns true if this instance is the founder. The others can't settle before
  * their entries are older than a lease, and this one's is older than theirs.
@@ -210,7 +222,7 @@
 	       f->confirmed_us >= f->entry_written_us &&
 	       now_us - f->entry_asked_us <
 		       quota_home_max_view_age_us(f->lease_ttl_us) &&
-	       !g_strcmp0(quota_homes_find_founder(q->homes), q->instance);
+	       !g_strcmp0(find_founder(q, now_us), q->instance);
 }
 
 static bool acts_as_home(const struct quota *q, const struct quota_row *r,
@@ -492,13 +504,14 @@
 }
 
 void quota_put_instance(struct quota *q, const struct instance_entry *e,
-			int64_t position, int64_t absent_us)
+			int64_t position, int64_t absent_us, int64_t now_us)
 {
 	const struct quota_home_entry entry = { .instance = e->name,
 						.zone = e->zone,
 						.settled = e->settled,
 						.absent_us = absent_us,
-						.position = position };
+						.position = position,
+						.seen_us = now_us };
 
 	quota_homes_put(q->homes, &entry);
 	if (!q->recorded && zone_list_add(&q->zones, e->zone))
@@ -531,9 +544,9 @@
 	return quota_homes_find(q->homes, &part);
 }
 
-static bool is_founded_elsewhere(const struct quota *q)
+static bool is_founded_elsewhere(const struct quota *q, int64_t now_us)
 {
-	const char *founder = quota_homes_find_founder(q->homes);
+	const char *founder = find_founder(q, now_us);
 
 	return founder && strcmp(founder, q->instance) != 0;
 }
@@ -542,7 +555,7 @@
  * Takes an operation from a part that is counted here. Returns -EINPROGRESS if
  * that fails and another instance is the home of a part.
  */
-static int take_from_parts(struct quota *q, struct quota_row *r,
+static int take_from_parts(struct quota *q, struct quota_row *r, int64_t now_us,
 			   int64_t *retry_us)
 {
 	bool elsewhere = false;
@@ -557,18 +570,33 @@
 				return 0;
 		}
 		elsewhere |= strcmp(find_home(q, c), q->instance) != 0 ||
-			     is_founded_elsewhere(q);
+			     is_founded_elsewhere(q, now_us);
 	}
 	return elsewhere ? -EINPROGRESS : rc;
 }
 
+static uint32_t get_lenders(struct quota *q, const struct quota_row *r,
+			    struct quota_source *out)
+{
+	const char *names[QUOTA_LENDERS_MAX];
+	uint32_t n = quota_homes_list_others(q->homes, r->first_lender, names,
+					     QUOTA_LENDERS_MAX);
+
+	for (uint32_t i = 0; i < n; i++)
+		out[i] = (struct quota_source){ .part = r->hash,
+						.home = names[i] };
+	return n;
+}
+
 uint32_t quota_get_sources(struct quota *q, const char *workspace,
-			   struct quota_source *out)
+			   int64_t now_us, struct quota_source *out)
 {
 	const struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
-	const char *founder = quota_homes_find_founder(q->homes);
+	const char *founder = find_founder(q, now_us);
 	uint32_t n = 0;
 
+	if (r && !r->counted_at_homes)
+		return get_lenders(q, r, out);
 	for (uint32_t i = 0; r && i < r->part_count; i++) {
 		const struct quota_count *c = &r->parts[i];
 		struct quota_source s = { .part = c->hash, .home = founder };
@@ -584,10 +612,20 @@
 	return n;
 }
 
+/* Takes an operation from this instance's share of a divided limit. */
+static int take_from_share(const struct quota *q, struct quota_row *r,
+			   int64_t now_us, int64_t *retry_us)
+{
+	return is_settled(q, r, now_us) && knows_fleet(&q->fleet, now_us) ?
+		       take_operation(r, &r->bucket, retry_us) :
+		       -ESTALE;
+}
+
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us)
 {
 	struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+	int rc;
 
 	if (!r || is_unlimited(r))
 		return 0;
@@ -596,10 +634,24 @@
 	if (!q->fleet.instances || now_us >= q->fleet.lease_until_us)
 		return -ESTALE;
 	if (r->counted_at_homes)
-		return take_from_parts(q, r, retry_us);
-	return is_settled(q, r, now_us) && knows_fleet(&q->fleet, now_us) ?
-		       take_operation(r, &r->bucket, retry_us) :
-		       -ESTALE;
+		return take_from_parts(q, r, now_us, retry_us);
+	rc = take_from_share(q, r, now_us, retry_us);
+	return rc == -EAGAIN && now_us >= r->no_lender_until_us &&
+			       q->fleet.instances > 1 ?
+		       -EDQUOT :
+		       rc;
+}
+
+void quota_note_no_lender(struct quota *q, const char *workspace,
+			  int64_t now_us, int64_t retry_us)
+{
+	struct quota_row *r = g_hash_table_lookup(q->rows, workspace);
+
+	if (!r || r->counted_at_homes)
+		return;
+	r->first_lender += QUOTA_LENDERS_MAX;
+	r->no_lender_until_us =
+		now_us + CLAMP(retry_us, NO_LENDER_MIN_US, NO_LENDER_MAX_US);
 }
 
 int quota_take_for_peer(struct quota *q, uint64_t part, int64_t now_us,
@@ -610,6 +662,9 @@
 	if (!r || is_unlimited(r))
 		return -ESTALE;
 	update_bucket(q, r, now_us);
+	if (part == r->hash && !r->counted_at_homes &&
+	    now_us < q->fleet.lease_until_us)
+		return take_from_share(q, r, now_us, retry_us);
 	for (uint32_t i = 0; i < r->part_count; i++) {
 		struct quota_count *c = &r->parts[i];
 
--- a/src/proxy/quota.h
+++ b/src/proxy/quota.h
@@ -15,6 +15,9 @@
  * divided evenly and never refills faster than the rate. Both together stay
  * below the tolerance in every window.
  *
+ * An instance that has used up its share asks others to lend it an operation,
+ * so a limit is not refused here while it is unused there.
+ *
  * A limit is small if an even part of its tolerance is less than two
  * operations. A small limit is not divided but counted in one part for each
  * availability zone, or in two halves if there is only one zone or a zone's
@@ -90,7 +93,7 @@
  * have had the entry with this value of `settled`, `position` that of the entry.
  */
 void quota_put_instance(struct quota *q, const struct instance_entry *e,
-			int64_t position, int64_t absent_us);
+			int64_t position, int64_t absent_us, int64_t now_us);
 void quota_remove_instance(struct quota *q, const char *instance);
 
 /*
@@ -98,7 +101,8 @@
  * is used up, with *retry_us set to the expected wait for the next operation;
  * -ESTALE if this instance must not count the limit now, because others may be
  * counting it; or -EINPROGRESS if the operation has to be requested from the
- * homes of the limit's parts, see quota_requests.h.
+ * homes of the limit's parts, or -EDQUOT if it is used up here, but other
+ * instances may have some of it left, *retry_us set; see quota_requests.h.
  */
 int quota_take(struct quota *q, const char *workspace, int64_t now_us,
 	       int64_t *retry_us);
@@ -120,18 +124,30 @@
 	bool after_founder;
 };
 
-enum { QUOTA_SOURCES_MAX = 2 * QUOTA_PARTS_MAX };
+enum {
+	QUOTA_SOURCES_MAX = 2 * QUOTA_PARTS_MAX,
+	/* Other instances asked to lend an operation of a divided limit. */
+	QUOTA_LENDERS_MAX = 5,
+};
 
 /*
- * Fills in whom to ask for the parts of the workspace's limit, at most
+ * Fills in whom to ask for the parts of the workspace's limit, or for its
+ * divided limit, at most
  * QUOTA_SOURCES_MAX. Returns their number, 0 if the workspace is not known.
  */
 uint32_t quota_get_sources(struct quota *q, const char *workspace,
-			   struct quota_source *out);
+			   int64_t now_us, struct quota_source *out);
+
+/*
+ * Records that no other instance had an operation of a divided limit left: none
+ * is asked again before retry_us have passed, and then others first.
+ */
+void quota_note_no_lender(struct quota *q, const char *workspace,
+			  int64_t now_us, int64_t retry_us);
 
 /*
  * Takes one operation from a part for another instance, as the home of that
- * part. Returns 0; -EAGAIN if the part is used up, with *retry_us set; or
+ * part, or lends one of this instance's share of a divided limit. Returns 0; -EAGAIN if the part is used up, with *retry_us set; or
  * -ESTALE if this instance is not its home now.
  */
 int quota_take_for_peer(struct quota *q, uint64_t part, int64_t now_us,
--- a/src/proxy/quota_homes.c
+++ b/src/proxy/quota_homes.c
@@ -22,6 +22,7 @@
 	bool settled;
 	int64_t absent_us; /* see quota_homes_put() */
 	int64_t position; /* of the entry; 0: it is not in the store yet */
+	int64_t seen_us; /* since when that position is known */
 };
 
 /* The home of one part, by the current entries. */
@@ -42,6 +43,7 @@
 	struct candidate *self;
 	GHashTable *candidates; /* instance name to struct candidate */
 	GHashTable *homes; /* &hash to struct home; filled on demand */
+	GPtrArray *names; /* of the candidates, sorted */
 	const struct candidate *founder; /* NULL: there is none */
 	bool founder_known; /* false: the candidates have changed */
 };
@@ -70,6 +72,7 @@
 
 	h->candidates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      candidate_free);
+	h->names = g_ptr_array_new();
 	h->homes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
 	quota_homes_put(h,
@@ -82,11 +85,17 @@
 
 void quota_homes_free(struct quota_homes *h)
 {
+	g_ptr_array_free(h->names, TRUE);
 	g_hash_table_destroy(h->homes);
 	g_hash_table_destroy(h->candidates);
 	g_free(h);
 }
 
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
 static uint64_t score_candidate(const struct candidate *c, uint64_t hash)
 {
 	return XXH64(c->name, strlen(c->name), hash);
@@ -131,8 +140,10 @@
 	gpointer home;
 
 	h->founder_known = false;
-	if (c)
+	if (c && c->position != e->position) {
 		c->position = e->position;
+		c->seen_us = e->seen_us;
+	}
 	if (c && c->settled == e->settled && !strcmp(c->zone, e->zone))
 		return;
 	if (c && (!e->settled || strcmp(c->zone, e->zone) != 0)) {
@@ -152,6 +163,9 @@
 		g_strlcpy(c->zone, e->zone, sizeof(c->zone));
 		c->absent_us = e->absent_us;
 		c->position = e->position;
+		c->seen_us = e->seen_us;
+		g_ptr_array_add(h->names, c->name);
+		g_ptr_array_sort(h->names, compare_names);
 		g_hash_table_insert(h->candidates, c->name, c);
 	}
 	c->settled = e->settled;
@@ -179,12 +193,32 @@
 	return founder;
 }
 
-const char *quota_homes_find_founder(struct quota_homes *h)
+const char *quota_homes_find_founder(struct quota_homes *h, int64_t lease_us,
+				     int64_t now_us)
 {
 	if (!h->founder_known)
 		h->founder = choose_founder(h);
 	h->founder_known = true;
-	return h->founder ? h->founder->name : NULL;
+	return h->founder && now_us - h->founder->seen_us <
+				       quota_home_max_view_age_us(lease_us) ?
+		       h->founder->name :
+		       NULL;
+}
+
+uint32_t quota_homes_list_others(struct quota_homes *h, uint32_t start,
+				 const char **out, uint32_t max)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < h->names->len && n < max; i++) {
+		const char *name =
+			g_ptr_array_index(h->names,
+					  (start + i) % h->names->len);
+
+		if (name != h->self->name)
+			out[n++] = name;
+	}
+	return n;
 }
 
 void quota_homes_remove(struct quota_homes *h, const char *instance)
@@ -211,6 +245,7 @@
 		if (home->best_settled == c || home->best == c)
 			g_hash_table_iter_remove(&it);
 	}
+	g_ptr_array_remove(h->names, c->name);
 	g_hash_table_remove(h->candidates, instance);
 }
 
--- a/src/proxy/quota_homes.h
+++ b/src/proxy/quota_homes.h
@@ -61,6 +61,7 @@
 	 */
 	int64_t absent_us;
 	int64_t position; /* in the store; 0: it is not there yet */
+	int64_t seen_us; /* now */
 };
 
 /* Record that an entry is in the store (put) or has left it (remove). */
@@ -75,8 +76,19 @@
  */
 const char *quota_homes_find(struct quota_homes *h, const struct quota_part *p);
 
-/* Returns the founder, or NULL if an entry is settled or none is known. */
-const char *quota_homes_find_founder(struct quota_homes *h);
+/*
+ * Returns the founder; NULL if an entry is settled, none is known, or the
+ * founder's time is over, as its entry was seen too long ago.
+ */
+const char *quota_homes_find_founder(struct quota_homes *h, int64_t lease_us,
+				     int64_t now_us);
+
+/*
+ * Fills in the names of other instances, at most `max`, from the start-th on in
+ * a fixed order. Returns their number. Valid until one is removed.
+ */
+uint32_t quota_homes_list_others(struct quota_homes *h, uint32_t start,
+				 const char **out, uint32_t max);
 
 /*
  * Returns until when this instance, if its own entry is settled, is the home of
--- a/src/proxy/quota_requests.c
+++ b/src/proxy/quota_requests.c
@@ -112,8 +112,9 @@
 			      struct quota_request *r, int64_t now_us)
 {
 	struct quota_source sources[QUOTA_SOURCES_MAX];
-	uint32_t count = quota_get_sources(reqs->engine->quota,
-					   r->session->workspace, sources);
+	uint32_t count =
+		quota_get_sources(reqs->engine->quota, r->session->workspace,
+				  now_us, sources);
 	const struct quota_source *src =
 		choose_source(reqs, r, sources, count, now_us);
 
@@ -125,13 +126,14 @@
 }
 
 bool quota_requests_start(struct quota_requests *reqs, struct session *s,
-			  int64_t now_us)
+			  int rc, int64_t retry_us, int64_t now_us)
 {
 	struct quota_request *r = g_new0(struct quota_request, 1);
 
 	r->session = s;
 	r->started_us = now_us;
-	r->rc = -ETIMEDOUT;
+	r->rc = rc;
+	r->retry_us = retry_us;
 	if (!request_next_part(reqs, r, now_us)) {
 		g_free(r);
 		return false;
@@ -160,8 +162,11 @@
  */
 static void merge_answer(struct quota_request *r, int rc, int64_t retry_us)
 {
-	if (rc && r->rc == -EAGAIN)
+	if (rc && r->rc == -EAGAIN) {
+		if (rc == -EAGAIN)
+			r->retry_us = MIN(r->retry_us, retry_us);
 		return;
+	}
 	r->rc = rc;
 	r->retry_us = retry_us;
 }
@@ -183,6 +188,9 @@
 	rc = r->rc;
 	retry_us = r->retry_us;
 	g_free(r);
+	if (rc == -EAGAIN)
+		quota_note_no_lender(reqs->engine->quota, s->workspace, now_us,
+				     retry_us);
 	s->op.awaiting_quota = false;
 	caller_handle_quota_result(s, rc, retry_us, now_us);
 }
--- a/src/proxy/quota_requests.h
+++ b/src/proxy/quota_requests.h
@@ -1,6 +1,7 @@
 /*
- * quota_requests.h - requests operations from the home instances of small
- * limits; see quota_homes.h.
+ * quota_requests.h - requests operations from other instances: from the homes
+ * of a small limit (quota_homes.h), or from whoever has some of a divided limit
+ * left.
  *
  * A statement that begins an operation waits here for the home's answer, for at
  * most QUOTA_REQUEST_TIMEOUT_US per part. A home that does not answer gets no
@@ -35,11 +36,12 @@
 /*
  * Sends a request to a home of the workspace's limit, the one of this zone
  * first, and to others if that does not admit the operation.
- * caller_handle_quota_result() gets the result. Returns false if no request can
- * be sent: each home is this instance or has recently not answered.
+ * caller_handle_quota_result() gets the result: rc and retry_us if nobody says
+ * more. Returns false if no request can be sent: each home is this instance or
+ * has recently not answered.
  */
 bool quota_requests_start(struct quota_requests *reqs, struct session *s,
-			  int64_t now_us);
+			  int rc, int64_t retry_us, int64_t now_us);
 
 /* Handles PEER_QUOTA_REQUEST and PEER_QUOTA_REPLY. */
 void quota_requests_handle_message(struct quota_requests *reqs,
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -391,13 +391,13 @@
 	g_strlcpy(self.name, "self", sizeof(self.name));
 	g_strlcpy(self.zone, "z0", sizeof(self.zone));
 	self.settled = true;
-	EXPECT_EQ(0u, quota_get_sources(q, "a", sources));
+	EXPECT_EQ(0u, quota_get_sources(q, "a", now_us, sources));
 	quota_configure(q, c, now_us);
-	quota_put_instance(q, &other, 1, now_us);
-	quota_put_instance(q, &self, 2, now_us);
+	quota_put_instance(q, &other, 1, now_us, now_us);
+	quota_put_instance(q, &self, 2, now_us, now_us);
 	quota_set_record(q, &two, now_us);
 	set_settled_fleet(q, 14, INT64_MAX, now_us);
-	ASSERT_EQ(2u, quota_get_sources(q, "a", sources));
+	ASSERT_EQ(2u, quota_get_sources(q, "a", now_us, sources));
 	EXPECT_EQ(quota_zone_part_hash("a", "z0"), sources[0].part);
 	EXPECT_STREQ("self", sources[0].home);
 	EXPECT_TRUE(sources[0].near);
@@ -407,12 +407,12 @@
 		    !strcmp("other", sources[1].home));
 	EXPECT_EQ(0, quota_take(q, "a", now_us, &retry_us));
 	g_strlcpy(other.zone, "z8", sizeof(other.zone));
-	quota_put_instance(q, &other, 1, now_us);
+	quota_put_instance(q, &other, 1, now_us, now_us);
 	set_settled_fleet(q, 15, INT64_MAX, now_us);
-	ASSERT_EQ(2u, quota_get_sources(q, "a", sources));
+	ASSERT_EQ(2u, quota_get_sources(q, "a", now_us, sources));
 	/* Zones only grow, and nothing is counted until a lease later. */
 	quota_set_record(q, &three, now_us);
-	ASSERT_EQ(3u, quota_get_sources(q, "a", sources));
+	ASSERT_EQ(3u, quota_get_sources(q, "a", now_us, sources));
 	EXPECT_EQ(-ESTALE,
 		  quota_take_for_peer(q, sources[0].part, now_us, &retry_us));
 	now_us += 5 * S;
@@ -431,7 +431,7 @@
 	const struct quota_tolerance none = { 5 * S, 0, 0 };
 	const struct limit_entry record =
 		make_record(2, true, { "z0", "z1", "z2" });
-	struct quota_source sources[QUOTA_PARTS_MAX];
+	struct quota_source sources[QUOTA_SOURCES_MAX];
 
 	for (uint32_t rate : { 2, 3 }) {
 		struct fleet_config *c = make_limit_config(rate);
@@ -441,7 +441,7 @@
 		quota_set_record(q, &record, 100 * S);
 		set_settled_fleet(q, 14, INT64_MAX, 100 * S);
 		EXPECT_EQ(rate < 3 ? 2u : 3u,
-			  quota_get_sources(q, "a", sources));
+			  quota_get_sources(q, "a", 100 * S, sources));
 		quota_free(q);
 		fleet_config_free(c);
 	}
--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -33,12 +33,13 @@
 
 constexpr int64_t LEASE_US = 4 * S;
 constexpr int64_t ABSENT_US = 50 * S;
+constexpr int64_t NOW_US = 100 * S;
 
 void put_home(struct quota_homes *h, const char *instance, const char *zone,
 	      bool settled, int64_t absent_us, int64_t position = 1)
 {
-	const struct quota_home_entry e = { instance, zone, settled, absent_us,
-					    position };
+	const struct quota_home_entry e = { instance,  zone,	 settled,
+					    absent_us, position, NOW_US };
 
 	quota_homes_put(h, &e);
 }
@@ -182,15 +183,23 @@
 				put_home(h, names[i], "z0", k.settled[i],
 					 ABSENT_US, k.positions[i]);
 		}
-		EXPECT_STREQ(k.founder, quota_homes_find_founder(h));
+		EXPECT_STREQ(k.founder,
+			     quota_homes_find_founder(h, LEASE_US, NOW_US));
+		/* Nobody asks it once its time is over. */
+		EXPECT_EQ(nullptr, quota_homes_find_founder(h, LEASE_US,
+							    NOW_US + LEASE_US));
 		/* It is chosen again when its entry goes, or is rewritten. */
 		if (k.founder && strcmp(k.founder, "n0") != 0) {
 			put_home(h, k.founder, "z0", false, ABSENT_US, 99);
-			EXPECT_STRNE(k.founder, quota_homes_find_founder(h));
+			EXPECT_STRNE(k.founder,
+				     quota_homes_find_founder(h, LEASE_US,
+							      NOW_US));
 		}
 		if (k.founder) {
 			quota_homes_remove(h, k.founder);
-			EXPECT_STRNE(k.founder, quota_homes_find_founder(h));
+			EXPECT_STRNE(k.founder,
+				     quota_homes_find_founder(h, LEASE_US,
+							      NOW_US));
 		}
 		quota_homes_free(h);
 	}
@@ -262,9 +271,9 @@
 		g_strlcpy(other.name, "other", sizeof(other.name));
 		g_strlcpy(other.zone, "z0", sizeof(other.zone));
 		other.settled = k.other_settled;
-		quota_put_instance(q, &self, 5, 0);
-		quota_put_instance(q, &other, k.other_position, 0);
-		ASSERT_LT(0u, quota_get_sources(q, "a", sources));
+		quota_put_instance(q, &self, 5, 0, now_us);
+		quota_put_instance(q, &other, k.other_position, 0, now_us);
+		ASSERT_LT(0u, quota_get_sources(q, "a", now_us, sources));
 		EXPECT_EQ(k.rc, quota_take_for_peer(q, sources[0].part, now_us,
 						    &retry_us));
 		fleet_config_free(c);
@@ -280,8 +289,6 @@
 	int rc;
 };
 
-constexpr int64_t NOW_US = 100 * S;
-
 const HomeCase home_cases[] = {
 	{ "settled", true, NOW_US, NOW_US + S, 0 },
 	{ "entry is not settled or missing", false, NOW_US, NOW_US + S,
@@ -892,4 +899,91 @@
 	}
 }
 
+struct LendCase {
+	const char *name;
+	int nodes;
+	int instances_used; /* callers come to so many of them */
+	int64_t interval_us; /* between operations, one after the other */
+	int served_percent_min;
+};
+
+const LendCase lend_cases[] = {
+	{ "one instance gets all callers", 6, 1, 20 * MS, 99 },
+	{ "two instances do", 6, 2, 20 * MS, 99 },
+	{ "all do", 6, 6, 20 * MS, 99 },
+};
+
+/*
+ * Load: a workspace sends five sixths of its rate, from one moment to the next,
+ * to a part of the instances. What the others do not use is lent to these
+ * before the shares have followed the demand.
+ */
+TEST(ProxyQuotaLend, UnusedSharesServeWhereTheCallersAre)
+{
+	for (const LendCase &k : lend_cases) {
+		ProxyModelOpts o = make_fleet_opts(60);
+		int served = 0;
+		int requested = 0;
+
+		SCOPED_TRACE(k.name);
+		o.nodes = k.nodes;
+		o.burst = 6;
+		ProxyModel m(o);
+		m.run(START_US);
+		for (int64_t end_us = m.now() + 3 * S; m.now() < end_us;) {
+			ProxyCaller *c =
+				m.connect((int)(m.rand() %
+						(unsigned)k.instances_used),
+					  "bounded", "key-a");
+			int64_t next_us = m.now() + k.interval_us;
+
+			requested++;
+			served += m.run_statement(c, "READ 1").ok;
+			m.disconnect(c);
+			m.run(std::max<int64_t>(next_us - m.now(), 1));
+		}
+		EXPECT_GE(served * 100, requested * k.served_percent_min)
+			<< served << " of " << requested;
+		expect_no_violations(m);
+	}
+}
+
+/*
+ * Load: several times the rate, at all instances, while some are killed and
+ * messages are lost, doubled and late. An operation lent is never used twice.
+ */
+TEST(ProxyQuotaLend, LimitHoldsUnderOverload)
+{
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		ProxyModelOpts o = make_fleet_opts(60);
+
+		SCOPED_TRACE(seed);
+		o.nodes = 6;
+		o.burst = 20;
+		o.seed = seed;
+		o.lost_messages_percent = 5;
+		o.doubled_messages_percent = 10;
+		o.message_jitter_us = 30 * MS;
+		ProxyModel m(o);
+		m.run(START_US);
+		for (int round = 0; round < 6; round++) {
+			ProxyNode *n = m.nodes[m.rand() % 6].get();
+
+			if (n->engine)
+				m.kill(n);
+			start_later(m, n, (int64_t)(m.rand() % 3000) * MS);
+			for (int64_t end_us = m.now() + 2 * S;
+			     m.now() < end_us;) {
+				ProxyCaller *c = m.connect((int)(m.rand() % 6),
+							   "bounded", "key-a");
+
+				m.run_statement(c, "READ 1");
+				m.disconnect(c);
+				m.run(1 * MS);
+			}
+		}
+		expect_no_violations(m);
+	}
+}
+
 } // namespace
