--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -74,6 +74,8 @@
 	  "Connections opened ahead of need, told by a home that stops." },
 	{ "homes", GAUGE, "service",
 	  "Home instances of the service; 0: none are needed" },
+	{ "store_changes_relayed_total", COUNTER, "way",
+	  "Changes of the store passed on to other instances" },
 	{ "store_restored_total", COUNTER, NULL,
 	  "Times that the store came back from an older copy" },
 	{ "store_watches_abandoned_total", COUNTER, NULL,
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -16,7 +16,7 @@
 #include <stdint.h>
 
 /* Version of the message layout; messages of other versions are dropped. */
-enum { PEER_MESSAGE_VERSION = 1 };
+enum { PEER_MESSAGE_VERSION = 2 };
 
 enum peer_message_type {
 	PEER_PING, /* heartbeat, answered by PEER_PONG */
@@ -32,6 +32,7 @@
 	PEER_QUOTA_REPLY,
 	PEER_CHOICE, /* an endpoint is being promoted; see proxy/failover.h */
 	PEER_HANDOVER, /* what a home that is stopping uses */
+	PEER_CHANGE, /* a change of the platform's store */
 	PEER_MESSAGE_TYPE_COUNT,
 };
 
@@ -95,6 +96,7 @@
 
 struct peer_report {
 	uint64_t sequence;
+	int64_t store_revision; /* the sender has all changes up to it */
 	uint64_t confirmed; /* sequence of that holder's last applied grant */
 	uint32_t rate_count;
 	struct peer_rate rates[PEER_RATES_MAX]; /* demand */
@@ -137,6 +139,15 @@
 	uint64_t term; /* in which it is to be the primary */
 };
 
+enum { PEER_CHANGE_TEXT_BYTES = 3072 }; /* includes the NUL */
+
+/* Nothing changed in the store between `after` and this change. */
+struct peer_change {
+	int64_t after;
+	int64_t position; /* of the change */
+	char text[PEER_CHANGE_TEXT_BYTES]; /* see store_ops.read_change */
+};
+
 struct peer_message {
 	char peer[NAME_BYTES]; /* sender on receipt, receiver on sending */
 	uint64_t incarnation; /* of the sender's process, new at each start */
@@ -155,6 +166,7 @@
 		struct peer_quota_reply quota_reply;
 		struct peer_choice choice;
 		struct home_handover handover;
+		struct peer_change change;
 	};
 };
 
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -355,6 +355,7 @@
 static void codec_report(struct codec *c, struct peer_report *r)
 {
 	codec_u64(c, &r->sequence, UINT64_MAX);
+	codec_i64(c, &r->store_revision);
 	codec_u64(c, &r->confirmed, UINT64_MAX);
 	codec_rates(c, r->rates, &r->rate_count);
 	codec_u32(c, &r->silent_count, PEER_SILENT_MAX);
@@ -408,6 +409,13 @@
 	}
 }
 
+static void codec_change(struct codec *c, struct peer_change *p)
+{
+	codec_i64(c, &p->after);
+	codec_i64(c, &p->position);
+	codec_text(c, p->text, sizeof(p->text));
+}
+
 static void codec_body(struct codec *c, struct peer_message *m)
 {
 	switch (m->type) {
@@ -450,6 +458,9 @@
 	case PEER_HANDOVER:
 		codec_handover(c, &m->handover);
 		break;
+	case PEER_CHANGE:
+		codec_change(c, &m->change);
+		break;
 	case PEER_MESSAGE_TYPE_COUNT:
 		set_error(c, -EINVAL);
 		break;
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -154,10 +154,35 @@
 	fleet_handle_item(e, item, engine_now(e));
 }
 
+static void on_change(void *data, int64_t position, const char *text)
+{
+	struct engine *e = data;
+
+	if (text && strlen(text) >= PEER_CHANGE_TEXT_BYTES)
+		text = NULL;
+	change_relay_append(e->change_relay, position, text);
+}
+
+static void send_change(void *data, const char *instance,
+			const struct peer_change *c)
+{
+	struct engine *e = data;
+	struct peer_message m = { .type = PEER_CHANGE, .change = *c };
+
+	if (!strcmp(instance, e->opts.instance))
+		return;
+	g_strlcpy(m.peer, instance, sizeof(m.peer));
+	e->opts.ops->peer_send(e->opts.host, &m);
+	metrics_add(e->opts.metrics, "store_changes_relayed_total", "sent", 1);
+}
+
 static void on_list(void *data, bool ends)
 {
 	struct engine *e = data;
 
+	if (ends)
+		change_relay_reset(e->change_relay,
+				   store_feed_revision(e->feed));
 	fleet_handle_list(e, ends, engine_now(e));
 }
 
@@ -212,6 +237,8 @@
 		   (int64_t)duty_token(e->duty), "%s", e->opts.instance);
 	metrics_set(e->opts.metrics, "duty_held", NULL, held);
 	store_feed_set_duty_held(e->feed, held);
+	if (!held && !e->drain_since_us)
+		change_relay_stop(e->change_relay);
 	if (held)
 		quota_division_start(e->division, engine_now(e));
 }
@@ -235,6 +262,7 @@
 		.report_us = REPORT_INTERVAL_US,
 		.call_us = STORE_CALL_MAX_US,
 		.on_item = on_item,
+		.on_change = on_change,
 		.on_list = on_list,
 		.on_confirmed = on_confirmed,
 		.on_watch_abandoned = on_watch_abandoned,
@@ -293,6 +321,8 @@
 	e->replica_sets = replica_sets_new(e);
 	e->steer = steer_table_new();
 	e->handover = handover_plan_new();
+	e->change_relay = change_relay_new(
+		&(struct change_relay_opts){ .send = send_change, .data = e });
 	e->feed = create_feed(e);
 	e->duty = create_duty(e);
 	e->keys_were_fresh = true;
@@ -354,6 +384,7 @@
 	limit_record_free(e->limit_record);
 	quota_free(e->quota);
 	store_feed_free(e->feed);
+	change_relay_free(e->change_relay);
 	duty_free(e->duty);
 	fleet_config_free(e->config);
 	g_hash_table_destroy(e->services);
@@ -461,6 +492,8 @@
 					      engine_now(e));
 	else if (m->type == PEER_HANDOVER)
 		leave_handle_message(e, m, engine_now(e));
+	else if (m->type == PEER_CHANGE)
+		store_feed_apply_change(e->feed, &m->change, engine_now(e));
 	else if (m->type == PEER_CHOICE)
 		primary_fence_handle_choice(e, &m->choice, engine_now(e));
 	else
@@ -605,6 +638,7 @@
 
 	store_feed_run(e->feed, now_us);
 	duty_run(e->duty, e->instance_rank, now_us);
+	change_relay_run(e->change_relay, now_us);
 	fleet_run(e, now_us);
 	leave_run(e, now_us);
 	relay_run(e, now_us);
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -6,6 +6,7 @@
 #ifndef PROXY_ENGINE_STATE_H
 #define PROXY_ENGINE_STATE_H
 
+#include "feed/change_relay.h"
 #include "handover/home_handover.h"
 #include "proxy/duty.h"
 #include "proxy/engine.h"
@@ -43,6 +44,7 @@
 	bool homes_changed; /* homes may have to be chosen again */
 	int64_t homes_update_us; /* not before this time */
 	struct store_feed *feed;
+	struct change_relay *change_relay; /* of what the feed delivers */
 	struct duty *duty;
 	struct quota *quota;
 	struct quota_division *division;
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -36,6 +36,7 @@
 	struct quota_need needs[PEER_RATES_MAX];
 
 	r->sequence = ++e->report_sequence;
+	r->store_revision = store_feed_revision(e->feed);
 	r->confirmed = e->grant_confirmed;
 	r->rate_count = quota_collect_needs(e->quota, needs,
 					    G_N_ELEMENTS(needs), now_us);
@@ -183,7 +184,15 @@
 		return;
 	}
 	if (m->type != PEER_REPORT || !e->config ||
-	    !duty_is_held(e->duty, now_us))
+	    (!duty_is_held(e->duty, now_us) && !e->drain_since_us))
+		return;
+	/*
+	 * An instance that is stopping has given up the duty: that change of
+	 * the store is what the others wait for.
+	 */
+	change_relay_handle_report(e->change_relay, m->peer,
+				   m->report.store_revision, now_us);
+	if (!duty_is_held(e->duty, now_us))
 		return;
 	g_strlcpy(out.peer, m->peer, sizeof(out.peer));
 	handle_report(e, m->peer, &m->report, &out.grant, now_us);
--- a/src/proxy/store.h
+++ b/src/proxy/store.h
@@ -104,6 +104,12 @@
 	/* Revokes a lease; the entries bound to it are removed. */
 	void (*end_lease)(struct store *s, uint64_t lease, store_answer_fn fn,
 			  void *data);
+	/*
+	 * Reads the text of a change that another instance has passed on; the
+	 * caller clears the item. Returns 0, or -EINVAL if it is malformed.
+	 */
+	int (*read_change)(struct store *s, const char *text, int64_t position,
+			   struct store_item *out);
 };
 
 /* Must be the first member of every implementation. */
--- a/src/proxy/store_feed.c
+++ b/src/proxy/store_feed.c
@@ -26,6 +26,8 @@
 	WATCH_BURST = 4,
 	/* Reports of the duty's holder to wait for; one of them may be lost. */
 	REPORTS_AWAITED = 2,
+	/* The holder sends no changes if as many reports are missing. */
+	REPORTS_MISSING_MAX = 3,
 	/* Maximum drift between two clocks, in percent of a lease. */
 	CLOCK_MARGIN_PERCENT = 2,
 };
@@ -41,12 +43,15 @@
 	int64_t revision;
 	int64_t retry_due_us; /* end of the backoff; 0: none */
 	int64_t watch_sent_us; /* when the last watch was sent */
+	bool relay_lost; /* that watch was sent as reports stayed away */
+	int64_t relayed_us; /* last report of the duty's holder */
 	int64_t watch_gap_us; /* minimum average time between watches */
 	/* When the next watch would be due if all were watch_gap_us apart. */
 	int64_t paced_due_us;
 	int64_t probe_sent_us; /* when the last probe was sent */
 	/* Since when the feed is known to lack a revision; 0: it is not. */
 	int64_t behind_since_us;
+	int64_t behind_revision; /* the latest that it lacks */
 	int64_t confirmed_us; /* nothing was missed up to then */
 	int64_t answered_us; /* last sign of life of the store */
 
@@ -209,8 +214,16 @@
 static void deliver_items(struct store_feed *f, const struct store_answer *a)
 {
 	for (uint32_t i = 0; i < a->item_count; i++) {
-		track_own_entry(f, &a->items[i]);
-		f->opts.on_item(f->opts.data, &a->items[i]);
+		struct store_item *item = &a->items[i];
+
+		/* It may have been passed on while the watch was pending. */
+		if (f->listed && item->revision <= f->revision)
+			continue;
+		if (f->listed && f->opts.on_change)
+			f->opts.on_change(f->opts.data, item->revision,
+					  item->text);
+		track_own_entry(f, item);
+		f->opts.on_item(f->opts.data, item);
 	}
 }
 
@@ -271,6 +284,7 @@
 
 	f->call = 0;
 	f->behind_since_us = 0;
+	f->relay_lost = false;
 	if (a->outcome == STORE_COMPACTED)
 		restart_list(f);
 	if ((a->outcome != STORE_DONE && a->outcome != STORE_COMPACTED) ||
@@ -292,24 +306,53 @@
 	record_confirmation(f, a->requested_us);
 }
 
+/* Returns the age of a confirmation at which the store is probed. */
+static int64_t get_probe_age_us(const struct store_feed *f)
+{
+	/* The holder's confirmation arrives with one of its next reports. */
+	return f->opts.probe_us +
+	       (f->duty_held ? 0 : REPORTS_AWAITED * f->opts.report_us);
+}
+
+/*
+ * Returns until when this instance need not watch, because the holder of the
+ * duty passes changes on; INT64_MIN: it has to.
+ */
+static int64_t get_relayed_until_us(const struct store_feed *f)
+{
+	int64_t until_us = INT64_MAX;
+
+	if (f->duty_held || !f->listed || !f->relayed_us)
+		return INT64_MIN;
+	/* The last watch has not delivered what the store is known to have. */
+	if (!f->behind_since_us && f->behind_revision > f->revision)
+		return INT64_MIN;
+	if (f->behind_since_us)
+		until_us = f->behind_since_us + STORE_FEED_LAG_US;
+	until_us = MIN(until_us,
+		       f->relayed_us + REPORTS_MISSING_MAX * f->opts.report_us);
+	return MIN(until_us, f->confirmed_us + get_probe_age_us(f));
+}
+
 static int64_t get_list_or_watch_due_us(const struct store_feed *f)
 {
-	int64_t ahead_us = f->watch_gap_us * (WATCH_BURST - 1);
+	int64_t gap_us = f->duty_held ? WATCH_GAP_MIN_US : f->watch_gap_us;
+	int64_t due_us = f->retry_due_us;
 
-	return f->listed ? MAX(f->retry_due_us, f->paced_due_us - ahead_us) :
-			   f->retry_due_us;
+	if (!f->listed)
+		return due_us;
+	due_us = MAX(due_us, f->paced_due_us - gap_us * (WATCH_BURST - 1));
+	return MAX(due_us, get_relayed_until_us(f));
 }
 
 static int64_t probe_due_us(const struct store_feed *f)
 {
-	int64_t after_us = f->opts.probe_us;
+	int64_t since_us = MAX(f->confirmed_us, f->probe_sent_us);
 
-	/* The holder's confirmation arrives with one of its next reports. */
-	if (!f->duty_held)
-		after_us += REPORTS_AWAITED * f->opts.report_us;
-	return MAX(f->retry_due_us, MAX(MAX(f->confirmed_us, f->watch_sent_us),
-					f->probe_sent_us) +
-					    after_us);
+	/* A watch that has changes to deliver confirms as well as a probe. */
+	if (!f->relay_lost)
+		since_us = MAX(since_us, f->watch_sent_us);
+	return MAX(f->retry_due_us, since_us + get_probe_age_us(f));
 }
 
 static void send_list_or_watch(struct store_feed *f, int64_t now_us)
@@ -317,9 +360,11 @@
 	if (f->call || now_us < get_list_or_watch_due_us(f))
 		return;
 	if (f->listed) {
+		f->relay_lost = f->relayed_us != 0;
 		f->watch_sent_us = now_us;
 		f->paced_due_us =
-			MAX(f->paced_due_us, now_us) + f->watch_gap_us;
+			MAX(f->paced_due_us, now_us) +
+			(f->duty_held ? WATCH_GAP_MIN_US : f->watch_gap_us);
 		f->call = f->opts.store->ops->watch(f->opts.store, f->revision,
 						    f->opts.watch_us,
 						    on_watch_answer, f);
@@ -329,11 +374,35 @@
 	}
 }
 
+void store_feed_apply_change(struct store_feed *f, const struct peer_change *c,
+			     int64_t now_us)
+{
+	struct store_item item;
+
+	if (!f->listed || c->after > f->revision ||
+	    c->position <= f->revision ||
+	    store_position_era(c->position) != f->era)
+		return;
+	if (!f->opts.store->ops->read_change(f->opts.store, c->text,
+					     c->position, &item)) {
+		if (f->opts.on_change)
+			f->opts.on_change(f->opts.data, c->position, c->text);
+		track_own_entry(f, &item);
+		f->opts.on_item(f->opts.data, &item);
+		f->revision = c->position;
+		if (f->revision >= f->behind_revision)
+			f->behind_since_us = 0;
+	}
+	store_item_clear(&item);
+}
+
 void store_feed_observe_revision(struct store_feed *f, int64_t revision,
 				 int64_t at_us, int64_t now_us)
 {
 	if (!f->listed)
 		return;
+	if (now_us - at_us < get_probe_age_us(f))
+		f->relayed_us = now_us;
 	/*
 	 * A report of a revision already delivered does not clear
 	 * behind_since_us: the reporter may be behind the store as well.
@@ -342,6 +411,7 @@
 		record_confirmation(f, at_us);
 	else if (!f->behind_since_us)
 		f->behind_since_us = now_us;
+	f->behind_revision = MAX(f->behind_revision, revision);
 }
 
 void store_feed_set_instances(struct store_feed *f, uint32_t instances)
--- a/src/proxy/store_feed.h
+++ b/src/proxy/store_feed.h
@@ -5,6 +5,10 @@
  * It lists all items once, then watches for changes. If the store's revision
  * shows that a watch missed a change, all items are listed again.
  *
+ * The holder of the singleton duty watches, and passes changes on to the others
+ * (feed/change_relay.h). While its reports come and confirm the store, they do
+ * not watch themselves; they begin to when a report or a change is overdue.
+ *
  * A watch without changes stays unanswered for a long time. Meanwhile the
  * holder of the singleton duty reports which revision the store had recently
  * (store_feed_observe_revision()); without such a report, a probe reads the
@@ -21,6 +25,7 @@
 #define PROXY_STORE_FEED_H
 
 #include "core/event.h"
+#include "core/peer_message.h"
 #include "proxy/store.h"
 
 /* How long a watch may take to deliver a known change. */
@@ -50,6 +55,8 @@
 	int64_t call_us; /* timeout of a call that is answered at once */
 	/* The current state of an item, or its removal. */
 	void (*on_item)(void *data, struct store_item *item);
+	/* A change was delivered, as it can be passed on. May be NULL. */
+	void (*on_change)(void *data, int64_t position, const char *text);
 	/* A list begins or ends; items that are not in it do not exist. */
 	void (*on_list)(void *data, bool ends);
 	/* All changes made before requested_us were delivered. */
@@ -84,6 +91,13 @@
 /* Sets whether this instance holds the duty; the holder probes first. */
 void store_feed_set_duty_held(struct store_feed *f, bool held);
 
+/*
+ * Applies a change that another instance has passed on, if it follows what was
+ * delivered. Others are ignored: the feed reads them from the store.
+ */
+void store_feed_apply_change(struct store_feed *f, const struct peer_change *c,
+			     int64_t now_us);
+
 /* Records that the store had at most this revision at the time at_us. */
 void store_feed_observe_revision(struct store_feed *f, int64_t revision,
 				 int64_t at_us, int64_t now_us);
--- a/src/proxy/store_item.c
+++ b/src/proxy/store_item.c
@@ -2,6 +2,7 @@
 
 void store_item_clear(struct store_item *i)
 {
+	g_clear_pointer(&i->text, g_free);
 	if (i->kind == ITEM_CONFIG) {
 		fleet_config_free(i->config);
 		i->config = NULL;
--- a/src/proxy/store_item.h
+++ b/src/proxy/store_item.h
@@ -97,6 +97,11 @@
 	int64_t revision; /* of its last change */
 	bool removed;
 	bool readable; /* false: the value is malformed; the union is not set */
+	/*
+	 * The change as another instance reads it with store_ops.read_change;
+	 * NULL: it is too large, or not of a watch. Owned by the item.
+	 */
+	char *text;
 	union {
 		struct fleet_config *config; /* owned by the item */
 		struct upstream_entry upstream;
@@ -109,7 +114,7 @@
 	};
 };
 
-/* Frees the configuration or the members if the item still owns them. */
+/* Frees the text, and what the item still owns of its value. */
 void store_item_clear(struct store_item *i);
 
 #endif
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -69,6 +69,10 @@
 	all.back().handover.need_count = HANDOVER_NEEDS_MAX;
 	for (uint32_t i = 0; i < HANDOVER_NEEDS_MAX; i++)
 		all.back().handover.needs[i] = { UINT64_MAX, i, UINT32_MAX };
+	all.push_back(make_message(PEER_CHANGE));
+	all.back().change.after = 1;
+	all.back().change.position = INT64_MAX;
+	memset(all.back().change.text, 'x', PEER_CHANGE_TEXT_BYTES - 1);
 	return all;
 }
 
@@ -124,14 +128,14 @@
 
 const BadCase bad_cases[] = {
 	{ "empty", {}, -EINVAL },
-	{ "other version", { 2, 0xa1, 'a', 1, 0, 0 }, -EPROTO },
-	{ "no sender", { 1, 0xa0, 1, 0, 0 }, -EINVAL },
-	{ "control character", { 1, 0xa1, 7, 1, 0, 0 }, -EINVAL },
-	{ "unknown type", { 1, 0xa1, 'a', 1, 7, 0 }, -EINVAL },
+	{ "other version", { 1, 0xa1, 'a', 1, 0, 0 }, -EPROTO },
+	{ "no sender", { 2, 0xa0, 1, 0, 0 }, -EINVAL },
+	{ "control character", { 2, 0xa1, 7, 1, 0, 0 }, -EINVAL },
+	{ "unknown type", { 2, 0xa1, 'a', 1, 99, 0 }, -EINVAL },
 	{ "array", { 0x91, 1 }, -EINVAL },
 	{ "huge array", { 0xdd, 0xff, 0xff, 0xff, 0xff }, -EINVAL },
-	{ "huge string", { 1, 0xdb, 0xff, 0xff, 0xff, 0xff }, -EINVAL },
-	{ "negative sequence", { 1, 0xa1, 'a', 1, 0, 0xff }, -EINVAL },
+	{ "huge string", { 2, 0xdb, 0xff, 0xff, 0xff, 0xff }, -EINVAL },
+	{ "negative sequence", { 2, 0xa1, 'a', 1, 0, 0xff }, -EINVAL },
 	{ "long input", Bytes(PEER_MESSAGE_MAX_BYTES + 1, 1), -EMSGSIZE },
 };
 
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -833,6 +833,7 @@
 	ProxyNode *n = m.nodes[entry].get();
 	for (auto &other : m.nodes)
 		other->cut_from_store = other->index != entry;
+	m.lost_message_type = PEER_CHANGE;
 	m.change_config(20000);
 	m.run(100 * MS);
 	int64_t relayed = count_relayed(*n);
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -313,6 +313,12 @@
 				     {}, STORE_DELAY_US);
 	}
 
+	static int read_change(struct store *s, const char *text,
+			       int64_t position, struct store_item *out)
+	{
+		return from(s)->model->read_change(text, position, out);
+	}
+
 	static void end_lease(struct store *s, uint64_t id, store_answer_fn fn,
 			      void *data)
 	{
@@ -372,6 +378,7 @@
 	ProxyStore::list,	 ProxyStore::watch, ProxyStore::cancel,
 	ProxyStore::is_arriving, ProxyStore::probe, ProxyStore::change,
 	ProxyStore::lease,	 ProxyStore::renew, ProxyStore::end_lease,
+	ProxyStore::read_change,
 };
 
 static const struct promoter_ops model_promoter_ops = { ProxyStore::order };
@@ -1145,6 +1152,28 @@
 	});
 }
 
+/* Gives a copy of an item what it owns. */
+void ProxyModel::fill_item(struct store_item *i)
+{
+	if (i->kind == ITEM_CONFIG && !i->removed)
+		i->config = build_config(i->revision);
+	if (i->kind == ITEM_REPLICA_SET)
+		copy_members(&i->replica_set);
+}
+
+int ProxyModel::read_change(const char *text, int64_t position,
+			    struct store_item *out)
+{
+	auto found = changes_.find(position);
+
+	*out = {};
+	if (found == changes_.end() || std::to_string(position) != text)
+		return -EINVAL;
+	*out = found->second;
+	fill_item(out);
+	return 0;
+}
+
 void ProxyModel::deliver_store_answer(int node, store_answer_fn fn, void *data,
 				      struct store_answer a,
 				      std::vector<struct store_item> items,
@@ -1162,10 +1191,9 @@
 		a.outcome = STORE_UNKNOWN;
 	}
 	for (auto &i : items) {
-		if (i.kind == ITEM_CONFIG && !i.removed)
-			i.config = build_config(i.revision);
-		if (i.kind == ITEM_REPLICA_SET)
-			copy_members(&i.replica_set);
+		changes_[i.revision] = i;
+		fill_item(&i);
+		i.text = g_strdup(std::to_string(i.revision).c_str());
 	}
 	a.items = items.data();
 	a.item_count = (uint32_t)items.size();
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -427,6 +427,9 @@
 			       struct store_answer a,
 			       std::vector<struct store_item> items,
 			       int64_t delay_us, uint64_t call = 0);
+	void fill_item(struct store_item *i);
+	int read_change(const char *text, int64_t position,
+			struct store_item *out);
 	void deliver_store_answer(int node, store_answer_fn fn, void *data,
 				  struct store_answer a,
 				  std::vector<struct store_item> items,
@@ -438,6 +441,7 @@
 	int64_t next_tick_us_ = 1000000000;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::map<std::string, Item> items_;
+	std::map<int64_t, struct store_item> changes_; /* as delivered */
 	std::vector<struct store_item> removals_;
 	/* Every set that was put: answers under way refer to older ones. */
 	std::list<std::vector<struct upstream_entry>> replica_sets_;
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -1,11 +1,14 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
 #include <string>
 #include <vector>
 
 extern "C" {
 #include "proxy/store_feed.h"
+#include "proxy/store_position.h"
 }
 
 namespace
@@ -43,6 +46,7 @@
 	uint32_t restored_era = 0; /* as reported by the feed */
 	struct store_feed *feed;
 	int64_t confirmed_us = 0;
+	std::vector<int64_t> delivered; /* revisions of items */
 	/* The entry and the condition of the last change. */
 	bool last_settled = false;
 	int64_t last_expected_revision = -1; /* -1: no condition */
@@ -106,6 +110,13 @@
 			[](struct store *s, uint64_t, store_answer_fn fn,
 			   void *data) { from_store(s)->add(RENEW, fn, data); },
 			nullptr,
+			[](struct store *, const char *text, int64_t position,
+			   struct store_item *out) {
+				*out = {};
+				out->kind = ITEM_OTHER;
+				out->revision = position;
+				return strcmp(text, "malformed") ? 0 : -EINVAL;
+			},
 		};
 		struct store_feed_opts o = {};
 
@@ -119,7 +130,10 @@
 		o.probe_us = PROBE_US;
 		o.report_us = REPORT_INTERVAL_US;
 		o.call_us = CALL_US;
-		o.on_item = [](void *, struct store_item *) {};
+		o.on_item = [](void *data, struct store_item *i) {
+			static_cast<Feed *>(data)->delivered.push_back(
+				i->revision);
+		};
 		o.on_list = [](void *, bool) {};
 		o.on_confirmed = [](void *data, int64_t asked_us) {
 			static_cast<Feed *>(data)->confirmed_us = asked_us;
@@ -606,4 +620,161 @@
 	}
 }
 
+/* A follower whose first watch has been answered, and its holder's reports. */
+struct Follower : Feed {
+	int64_t position = 5; /* of the store, as the holder knows it */
+	int64_t age_us = 0; /* of what the holder knows */
+	bool holder_is_gone = false;
+
+	Follower()
+	{
+		start_watch();
+		report();
+		answer(WATCH, position);
+	}
+
+	void report()
+	{
+		store_feed_observe_revision(feed, position, now_us - age_us,
+					    now_us);
+	}
+
+	void pass_on(int64_t after, int64_t at, const char *text = "k v")
+	{
+		struct peer_change c = { after, at, "" };
+
+		g_strlcpy(c.text, text, sizeof(c.text));
+		store_feed_apply_change(feed, &c, now_us);
+	}
+
+	/* Runs with a report of the holder in each interval. */
+	void run_reported(int64_t duration_us)
+	{
+		for (int64_t end = now_us + duration_us; now_us < end;) {
+			if (!holder_is_gone)
+				report();
+			run(REPORT_INTERVAL_US);
+		}
+	}
+
+	int new_watches() const
+	{
+		return call_counts[WATCH] - 1;
+	}
+};
+
+/* Load: a fleet in which each change would wake the watch of each instance. */
+TEST(StoreFeed, DoesNotWatchWhileChangesArePassedOn)
+{
+	Follower f;
+
+	f.run_reported(20 * S);
+	EXPECT_EQ(0, f.new_watches());
+	EXPECT_EQ(0, f.call_counts[PROBE]);
+	for (int64_t i = 6; i < 30; i++) {
+		f.position = i;
+		f.pass_on(i - 1, i);
+		f.run_reported(500 * MS);
+		EXPECT_EQ(i, f.delivered.back());
+		EXPECT_GT(f.confirmed_us, f.now_us - 600 * MS);
+	}
+	EXPECT_EQ(0, f.new_watches());
+	EXPECT_EQ(0, f.call_counts[PROBE]);
+}
+
+struct RelayCase {
+	const char *name;
+	int64_t after; /* of the change that is passed on */
+	int64_t at; /* 0: nothing is passed on */
+	const char *text;
+	int64_t position; /* of the store */
+	bool holder_is_gone;
+	int64_t age_us; /* of the holder's own confirmation */
+	bool duty_held; /* by this instance */
+	bool is_delivered;
+};
+
+const RelayCase relay_cases[] = {
+	{ "a change was lost", 5, 0, "", 6, false, 0, false, false },
+	{ "the one before it was lost", 6, 7, "k v", 7, false, 0, false,
+	  false },
+	{ "it can't be read", 5, 6, "malformed", 6, false, 0, false, false },
+	{ "the holder is gone", 5, 0, "", 5, true, 0, false, false },
+	{ "the holder has lost the store", 5, 0, "", 5, false, 3 * S, false,
+	  false },
+	{ "the holder is behind", 5, 6, "k v", 9, false, 0, false, true },
+	{ "this instance holds the duty", 5, 0, "", 5, false, 0, true, false },
+};
+
+/* Whatever happens to the messages, a follower reads the store in time. */
+TEST(StoreFeed, WatchesWhenChangesAreNotPassedOn)
+{
+	for (const RelayCase &k : relay_cases) {
+		Follower f;
+		struct store_item item = {};
+
+		SCOPED_TRACE(k.name);
+		f.run_reported(2 * S);
+		ASSERT_EQ(0, f.new_watches());
+		f.position = k.position;
+		f.holder_is_gone = k.holder_is_gone;
+		f.age_us = k.age_us;
+		store_feed_set_duty_held(f.feed, k.duty_held);
+		if (k.at)
+			f.pass_on(k.after, k.at, k.text);
+		EXPECT_EQ(k.is_delivered, !f.delivered.empty());
+		f.run_reported(1250 * MS);
+		EXPECT_EQ(1, f.new_watches());
+		/* What it reads then ends the matter. */
+		item.kind = ITEM_OTHER;
+		item.revision = k.position;
+		f.answer(WATCH, k.position, STORE_DONE, &item);
+		EXPECT_EQ(k.position, store_feed_revision(f.feed));
+	}
+}
+
+struct DoubledCase {
+	const char *name;
+	int64_t after;
+	int64_t at;
+};
+
+const DoubledCase doubled_cases[] = {
+	{ "the same again", 5, 6 },
+	{ "an older one", 4, 5 },
+	{ "of another era", 5, store_position_make(1, 7) },
+};
+
+/* Late and doubled messages change nothing. */
+TEST(StoreFeed, AppliesAChangeOnce)
+{
+	for (const DoubledCase &k : doubled_cases) {
+		Follower f;
+
+		SCOPED_TRACE(k.name);
+		f.pass_on(5, 6);
+		f.pass_on(k.after, k.at);
+		EXPECT_EQ((std::vector<int64_t>{ 6 }), f.delivered);
+		EXPECT_EQ(6, store_feed_revision(f.feed));
+	}
+}
+
+/* A watch that was sent before does not deliver older items again. */
+TEST(StoreFeed, AWatchDeliversOnlyWhatFollows)
+{
+	Follower f;
+	struct store_item item = {};
+
+	item.kind = ITEM_OTHER;
+	item.revision = 6;
+	f.holder_is_gone = true;
+	f.run_reported(2 * S);
+	ASSERT_TRUE(f.has(WATCH));
+	f.pass_on(5, 6);
+	f.pass_on(6, 7);
+	f.answer(WATCH, 6, STORE_DONE, &item);
+	EXPECT_EQ((std::vector<int64_t>{ 6, 7 }), f.delivered);
+	EXPECT_EQ(7, store_feed_revision(f.feed));
+}
+
 } // namespace
