--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -33,6 +33,7 @@
 	PEER_CHOICE, /* an endpoint is being promoted; see proxy/failover.h */
 	PEER_HANDOVER, /* what a home that is stopping uses */
 	PEER_CHANGE, /* a change of the platform's store */
+	PEER_DUTY_TAKEN, /* the sender holds the singleton duty now */
 	PEER_MESSAGE_TYPE_COUNT,
 };
 
@@ -148,6 +149,10 @@
 	char text[PEER_CHANGE_TEXT_BYTES]; /* see store_ops.read_change */
 };
 
+struct peer_duty_taken {
+	int64_t position; /* of the duty's entry in the store */
+};
+
 struct peer_message {
 	char peer[NAME_BYTES]; /* sender on receipt, receiver on sending */
 	uint64_t incarnation; /* of the sender's process, new at each start */
@@ -167,6 +172,7 @@
 		struct peer_choice choice;
 		struct home_handover handover;
 		struct peer_change change;
+		struct peer_duty_taken duty_taken;
 	};
 };
 
--- a/src/peer/peer_codec.c
+++ b/src/peer/peer_codec.c
@@ -461,6 +461,9 @@
 	case PEER_CHANGE:
 		codec_change(c, &m->change);
 		break;
+	case PEER_DUTY_TAKEN:
+		codec_i64(c, &m->duty_taken.position);
+		break;
 	case PEER_MESSAGE_TYPE_COUNT:
 		set_error(c, -EINVAL);
 		break;
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -132,6 +132,11 @@
 	return d->present ? d->entry.holder : "";
 }
 
+int64_t duty_position(const struct duty *d)
+{
+	return d->revision;
+}
+
 static void record_lease(struct duty *d, const struct store_answer *a)
 {
 	int64_t ttl_us = a->ttl_us ? a->ttl_us : d->opts.ttl_us;
--- a/src/proxy/duty.h
+++ b/src/proxy/duty.h
@@ -75,4 +75,7 @@
 /* Returns the name of the holder, "" if there is none; owned by `d`. */
 const char *duty_holder(const struct duty *d);
 
+/* Returns the position of the last entry read or written; 0: none. */
+int64_t duty_position(const struct duty *d);
+
 #endif
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -239,8 +239,10 @@
 	store_feed_set_duty_held(e->feed, held);
 	if (!held && !e->drain_since_us)
 		change_relay_stop(e->change_relay);
-	if (held)
-		quota_division_start(e->division, engine_now(e));
+	if (!held)
+		return;
+	quota_division_start(e->division, engine_now(e));
+	report_announce_duty(e);
 }
 
 static void on_token(void *data, uint64_t token)
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -57,6 +57,9 @@
 	GPtrArray *closed_sessions; /* likewise */
 	uint64_t last_session_number;
 	int64_t next_report_us;
+	/* As announced, before it was read from the store; 0: never. */
+	int64_t duty_taken_position;
+	char duty_taken_by[NAME_BYTES];
 	uint64_t report_sequence; /* of the last report */
 	int64_t report_sent_us; /* when that report was sent */
 	uint32_t silent_primary_count; /* as of the last report_run() */
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -144,9 +144,43 @@
 		   s->limit_milli_per_s, s->level_milli);
 }
 
+void report_announce_duty(struct engine *e)
+{
+	struct peer_message m = { .type = PEER_DUTY_TAKEN };
+	GHashTableIter it;
+	gpointer name;
+
+	m.duty_taken.position = duty_position(e->duty);
+	g_hash_table_iter_init(&it, e->instances);
+	while (g_hash_table_iter_next(&it, &name, NULL)) {
+		if (!strcmp(name, e->opts.instance))
+			continue;
+		g_strlcpy(m.peer, name, sizeof(m.peer));
+		e->opts.ops->peer_send(e->opts.host, &m);
+	}
+}
+
+/* Returns the instance that gets the reports; "": nobody holds the duty. */
+static const char *find_report_receiver(const struct engine *e)
+{
+	return e->duty_taken_position > store_feed_revision(e->feed) ?
+		       e->duty_taken_by :
+		       duty_holder(e->duty);
+}
+
+static void handle_duty_taken(struct engine *e, const char *instance,
+			      const struct peer_duty_taken *t)
+{
+	if (t->position <= MAX(duty_position(e->duty), e->duty_taken_position))
+		return;
+	e->duty_taken_position = t->position;
+	g_strlcpy(e->duty_taken_by, instance, sizeof(e->duty_taken_by));
+	e->next_report_us = 0;
+}
+
 void report_run(struct engine *e, int64_t now_us)
 {
-	const char *holder = duty_holder(e->duty);
+	const char *holder = find_report_receiver(e);
 	struct peer_message m = { .type = PEER_REPORT };
 	uint64_t silent[PEER_SILENT_MAX];
 	uint32_t count =
@@ -183,6 +217,10 @@
 		apply_grant(e, m->peer, &m->grant, now_us);
 		return;
 	}
+	if (m->type == PEER_DUTY_TAKEN) {
+		handle_duty_taken(e, m->peer, &m->duty_taken);
+		return;
+	}
 	if (m->type != PEER_REPORT || !e->config ||
 	    (!duty_is_held(e->duty, now_us) && !e->drain_since_us))
 		return;
--- a/src/proxy/report.h
+++ b/src/proxy/report.h
@@ -19,7 +19,13 @@
  */
 void report_run(struct engine *e, int64_t now_us);
 
-/* Handles a report or grant of another instance. */
+/*
+ * Tells all instances that this one has taken the duty: they report to it at
+ * once, before they have read that from the store.
+ */
+void report_announce_duty(struct engine *e);
+
+/* Handles a report, a grant or such an announcement of another instance. */
 void report_handle_message(struct engine *e, const struct peer_message *m,
 			   int64_t now_us);
 
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -73,6 +73,8 @@
 	all.back().change.after = 1;
 	all.back().change.position = INT64_MAX;
 	memset(all.back().change.text, 'x', PEER_CHANGE_TEXT_BYTES - 1);
+	all.push_back(make_message(PEER_DUTY_TAKEN));
+	all.back().duty_taken.position = INT64_MAX;
 	return all;
 }
 
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1687,4 +1687,62 @@
 	expect_no_violations(m);
 }
 
+struct HolderLossCase {
+	const char *name;
+	bool lose_announcement;
+	bool reports_come;
+};
+
+const HolderLossCase holder_loss_cases[] = {
+	{ "the new holder is announced", false, true },
+	{ "the announcement is lost", true, false },
+};
+
+ProxyNode *find_duty_holder(ProxyModel &m)
+{
+	for (auto &n : m.nodes) {
+		if (n->engine &&
+		    metrics_get(n->metrics, "duty_held", nullptr) == 1)
+			return n.get();
+	}
+	return nullptr;
+}
+
+/*
+ * Load: the duty's holder goes with a third of the fleet, whose entries all
+ * change in the store. The next holder hears at once who misses a primary, not
+ * after each instance has read from the store whom to tell.
+ */
+TEST(ProxyEngine, ReportsReachTheNextHolderAtOnce)
+{
+	for (const HolderLossCase &k : holder_loss_cases) {
+		ProxyModelOpts o;
+
+		SCOPED_TRACE(k.name);
+		o.nodes = 30;
+		o.conns_max = 90;
+		o.unlimited = true;
+		ProxyModel m(o);
+		if (k.lose_announcement)
+			m.lost_message_type = PEER_DUTY_TAKEN;
+		m.run(12 * S);
+		ProxyNode *first = find_duty_holder(m);
+		ASSERT_NE(nullptr, first);
+		m.power_off(first);
+		for (auto &n : m.nodes) {
+			if (n->index % 3 == 1 && n->engine)
+				m.power_off(n.get());
+		}
+		ASSERT_TRUE(m.run_until([&] { return find_duty_holder(m); },
+					4 * S));
+		m.message_counts.clear();
+		m.run(20 * MS);
+		EXPECT_EQ(k.reports_come, m.message_counts[PEER_REPORT] >= 18)
+			<< m.message_counts[PEER_REPORT];
+		m.run(2 * S);
+		EXPECT_GE(m.message_counts[PEER_REPORT], 18 * 6);
+		expect_no_violations(m);
+	}
+}
+
 } // namespace
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -546,6 +546,7 @@
 		if ((int)msg->type == m->lost_message_type ||
 		    m->is_lucky(m->opts.lost_messages_percent))
 			return;
+		m->message_counts[msg->type]++;
 		deliver_message(n, copy, to);
 		if (m->double_peer_messages ||
 		    m->is_lucky(m->opts.doubled_messages_percent))
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -292,6 +292,8 @@
 	void steer(enum steer_kind kind, const std::string &subject,
 		   int64_t lasts_us, bool readable = true);
 	void withdraw_steer(enum steer_kind kind, const std::string &subject);
+	/* Messages between nodes, by enum peer_message_type. */
+	std::map<int, int> message_counts;
 	int lost_message_type = -1; /* enum peer_message_type; -1: none */
 	bool double_peer_messages = false;
 	int64_t time_ms() const; /* time of day */
