--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -396,12 +396,14 @@
 	engine_log(c->engine, LOG_CONN_DENIED, 0, u->entry.id, u->conns->len,
 		   "%s", answer_code_name(code));
 	record_refusal(c, code, now_us);
-	if (code != ANSWER_WRONG_ENDPOINT)
+	if (code != ANSWER_WRONG_ENDPOINT) {
+		c->denied = true;
 		upstream_record_own_answer(u);
-	else if (c->any_id)
+	} else if (c->any_id) {
 		u->foreign = true;
-	else
+	} else {
 		u->replaced = true;
+	}
 	u->open_after_us = now_us + OPEN_BACKOFF_US;
 	exchange_handle_loss(c, answer_code_name(code), now_us);
 }
@@ -515,7 +517,8 @@
 	struct upstream *u = c->upstream;
 	int64_t delay_us;
 
-	if (!u->silent_since_us)
+	/* An endpoint that refuses a connection answers. */
+	if (!u->silent_since_us && !c->denied)
 		u->silent_since_us = now_us;
 	/*
 	 * A probe shows whether the endpoint failed, or only this connection.
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -73,6 +73,7 @@
 	bool any_id; /* it was opened without the endpoint's id */
 	bool writes; /* its last statement writes, or its transaction may */
 	bool in_transaction; /* the endpoint has an open transaction on it */
+	bool denied; /* the endpoint refused to start it */
 	bool closed;
 	int64_t opened_us;
 	uint64_t statements; /* that were sent on it */
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1745,4 +1745,37 @@
 	}
 }
 
+/*
+ * Load: all instances lose power, and their connections, which the endpoints
+ * still count for seconds, leave no room for new ones. An endpoint that says so
+ * is alive: its lead must not be taken from it.
+ */
+TEST(ProxyEngine, AFullEndpointIsNotReplaced)
+{
+	ProxyModelOpts o;
+
+	o.nodes = 6;
+	o.unlimited = true;
+	o.conns_max = 6;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	ProxyModel m(o);
+	m.run(START_US);
+	for (int i = 0; i < 30; i++) {
+		ProxyCaller *c =
+			m.connect(i % 6, "strict", i % 2 ? "key-a" : "key-b");
+
+		m.run_statement(c, "WRITE 1 x");
+		m.disconnect(c);
+	}
+	m.opts.conns_max = (uint32_t)m.endpoints[0]->conns.size();
+	ASSERT_LT(2u, m.opts.conns_max);
+	m.restart_all(500 * MS);
+	m.run(5 * S);
+	EXPECT_EQ(0u, m.promotions);
+	EXPECT_TRUE(
+		m.run_statement(m.connect(1, "strict", "key-a"), "WRITE 1 x")
+			.ok);
+	expect_no_violations(m);
+}
+
 } // namespace
