--- a/tests/proxy_quota_home_test.cc
+++ b/tests/proxy_quota_home_test.cc
@@ -974,12 +974,18 @@
 			start_later(m, n, (int64_t)(m.rand() % 3000) * MS);
 			for (int64_t end_us = m.now() + 2 * S;
 			     m.now() < end_us;) {
-				ProxyCaller *c = m.connect((int)(m.rand() % 6),
-							   "bounded", "key-a");
-
-				m.run_statement(c, "READ 1");
-				m.disconnect(c);
-				m.run(1 * MS);
+				std::vector<ProxyCaller *> callers;
+
+				for (int j = 0; j < 6; j++) {
+					callers.push_back(m.connect(j,
+								    "bounded",
+								    "key-a"));
+					m.send_statement(callers.back(),
+							 "READ 1");
+				}
+				m.run(20 * MS);
+				for (ProxyCaller *c : callers)
+					m.disconnect(c);
 			}
 		}
 		expect_no_violations(m);
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -624,6 +624,7 @@
 struct Follower : Feed {
 	int64_t position = 5; /* of the store, as the holder knows it */
 	int64_t age_us = 0; /* of what the holder knows */
+	bool age_grows = false;
 	bool holder_is_gone = false;
 
 	Follower()
@@ -654,6 +655,7 @@
 			if (!holder_is_gone)
 				report();
 			run(REPORT_INTERVAL_US);
+			age_us += age_grows ? REPORT_INTERVAL_US : 0;
 		}
 	}
 
@@ -689,7 +691,7 @@
 	const char *text;
 	int64_t position; /* of the store */
 	bool holder_is_gone;
-	int64_t age_us; /* of the holder's own confirmation */
+	int64_t age_us; /* of the holder's own confirmation; -1: it grows */
 	bool duty_held; /* by this instance */
 	bool is_delivered;
 };
@@ -702,6 +704,8 @@
 	{ "the holder is gone", 5, 0, "", 5, true, 0, false, false },
 	{ "the holder has lost the store", 5, 0, "", 5, false, 3 * S, false,
 	  false },
+	{ "the holder loses the store now", 5, 0, "", 5, false, -1, false,
+	  false },
 	{ "the holder is behind", 5, 6, "k v", 9, false, 0, false, true },
 	{ "this instance holds the duty", 5, 0, "", 5, false, 0, true, false },
 };
@@ -718,7 +722,8 @@
 		ASSERT_EQ(0, f.new_watches());
 		f.position = k.position;
 		f.holder_is_gone = k.holder_is_gone;
-		f.age_us = k.age_us;
+		f.age_us = std::max<int64_t>(k.age_us, 0);
+		f.age_grows = k.age_us < 0;
 		store_feed_set_duty_held(f.feed, k.duty_held);
 		if (k.at)
 			f.pass_on(k.after, k.at, k.text);
