--- a/review/standin/revoke_in_one_call.cc
+++ b/review/standin/case_revoke_in_one_call.cc
@@ -1,6 +1,6 @@
 /*
  * A key is taken away by a call of the operator that writes two keys of the
- * store at once. Usage: revoke_in_one_call BINARY DIRECTORY RECORD TROUBLE
+ * store at once. Usage: case_revoke_in_one_call BINARY DIRECTORY RECORD TROUBLE
  */
 #include "rig.h"
 
