--- a/review/standin/rig.cc
+++ b/review/standin/rig.cc
@@ -190,7 +190,7 @@
 		ssize_t n = recv(fd, buf, sizeof(buf), 0);
 
 		if (n <= 0)
-			return -1;
+			return n < 0 ? -2 : -1;
 		pending.append(buf, static_cast<size_t>(n));
 	}
 	*out = pending.substr(0, at);
@@ -488,6 +488,22 @@
 	return out;
 }
 
+int64_t Platform::find_delay(const Request &r)
+{
+	json_t *body = json_loads(r.body.c_str(), 0, nullptr);
+	int64_t delay_ms = 0;
+	json_t *row;
+	size_t n;
+
+	json_array_foreach(json_object_get(body, "puts"), n, row)
+		delay_ms += late_ms(
+			json_string_value(json_object_get(row, "key")),
+			decode(json_string_value(
+				json_object_get(row, "value"))));
+	json_decref(body);
+	return delay_ms;
+}
+
 Platform::Answer Platform::order(const Request &r)
 {
 	json_t *body = json_loads(r.body.c_str(), 0, nullptr);
@@ -564,6 +580,17 @@
 	Request r;
 
 	for (; !ends && read_request(&s, &r); r = Request()) {
+		int64_t delay_ms = r.path == "/kv-txn" ? find_delay(r) : 0;
+
+		if (delay_ms) {
+			/* Nothing further comes on this connection. */
+			sleep_ms(delay_ms);
+			Answer late = change(r);
+
+			record(false, "a call was carried out late: %d %s",
+			       late.first, late.second.c_str());
+			return;
+		}
 		Answer a = run(r);
 
 		if (!s.send("HTTP/1.1 " + std::to_string(a.first) +
@@ -792,7 +819,7 @@
 	for (auto &p : processes) {
 		if (p.second.pid <= 0)
 			continue;
-		kill(p.second.pid, SIGKILL);
+		::kill(p.second.pid, SIGKILL);
 		waitpid(p.second.pid, nullptr, 0);
 	}
 }
@@ -882,9 +909,18 @@
 	return all;
 }
 
+void Fleet::kill(const std::string &name)
+{
+	Process &p = processes.at(name);
+
+	::kill(p.pid, SIGKILL);
+	waitpid(p.pid, nullptr, 0);
+	p.pid = -1;
+}
+
 void Fleet::signal(const std::string &name, int number)
 {
-	kill(processes.at(name).pid, number);
+	::kill(processes.at(name).pid, number);
 }
 
 bool Fleet::any_ended()
@@ -931,14 +967,18 @@
 		close(stream.fd);
 }
 
-Reply Session::ask(const std::string &id, const std::string &text,
-		   int64_t limit_ms)
+bool Session::post(const std::string &id, const std::string &text)
+{
+	open = open && stream.send("QUERY " + id + " " + text + "\r\n");
+	return open;
+}
+
+Reply Session::take(int64_t limit_ms)
 {
 	int64_t end = now_ms() + limit_ms;
 	std::string line;
 	Reply r;
 
-	open = open && stream.send("QUERY " + id + " " + text + "\r\n");
 	while (open) {
 		int rc = stream.read_line(&line, end - now_ms());
 		std::string rest = line;
@@ -946,6 +986,7 @@
 
 		if (rc != 1) {
 			open = false;
+			ended = -rc;
 		} else if (word == "COMPLETE") {
 			r.done = true;
 			r.signature = rest;
@@ -960,3 +1001,10 @@
 	}
 	return r;
 }
+
+Reply Session::ask(const std::string &id, const std::string &text,
+		   int64_t limit_ms)
+{
+	post(id, text);
+	return take(limit_ms);
+}
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -51,7 +51,10 @@
 	int fd;
 	std::string pending;
 
-	/* Returns 1 for a line (without its end), 0 at the limit, -1 closed. */
+	/*
+	 * Returns 1 for a line (without its end), 0 at the limit, -1 closed,
+	 * -2 reset.
+	 */
 	int read_line(std::string *out, int64_t limit_ms);
 	bool read_bytes(std::string *out, size_t n);
 	bool send(const std::string &bytes) const;
@@ -75,6 +78,15 @@
 	int64_t write(const std::vector<KeyValue> &puts);
 	std::string read(const std::string &key);
 	void stop();
+	/*
+	 * Asked for each put of a call: the answer to a call with a put for
+	 * which it returns a number above 0 is lost, and the call is carried
+	 * out so many ms later, if its condition still holds.
+	 */
+	std::function<int64_t(const std::string &key, const std::string &value)>
+		late_ms = [](const std::string &, const std::string &) {
+			return 0;
+		};
 	std::function<int(const std::string &service, const std::string &id)>
 		promote = [](const std::string &, const std::string &) {
 			return 409;
@@ -112,6 +124,7 @@
 	Answer range(const Request &r);
 	Answer watch(const Request &r);
 	Answer change(const Request &r);
+	int64_t find_delay(const Request &r);
 	Answer order(const Request &r);
 	void put_locked(const std::string &key, const std::string &base64,
 			uint64_t lease, int64_t at);
@@ -209,6 +222,8 @@
 	bool is_ready(const std::string &name) const;
 	bool wait_until_ready(int64_t limit_ms);
 	void signal(const std::string &name, int number);
+	/* Kills the process and waits for its end. */
+	void kill(const std::string &name);
 	/* Returns true if a process ended by itself. */
 	bool any_ended();
 	std::vector<std::string> names() const;
@@ -246,10 +261,19 @@
 	}
 	Reply ask(const std::string &id, const std::string &text,
 		  int64_t limit_ms = 4000);
+	/* The two halves of ask(): several may be sent before one is taken. */
+	bool post(const std::string &id, const std::string &text);
+	Reply take(int64_t limit_ms);
+	/* 0: open; 1: the other end closed it in order; 2: it was reset. */
+	int how_ended() const
+	{
+		return ended;
+	}
 
       private:
 	Stream stream;
 	bool open = false;
+	int ended = 0;
 };
 
 std::string new_id(); /* of a statement */
