--- a/review/standin/case_revoke_in_one_call.cc
+++ b/review/standin/case_revoke_in_one_call.cc
@@ -123,6 +123,9 @@
 	record(true, "old-key taken away by %s",
 	       trouble ? "a call that writes two keys" : "a call of its own");
 	sleep_ms(AFTER_MS);
+	for (const std::string &n : fleet.names())
+		record(true, "%s is %s", n.c_str(),
+		       fleet.is_ready(n) ? "ready" : "not ready");
 	ends = true;
 	for (std::thread &t : clients)
 		t.join();
