--- a/review/standin/rig.cc
+++ b/review/standin/rig.cc
@@ -737,8 +737,15 @@
 		take_word(&rest);
 	}
 	text = rest;
-	if (id != "-")
+	if (id != "-") {
+		if (note_at_start) {
+			std::lock_guard<std::mutex> lock(mutex);
+
+			history.push_back({ now_ms(), c->backend->id, c->tenant,
+					    id, text });
+		}
 		sleep_ms(work_ms);
+	}
 	std::lock_guard<std::mutex> lock(mutex);
 	if (id == "-")
 		return run_own(c, text) + ready(*c);
@@ -758,7 +765,9 @@
 	     (word != "COMMIT" || c->wrote)) ||
 	    (writes && c->backend != primary))
 		return fail(c, "READONLY") + ready(*c);
-	history.push_back({ now_ms(), c->backend->id, c->tenant, id, text });
+	if (!note_at_start)
+		history.push_back(
+			{ now_ms(), c->backend->id, c->tenant, id, text });
 	if (writes && c->state == 'I')
 		number++;
 	c->wrote |= writes;
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -172,6 +172,8 @@
 
 	const std::string name;
 	std::atomic<int64_t> work_ms{ 5 };
+	/* Runs are noted as the work begins, not as it ends. */
+	bool note_at_start = false;
 
       private:
 	struct Backend {
