--- a/review/standin/case_stop_cuts_transaction.cc
+++ b/review/standin/case_stop_cuts_transaction.cc
@@ -11,11 +11,11 @@
 {
 
 const int64_t WORK_MS = 400; /* of a read at a backend */
-const int64_t PAUSE_MS = 2; /* of a client between its statements */
+const int64_t PAUSE_MS = 1; /* of a client between its statements */
 const int STATEMENTS = 12; /* of a transaction, COMMIT included */
 const int64_t BEGIN_MS = 1500; /* after SIGTERM */
 const int64_t SPREAD_MS = 50; /* between the clients */
-const int CLIENTS = 8;
+const int CLIENTS = 12;
 /* A cut of what was sent later is not excused by the backend's work. */
 const int64_t EXCUSED_MS = 3000;
 
--- a/review/standin/rig.cc
+++ b/review/standin/rig.cc
@@ -244,15 +244,26 @@
 	return fd;
 }
 
+/*
+ * From below the range that the system takes for outgoing connections: those
+ * could take a port before its process has started.
+ */
 std::vector<uint16_t> find_free_ports(size_t n)
 {
-	std::vector<uint16_t> out(n);
-	std::vector<int> fds;
+	static std::atomic<int> next{ 20000 + getpid() % 1000 * 10 };
+	std::vector<uint16_t> out;
 
-	for (uint16_t &port : out)
-		fds.push_back(bind_any(&port));
-	for (int fd : fds)
+	while (out.size() < n) {
+		std::string at = "127.0.0.1:" + std::to_string(next++);
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		sockaddr_in a = parse_address(at);
+
+		if (!bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)))
+			out.push_back(ntohs(a.sin_port));
 		close(fd);
+		if (next >= 32000)
+			next = 20000;
+	}
 	return out;
 }
 
