--- a/review/standin/case_revoke_in_one_call.cc
+++ b/review/standin/case_revoke_in_one_call.cc
@@ -24,8 +24,7 @@
 	       "\"services\":[{\"name\":\"ledger\",\"max_conns\":33,"
 	       "\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":3000},"
 	       "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"" +
-	       key +
-	       "\"],\"priority\":1,\"rate_per_s\":100,\"burst\":100}]}";
+	       key + "\"],\"priority\":1,\"rate_per_s\":100,\"burst\":100}]}";
 }
 
 struct Late {
--- a/review/standin/case_stop_cuts_queued.cc
+++ b/review/standin/case_stop_cuts_queued.cc
@@ -47,9 +47,9 @@
 	std::vector<std::pair<std::string, int64_t>> waiting;
 
 	while (s.is_open()) {
-		bool may_send = !*ends &&
-				(!*stopped_ms ||
-				 now_ms() - *stopped_ms < LAST_SENT_MS);
+		bool may_send =
+			!*ends &&
+			(!*stopped_ms || now_ms() - *stopped_ms < LAST_SENT_MS);
 
 		while (may_send && waiting.size() < AHEAD) {
 			std::string id = new_id();
--- a/review/standin/case_stop_cuts_transaction.cc
+++ b/review/standin/case_stop_cuts_transaction.cc
@@ -41,7 +41,7 @@
 		sleep_ms(1);
 	for (int i = 0; i <= STATEMENTS && s.is_open(); i++) {
 		std::string id = new_id();
-		const char *text = !i ? "BEGIN READ" :
+		const char *text = !i		  ? "BEGIN READ" :
 				   i < STATEMENTS ? "READ item1" :
 						    "COMMIT";
 		int64_t sent_ms = now_ms();
@@ -111,8 +111,9 @@
 	}
 	for (std::thread &t : clients)
 		t.join();
-	record(true, "%d statements done, %d cut that were sent later than %ld "
-		     "ms after SIGTERM and passed on",
+	record(true,
+	       "%d statements done, %d cut that were sent later than %ld "
+	       "ms after SIGTERM and passed on",
 	       done.load(), broken.load(), static_cast<long>(EXCUSED_MS));
 	platform.stop();
 	db.stop();
--- a/review/standin/rig.cc
+++ b/review/standin/rig.cc
@@ -39,8 +39,8 @@
 
 std::string encode(const std::string &s)
 {
-	char *b = g_base64_encode(
-		reinterpret_cast<const guchar *>(s.data()), s.size());
+	char *b = g_base64_encode(reinterpret_cast<const guchar *>(s.data()),
+				  s.size());
 	std::string out = b;
 
 	g_free(b);
@@ -63,8 +63,8 @@
 	size_t colon = address.find(':');
 
 	a.sin_family = AF_INET;
-	a.sin_port = htons(static_cast<uint16_t>(
-		atoi(address.c_str() + colon + 1)));
+	a.sin_port =
+		htons(static_cast<uint16_t>(atoi(address.c_str() + colon + 1)));
 	inet_pton(AF_INET, address.substr(0, colon).c_str(), &a.sin_addr);
 	return a;
 }
@@ -270,9 +270,8 @@
 /* The platform. */
 
 Platform::Platform()
-    : timer([this] { expire_leases(); }), listener([this](int fd) {
-	      serve(fd);
-      })
+    : timer([this] { expire_leases(); }),
+      listener([this](int fd) { serve(fd); })
 {
 }
 
@@ -379,8 +378,9 @@
 
 		for (gchar **p = pairs; *p; p++) {
 			char *equals = strchr(*p, '=');
-			char *v = g_uri_unescape_string(
-				equals ? equals + 1 : "", nullptr);
+			char *v =
+				g_uri_unescape_string(equals ? equals + 1 : "",
+						      nullptr);
 
 			if (equals)
 				*equals = '\0';
@@ -407,7 +407,8 @@
 Platform::Answer Platform::range(const Request &r)
 {
 	std::lock_guard<std::mutex> lock(mutex);
-	std::string prefix = r.query.count("prefix") ? r.query.at("prefix") : "";
+	std::string prefix =
+		r.query.count("prefix") ? r.query.at("prefix") : "";
 	std::string after = r.query.count("after") ? r.query.at("after") : "";
 	std::string list;
 	size_t n = 0;
@@ -426,15 +427,16 @@
 			format({ i->first, i->second.revision, false,
 				 i->second });
 	}
-	return { 200, "{\"items\":[" + list + "],\"has_more\":" +
-			      (more ? "true" : "false") +
+	return { 200, "{\"items\":[" + list +
+			      "],\"has_more\":" + (more ? "true" : "false") +
 			      ",\"as_of\":" + std::to_string(revision) + "}" };
 }
 
 Platform::Answer Platform::watch(const Request &r)
 {
 	std::unique_lock<std::mutex> lock(mutex);
-	std::string prefix = r.query.count("prefix") ? r.query.at("prefix") : "";
+	std::string prefix =
+		r.query.count("prefix") ? r.query.at("prefix") : "";
 	int64_t after = atoll(r.query.at("after").c_str());
 	int64_t end = now_ms() + atoll(r.query.at("wait_ms").c_str());
 	std::string list;
@@ -447,8 +449,8 @@
 		}
 		if (!list.empty() || now_ms() >= end)
 			break;
-		changed.wait_for(lock, std::chrono::milliseconds(
-					       end - now_ms()));
+		changed.wait_for(lock,
+				 std::chrono::milliseconds(end - now_ms()));
 	}
 	return { 200, "{\"events\":[" + list +
 			      "],\"as_of\":" + std::to_string(revision) + "}" };
@@ -491,8 +493,7 @@
 				   revision);
 		json_array_foreach(json_object_get(body, "remove"), n, row)
 			remove_locked(json_string_value(row), revision);
-		out.second =
-			"{\"revision\":" + std::to_string(revision) + "}";
+		out.second = "{\"revision\":" + std::to_string(revision) + "}";
 		changed.notify_all();
 	}
 	json_decref(body);
@@ -506,9 +507,8 @@
 	json_t *row;
 	size_t n;
 
-	json_array_foreach(json_object_get(body, "puts"), n, row)
-		delay_ms += late_ms(
-			json_string_value(json_object_get(row, "key")),
+	json_array_foreach(json_object_get(body, "puts"), n, row) delay_ms +=
+		late_ms(json_string_value(json_object_get(row, "key")),
 			decode(json_string_value(
 				json_object_get(row, "value"))));
 	json_decref(body);
@@ -521,8 +521,8 @@
 	std::string service =
 		json_string_value(json_object_get(body, "service"));
 	std::string id = json_string_value(json_object_get(body, "id"));
-	uint64_t token = strtoull(r.headers.at("x-fencing-token").c_str(),
-				  nullptr, 10);
+	uint64_t token =
+		strtoull(r.headers.at("x-fencing-token").c_str(), nullptr, 10);
 	Answer out = { 409, "{}" };
 
 	json_decref(body);
@@ -567,8 +567,8 @@
 				      "}" };
 	}
 	if (!r.path.compare(0, keep.size(), keep)) {
-		auto l = leases.find(strtoull(r.path.c_str() + keep.size(),
-					      nullptr, 10));
+		auto l = leases.find(
+			strtoull(r.path.c_str() + keep.size(), nullptr, 10));
 
 		if (l == leases.end())
 			return { 404, "{}" };
@@ -578,8 +578,8 @@
 				      std::to_string(l->second.ttl_ms) + "}" };
 	}
 	if (!r.path.compare(0, end.size(), end)) {
-		end_lease_locked(strtoull(r.path.c_str() + end.size(), nullptr,
-					  10));
+		end_lease_locked(
+			strtoull(r.path.c_str() + end.size(), nullptr, 10));
 		return { 200, "{}" };
 	}
 	return { 404, "{}" };
