A planned stop ends transactions in time and answers what it accepted

Cause: the limit of half of the grace time was applied by ticks only, to sessions that are idle at that moment. A caller that sends its next statement within a tick is never met. And the end of the process closed sessions without answering what ran, also outside transactions. Ruled out: ticks that don't run at all: idle sessions closed on time, and transactions with pauses of 30 ms ended on time in the same test. Change: handover/stop_plan decides, asked at each statement, answer and tick. After half of the grace time a transaction can only end. 0.6 s before the process would be killed, what still runs is answered: in doubt if it may have taken effect, else aborted. A transaction whose caller paused for less than 0.5 s is not closed at the half: a COMMIT on its way gets an answer.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -456,6 +456,22 @@
 				  now_us);
 }
 
+/* Likewise, for a statement that comes while the instance is stopping. */
+static enum answer_code check_stop(const struct session *s, const char **reason,
+				   int64_t now_us)
+{
+	*reason = "the instance is stopping";
+	switch (drain_judge_statement(s, now_us)) {
+	case STOP_ACCEPT:
+		return ANSWER_NONE;
+	case STOP_REFUSE:
+		return ANSWER_OVERLOADED;
+	case STOP_ROLL_BACK:
+		break;
+	}
+	return ANSWER_ABORTED;
+}
+
 /* Checks access and, for a new operation, takes one from the quota. */
 static void admit_statement(struct session *s, bool new_operation,
 			    int64_t now_us)
@@ -467,6 +483,8 @@
 	int64_t pause_us;
 	int rc = 0;
 
+	if (!code)
+		code = check_stop(s, &reason, now_us);
 	if (code) {
 		caller_refuse_statement(s, code, reason, RETRY_DEFAULT_US,
 					now_us);
--- a/src/proxy/drain.c
+++ b/src/proxy/drain.c
@@ -2,53 +2,56 @@
 
 #include "proxy/caller.h"
 #include "proxy/engine_state.h"
+#include "proxy/exchange.h"
 
-enum {
-	/*
-	 * The load balancer checks once a second and takes an instance out of
-	 * rotation after two failed checks. Callers whose sessions are closed
-	 * earlier could be sent back here.
-	 */
-	OUT_OF_ROTATION_US = 2300 * 1000,
-};
-
-/*
- * Returns until when open transactions may continue: for the first half of the
- * grace time.
- */
-static int64_t transaction_deadline_us(const struct engine *e)
+bool drain_should_close_session(const struct engine *e, const struct session *s,
+				int64_t now_us)
 {
-	return e->drain_since_us + e->opts.grace_us / 2;
+	return !s->op.active && s->transaction == TRANSACTION_NONE &&
+	       stop_plan_closes_idle(&e->stop, now_us);
 }
 
-bool drain_should_close_session(const struct engine *e, const struct session *s,
-				int64_t now_us)
+enum stop_verdict drain_judge_statement(const struct session *s, int64_t now_us)
+{
+	enum query_kind kind = s->op.query.kind;
+	const struct stop_statement statement = {
+		.in_transaction = s->transaction != TRANSACTION_NONE,
+		.begins = kind == QUERY_BEGIN || kind == QUERY_BEGIN_READ,
+		.commits = kind == QUERY_COMMIT,
+	};
+
+	return stop_plan_judge(&s->engine->stop, &statement, now_us);
+}
+
+static bool is_left(const struct session *s, int64_t now_us)
 {
-	return e->drain_since_us && !s->op.active &&
-	       s->transaction == TRANSACTION_NONE &&
-	       now_us >= e->drain_since_us + OUT_OF_ROTATION_US;
+	const struct engine *e = s->engine;
+
+	if (s->closing || s->op.active)
+		return false;
+	if (s->transaction == TRANSACTION_NONE)
+		return drain_should_close_session(e, s, now_us);
+	return stop_plan_closes_transaction(&e->stop, now_us - s->idle_since_us,
+					    now_us);
 }
 
-int64_t drain_min_duration_us(void)
+static void run_session(struct session *s, int64_t now_us)
 {
-	return OUT_OF_ROTATION_US;
+	if (s->op.active && stop_plan_ends_statements(&s->engine->stop, now_us))
+		exchange_give_up_statement(s, ANSWER_IN_DOUBT,
+					   "the instance is stopping", now_us);
+	if (is_left(s, now_us))
+		caller_close(s, now_us);
 }
 
 void drain_run(struct engine *e, int64_t now_us)
 {
 	GList *sessions;
 
-	if (!e->drain_since_us)
+	if (!e->stop.since_us)
 		return;
 	sessions = g_hash_table_get_keys(e->sessions);
-	for (GList *l = sessions; l; l = l->next) {
-		struct session *s = l->data;
-
-		if (s->op.active)
-			continue;
-		if (drain_should_close_session(e, s, now_us) ||
-		    now_us >= transaction_deadline_us(e))
-			caller_close(s, now_us);
-	}
+	for (GList *l = sessions; l; l = l->next)
+		run_session(l->data, now_us);
 	g_list_free(sessions);
 }
--- a/src/proxy/drain.h
+++ b/src/proxy/drain.h
@@ -1,7 +1,11 @@
-/* drain.h - graceful shutdown: sessions are closed between requests. */
+/*
+ * drain.h - graceful shutdown: applies the plan of handover/stop_plan.h to the
+ * sessions.
+ */
 #ifndef PROXY_DRAIN_H
 #define PROXY_DRAIN_H
 
+#include "handover/stop_plan.h"
 #include "proxy/engine.h"
 #include "proxy/session.h"
 
@@ -12,13 +16,13 @@
 bool drain_should_close_session(const struct engine *e, const struct session *s,
 				int64_t now_us);
 
-/* Returns the minimum duration of a shutdown. */
-int64_t drain_min_duration_us(void);
+/* Decides whether the session's statement, which has just arrived, may run. */
+enum stop_verdict drain_judge_statement(const struct session *s,
+					int64_t now_us);
 
 /*
- * Closes idle sessions during a shutdown; after half of the grace time also
- * those with an open transaction. A session whose statement is running stays
- * open.
+ * During a shutdown, closes the sessions that wait for their callers. Shortly
+ * before the end it answers the statements that still run.
  */
 void drain_run(struct engine *e, int64_t now_us);
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -237,7 +237,7 @@
 		   (int64_t)duty_token(e->duty), "%s", e->opts.instance);
 	metrics_set(e->opts.metrics, "duty_held", NULL, held);
 	store_feed_set_duty_held(e->feed, held);
-	if (!held && !e->drain_since_us)
+	if (!held && !e->stop.since_us)
 		change_relay_stop(e->change_relay);
 	if (!held)
 		return;
@@ -502,31 +502,6 @@
 		report_handle_message(e, m, engine_now(e));
 }
 
-/*
- * Answers a statement whose deadline has been reached. A write that was sent
- * may have taken effect and is answered with TIMEOUT; any other statement had
- * no effect and is answered with ABORTED.
- */
-static void time_out_statement(struct session *s, int64_t now_us)
-{
-	struct upstream_conn *c = s->conn;
-	bool outcome_unknown =
-		s->op.query.kind == QUERY_COMMIT ?
-			s->transaction_wrote :
-			s->op.writes && s->transaction == TRANSACTION_NONE;
-
-	if (s->op.sent && outcome_unknown) {
-		caller_send_error(s, ANSWER_TIMEOUT, "no answer in time",
-				  now_us);
-	} else {
-		caller_refuse_statement(s, ANSWER_ABORTED, "no answer in time",
-					0, now_us);
-	}
-	/* Its late answer could be mistaken for that of another statement. */
-	if (c && !c->closed && c->request_count)
-		exchange_handle_loss(c, "no answer in time", now_us);
-}
-
 static void enforce_session_timeouts(struct engine *e, struct session *s,
 				     int64_t now_us)
 {
@@ -535,7 +510,8 @@
 	if (s->op.active && !operation_is_waiting(&s->op) &&
 	    !s->op.awaiting_quota &&
 	    now_us >= s->op.deadline_us - ANSWER_MARGIN_US) {
-		time_out_statement(s, now_us);
+		exchange_give_up_statement(s, ANSWER_TIMEOUT,
+					   "no answer in time", now_us);
 		return;
 	}
 	if (hedging_try(s, now_us))
@@ -672,11 +648,13 @@
 
 void engine_drain(struct engine *e)
 {
-	if (e->drain_since_us)
+	int64_t now_us = engine_now(e);
+
+	if (e->stop.since_us)
 		return;
-	e->drain_since_us = engine_now(e);
+	stop_plan_start(&e->stop, e->opts.grace_us, now_us);
 	duty_release(e->duty);
-	leave_start(e, e->drain_since_us);
+	leave_start(e, now_us);
 	engine_log(e, LOG_STOPPING, 0, e->opts.instance,
 		   g_hash_table_size(e->sessions), "sessions");
 }
@@ -688,8 +666,13 @@
 
 bool engine_is_drained(const struct engine *e)
 {
-	return e->drain_since_us && !g_hash_table_size(e->sessions) &&
-	       engine_now(e) - e->drain_since_us > drain_min_duration_us();
+	return !g_hash_table_size(e->sessions) &&
+	       stop_plan_allows_end(&e->stop, engine_now(e));
+}
+
+int64_t engine_end_due_us(const struct engine *e)
+{
+	return e->stop.since_us ? e->stop.end_us : INT64_MAX;
 }
 
 /* Returns true if operators ask so, and others remain that they don't name. */
@@ -715,7 +698,7 @@
 {
 	int64_t now_us = engine_now(e);
 
-	return e->config && !e->drain_since_us && !is_avoided_itself(e) &&
+	return e->config && !e->stop.since_us && !is_avoided_itself(e) &&
 	       engine_config_is_usable(e, now_us) &&
 	       engine_keys_are_fresh(e, now_us) &&
 	       now_us < store_feed_lease_end_us(e->feed) &&
@@ -730,7 +713,7 @@
 
 	metrics_set(m, "sessions", NULL, g_hash_table_size(e->sessions));
 	metrics_set(m, "instances", NULL, e->instance_count);
-	metrics_set(m, "draining", NULL, e->drain_since_us != 0);
+	metrics_set(m, "draining", NULL, e->stop.since_us != 0);
 	metrics_set(m, "steer_requests", NULL, steer_table_count(e->steer));
 	metrics_set(m, "store_confirmed_age_ms", NULL,
 		    store_feed_age_us(e->feed, engine_now(e)) / US_PER_MS);
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -122,6 +122,8 @@
 /* Begins a shutdown; engine_is_drained() turns true when it is complete. */
 void engine_drain(struct engine *e);
 bool engine_is_drained(const struct engine *e);
+/* Returns when the process has to end, drained or not; INT64_MAX: never. */
+int64_t engine_end_due_us(const struct engine *e);
 
 /* Removes this instance's entry from the store. */
 void engine_remove_own_entry(struct engine *e);
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -8,6 +8,7 @@
 
 #include "feed/change_relay.h"
 #include "handover/home_handover.h"
+#include "handover/stop_plan.h"
 #include "proxy/duty.h"
 #include "proxy/engine.h"
 #include "proxy/fleet_config.h"
@@ -65,7 +66,7 @@
 	uint32_t silent_primary_count; /* as of the last report_run() */
 	char grantor[NAME_BYTES]; /* sender of the last grant applied */
 	uint64_t grant_confirmed; /* sequence number of that grant */
-	int64_t drain_since_us; /* 0: not draining */
+	struct stop_plan stop; /* of this process */
 	int64_t leave_due_us; /* when it may be announced, while draining */
 	bool leaving; /* that this home is leaving has been announced */
 	struct handover_plan *handover; /* of other homes */
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -5,6 +5,7 @@
 #include "proxy/engine_state.h"
 #include "proxy/hedging.h"
 #include "proxy/hop.h"
+#include "proxy/quota_requests.h"
 #include "proxy/relay_load.h"
 #include "proxy/service_health.h"
 #include "proxy/statement_send.h"
@@ -484,17 +485,25 @@
 	return s->pinned == c;
 }
 
+/* Returns true if the statement may take effect although it is not answered. */
+static bool may_take_effect(const struct session *s)
+{
+	const struct operation *op = &s->op;
+
+	if (!op->sent)
+		return false;
+	return op->query.kind == QUERY_COMMIT ?
+		       s->transaction_wrote :
+		       op->writes && s->transaction == TRANSACTION_NONE;
+}
+
 /* Answers the statement that the lost connection carried, or sends it again. */
 static void handle_statement_loss(struct session *s, struct upstream_conn *c,
 				  const char *reason, int64_t now_us)
 {
 	struct operation *op = &s->op;
-	bool commits = op->query.kind == QUERY_COMMIT;
-	bool may_persist =
-		commits ? s->transaction_wrote :
-			  op->writes && s->transaction == TRANSACTION_NONE;
 
-	if (op->sent && may_persist) {
+	if (may_take_effect(s)) {
 		caller_send_error(s, ANSWER_IN_DOUBT, reason, now_us);
 		return;
 	}
@@ -559,3 +568,18 @@
 	s->conn = NULL;
 	handle_statement_loss(s, c, reason, now_us);
 }
+
+void exchange_give_up_statement(struct session *s, enum answer_code unknown,
+				const char *reason, int64_t now_us)
+{
+	struct upstream_conn *c = s->conn;
+
+	quota_requests_cancel(s->engine->quota_requests, s);
+	if (may_take_effect(s))
+		caller_send_error(s, unknown, reason, now_us);
+	else
+		caller_refuse_statement(s, ANSWER_ABORTED, reason, 0, now_us);
+	/* Its late answer could be mistaken for that of another statement. */
+	if (c && !c->closed && c->request_count)
+		exchange_handle_loss(c, reason, now_us);
+}
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -17,4 +17,11 @@
 void exchange_handle_loss(struct upstream_conn *c, const char *reason,
 			  int64_t now_us);
 
+/*
+ * Answers a statement that is not waited for any longer. If it was sent and may
+ * take effect, the answer is `unknown`, else it is ANSWER_ABORTED.
+ */
+void exchange_give_up_statement(struct session *s, enum answer_code unknown,
+				const char *reason, int64_t now_us);
+
 #endif
--- a/src/proxy/leave.c
+++ b/src/proxy/leave.c
@@ -165,7 +165,7 @@
 
 void leave_run(struct engine *e, int64_t now_us)
 {
-	if (!e->drain_since_us || e->leaving || now_us < e->leave_due_us)
+	if (!e->stop.since_us || e->leaving || now_us < e->leave_due_us)
 		return;
 	e->leaving = true;
 	e->homes_changed = true;
@@ -268,7 +268,7 @@
 	struct judge j = { .engine = e, .service = svc, .now_us = now_us };
 	struct handover_need n;
 
-	if (!svc->is_home || e->drain_since_us)
+	if (!svc->is_home || e->stop.since_us)
 		return;
 	while (handover_plan_next(e->handover, svc->name, judge_need, &j, &n,
 				  now_us)) {
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -222,7 +222,7 @@
 		return;
 	}
 	if (m->type != PEER_REPORT || !e->config ||
-	    (!duty_is_held(e->duty, now_us) && !e->drain_since_us))
+	    (!duty_is_held(e->duty, now_us) && !e->stop.since_us))
 		return;
 	/*
 	 * An instance that is stopping has given up the duty: that change of
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -20,8 +20,6 @@
 enum {
 	/* The settings file is polled, so that a reload needs no signal. */
 	SETTINGS_CHECK_INTERVAL_US = 1000 * 1000,
-	/* The drain ends this long before the process would be killed. */
-	GRACE_MARGIN_US = 500 * 1000,
 	/* Time given to the store to remove the instance's entry. */
 	ENTRY_REMOVAL_WAIT_US = 100 * 1000,
 	HTTP_CONNECTIONS_MAX = 32,
@@ -67,10 +65,8 @@
 	struct loop_timer *tick_timer;
 	struct loop_timer *settings_timer;
 	int64_t next_tick_us;
-	int64_t drain_deadline_us; /* 0: no shutdown in progress */
 	/* When engine_remove_own_entry() was called; 0: not yet. */
 	int64_t entry_removal_start_us;
-	int64_t grace_us; /* from the start of a shutdown to its end */
 };
 
 /* A caller's connection. */
@@ -428,8 +424,7 @@
 		engine_tick(h->engine);
 	stream_set_flush(h->streams);
 	log_flush();
-	if (h->drain_deadline_us &&
-	    (is_drained(h) || now >= h->drain_deadline_us))
+	if (is_drained(h) || now >= engine_end_due_us(h->engine))
 		remove_entry_and_stop(h, now);
 	h->next_tick_us = engine_next_due_us(h->engine);
 	loop_timer_set(h->tick_timer, h->next_tick_us);
@@ -478,7 +473,6 @@
 	 * all other settings, such as names and addresses, need a restart.
 	 */
 	o = make_engine_opts(h, s, 0);
-	h->grace_us = o.grace_us;
 	engine_reload(h->engine, &o);
 	proxy_settings_free(s);
 }
@@ -551,7 +545,6 @@
 	h->streams = stream_set_new(&streams);
 	open_adapter(h);
 	o = make_engine_opts(h, h->settings, incarnation);
-	h->grace_us = o.grace_us;
 	h->engine = engine_new(&o, loop_now_us());
 }
 
@@ -629,9 +622,6 @@
 
 void session_host_drain(struct session_host *h)
 {
-	if (h->drain_deadline_us)
-		return;
-	h->drain_deadline_us = loop_now_us() + h->grace_us - GRACE_MARGIN_US;
 	engine_drain(h->engine);
 }
 
