Events no longer put off an instance's ticks

Cause: the next tick was set 10 ms after the last event, not after the last tick, so that events less than 10 ms apart put it off each time. Ruled out: timers of the store and the duty: they were kept, and were what brought a tick at all. Change: the next tick is due 10 ms (50 ms when idle) after the last one.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -614,6 +614,7 @@
 	GHashTableIter it;
 	gpointer svc;
 
+	e->last_tick_us = now_us;
 	store_feed_run(e->feed, now_us);
 	duty_run(e->duty, e->instance_rank, now_us);
 	change_relay_run(e->change_relay, now_us);
@@ -637,13 +638,13 @@
 
 int64_t engine_next_due_us(const struct engine *e)
 {
-	int64_t now_us = engine_now(e);
-	int64_t due =
-		now_us + (g_hash_table_size(e->busy_sessions) ? BUSY_TICK_US :
-								IDLE_TICK_US);
+	int64_t due = e->last_tick_us + (g_hash_table_size(e->busy_sessions) ?
+						 BUSY_TICK_US :
+						 IDLE_TICK_US);
 
-	due = MIN(due, MAX(store_feed_due_us(e->feed), now_us));
-	return MIN(due, MAX(duty_due_us(e->duty), now_us));
+	due = MIN(due, store_feed_due_us(e->feed));
+	due = MIN(due, duty_due_us(e->duty));
+	return MAX(due, engine_now(e));
 }
 
 void engine_drain(struct engine *e)
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -66,6 +66,7 @@
 	uint32_t silent_primary_count; /* as of the last report_run() */
 	char grantor[NAME_BYTES]; /* sender of the last grant applied */
 	uint64_t grant_confirmed; /* sequence number of that grant */
+	int64_t last_tick_us;
 	struct stop_plan stop; /* of this process */
 	int64_t leave_due_us; /* when it may be announced, while draining */
 	bool leaving; /* that this home is leaving has been announced */
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1366,6 +1366,32 @@
 	}
 }
 
+/*
+ * Guards against ticks that events put off: under steady load, timeouts and the
+ * rules of a shutdown were applied late.
+ */
+TEST(ProxyEngine, EventsDontPutTicksOff)
+{
+	ProxyModel m({});
+	ProxyNode *n = m.nodes[0].get();
+	ProxyCaller *c;
+	int64_t due_us;
+
+	m.run(START_US);
+	c = m.connect(0, "strict", "key-a");
+	m.wait_for_answer(c, 1 * S);
+	EXPECT_TRUE(m.run_statement(c, "BEGIN").ok);
+	m.run(50 * MS);
+	due_us = engine_next_due_us(n->engine);
+	EXPECT_LE(due_us, m.now() + 10 * MS);
+	n->frozen = true; /* the host does not tick */
+	for (int i = 0; i < 10; i++) {
+		m.run_statement(c, "SET a 1");
+		EXPECT_EQ(std::max(due_us, m.now()),
+			  engine_next_due_us(n->engine));
+	}
+}
+
 /* A drain answers statements and lets open transactions commit. */
 TEST(ProxyEngine, DrainsWithoutCuttingStatements)
 {
