A shutdown of the HTTP interface answers what it accepted

Callers saw: statements of an open transaction accepted until the process ended, and then no answer.

After `drain_timeout_ms` an instance waits up to 5 s for replies, but went on accepting statements of open transactions, and a request kept its deadline, which may be later than the end. Ruled out: new requests; they are refused from the start of a shutdown. Change: the event that starts a shutdown says until when transactions may go on and until when every request is answered. Afterwards a transaction can only commit or roll back; deadlines end in time.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -40,11 +40,27 @@
 	return false;
 }
 
+static bool ends_transaction(enum request_kind kind)
+{
+	return kind == REQUEST_COMMIT || kind == REQUEST_ROLLBACK;
+}
+
+/* Returns true if a shutdown no longer lets such a request go on. */
+static bool is_refused_by_drain(const struct world *w, enum request_kind kind,
+				int64_t now_us)
+{
+	int64_t until_us = w->drain_limits.transactions_until_us;
+
+	if (w->draining && !request_in_transaction(kind))
+		return true;
+	return until_us && now_us >= until_us && !ends_transaction(kind);
+}
+
 static bool check_instance_state(const struct world *w,
 				 const struct request_opts *o,
-				 struct admission *a)
+				 struct admission *a, int64_t now_us)
 {
-	if (w->draining && !request_in_transaction(o->kind))
+	if (is_refused_by_drain(w, o->kind, now_us))
 		return reject(a, ERR_SHUTTING_DOWN, DRAIN_RETRY_US);
 	if (!w->config_known)
 		return reject(a, ERR_NO_CONFIG, CONFIG_RETRY_US);
@@ -125,12 +141,6 @@
 	return reject(a, ERR_UNKNOWN_TRANSACTION, 0);
 }
 
-/* Ending a transaction frees resources, so it is never rate limited. */
-static bool is_rate_limited(enum request_kind kind)
-{
-	return kind != REQUEST_COMMIT && kind != REQUEST_ROLLBACK;
-}
-
 static bool check_rate_limit(struct world *w, const struct request_opts *o,
 			     struct admission *a, int64_t now_us)
 {
@@ -139,7 +149,8 @@
 	int64_t retry_us = 0;
 	int32_t rc;
 
-	if (!is_rate_limited(o->kind))
+	/* Ending a transaction frees resources, so it is never limited. */
+	if (ends_transaction(o->kind))
 		return true;
 	rc = limit_admit(w->limits, name, a->profile->cost_milli, now_us,
 			 &retry_us);
@@ -188,7 +199,7 @@
 	r->workspace = a->workspace;
 	r->weight = catalog_get_workspace(&w->catalog, a->workspace)->weight;
 	r->cost_milli =
-		is_rate_limited(r->opts.kind) ? a->profile->cost_milli : 0;
+		ends_transaction(r->opts.kind) ? 0 : a->profile->cost_milli;
 	r->group = a->group;
 	r->transaction = a->transaction;
 	r->max_age_us = a->profile->max_age_us;
@@ -261,13 +272,13 @@
 	}
 }
 
-void admission_handle_request(struct world *w, const struct request_opts *o,
-			      int64_t now_us)
+static void admit_request(struct world *w, const struct request_opts *o,
+			  int64_t now_us)
 {
 	struct admission a = { .error = ERR_NONE };
 	uint32_t row;
 
-	if (!check_instance_state(w, o, &a) ||
+	if (!check_instance_state(w, o, &a, now_us) ||
 	    !check_profile(w, o, &a, now_us) || !check_target(w, o, &a)) {
 		answer_refused(w, o, a.error, a.retry_after_us);
 		return;
@@ -292,6 +303,17 @@
 		route_request(w, row, now_us);
 }
 
+void admission_handle_request(struct world *w, const struct request_opts *o,
+			      int64_t now_us)
+{
+	struct request_opts limited = *o;
+	int64_t until_us = w->drain_limits.answers_until_us;
+
+	if (until_us)
+		limited.deadline_us = MIN(limited.deadline_us, until_us);
+	admit_request(w, &limited, now_us);
+}
+
 static void close_key_transactions(struct world *w, const uint8_t *digest,
 				   int64_t now_us)
 {
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -102,7 +102,7 @@
 	EVENT_LEASE_RENEWED, /* .lease; lease of this instance renewed */
 	EVENT_PLATFORM_RESULT, /* .platform */
 	EVENT_PEER_MESSAGE, /* .peer */
-	EVENT_DRAIN, /* refuse new requests and finish the open ones */
+	EVENT_DRAIN, /* .drain; refuse new requests, finish the open ones */
 };
 
 /*
@@ -122,6 +122,13 @@
 	int64_t ttl_us; /* the lease lasts at least this long after that */
 };
 
+/* When a shutdown ends what it lets go on at first; 0: no limit. */
+struct drain_limits {
+	/* From then on, open transactions can only commit or roll back. */
+	int64_t transactions_until_us;
+	int64_t answers_until_us; /* every request is answered by then */
+};
+
 /* Pointers are valid only while the event is being handled. */
 struct event {
 	enum event_type type;
@@ -135,6 +142,7 @@
 		struct lease_renewal lease;
 		const struct platform_result *platform;
 		const struct peer_message *peer;
+		struct drain_limits drain;
 	};
 };
 
--- a/src/core/world.c
+++ b/src/core/world.c
@@ -169,11 +169,27 @@
 	promotion_handle_peer(w, m, now_us);
 }
 
-static void start_drain(struct world *w)
+/* Requests whose deadlines are later would be cut by the end of the process. */
+static void limit_deadlines(struct world *w, int64_t until_us)
+{
+	for (uint32_t i = 0; i < w->requests.high_water; i++) {
+		struct request *r = &w->requests.rows[i];
+
+		if (r->state != REQUEST_FREE)
+			r->opts.deadline_us =
+				MIN(r->opts.deadline_us, until_us);
+	}
+	request_schedule_check(&w->requests, until_us);
+}
+
+static void start_drain(struct world *w, const struct drain_limits *limits)
 {
 	if (w->draining)
 		return;
 	w->draining = true;
+	w->drain_limits = *limits;
+	if (limits->answers_until_us)
+		limit_deadlines(w, limits->answers_until_us);
 	action_queue_log(w->actions, LOG_STOPPING, 0, w->opts.instance,
 			 w->requests.used,
 			 "finishing the requests in progress");
@@ -217,7 +233,7 @@
 		handle_peer(w, e->peer, now_us);
 		break;
 	case EVENT_DRAIN:
-		start_drain(w);
+		start_drain(w, &e->drain);
 		break;
 	}
 }
--- a/src/core/world_state.h
+++ b/src/core/world_state.h
@@ -48,6 +48,7 @@
 	uint64_t last_operation_id; /* of promotions' platform operations */
 	uint32_t instances; /* that share the endpoints; at least 1 */
 	bool draining;
+	struct drain_limits drain_limits; /* while draining */
 	bool drained;
 	int64_t idle_since_us; /* draining, no request open; 0: not yet */
 };
--- a/src/serve/instance.c
+++ b/src/serve/instance.c
@@ -15,6 +15,8 @@
 enum {
 	/* After a drain, pending replies are sent for at most this long. */
 	LINGER_MAX_US = 5000 * 1000,
+	/* Of it, time to send the last ones. */
+	FLUSH_US = 500 * 1000,
 	/* Interval of the checks whether replies are still pending. */
 	LINGER_CHECK_US = 100 * 1000,
 };
@@ -295,14 +297,16 @@
 void instance_drain(struct instance *in)
 {
 	struct event e = { .type = EVENT_DRAIN };
+	int64_t due_us;
 
 	if (in->draining)
 		return;
 	in->draining = true;
+	due_us = loop_now_us() + in->settings->drain_timeout_ms * US_PER_MS;
 	in->drain_timer = loop_timer_add(in->loop, on_drain_timeout, in);
-	loop_timer_set(in->drain_timer,
-		       loop_now_us() +
-			       in->settings->drain_timeout_ms * US_PER_MS);
+	loop_timer_set(in->drain_timer, due_us);
+	e.drain.transactions_until_us = due_us;
+	e.drain.answers_until_us = due_us + LINGER_MAX_US - FLUSH_US;
 	instance_handle(in, &e);
 }
 
--- a/tests/model.cc
+++ b/tests/model.cc
@@ -402,13 +402,15 @@
 		fn();
 }
 
-void Model::drain(int node)
+void Model::drain(int node, int64_t transactions_for_us, int64_t answers_for_us)
 {
 	struct event e = {};
 
 	if (!nodes_[node].world)
 		return;
 	e.type = EVENT_DRAIN;
+	if (transactions_for_us)
+		e.drain = { now_ + transactions_for_us, now_ + answers_for_us };
 	/* The event is copied, because a paused node handles it later. */
 	run_on_node(node, nodes_[node].incarnation, [=] {
 		if (!nodes_[node].drain_since_us)
@@ -550,6 +552,26 @@
 	return index;
 }
 
+int Model::use_transaction(int begun, enum request_kind kind,
+			   int64_t deadline_us)
+{
+	Call c = oracle.calls[begun];
+
+	c.kind = kind;
+	c.transaction = c.reply.transaction_id;
+	c.order = 0;
+	c.request_id = "";
+	c.sent_us = now_;
+	c.deadline_us = now_ + deadline_us;
+	c.answered = false;
+	c.accepted_us = 0;
+	c.times_executed = 0;
+	oracle.add(c);
+	int index = (int)oracle.calls.size() - 1;
+	submit_call(c.node, index);
+	return index;
+}
+
 int Model::read(int node, int session, int64_t max_age_us, int64_t deadline_us,
 		int key)
 {
--- a/tests/model.h
+++ b/tests/model.h
@@ -137,6 +137,9 @@
 	/* Sends a statement with `key` in a transaction of another key. */
 	int use_transaction_with_other_key(int node, int key,
 					   uint64_t transaction);
+	/* Sends the next request of the transaction that begin() has opened. */
+	int use_transaction(int begun, enum request_kind kind,
+			    int64_t deadline_us);
 	/*
 	 * Begins a transaction, runs two statements of one order and commits,
 	 * each step when the one before was answered.
@@ -222,7 +225,9 @@
 		duplicate_percent_ = percent;
 	}
 	void heal_all();
-	void drain(int node);
+	/* Durations of 0 are no limits; see struct drain_limits. */
+	void drain(int node, int64_t transactions_for_us = 0,
+		   int64_t answers_for_us = 0);
 
 	/*
 	 * Changes of operators. withdraw_key() withdraws KEY_MILL through a
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -2,11 +2,13 @@
  * Planned stops of one node in virtual time. Callers go on using their open
  * connections until the process has ended.
  */
+#include "model.h"
 #include "proxy_model.h"
 
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "core/error.h"
 #include "handover/stop_plan.h"
 #include "proxy/engine.h"
 }
@@ -367,4 +369,48 @@
 	}
 }
 
+struct CoreStep {
+	const char *name;
+	int64_t after_us; /* since the stop began */
+	enum request_kind kind;
+	bool frozen; /* the endpoints answer no more */
+	int32_t error;
+};
+
+/* Transactions may go on for 1 s, answers are sent for 2 s. */
+const CoreStep core_steps[] = {
+	{ "late statement", 1100 * MS, REQUEST_STATEMENT, false,
+	  ERR_SHUTTING_DOWN },
+	{ "late COMMIT", 1100 * MS, REQUEST_COMMIT, false, ERR_NONE },
+	{ "late ROLLBACK", 1100 * MS, REQUEST_ROLLBACK, false, ERR_NONE },
+	{ "COMMIT that gets no answer", 1100 * MS, REQUEST_COMMIT, true,
+	  ERR_DEADLINE },
+};
+
+/*
+ * Guards against a shutdown of the HTTP interface that goes on accepting the
+ * statements of open transactions, and cuts those that run when it ends.
+ */
+TEST(PlannedStop, CoreDrainAnswersAllThatItAccepts)
+{
+	for (const CoreStep &k : core_steps) {
+		Model m({});
+
+		SCOPED_TRACE(k.name);
+		m.run(7 * S);
+		int begun = m.begin(0, 1, 20 * S);
+		m.run(200 * MS);
+		ASSERT_TRUE(m.oracle.calls[begun].answered);
+		m.drain(0, 1 * S, 2 * S);
+		m.run(k.after_us);
+		for (int i = 0; k.frozen && i < 3; i++)
+			m.freeze_endpoint(i);
+		int step = m.use_transaction(begun, k.kind, 20 * S);
+		m.run(2 * S - k.after_us);
+		const Call &c = m.oracle.calls[step];
+		EXPECT_TRUE(c.answered);
+		EXPECT_EQ(k.error, c.reply.error);
+	}
+}
+
 } // namespace
