A shutdown keeps its shares of limits while transactions are open

Callers saw: statements of an open transaction refused as rate-limited during a shutdown of the HTTP interface, far below the workspace's rate.

Cause: the shares were given up at the start of the shutdown, although open transactions may go on. Ruled out: an empty bucket: the same statement is admitted without a shutdown. Change: the shares are given up once no request and no transaction is left.

--- a/src/core/world.c
+++ b/src/core/world.c
@@ -193,7 +193,6 @@
 	action_queue_log(w->actions, LOG_STOPPING, 0, w->opts.instance,
 			 w->requests.used,
 			 "finishing the requests in progress");
-	limits_drain(w->limits);
 }
 
 void world_handle_event(struct world *w, const struct event *e, int64_t now_us)
@@ -278,6 +277,8 @@
 	if (!w->draining || w->drained || w->requests.used ||
 	    w->transactions.open.count)
 		return;
+	/* Not before: statements of open transactions need the shares. */
+	limits_drain(w->limits);
 	if (!w->idle_since_us)
 		w->idle_since_us = now_us;
 	a.drained.lease_revocable = limits_is_drained(w->limits, now_us);
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -379,10 +379,13 @@
 
 /* Transactions may go on for 1 s, answers are sent for 2 s. */
 const CoreStep core_steps[] = {
+	{ "statement in time", 900 * MS, REQUEST_STATEMENT, false, ERR_NONE },
 	{ "late statement", 1100 * MS, REQUEST_STATEMENT, false,
 	  ERR_SHUTTING_DOWN },
 	{ "late COMMIT", 1100 * MS, REQUEST_COMMIT, false, ERR_NONE },
 	{ "late ROLLBACK", 1100 * MS, REQUEST_ROLLBACK, false, ERR_NONE },
+	{ "statement that gets no answer", 900 * MS, REQUEST_STATEMENT, true,
+	  ERR_DEADLINE },
 	{ "COMMIT that gets no answer", 1100 * MS, REQUEST_COMMIT, true,
 	  ERR_DEADLINE },
 };
