Entries with an odd address or number name no endpoint

Callers saw: nothing yet. Told by operators of similar systems: one odd entry of another writer ends the instances that read the list, or stops them following.

Cause: an address was any word, `slots` was cut to 32 bits or raised to 1, `sequence` and `born` could be anything that is a number. Such an entry counted as an endpoint that can't be reached. The log names what is left out.

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -25,6 +25,7 @@
 const int64_t KEY_OVERLAP_US = 1500 * MS;
 const int64_t APPLIED_US = 1500 * MS; /* all instances have a change */
 const size_t LONG_LINE_BYTES = 1200 * 1000;
+const size_t ODD_ENTRY_DEPTH = 200 * 1000;
 
 /* Bytes that no listener expects; none of them may end the process. */
 std::string malformed(size_t choice)
@@ -67,6 +68,29 @@
 	}).detach();
 }
 
+/* Entries of another writer among those of the endpoints. */
+void put_odd_entries(const FaultOptions &o, const FaultTarget &)
+{
+	const std::string entry = "{\"service\":\"" + o.service->name +
+				  "\",\"state\":\"ready\",\"zone\":\"a\","
+				  "\"sequence\":1,\"db_role\":\"replica\",";
+	const std::string deep(ODD_ENTRY_DEPTH, '[');
+	const std::string cases[] = {
+		deep,
+		entry + "\"slots\":4,\"address\":" + deep,
+		entry + "\"slots\":4,\"address\":\"127.0.0.1:99999\"}",
+		entry + "\"slots\":1e999,\"address\":\"127.0.0.1:9\"}",
+		entry + "\"slots\":4294967300,\"address\":\"127.0.0.1:9\"}",
+		entry + "\"slots\":[4],\"address\":5}",
+		std::string("\0\xff{", 3),
+		"",
+	};
+	int number = 0;
+
+	for (const std::string &value : cases)
+		o.store->put("servers/odd" + std::to_string(number++), value);
+}
+
 StoreFault store_fault(const FaultTarget &t)
 {
 	static const StoreFault kinds[] = { StoreFault::REFUSED,
@@ -182,6 +206,8 @@
 	  STEP(o.store->restore(); o.store->set_fault(-1, StoreFault::NONE);
 	       o.store->down = false),
 	  200 * MS, SECOND },
+	{ "odd entries", Disturbance::PLANNED_STOP, put_odd_entries, nullptr,
+	  0, 0 },
 };
 /* clang-format on */
 
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -255,6 +255,9 @@
 static void handle_instance_item(struct engine *e,
 				 const struct store_item *item, int64_t now_us)
 {
+	if (!item->removed && !item->readable)
+		engine_log(e, LOG_CONFIG_STALE, 0, item->name, item->revision,
+			   "instance entry is malformed; it is ignored");
 	if (item->removed || !item->readable) {
 		g_hash_table_remove(e->instances, item->name);
 		quota_remove_instance(e->quota, item->name);
--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
 
 extern "C" {
@@ -110,4 +111,94 @@
 	store_item_clear(&endpoint);
 }
 
+struct OddFieldCase {
+	const char *field;
+	const char *value; /* as JSON; "": the field is missing */
+	bool names_an_endpoint;
+};
+
+const OddFieldCase odd_fields[] = {
+	{ "service", "", false },
+	{ "service", "5", false },
+	{ "service", "[[[[\"svc\"]]]]", false },
+	{ "address", "", false },
+	{ "address", "\"10.0.0.1\"", false },
+	{ "address", "\"10.0.0.1:\"", false },
+	{ "address", "\"10.0.0.1:0\"", false },
+	{ "address", "\"10.0.0.1:65535\"", true },
+	{ "address", "\"10.0.0.1:65536\"", false },
+	{ "address", "\"10.0.0.1:-1\"", false },
+	{ "address", "\"10.0.0.1:99999999999999999999\"", false },
+	{ "address", "\"10.0.0.256:5\"", false },
+	{ "address", "\"host:5\"", false },
+	{ "address", "\"[::1]:5\"", false },
+	{ "address", "{\"ip\":\"10.0.0.1\",\"port\":5}", false },
+	{ "zone", "", false },
+	{ "zone", "null", false },
+	{ "slots", "", false },
+	{ "slots", "0", false },
+	{ "slots", "-1", false },
+	{ "slots", "1.5", false },
+	{ "slots", "\"4\"", false },
+	{ "slots", "4294967300", false },
+	{ "slots", "9223372036854775807", false },
+	{ "slots", "9223372036854775808", false },
+	{ "slots", "1e400", false },
+	{ "state", "", false },
+	{ "state", "\"gone\"", false },
+	{ "state", "true", false },
+	{ "db_role", "", false },
+	{ "db_role", "\"witness\"", false },
+	{ "sequence", "", false },
+	{ "sequence", "-1", false },
+	{ "sequence", "99999999999999999999", false },
+	{ "born", "-1", false },
+	{ "born", "\"5\"", false },
+	{ "born", "1.5e12", false },
+	{ "born", "9223372036854775807", false },
+	{ "born", "1765000000000", true },
+	{ "version", "[[[[1]]]]", true },
+	{ "cold_remaining_ms", "1e300", true },
+};
+
+/* Returns an entry in which one field has another value. */
+std::string odd_entry(const OddFieldCase &k)
+{
+	const std::pair<const char *, const char *> fields[] = {
+		{ "service", "\"svc\"" }, { "address", "\"10.0.0.1:5\"" },
+		{ "zone", "\"a\"" },	  { "slots", "4" },
+		{ "state", "\"ready\"" }, { "db_role", "\"replica\"" },
+		{ "sequence", "1" },	  { "born", "5" },
+		{ "version", "\"1\"" },	  { "cold_remaining_ms", "0" },
+	};
+	std::string out;
+
+	for (auto &f : fields) {
+		std::string value =
+			strcmp(f.first, k.field) ? f.second : k.value;
+
+		if (!value.empty())
+			out += (out.empty() ? "{\"" : ",\"") +
+			       std::string(f.first) + "\":" + value;
+	}
+	return out + "}";
+}
+
+/*
+ * Guards against an odd entry of another writer that counts as an endpoint,
+ * although it can't be reached or its figures overflow.
+ */
+TEST(HostileItem, OddFieldsNameNoEndpoint)
+{
+	for (const OddFieldCase &k : odd_fields) {
+		SCOPED_TRACE(odd_entry(k));
+		struct store_item i =
+			read_item("\"servers/i-1\"", odd_entry(k));
+
+		EXPECT_EQ(ITEM_UPSTREAM, i.kind);
+		EXPECT_EQ(k.names_an_endpoint, i.readable);
+		store_item_clear(&i);
+	}
+}
+
 } // namespace
