A planned stop answers the requests that wait behind another

Cause: a session was closed as soon as the running statement was answered, with its backlog. The same for lines that arrive in one read: the first was answered at once, the others were dropped. Ruled out: lines that had not been read: the case counts only what was read. Change: a session is closed only when nothing that was read from it waits.

--- a/src/proxy/drain.c
+++ b/src/proxy/drain.c
@@ -8,6 +8,7 @@
 				int64_t now_us)
 {
 	return !s->op.active && s->transaction == TRANSACTION_NONE &&
+	       !s->reading && g_queue_is_empty((GQueue *)&s->backlog) &&
 	       stop_plan_closes_idle(&e->stop, now_us);
 }
 
--- a/src/proxy/drain.h
+++ b/src/proxy/drain.h
@@ -10,8 +10,8 @@
 #include "proxy/session.h"
 
 /*
- * Returns true if a session without a statement or transaction under way
- * should be closed now.
+ * Returns true if a session should be closed now: it has no statement or
+ * transaction under way, and nothing that was read from it waits.
  */
 bool drain_should_close_session(const struct engine *e, const struct session *s,
 				int64_t now_us);
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -442,7 +442,9 @@
 
 void engine_caller_line(struct session *s, const char *line)
 {
+	s->reading = true;
 	caller_handle_line(s, line, engine_now(s->engine));
+	s->reading = false;
 }
 
 void engine_caller_closed(struct session *s)
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -114,6 +114,7 @@
 
 	struct operation op;
 	GQueue backlog; /* lines received while a statement was in progress */
+	bool reading; /* a line is being handled; others may follow at once */
 };
 
 /* Freed with session_free(). */
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -369,6 +369,70 @@
 	}
 }
 
+struct QueuedCase {
+	const char *name;
+	std::vector<const char *> texts; /* sent without waiting */
+	int64_t sent_us; /* after the node is told to stop */
+	bool between_ticks;
+};
+
+const QueuedCase queued_cases[] = {
+	{ "two reads", { "READ 1", "READ 1" }, 2250 * MS, false },
+	{ "many reads",
+	  { "READ 1", "READ 1", "READ 1", "READ 1", "READ 1" },
+	  2250 * MS,
+	  false },
+	{ "a read behind a value", { "SET a 1", "READ 1" }, 2250 * MS, false },
+	{ "a write behind a transaction",
+	  { "BEGIN", "WRITE 1 x", "COMMIT", "WRITE 2 x" },
+	  2250 * MS,
+	  false },
+	{ "values and a read that arrive together",
+	  { "SET a 1", "SET b 1", "READ 1" },
+	  2305 * MS,
+	  true },
+};
+
+/*
+ * Guards against a planned stop that closes a session between two requests of
+ * which the second has been read already.
+ */
+TEST(PlannedStop, AnswersRequestsThatWait)
+{
+	for (const QueuedCase &k : queued_cases) {
+		ProxyModelOpts o;
+		size_t answers = 0;
+
+		SCOPED_TRACE(k.name);
+		o.statement_duration_us = 400 * MS;
+		ProxyModel m(o);
+		ProxyNode *n = m.nodes[0].get();
+		m.allow_unasked = true;
+		m.run(START_US);
+		ProxyCaller *c = m.connect(0, "strict", "key-a");
+		m.wait_for_answer(c, 1 * S);
+		engine_drain(n->engine);
+		int64_t stopped_us = m.now();
+		m.run(2200 * MS);
+		n->frozen = k.between_ticks;
+		m.run(stopped_us + k.sent_us - m.now());
+		for (const char *text : k.texts) {
+			if (c->session)
+				engine_caller_line(c->session,
+						   (std::string("QUERY q ") +
+						    text)
+							   .c_str());
+		}
+		n->frozen = false;
+		EXPECT_TRUE(m.run_until([c] { return c->closed; }, 3200 * MS));
+		for (const std::string &line : c->lines)
+			answers += line.compare(0, 5, "READY") == 0;
+		EXPECT_EQ(k.texts.size(), answers);
+		EXPECT_TRUE(m.run_until(
+			[n] { return engine_is_drained(n->engine); }, 1 * S));
+	}
+}
+
 struct CoreStep {
 	const char *name;
 	int64_t after_us; /* since the stop began */
