Changes of one revision are not passed on in part

Cause: of several changes with one revision only the first was passed on to other instances, which then counted the whole revision as applied. Ruled out: watch and list (the holder had both changes); lost messages (the test loses none, and one key in a call passes). Change: a revision with several changes is not passed on; instances that lack it read the store.

--- a/src/feed/change_log.c
+++ b/src/feed/change_log.c
@@ -50,10 +50,25 @@
 	g_free(l);
 }
 
+/* Makes instances read the last change's revision from the store. */
+static void withhold_last(struct change_log *l)
+{
+	struct change *c = g_queue_peek_tail(&l->changes);
+
+	if (!c)
+		return;
+	l->bytes -= c->bytes;
+	c->bytes = 0;
+	g_clear_pointer(&c->text, g_free);
+}
+
 void change_log_append(struct change_log *l, int64_t position, const char *text)
 {
 	struct change *c;
 
+	/* Who gets one of a revision's changes counts all as applied. */
+	if (position == l->position)
+		withhold_last(l);
 	if (position <= l->position)
 		return;
 	c = g_new0(struct change, 1);
--- a/src/feed/change_log.h
+++ b/src/feed/change_log.h
@@ -28,8 +28,9 @@
 
 /*
  * Appends a change; the text is copied, NULL if it can't be passed on. The
- * oldest changes are forgotten if there are too many. A position that is not
- * after the last one is ignored.
+ * oldest changes are forgotten if there are too many. A second change of the
+ * last position makes both of them such that can't be passed on; one of an
+ * earlier position is ignored.
  */
 void change_log_append(struct change_log *l, int64_t position,
 		       const char *text);
--- a/tests/change_relay_test.cc
+++ b/tests/change_relay_test.cc
@@ -142,6 +142,24 @@
 	{ "none are kept", 0, 100, 9, 0 },
 };
 
+/*
+ * Guards against passing on a part of a revision: who has applied one of its
+ * changes would count all of it as applied.
+ */
+TEST(ChangeRelay, PassesOnNoPartOfARevision)
+{
+	Relay r;
+
+	r.append(11, 11);
+	r.append(12, 12);
+	r.append(12, 12);
+	r.append(13, 13);
+	change_relay_handle_report(r.relay, "a", 10, 0);
+	EXPECT_EQ(Positions({ 11 }), r.sent["a"]);
+	change_relay_handle_report(r.relay, "b", 12, 0);
+	EXPECT_EQ(Positions({ 13 }), r.sent["b"]);
+}
+
 TEST(ChangeLog, ForgetsTheOldest)
 {
 	for (const LogCase &k : log_cases) {
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1392,6 +1392,30 @@
 	}
 }
 
+/*
+ * Guards against a withdrawn key that goes on working: of several changes with
+ * one revision only the first was passed on to the other instances.
+ */
+TEST(ProxyEngine, KeyWithdrawnByACallThatWritesTwoKeysStopsWorking)
+{
+	for (bool beside : { false, true }) {
+		ProxyModel m({});
+		std::vector<ProxyCaller *> callers;
+
+		SCOPED_TRACE(beside);
+		m.run(2 * START_US);
+		for (int i = 0; i < m.opts.nodes; i++) {
+			callers.push_back(m.connect(i, "strict", "key-b"));
+			m.wait_for_answer(callers.back(), 1 * S);
+		}
+		m.withdraw_key("key-b", beside);
+		m.run(5 * S);
+		for (ProxyCaller *c : callers)
+			EXPECT_EQ("UNAUTH", m.run_statement(c, "READ 1").code);
+		expect_no_violations(m);
+	}
+}
+
 /* A drain answers statements and lets open transactions commit. */
 TEST(ProxyEngine, DrainsWithoutCuttingStatements)
 {
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1165,10 +1165,10 @@
 int ProxyModel::read_change(const char *text, int64_t position,
 			    struct store_item *out)
 {
-	auto found = changes_.find(position);
+	auto found = changes_.find(text);
 
 	*out = {};
-	if (found == changes_.end() || std::to_string(position) != text)
+	if (found == changes_.end() || found->second.revision != position)
 		return -EINVAL;
 	*out = found->second;
 	fill_item(out);
@@ -1192,9 +1192,12 @@
 		a.outcome = STORE_UNKNOWN;
 	}
 	for (auto &i : items) {
-		changes_[i.revision] = i;
+		std::string text = std::to_string(i.revision) + " " +
+				   std::to_string(i.kind);
+
+		changes_[text] = i;
 		fill_item(&i);
-		i.text = g_strdup(std::to_string(i.revision).c_str());
+		i.text = g_strdup(text.c_str());
 	}
 	a.items = items.data();
 	a.item_count = (uint32_t)items.size();
@@ -1253,10 +1256,10 @@
 			remaining.push_back(w);
 			continue;
 		}
-		std::sort(items.begin(), items.end(),
-			  [](const store_item &x, const store_item &y) {
-				  return x.revision < y.revision;
-			  });
+		std::stable_sort(items.begin(), items.end(),
+				 [](const store_item &x, const store_item &y) {
+					 return x.revision < y.revision;
+				 });
 		a.revision = revision_;
 		a.requested_us = w.asked_us;
 		send_store_answer(w.node, w.generation, w.fn, w.data, a, items,
@@ -1461,11 +1464,18 @@
 		c->silent = true;
 }
 
-void ProxyModel::withdraw_key(const std::string &key)
+void ProxyModel::withdraw_key(const std::string &key, bool beside)
 {
 	keys_.erase(key);
 	withdrawn_us_[key] = now_us_;
 	put_config();
+	if (beside) {
+		struct store_item i = {};
+
+		i.kind = ITEM_OTHER;
+		i.revision = revision_;
+		items_["op/audit"] = { i, 0 };
+	}
 }
 
 void ProxyModel::set_limit(uint32_t rate_per_s, uint32_t burst)
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -284,7 +284,11 @@
 	void start(ProxyNode *n);
 	/* Powers all nodes off and starts them after off_us. */
 	void restart_all(int64_t off_us);
-	void withdraw_key(const std::string &key);
+	/*
+	 * With `beside` the call that writes the configuration writes another
+	 * key as well, so that both have one revision.
+	 */
+	void withdraw_key(const std::string &key, bool beside = false);
 	void set_limit(uint32_t rate_per_s, uint32_t burst);
 	/* The store loses the record of how limits are counted. */
 	void lose_limit_record();
@@ -443,7 +447,8 @@
 	int64_t next_tick_us_ = 1000000000;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::map<std::string, Item> items_;
-	std::map<int64_t, struct store_item> changes_; /* as delivered */
+	/* As delivered, by the text that instances pass on. */
+	std::map<std::string, struct store_item> changes_;
 	std::vector<struct store_item> removals_;
 	/* Every set that was put: answers under way refer to older ones. */
 	std::list<std::vector<struct upstream_entry>> replica_sets_;
