An odd member does not make a replica set unreadable

Callers saw: nothing; found while reading again.

A set that can't be read is written anew, without the members that have no entry. Ruled out: sets written from now on: their members come from entries.

--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -201,4 +201,36 @@
 	}
 }
 
+/*
+ * Guards against a replica set that is dropped as a whole since an earlier
+ * build recorded a member that was odd: its other members may hold commits.
+ */
+TEST(HostileItem, OddMemberLeavesTheReplicaSetReadable)
+{
+	struct replica_set_entry set = {};
+	struct upstream_entry members[2] = {};
+
+	for (struct upstream_entry &e : members) {
+		g_strlcpy(e.id, &e == members ? "i-1" : "i-2", sizeof(e.id));
+		g_strlcpy(e.zone, "a", sizeof(e.zone));
+		e.slots = 4;
+	}
+	g_strlcpy(members[0].address, "10.0.0.1:99999",
+		  sizeof(members[0].address));
+	g_strlcpy(members[1].address, "10.0.0.2:5", sizeof(members[1].address));
+	set.members = members;
+	set.count = 2;
+	g_autofree char *base64 = record_encode_replica_set(&set);
+	g_autofree guchar *bytes = nullptr;
+	gsize len = 0;
+
+	bytes = g_base64_decode(base64, &len);
+	struct store_item i =
+		read_item(std::string("\"") + REPLICA_SET_PREFIX + "svc\"",
+			  std::string(reinterpret_cast<char *>(bytes), len));
+	EXPECT_TRUE(i.readable);
+	EXPECT_EQ(2u, i.replica_set.count);
+	store_item_clear(&i);
+}
+
 } // namespace
