Test: odd entries leave those beside them in use

KvStore.OddEntriesLeaveTheOthersInUse reads a list and nine watches with odd entries (nested 500,000 deep, numbers too large, ports out of range, bytes that are no text) over HTTP: the entries beside them are read, and later changes arrive.

--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include <map>
 #include <vector>
 
 extern "C" {
@@ -226,6 +227,90 @@
 	yajl_tree_free(body);
 }
 
+std::string item_text(const std::string &key, const std::string &value,
+		      int revision)
+{
+	g_autofree char *base64 =
+		g_base64_encode(reinterpret_cast<const guchar *>(value.data()),
+				value.size());
+
+	return "{\"key\":\"" + key + "\",\"value\":\"" + base64 +
+	       "\",\"revision\":" + std::to_string(revision) + "}";
+}
+
+std::string endpoint_text(const std::string &slots, const std::string &port)
+{
+	return "{\"service\":\"svc\",\"address\":\"10.0.0.1:" + port +
+	       "\",\"zone\":\"a\",\"slots\":" + slots +
+	       ",\"state\":\"ready\",\"sequence\":1,\"born\":7," +
+	       "\"db_role\":\"replica\"}";
+}
+
+/* An endpoint's entry as another writer may leave it. */
+const std::string odd_values[] = {
+	std::string(500 * 1000, '['),
+	"{\"service\":" + std::string(100 * 1000, '[') +
+		std::string(100 * 1000, ']') + "}",
+	endpoint_text("1e999", "5"),
+	endpoint_text("99999999999999999999", "5"),
+	endpoint_text("4294967300", "5"),
+	endpoint_text("4", "99999"),
+	endpoint_text("4", "-1"),
+	std::string("\0\xff", 2),
+	"",
+};
+
+/*
+ * Guards against one odd entry that ends the process, hides the entries beside
+ * it or stops the instance from following the list.
+ */
+TEST_F(KvStore, OddEntriesLeaveTheOthersInUse)
+{
+	using Slots = std::map<std::string, uint32_t>; /* 0: not readable */
+	struct store *s = kv_store_get_store(kv_);
+	int revision = 1;
+	Slots seen;
+	auto collect = [](void *data, const struct store_answer *a) {
+		auto *out = static_cast<Slots *>(data);
+
+		EXPECT_EQ(STORE_DONE, a->outcome);
+		for (uint32_t i = 0; i < a->item_count; i++)
+			(*out)[a->items[i].name] =
+				a->items[i].readable ?
+					a->items[i].upstream.slots :
+					0;
+		(*out)["answered"] = 1;
+	};
+
+	answer_ = "{\"as_of\":50,\"has_more\":false,\"items\":[" +
+		  item_text("servers/a", endpoint_text("3", "5"), revision);
+	for (const std::string &value : odd_values) {
+		std::string key = "servers/odd" + std::to_string(++revision);
+
+		answer_ += "," + item_text(key, value, revision);
+	}
+	answer_ += "," + item_text("servers/z", endpoint_text("4", "6"), 40) +
+		   "]}";
+	s->ops->list(s, "", collect, &seen);
+	EXPECT_TRUE(run_loop_until(loop_, [&] { return seen["answered"]; }));
+	EXPECT_EQ(3u, seen["a"]);
+	EXPECT_EQ(4u, seen["z"]);
+	EXPECT_EQ(0u, seen["odd2"]);
+	for (const std::string &value : odd_values) {
+		seen.clear();
+		answer_ = "{\"as_of\":60,\"events\":[" +
+			  item_text("servers/odd", value, 55) + "," +
+			  item_text("servers/a", endpoint_text("5", "5"), 56) +
+			  "]}";
+		s->ops->watch(s, 50, US_PER_S, collect, &seen);
+		EXPECT_TRUE(run_loop_until(loop_,
+					   [&] { return seen["answered"]; }));
+		EXPECT_EQ(5u, seen["a"]);
+		EXPECT_EQ(1u, seen.count("odd"));
+		EXPECT_EQ(0u, seen["odd"]);
+	}
+}
+
 struct SlowAnswerCase {
 	const char *name;
 	int pieces; /* of ten that are sent */
