Review: the stand-in's answer comes before its READY

Cause: run_own(c, text) + ready(*c) leaves open which operand is evaluated first. On x86-64 READY then tells the state from before the statement: I after BEGIN, T after ROLLBACK. The proxy logs CONN_OUT_OF_STEP, and cases with transactions run few of them. The cases become stricter by it.

--- a/review/standin/rig.cc
+++ b/review/standin/rig.cc
@@ -758,24 +758,32 @@
 		sleep_ms(work_ms);
 	}
 	std::lock_guard<std::mutex> lock(mutex);
-	if (id == "-")
-		return run_own(c, text) + ready(*c);
+	if (id == "-") {
+		out = run_own(c, text);
+		return out + ready(*c);
+	}
 	word = take_word(&rest);
 	bool writes = word == "WRITE";
 	if (word == "EXECUTE") {
 		auto p = c->prepared.find(take_word(&rest));
 
-		if (p == c->prepared.end())
-			return fail(c, "NOSTMT") + ready(*c);
+		if (p == c->prepared.end()) {
+			out = fail(c, "NOSTMT");
+			return out + ready(*c);
+		}
 		writes = p->second;
 	}
-	if (c->state == 'E')
-		return fail(c, "MALFORMED") + ready(*c);
+	if (c->state == 'E') {
+		out = fail(c, "MALFORMED");
+		return out + ready(*c);
+	}
 	if ((c->state == 'T' && c->plain &&
 	     (c->backend != primary || c->term != term) &&
 	     (word != "COMMIT" || c->wrote)) ||
-	    (writes && c->backend != primary))
-		return fail(c, "READONLY") + ready(*c);
+	    (writes && c->backend != primary)) {
+		out = fail(c, "READONLY");
+		return out + ready(*c);
+	}
 	if (!note_at_start)
 		history.push_back(
 			{ now_ms(), c->backend->id, c->tenant, id, text });
