Only CR LF ends a line of callers and endpoints

Callers saw: a write whose data held a line feed was run cut off at it, and the rest was taken as another statement, run if it read like one (UNASKED). A row that held a line feed was cut there, and what followed was taken as the answer's signature (MIXED). Cause: process_lines() ended a line at every line feed and dropped one carriage return before it. The protocol ends lines with CR LF; either byte alone is part of the last field. The same code reads callers, endpoints and the connections between instances. Ruled out: a race or a fault: it happens on every try. Change: the input is searched for CR LF, from where the last search ended, so a long line that comes in small parts is searched once.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -16,8 +16,12 @@
 	LISTEN_BACKLOG = 1024,
 	KEEPALIVE_PROBES = 2,
 	MS_PER_S = 1000,
+	LINE_END_BYTES = 2,
 };
 
+/* Either byte alone is part of the line. */
+static const char LINE_END[] = "\r\n";
+
 struct stream {
 	struct stream_set *set;
 	const struct stream_ops *ops;
@@ -29,6 +33,7 @@
 	bool dirty; /* listed in the set's `dirty` */
 	int64_t finish_by_us;
 	GString *input;
+	size_t searched_bytes; /* of the input, in which no line ends */
 	GString *output;
 };
 
@@ -130,17 +135,17 @@
 static void process_lines(struct stream *s)
 {
 	size_t start = 0;
-	char *lf;
+	size_t from = s->searched_bytes;
+	char *end;
 
 	while (!s->closed && !s->finishing &&
-	       (lf = memchr(s->input->str + start, '\n',
-			    s->input->len - start))) {
+	       (end = memmem(s->input->str + from, s->input->len - from,
+			     LINE_END, LINE_END_BYTES))) {
 		char *line = s->input->str + start;
-		size_t len = (size_t)(lf - line);
+		size_t len = (size_t)(end - line);
 
-		start += len + 1;
-		if (len && line[len - 1] == '\r')
-			len--;
+		start += len + LINE_END_BYTES;
+		from = start;
 		line[len] = '\0';
 		s->ops->on_line(s->owner, line, len);
 	}
@@ -149,6 +154,8 @@
 	if (s->finishing)
 		start = s->input->len;
 	g_string_erase(s->input, 0, (gssize)start);
+	/* The last byte may be the first one of a line end. */
+	s->searched_bytes = s->input->len ? s->input->len - 1 : 0;
 	if (s->input->len > s->set->opts.line_max_bytes)
 		close_and_notify(s, -EMSGSIZE);
 }
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -1,5 +1,8 @@
 /*
- * stream.h - TCP connections that carry text lines.
+ * stream.h - TCP connections that carry lines.
+ *
+ * A line ends with CR LF; each of these bytes alone, and any other byte, is part
+ * of it.
  *
  * Output is buffered and written by stream_set_flush(), once per turn of the
  * event loop, so that the messages of one turn share a system call. A closed
@@ -37,8 +40,9 @@
 	/* stream_connect() succeeded; may be NULL for accepted streams. */
 	void (*on_open)(void *owner);
 	/*
-	 * Receives one line, NUL-terminated and without its line end. The
-	 * callee may change it in place; it is valid during the call.
+	 * Receives one line without its line end. A NUL follows it, and it may
+	 * hold others. The callee may change it in place; it is valid during
+	 * the call.
 	 */
 	void (*on_line)(void *owner, char *line, size_t len);
 	/*
