Statements and rows keep their NULs

Callers would see: a write run with its data cut off at the first NUL, or a row cut there: the same class as a line feed that ends a line. Cause: lines were handled as C strings from the stream on. Change: lines carry their length through to the text that is passed on. A NUL in a READ, WRITE or EXECUTE text is passed on; in any other statement, or in the start of a session, it is MALFORMED. The fuzz target of sessions feeds NULs as well.

--- a/fuzz/session_fuzz.c
+++ b/fuzz/session_fuzz.c
@@ -290,7 +290,8 @@
 
 /* Events; `number` is the second byte of the line, `text` the rest. */
 
-static void on_session_line(uint32_t slot, bool relayed, const char *text)
+static void on_session_line(uint32_t slot, bool relayed, const char *text,
+			    size_t len)
 {
 	struct session **s = &w.sessions[slot];
 
@@ -298,17 +299,17 @@
 		*s = relayed ? engine_relay_opened(w.engine, s) :
 			       engine_caller_opened(w.engine, s);
 	if (*s)
-		engine_caller_line(*s, text);
+		engine_caller_line(*s, text, len);
 }
 
 static void on_caller_line(uint32_t number, const char *text, size_t len)
 {
-	on_session_line(number % CALLERS, false, text);
+	on_session_line(number % CALLERS, false, text, len);
 }
 
 static void on_relay_line(uint32_t number, const char *text, size_t len)
 {
-	on_session_line(CALLERS + number % RELAYS, true, text);
+	on_session_line(CALLERS + number % RELAYS, true, text, len);
 }
 
 static void on_session_closed(uint32_t number, const char *text, size_t len)
@@ -330,7 +331,7 @@
 static void on_conn_line(uint32_t number, const char *text, size_t len)
 {
 	if (w.conns[number % CONNS])
-		engine_conn_line(w.conns[number % CONNS], text);
+		engine_conn_line(w.conns[number % CONNS], text, len);
 }
 
 static void on_conn_lost(uint32_t number, const char *text, size_t len)
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -46,12 +46,15 @@
 
 static void handle_next_queued_line(struct session *s, int64_t now_us)
 {
-	char *line = g_queue_pop_head(&s->backlog);
+	GBytes *line = g_queue_pop_head(&s->backlog);
+	gsize size;
+	const char *text;
 
 	if (!line)
 		return;
-	caller_handle_line(s, line, now_us);
-	g_free(line);
+	text = g_bytes_get_data(line, &size);
+	caller_handle_line(s, text, size - 1, now_us);
+	g_bytes_unref(line);
 }
 
 /* Returns true for what sets up the session for an operation. */
@@ -641,14 +644,18 @@
 	       kind == QUERY_END;
 }
 
-void caller_handle_line(struct session *s, const char *line, int64_t now_us)
+void caller_handle_line(struct session *s, const char *line, size_t bytes,
+			int64_t now_us)
 {
 	struct query q;
 
 	if (s->closing)
 		return;
 	if (!s->started) {
-		if (s->relayed)
+		if (strlen(line) != bytes)
+			refuse_session(s, ANSWER_MALFORMED,
+				       "not a session start", now_us);
+		else if (s->relayed)
 			start_relayed_session(s, line, now_us);
 		else
 			start_session(s, line, now_us);
@@ -658,14 +665,16 @@
 		if (g_queue_get_length(&s->backlog) >= BACKLOG_MAX)
 			caller_close(s, now_us);
 		else
-			g_queue_push_tail(&s->backlog, g_strdup(line));
+			/* With the NUL that ends it. */
+			g_queue_push_tail(&s->backlog,
+					  g_bytes_new(line, bytes + 1));
 		return;
 	}
 	if (s->relayed && hop_is_operation(line)) {
 		announce_operation(s, line, now_us);
 		return;
 	}
-	s->engine->opts.wire->read_query(line, &q);
+	s->engine->opts.wire->read_query(line, bytes, &q);
 	g_hash_table_add(s->engine->busy_sessions, s);
 	operation_start(&s->op, &q, now_us - s->relayed_elapsed_us);
 	if (s->transaction == TRANSACTION_FAILED &&
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -9,7 +9,8 @@
  * while a statement is in progress; the session is closed if too many lines are
  * queued.
  */
-void caller_handle_line(struct session *s, const char *line, int64_t now_us);
+void caller_handle_line(struct session *s, const char *line, size_t bytes,
+			int64_t now_us);
 
 /*
  * Sends the rows collected so far as the result of the statement in progress.
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -440,10 +440,10 @@
 	return s;
 }
 
-void engine_caller_line(struct session *s, const char *line)
+void engine_caller_line(struct session *s, const char *line, size_t bytes)
 {
 	s->reading = true;
-	caller_handle_line(s, line, engine_now(s->engine));
+	caller_handle_line(s, line, bytes, engine_now(s->engine));
 	s->reading = false;
 }
 
@@ -466,12 +466,12 @@
 	g_string_truncate(c->out, 0);
 }
 
-void engine_conn_line(struct upstream_conn *c, const char *line)
+void engine_conn_line(struct upstream_conn *c, const char *line, size_t bytes)
 {
 	int64_t now_us = engine_now(c->engine);
 	struct service *svc = c->upstream->service;
 
-	exchange_handle_line(c, line, now_us);
+	exchange_handle_line(c, line, bytes, now_us);
 	dispatch_run_queue(svc, now_us);
 }
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -104,12 +104,12 @@
 struct session *engine_caller_opened(struct engine *e, void *caller);
 /* Likewise, on the connection of another instance; see proxy/hop.h. */
 struct session *engine_relay_opened(struct engine *e, void *caller);
-void engine_caller_line(struct session *s, const char *line);
+void engine_caller_line(struct session *s, const char *line, size_t bytes);
 void engine_caller_closed(struct session *s);
 
 /* Events on endpoint connections; `error` is 0 or a negative errno. */
 void engine_conn_opened(struct upstream_conn *c);
-void engine_conn_line(struct upstream_conn *c, const char *line);
+void engine_conn_line(struct upstream_conn *c, const char *line, size_t bytes);
 void engine_conn_closed(struct upstream_conn *c, int error);
 
 /* Handles a message of another instance. */
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -415,7 +415,8 @@
 	struct incoming_answer *a = &c->answer;
 
 	if (request && request->kind == CONN_REQUEST_STATEMENT && c->session)
-		c->engine->opts.wire->put_line(c->session->op.rows, r->text);
+		c->engine->opts.wire->put_line(c->session->op.rows, r->text,
+					       r->text_bytes);
 	else if (!a->report[0])
 		g_strlcpy(a->report, r->text, sizeof(a->report));
 }
@@ -434,7 +435,7 @@
 }
 
 void exchange_handle_line(struct upstream_conn *c, const char *line,
-			  int64_t now_us)
+			  size_t bytes, int64_t now_us)
 {
 	const struct conn_request *request = upstream_conn_oldest_request(c);
 	struct wire_reply r;
@@ -451,7 +452,7 @@
 		relay_load_handle_line(c, line, now_us);
 		return;
 	}
-	c->engine->opts.wire->read_reply(line, &r);
+	c->engine->opts.wire->read_reply(line, bytes, &r);
 	switch (r.kind) {
 	case REPLY_ROW:
 		on_row(c, &r);
@@ -462,7 +463,7 @@
 		if (request && request->kind == CONN_REQUEST_STATEMENT &&
 		    c->session)
 			c->engine->opts.wire->put_line(c->session->op.rows,
-						       r.text);
+						       r.text, r.text_bytes);
 		break;
 	case REPLY_ERROR:
 		c->answer.failed = true;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -6,7 +6,7 @@
 
 /* Handles one line that an endpoint sent on the connection. */
 void exchange_handle_line(struct upstream_conn *c, const char *line,
-			  int64_t now_us);
+			  size_t bytes, int64_t now_us);
 
 /*
  * Handles the loss of a connection, or closes one that cannot be used any more.
--- a/src/proxy/query.h
+++ b/src/proxy/query.h
@@ -3,6 +3,7 @@
 #define PROXY_QUERY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 enum query_kind {
 	QUERY_BEGIN,
@@ -25,10 +26,19 @@
 	enum query_kind kind;
 	char *line;
 	const char *id; /* the caller's statement id, passed on unchanged */
-	const char *text; /* READ, WRITE and COMMIT: the whole statement */
+	/*
+	 * READ, WRITE and COMMIT: the whole statement. It may hold NULs, but
+	 * also ends with one.
+	 */
+	const char *text;
+	size_t text_bytes;
 	const char *name; /* name of the value or the prepared statement */
-	/* SET: value; PREPARE: definition; EXECUTE: arguments */
+	/*
+	 * SET: value; PREPARE: definition; EXECUTE: arguments, which may hold
+	 * NULs
+	 */
 	const char *value;
+	size_t value_bytes;
 	bool writes; /* PREPARE: the statement may write */
 };
 
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -33,7 +33,7 @@
 {
 	operation_end(&s->op);
 	g_string_free(s->op.rows, TRUE);
-	g_queue_clear_full(&s->backlog, g_free);
+	g_queue_clear_full(&s->backlog, (GDestroyNotify)g_bytes_unref);
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->values_key);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -113,7 +113,8 @@
 	struct upstream_conn *conn; /* connection that runs the statement */
 
 	struct operation op;
-	GQueue backlog; /* lines received while a statement was in progress */
+	/* Lines received while a statement was in progress, as GBytes. */
+	GQueue backlog;
 	bool reading; /* a line is being handled; others may follow at once */
 };
 
--- a/src/proxy/wire.h
+++ b/src/proxy/wire.h
@@ -53,7 +53,9 @@
 /* One message from an endpoint. */
 struct wire_reply {
 	enum reply_kind kind;
-	const char *text; /* the line as received, to be passed on; borrowed */
+	/* The line as received, to be passed on; borrowed. May hold NULs. */
+	const char *text;
+	size_t text_bytes;
 	bool ran_statement; /* DONE: it answers a caller's statement */
 	enum answer_code code; /* set for ERROR */
 	const char *reason; /* ERROR: points into text; "": none */
@@ -99,13 +101,15 @@
 	bool (*read_report)(const char *row, struct upstream_report *out);
 	/*
 	 * Parses a copy of the line, which the query then owns. A malformed
-	 * line gives QUERY_MALFORMED or REPLY_MALFORMED.
+	 * line gives QUERY_MALFORMED or REPLY_MALFORMED. The line ends with a
+	 * NUL that `bytes` does not count, and may hold others.
 	 */
-	void (*read_query)(const char *line, struct query *out);
-	void (*read_reply)(const char *line, struct wire_reply *out);
+	void (*read_query)(const char *line, size_t bytes, struct query *out);
+	void (*read_reply)(const char *line, size_t bytes,
+			   struct wire_reply *out);
 
 	/* Append messages for callers. */
-	void (*put_line)(GString *out, const char *text);
+	void (*put_line)(GString *out, const char *text, size_t bytes);
 	/* Result of a statement answered by the proxy. */
 	void (*put_done)(GString *out);
 	void (*put_error)(GString *out, enum answer_code code,
--- a/src/serve/session_host.c
+++ b/src/serve/session_host.c
@@ -99,7 +99,7 @@
 
 static void conn_line(void *owner, char *line, size_t len)
 {
-	engine_conn_line(owner, line);
+	engine_conn_line(owner, line, len);
 }
 
 static void conn_closed(void *owner, int error)
@@ -185,7 +185,7 @@
 
 static void caller_line(void *owner, char *line, size_t len)
 {
-	engine_caller_line(((struct caller *)owner)->session, line);
+	engine_caller_line(((struct caller *)owner)->session, line, len);
 }
 
 static void caller_closed(void *owner, int error)
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -813,9 +813,9 @@
 
 		queue.pop_front();
 		if (to_home && h->caller.session && h->to->engine)
-			engine_caller_line(h->caller.session, line.c_str());
+			engine_caller_line(h->caller.session, line);
 		else if (!to_home && h->engine_conn && h->from->engine)
-			engine_conn_line(h->engine_conn, line.c_str());
+			engine_conn_line(h->engine_conn, line);
 	}
 	if (!to_home && h->home_closed && h->engine_conn && h->from->engine)
 		close_hop(h, 0);
@@ -1579,7 +1579,7 @@
 		return;
 	}
 	while (c->engine_conn && c->node->engine && std::getline(in, line))
-		engine_conn_line(c->engine_conn, line.c_str());
+		engine_conn_line(c->engine_conn, line);
 }
 
 /* Returns the position of the last log entry that reads see. */
@@ -2106,7 +2106,7 @@
 		c->session = engine_caller_opened(n->engine, c.get());
 		n->callers.insert(c.get());
 		engine_caller_line(c->session,
-				   ("STARTUP " + database + " " + key).c_str());
+				   "STARTUP " + database + " " + key);
 	} else {
 		c->closed = true;
 	}
@@ -2148,7 +2148,7 @@
 		c->values,
 		c->prepared
 	};
-	engine_caller_line(c->session, ("QUERY " + id + " " + text).c_str());
+	engine_caller_line(c->session, "QUERY " + id + " " + text);
 }
 
 bool ProxyModel::is_in_a_log(const std::string &write_id) const
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -35,6 +35,16 @@
 #include "proxy/engine.h"
 }
 
+inline void engine_caller_line(struct session *s, const std::string &line)
+{
+	engine_caller_line(s, line.data(), line.size());
+}
+
+inline void engine_conn_line(struct upstream_conn *c, const std::string &line)
+{
+	engine_conn_line(c, line.data(), line.size());
+}
+
 struct ProxyEndpoint;
 struct ProxyHop;
 struct ProxyNode;
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -650,7 +650,7 @@
 		struct query q;
 		GString *out = g_string_new(nullptr);
 
-		line_wire.read_query(k.line, &q);
+		line_wire.read_query(k.line, strlen(k.line), &q);
 		EXPECT_EQ(k.kind, q.kind) << k.line;
 		if (k.sent) {
 			line_wire.put_query(out, &q, "p9", &after);
@@ -661,6 +661,69 @@
 	}
 }
 
+struct BytesCase {
+	std::string line;
+	enum query_kind kind;
+	std::string sent; /* "": it is not passed on */
+};
+
+#define WITH_NUL(text) std::string(text, sizeof(text) - 1)
+
+const BytesCase bytes_cases[] = {
+	{ WITH_NUL("QUERY 1 WRITE 1 a\0b"), QUERY_WRITE,
+	  WITH_NUL("QUERY 1 WRITE 1 a\0b\r\n") },
+	{ WITH_NUL("QUERY 1 WRITE 1 a\0"), QUERY_WRITE,
+	  WITH_NUL("QUERY 1 WRITE 1 a\0\r\n") },
+	{ WITH_NUL("QUERY 1 READ 1\0"), QUERY_READ,
+	  WITH_NUL("QUERY 1 READ 1\0\r\n") },
+	{ WITH_NUL("QUERY 1 EXECUTE s 1 a\0b"), QUERY_EXECUTE,
+	  WITH_NUL("QUERY 1 EXECUTE p9 1 a\0b\r\n") },
+	{ "QUERY 1 WRITE 1 a\nb", QUERY_WRITE, "QUERY 1 WRITE 1 a\nb\r\n" },
+	{ "QUERY 1 WRITE 1 a\r", QUERY_WRITE, "QUERY 1 WRITE 1 a\r\r\n" },
+	{ "QUERY 1 EXECUTE s 1 a\nb", QUERY_EXECUTE,
+	  "QUERY 1 EXECUTE p9 1 a\nb\r\n" },
+	{ WITH_NUL("QUERY 1 COMMIT\0x"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("QUERY 1 BEGIN READ\0"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("QUERY 1 SET a 1\0b"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("QUERY 1 PREPARE s READ q\0"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("QUERY 1 DEALLOCATE s\0t"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("QUERY 1 EXECUTE s\0 1 a"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("QUERY 1\0 READ 1"), QUERY_MALFORMED, "" },
+	{ WITH_NUL("TERMINATE\0"), QUERY_MALFORMED, "" },
+};
+
+/* A text was passed on up to its first NUL only. */
+TEST(LineWire, PassesStatementsOnWithAllTheirBytes)
+{
+	for (const BytesCase &k : bytes_cases) {
+		struct query q;
+		GString *out = g_string_new(nullptr);
+
+		SCOPED_TRACE(k.line);
+		line_wire.read_query(k.line.data(), k.line.size(), &q);
+		EXPECT_EQ(k.kind, q.kind);
+		if (!k.sent.empty()) {
+			line_wire.put_query(out, &q, "p9", nullptr);
+			EXPECT_EQ(k.sent, std::string(out->str, out->len));
+		}
+		g_string_free(out, TRUE);
+		query_clear(&q);
+	}
+}
+
+TEST(LineWire, PassesRowsOnWithAllTheirBytes)
+{
+	const std::string row = WITH_NUL("ROW a\0b\nCOMPLETE 7.1\nREADY I -");
+	GString *out = g_string_new(nullptr);
+	struct wire_reply r;
+
+	line_wire.read_reply(row.data(), row.size(), &r);
+	EXPECT_EQ(REPLY_ROW, r.kind);
+	line_wire.put_line(out, r.text, r.text_bytes);
+	EXPECT_EQ(row + "\r\n", std::string(out->str, out->len));
+	g_string_free(out, TRUE);
+}
+
 struct ReplyCase {
 	const char *line;
 	enum reply_kind kind;
@@ -695,7 +758,7 @@
 	for (const ReplyCase &k : reply_cases) {
 		struct wire_reply r;
 
-		line_wire.read_reply(k.line, &r);
+		line_wire.read_reply(k.line, strlen(k.line), &r);
 		EXPECT_EQ(k.kind, r.kind) << k.line;
 		EXPECT_EQ(k.code, r.code) << k.line;
 		EXPECT_EQ(k.ran_statement, r.ran_statement) << k.line;
