Only sessions with equal values share a connection

Callers would see: a statement run with the session values of another session (PINNED), where a value holds a line feed and reads like two: SET a '1\nb 2' against SET a 1, SET b 2. Cause: names and values were joined with line feeds into the text by which connections with equal values are found. Change: each name and value is preceded by its length. Before: Session.OnlyEqualValuesShareAConnection: 2 of 7 cases taken for equal After: passes

--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -63,16 +63,22 @@
 	return strcmp(a, b);
 }
 
+/* With lengths, as names and values may hold any byte but NUL. */
+static void append_counted(GString *out, const char *text)
+{
+	g_string_append_printf(out, "%zu:%s", strlen(text), text);
+}
+
 static void update_values_key(struct session *s)
 {
 	GList *names =
 		g_list_sort(g_hash_table_get_keys(s->values), compare_names);
 	GString *out = g_string_new(NULL);
 
-	for (GList *l = names; l; l = l->next)
-		g_string_append_printf(
-			out, "%s %s\n", (const char *)l->data,
-			(const char *)g_hash_table_lookup(s->values, l->data));
+	for (GList *l = names; l; l = l->next) {
+		append_counted(out, l->data);
+		append_counted(out, g_hash_table_lookup(s->values, l->data));
+	}
 	g_list_free(names);
 	g_free(s->values_key);
 	s->values_key = g_string_free(out, FALSE);
--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -188,6 +188,53 @@
 
 /* The ring of log position marks. */
 
+struct ValuesCase {
+	const char *name;
+	std::vector<std::pair<const char *, const char *>> a;
+	std::vector<std::pair<const char *, const char *>> b;
+	bool same;
+};
+
+const ValuesCase values_cases[] = {
+	{ "equal", { { "a", "1" } }, { { "a", "1" } }, true },
+	{ "in another order",
+	  { { "a", "1" }, { "b", "2" } },
+	  { { "b", "2" }, { "a", "1" } },
+	  true },
+	{ "replaced", { { "a", "2" }, { "a", "1" } }, { { "a", "1" } }, true },
+	{ "a value that reads like two",
+	  { { "a", "1\nb 2" } },
+	  { { "a", "1" }, { "b", "2" } },
+	  false },
+	{ "a value with lengths that reads like two",
+	  { { "a", "1\nb 1 2" } },
+	  { { "a", "1" }, { "b", "2" } },
+	  false },
+	{ "a name with a line feed",
+	  { { "a", "" }, { "b", "2" } },
+	  { { "a \nb", "2" } },
+	  false },
+	{ "an empty value", { { "a", "" } }, {}, false },
+};
+
+/* A connection with one session's values was taken for another's. */
+TEST(Session, OnlyEqualValuesShareAConnection)
+{
+	for (const ValuesCase &k : values_cases) {
+		struct session *a = session_new(nullptr, nullptr, 0);
+		struct session *b = session_new(nullptr, nullptr, 0);
+
+		SCOPED_TRACE(k.name);
+		for (auto &v : k.a)
+			session_set_value(a, v.first, v.second);
+		for (auto &v : k.b)
+			session_set_value(b, v.first, v.second);
+		EXPECT_EQ(k.same, !strcmp(a->values_key, b->values_key));
+		session_free(a);
+		session_free(b);
+	}
+}
+
 TEST(MarkRing, FindsTheOldestMarkWithinTheAge)
 {
 	struct mark_ring r = {};
