Test: endpoints of the model can answer twice

Cause: The model's endpoints answered every request once, its lines ended at every line feed, and its oracle looked at the signature of a success only. So it could show neither an answer that comes twice nor a divided line, nor rows of another statement. Change: An endpoint sends a part of its replies again, chosen by kind, delay and gap between lines (ProxyStutter), or refuses statements with BUSY. Each execution has its own signature, rows carry the statement's id, and a success needs exactly its row. Lines end at CR LF, and the whole text of an executed statement must be the one that was sent.

--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -37,14 +37,32 @@
 constexpr int64_t ITEM_BYTES = 400;
 const char DUTY_KEY[] = "duty";
 
+/* Only blanks divide words: any other byte may stand in a field. */
 std::vector<std::string> split_words(const std::string &text)
 {
 	std::istringstream in(text);
 	std::vector<std::string> out;
 	std::string w;
 
-	while (in >> w)
-		out.push_back(w);
+	while (std::getline(in, w, ' ')) {
+		if (!w.empty())
+			out.push_back(w);
+	}
+	return out;
+}
+
+/* Only CR LF ends a line. */
+std::vector<std::string> split_lines(const char *bytes, size_t len)
+{
+	std::string text(bytes, len);
+	std::vector<std::string> out;
+	size_t at = 0;
+	size_t end;
+
+	while ((end = text.find("\r\n", at)) != std::string::npos) {
+		out.push_back(text.substr(at, end - at));
+		at = end + 2;
+	}
 	return out;
 }
 
@@ -493,16 +511,13 @@
 	{
 		ProxyNode *n = node(host);
 		auto c = find(n, conn);
-		std::istringstream in(std::string(bytes, len));
-		std::string line;
 
 		if (auto h = n->model->find_hop(static_cast<ProxyHop *>(conn)))
 			n->model->send_hop_lines(h, true, bytes, len);
-		while (c && std::getline(in, line)) {
-			if (!line.empty() && line.back() == '\r')
-				line.pop_back();
+		if (!c)
+			return;
+		for (const std::string &line : split_lines(bytes, len))
 			n->model->deliver_line(c, line);
-		}
 	}
 
 	static void conn_close(void *host, void *conn)
@@ -518,6 +533,7 @@
 		}
 		if (!c)
 			return;
+		n->model->conns_closed++;
 		c->engine_conn = nullptr;
 		n->conns.erase(c);
 		n->model->run_later(NETWORK_DELAY_US, [c] {
@@ -754,15 +770,10 @@
 void ProxyModel::send_hop_lines(const std::shared_ptr<ProxyHop> &h,
 				bool to_home, const char *bytes, size_t len)
 {
-	std::istringstream in(std::string(bytes, len));
-	std::string line;
 	auto &queue = to_home ? h->to_home : h->to_entry;
 
-	while (std::getline(in, line)) {
-		if (!line.empty() && line.back() == '\r')
-			line.pop_back();
+	for (const std::string &line : split_lines(bytes, len))
 		queue.emplace_back(now_us_, line);
-	}
 	run_later(NETWORK_DELAY_US + (to_home && h->to ? h->to->slow_us : 0),
 		  [this, h, to_home] { deliver_hop_lines(h, to_home); });
 }
@@ -1553,33 +1564,112 @@
 	});
 }
 
+static unsigned reply_kind(const std::vector<std::string> &lines)
+{
+	for (const std::string &line : lines) {
+		if (starts_with(line, "ERROR"))
+			return REPLIES_ERRORS;
+		if (starts_with(line, "COMPLETE sig."))
+			return REPLIES_SIGNED;
+	}
+	return REPLIES_OWN;
+}
+
 void ProxyModel::send_reply(const std::shared_ptr<ProxyConn> &c,
-			    const std::string &lines)
+			    const std::vector<std::string> &lines)
 {
+	const ProxyStutter &s = c->endpoint->stutter;
 	uint64_t generation = c->node->generation;
 
-	run_later(NETWORK_DELAY_US, [this, c, lines, generation] {
+	c->last_reply_us =
+		std::max(c->last_reply_us, now_us_ + NETWORK_DELAY_US);
+	run_later(c->last_reply_us - now_us_, [this, c, lines, generation] {
 		if (!c->silent && !is_link_cut(*c->node, *c->endpoint))
 			deliver_reply(c, lines, generation);
 	});
+	if ((s.kinds & reply_kind(lines)) && meets(s.percent)) {
+		uint64_t range_us =
+			(uint64_t)(s.delay_max_us - s.delay_min_us + 1);
+
+		run_later(s.delay_min_us + (int64_t)(rand() % range_us),
+			  [this, c, lines, generation] {
+				  send_copy(c, lines, generation);
+			  });
+	}
 }
 
-void ProxyModel::deliver_reply(const std::shared_ptr<ProxyConn> &c,
-			       const std::string &lines, uint64_t generation)
+/* Later replies of the connection arrive after the copy's last line. */
+void ProxyModel::send_copy(const std::shared_ptr<ProxyConn> &c,
+			   const std::vector<std::string> &lines,
+			   uint64_t generation)
 {
-	std::istringstream in(lines);
-	std::string line;
+	int64_t gap_us = c->endpoint->stutter.gap_us;
+
+	if (c->node->generation != generation)
+		return;
+	if (!c->open || !c->engine_conn || c->silent ||
+	    is_link_cut(*c->node, *c->endpoint))
+		return;
+	copies_sent++;
+	c->last_reply_us =
+		std::max(c->last_reply_us, now_us_ + NETWORK_DELAY_US);
+	if (!gap_us) {
+		run_later(c->last_reply_us - now_us_,
+			  [this, c, lines, generation] {
+				  deliver_reply(c, lines, generation);
+			  });
+		return;
+	}
+	for (const std::string &line : lines) {
+		run_later(c->last_reply_us - now_us_,
+			  [this, c, line, generation] {
+				  deliver_reply(c, { line }, generation);
+			  });
+		c->last_reply_us += gap_us;
+	}
+}
 
+void ProxyModel::deliver_reply(const std::shared_ptr<ProxyConn> &c,
+			       const std::vector<std::string> &lines,
+			       uint64_t generation)
+{
 	if (c->node->generation != generation)
 		return;
+	if (opts.replies_keep_order) {
+		c->unread.insert(c->unread.end(), lines.begin(), lines.end());
+		read_replies(c, generation);
+		return;
+	}
 	if (c->node->frozen && opts.frozen_nodes_read_nothing) {
 		run_later(1 * MS, [this, c, lines, generation] {
 			deliver_reply(c, lines, generation);
 		});
 		return;
 	}
-	while (c->engine_conn && c->node->engine && std::getline(in, line))
+	for (const std::string &line : lines) {
+		if (c->engine_conn && c->node->engine)
+			engine_conn_line(c->engine_conn, line);
+	}
+}
+
+/* Lines that arrive at a frozen node are read in their order after it. */
+void ProxyModel::read_replies(const std::shared_ptr<ProxyConn> &c,
+			      uint64_t generation)
+{
+	if (c->node->generation != generation)
+		return;
+	if (c->node->frozen && opts.frozen_nodes_read_nothing) {
+		run_later(1 * MS, [this, c, generation] {
+			read_replies(c, generation);
+		});
+		return;
+	}
+	while (c->engine_conn && c->node->engine && !c->unread.empty()) {
+		std::string line = c->unread.front();
+
+		c->unread.pop_front();
 		engine_conn_line(c->engine_conn, line);
+	}
 }
 
 /* Returns the position of the last log entry that reads see. */
@@ -1624,14 +1714,14 @@
 	if (!c->startup_received) {
 		c->startup_received = true;
 		if (e->conns.size() > opts.conns_max) {
-			send_reply(c, "ERROR TOOMANY full");
+			send_reply(c, { "ERROR TOOMANY full" });
 			run_later(2 * NETWORK_DELAY_US,
 				  [this, c] { close_conn(c, 0); });
 			return;
 		}
 		if (w.size() < 3 || w[1] != e->service ||
 		    (w.size() > 3 && w[3] != e->id)) {
-			send_reply(c, "ERROR MISROUTED wrong");
+			send_reply(c, { "ERROR MISROUTED wrong" });
 			run_later(2 * NETWORK_DELAY_US,
 				  [this, c] { close_conn(c, 0); });
 			return;
@@ -1641,7 +1731,7 @@
 			return;
 		run_later(opts.handshake_duration_us, [this, c] {
 			if (c->open)
-				send_reply(c, format_ready_line(*c));
+				send_reply(c, { format_ready_line(*c) });
 		});
 		return;
 	}
@@ -1699,19 +1789,19 @@
 			e->applied_count = e->log.size();
 			write_entry(e);
 		}
-		send_reply(c, std::string("ROW ") +
-				      (e->primary ? "primary " : "replica ") +
-				      std::to_string(e->term) + " " +
-				      std::to_string(last.term) + "." +
-				      std::to_string(last.number) + " " +
-				      std::to_string(e->paused_below_term) +
-				      " 0 0 1\n" + "COMPLETE -\n" +
-				      format_ready_line(*c));
+		send_reply(c, { std::string("ROW ") +
+					(e->primary ? "primary " : "replica ") +
+					std::to_string(e->term) + " " +
+					std::to_string(last.term) + "." +
+					std::to_string(last.number) + " " +
+					std::to_string(e->paused_below_term) +
+					" 0 0 1",
+				"COMPLETE -", format_ready_line(*c) });
 		return true;
 	} else {
 		return false;
 	}
-	send_reply(c, "COMPLETE -\n" + format_ready_line(*c));
+	send_reply(c, { "COMPLETE -", format_ready_line(*c) });
 	return true;
 }
 
@@ -1723,8 +1813,8 @@
 	auto refuse = [&](const char *code) {
 		if (c->state == 'T')
 			c->state = 'E';
-		send_reply(c, std::string("ERROR ") + code + " " + e->id +
-				      "\n" + format_ready_line(*c));
+		send_reply(c, { std::string("ERROR ") + code + " " + e->id,
+				format_ready_line(*c) });
 	};
 
 	if (w[0] == "AFTER") {
@@ -1749,13 +1839,13 @@
 		bool reads = w.size() > 1;
 
 		if (!reads && !e->primary) {
-			send_reply(c, "ERROR READONLY " + e->id + "\n" +
-					      format_ready_line(*c));
+			send_reply(c, { "ERROR READONLY " + e->id,
+					format_ready_line(*c) });
 			return;
 		}
 		c->state = 'T';
 		c->read_only = reads;
-		send_reply(c, "COMPLETE -\n" + format_ready_line(*c));
+		send_reply(c, { "COMPLETE -", format_ready_line(*c) });
 		return;
 	}
 	if (c->state == 'E') {
@@ -1779,9 +1869,27 @@
 		refuse("READONLY");
 		return;
 	}
+	if (meets(e->busy_percent)) {
+		refuse("BUSY");
+		return;
+	}
 	execute_statement(c, id, text, writes);
 }
 
+/* Only the name of a prepared statement may differ. */
+static bool is_same_statement(const std::string &sent, const std::string &ran)
+{
+	std::vector<std::string> sent_words = split_words(sent);
+	std::vector<std::string> words = split_words(ran);
+
+	if (sent_words[0] != "EXECUTE" || words.size() < 2 ||
+	    sent_words.size() < 2)
+		return sent == ran;
+	return words[0] == "EXECUTE" &&
+	       sent.substr(sent.find(sent_words[1]) + sent_words[1].size()) ==
+		       ran.substr(ran.find(words[1]) + words[1].size());
+}
+
 void ProxyModel::check_executed(const std::shared_ptr<ProxyConn> &c,
 				const std::string &id, const std::string &text)
 {
@@ -1797,7 +1905,7 @@
 	const SentStatement &s = sent->second;
 	std::vector<std::string> w = split_words(text);
 
-	if (!starts_with(s.text, w[0].c_str()))
+	if (!is_same_statement(s.text, text))
 		record_violation("UNASKED: sent '" + s.text + "' ran '" + text +
 				 "'");
 	if (w[0] == "EXECUTE" && s.caller) {
@@ -1853,6 +1961,16 @@
 				 " lacks the last write of its session");
 }
 
+std::string ProxyModel::sign(const std::string &id)
+{
+	return "COMPLETE sig." + id + "." + std::to_string(++last_signature_);
+}
+
+std::string ProxyModel::make_row(const std::string &id) const
+{
+	return "r." + id + row_end;
+}
+
 /* Returns true in so many percent of the calls. */
 bool ProxyModel::meets(int percent)
 {
@@ -1882,23 +2000,23 @@
 			if (c->state == 'T')
 				c->state = 'E';
 			send_reply(c,
-				   "ERROR FAILED x\n" + format_ready_line(*c));
+				   { "ERROR FAILED x", format_ready_line(*c) });
 			finish_statement(c);
 			return;
 		}
 		if (writes && !e->primary) {
 			if (c->state == 'T')
 				c->state = 'E';
-			send_reply(c, "ERROR READONLY x\n" +
-					      format_ready_line(*c));
+			send_reply(c, { "ERROR READONLY x",
+					format_ready_line(*c) });
 			finish_statement(c);
 			return;
 		}
 		if (c->state == 'T' && !c->read_only && !e->primary &&
 		    !(commits && c->pending_writes.empty())) {
 			c->state = 'E';
-			send_reply(c, "ERROR READONLY x\n" +
-					      format_ready_line(*c));
+			send_reply(c, { "ERROR READONLY x",
+					format_ready_line(*c) });
 			finish_statement(c);
 			return;
 		}
@@ -1911,8 +2029,7 @@
 				commit_writes(c, id);
 				return;
 			}
-			send_reply(c, "COMPLETE sig." + id + "\n" +
-					      format_ready_line(*c));
+			send_reply(c, { sign(id), format_ready_line(*c) });
 			finish_statement(c);
 			return;
 		}
@@ -1925,9 +2042,11 @@
 		} else {
 			c->pending_writes.push_back(id);
 		}
-		send_reply(c, (writes ? "" : "ROW r." + id + "\n") +
-				      std::string("COMPLETE sig.") + id + "\n" +
-				      format_ready_line(*c));
+		if (writes)
+			send_reply(c, { sign(id), format_ready_line(*c) });
+		else
+			send_reply(c, { "ROW " + make_row(id), sign(id),
+					format_ready_line(*c) });
 		finish_statement(c);
 	});
 }
@@ -2002,8 +2121,7 @@
 		}
 		unconfirmed_commits_.erase(unconfirmed_commits_.begin() +
 					   (long)i);
-		send_reply(u.conn, "COMPLETE sig." + u.id + "\n" +
-					   format_ready_line(*u.conn));
+		send_reply(u.conn, { sign(u.id), format_ready_line(*u.conn) });
 		finish_statement(u.conn);
 	}
 }
@@ -2117,14 +2235,8 @@
 void ProxyModel::append_caller_lines(ProxyCaller *c, const char *bytes,
 				     size_t len)
 {
-	std::istringstream in(std::string(bytes, len));
-	std::string line;
-
-	while (std::getline(in, line)) {
-		if (!line.empty() && line.back() == '\r')
-			line.pop_back();
+	for (const std::string &line : split_lines(bytes, len))
 		c->lines.push_back(line);
-	}
 }
 
 void ProxyModel::send_statement(ProxyCaller *c, const std::string &text)
@@ -2162,11 +2274,24 @@
 	return false;
 }
 
+std::vector<std::string> ProxyModel::expected_rows(const ProxyCaller &c) const
+{
+	std::vector<std::string> w = split_words(c.statement_text);
+	bool reads = w[0] == "READ";
+
+	if (w[0] == "EXECUTE" && w.size() > 1 && c.prepared.count(w[1]))
+		reads = starts_with(c.prepared.at(w[1]), "READ");
+	if (!reads)
+		return {};
+	return { "ROW " + make_row(c.statement_id) };
+}
+
 ProxyAnswer ProxyModel::wait_for_answer(ProxyCaller *c, int64_t timeout_us)
 {
 	ProxyAnswer a;
 	std::vector<std::string> w;
 	std::string completed;
+	bool ready = false;
 	auto complete = [c] {
 		return c->closed || (!c->lines.empty() &&
 				     starts_with(c->lines.back(), "READY"));
@@ -2187,8 +2312,11 @@
 			a.code = w[1];
 			a.text = line;
 		}
-		if (w[0] == "READY")
+		if (w[0] == "READY") {
 			a.state = w[1][0];
+			ready = c->started;
+			c->started = true;
+		}
 	}
 	c->lines.clear();
 	if (!c->statement_id.empty()) {
@@ -2200,9 +2328,17 @@
 				  starts_with(text, "EXECUTE");
 
 		answers[a.ok ? "ok" : a.code.empty() ? "none" : a.code]++;
-		if (a.ok && has_result && completed != "sig." + id)
+		if (a.ok && has_result &&
+		    !starts_with(completed, ("sig." + id + ".").c_str()))
 			record_violation("MIXED: " + completed + " answers " +
 					 id);
+		if (ready && !a.ok && a.code.empty())
+			record_violation("MIXED: READY alone answers " + id);
+		if (a.ok && a.rows != expected_rows(*c))
+			record_violation(
+				"MIXED: " + std::to_string(a.rows.size()) +
+				" rows answer " + id + ": " +
+				(a.rows.empty() ? "" : a.rows[0]));
 		if (a.ok && starts_with(text, "SET")) {
 			w = split_words(text);
 			c->values[w[1]] =
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -80,10 +80,34 @@
 	std::map<std::string, std::string> prepared;
 	/* When the last line sent arrives; later lines do not overtake it. */
 	int64_t last_arrival_us = 0;
+	/* When the last reply sent arrives; later ones do not overtake it. */
+	int64_t last_reply_us = 0;
+	std::list<std::string> unread; /* arrived at a frozen node */
 	bool busy = false; /* a statement runs; later lines are queued */
 	std::vector<std::string> queued_lines;
 };
 
+/* Kinds of replies, as a mask. */
+enum {
+	REPLIES_SIGNED = 1, /* to statements of callers */
+	REPLIES_ERRORS = 2,
+	REPLIES_OWN = 4, /* to the proxy's own statements and starts */
+	REPLIES_ALL = 7,
+};
+
+/*
+ * An endpoint sends a part of its replies again, with the same bytes. Nothing
+ * else arrives on the connection between the lines of a copy, but the node may
+ * send meanwhile.
+ */
+struct ProxyStutter {
+	int percent = 0;
+	unsigned kinds = REPLIES_ALL;
+	int64_t delay_min_us = 0;
+	int64_t delay_max_us = 1500000;
+	int64_t gap_us = 0; /* between the lines of a copy */
+};
+
 struct ProxyEndpoint {
 	std::string id;
 	std::string service;
@@ -104,6 +128,8 @@
 	/* Parts of the reads that it never answers, or with FAILED. */
 	int hung_read_percent = 0;
 	int failed_read_percent = 0;
+	int busy_percent = 0; /* of statements, refused with BUSY */
+	ProxyStutter stutter;
 	bool hung_starts = false; /* new connections get no answer */
 	uint64_t reads = 0; /* that began here, answered or not */
 	bool cut_replication = false; /* neither sends nor receives the log */
@@ -121,6 +147,7 @@
 	std::string database;
 	std::string key;
 	std::vector<std::string> lines; /* received, not yet read by the test */
+	bool started = false; /* the READY of the start has been read */
 	bool closed = false;
 	int64_t sent_us = 0; /* when the last statement was sent */
 	int64_t transaction_began_us = 0; /* 0: none is open */
@@ -205,6 +232,7 @@
 	bool relay = true; /* nodes may be homes for one another */
 	/* Answers of endpoints wait until the node is no longer frozen. */
 	bool frozen_nodes_read_nothing = true;
+	bool replies_keep_order = false; /* at nodes that were frozen, too */
 	/*
 	 * Of each node's link, shared evenly by the answers of the store on it;
 	 * 0: answers arrive at once.
@@ -228,6 +256,10 @@
 	/* Statements that no caller of the model sent are no violation. */
 	bool allow_unasked = false;
 
+	std::string row_end; /* that follows the statement's id in each row */
+	uint64_t copies_sent = 0; /* of replies; see ProxyStutter */
+	uint64_t conns_closed = 0; /* by nodes, to endpoints */
+
 	/* Virtual time. */
 	int64_t now() const
 	{
@@ -379,9 +411,18 @@
 	void deliver_line(const std::shared_ptr<ProxyConn> &c,
 			  const std::string &line);
 	void deliver_reply(const std::shared_ptr<ProxyConn> &c,
-			   const std::string &lines, uint64_t generation);
+			   const std::vector<std::string> &lines,
+			   uint64_t generation);
+	void read_replies(const std::shared_ptr<ProxyConn> &c,
+			  uint64_t generation);
 	void send_reply(const std::shared_ptr<ProxyConn> &c,
-			const std::string &lines);
+			const std::vector<std::string> &lines);
+	void send_copy(const std::shared_ptr<ProxyConn> &c,
+		       const std::vector<std::string> &lines,
+		       uint64_t generation);
+	std::string sign(const std::string &id);
+	std::string make_row(const std::string &id) const;
+	std::vector<std::string> expected_rows(const ProxyCaller &c) const;
 	void close_conn(const std::shared_ptr<ProxyConn> &c, int error);
 	void send_hop_lines(const std::shared_ptr<ProxyHop> &h, bool to_home,
 			    const char *bytes, size_t len);
@@ -528,6 +569,7 @@
 	/* Statement id to the code that says that it has not run. */
 	std::map<std::string, std::string> refused_;
 	uint64_t last_log_number_ = 0;
+	uint64_t last_signature_ = 0;
 };
 
 #endif
