Test: answers that come twice, and odd texts

Change: Tables of late copies of answers, refusals, probes, reports and connection starts, of answers that no sound endpoint gives, and of texts with LF, CR and NUL, also through a home; two mixes of the fuzz. The oracle checks the form of an answer: ROW*, then COMPLETE or ERROR, then READY.

--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1828,4 +1828,484 @@
 	expect_no_violations(m);
 }
 
+/* One instance whose sessions share the few connections that it may open. */
+ProxyModelOpts make_narrow_opts()
+{
+	ProxyModelOpts o;
+
+	o.nodes = 1;
+	o.conns_max = 4;
+	o.unlimited = true;
+	o.log = getenv("PROXY_LOG") != nullptr;
+	return o;
+}
+
+void set_stutter(ProxyModel &m, const ProxyStutter &s)
+{
+	for (auto &e : m.endpoints)
+		e->stutter = s;
+}
+
+struct LateCopyCase {
+	const char *name;
+	ProxyStutter stutter;
+	int64_t pause_us; /* after each statement */
+	std::vector<const char *> statements;
+	bool whole; /* so nothing fails, and every connection stays open */
+};
+
+const LateCopyCase late_copy_cases[] = {
+	{ "while the connection is idle",
+	  { 100, REPLIES_SIGNED, 30 * MS, 30 * MS, 0 },
+	  50 * MS,
+	  { "READ 1", "WRITE 1 x" },
+	  true },
+	{ "while the next read runs",
+	  { 100, REPLIES_SIGNED, 4 * MS, 4 * MS, 0 },
+	  0,
+	  { "READ 1" },
+	  true },
+	{ "while a write runs",
+	  { 100, REPLIES_SIGNED, 4 * MS, 4 * MS, 0 },
+	  0,
+	  { "READ 1", "WRITE 1 x" },
+	  true },
+	{ "of one in three, while others run",
+	  { 33, REPLIES_SIGNED, 1 * MS, 9 * MS, 0 },
+	  0,
+	  { "READ 1", "WRITE 1 x" },
+	  true },
+	{ "while COMMIT runs",
+	  { 100, REPLIES_SIGNED, 4 * MS, 4 * MS, 0 },
+	  0,
+	  { "BEGIN", "WRITE 1 x", "READ 1", "COMMIT" },
+	  true },
+	{ "up to 1.5 s later",
+	  { 100, REPLIES_SIGNED, 0, 1500 * MS, 0 },
+	  0,
+	  { "READ 1", "WRITE 1 x", "BEGIN", "WRITE 1 x", "COMMIT" },
+	  true },
+	{ "line by line while the connection is idle",
+	  { 100, REPLIES_SIGNED, 20 * MS, 20 * MS, 2 * MS },
+	  50 * MS,
+	  { "READ 1", "WRITE 1 x" },
+	  true },
+	{ "a statement is sent after its ROW",
+	  { 100, REPLIES_SIGNED, 20 * MS, 20 * MS, 4 * MS },
+	  22 * MS,
+	  { "READ 1" },
+	  false },
+	{ "a statement is sent after its COMPLETE",
+	  { 100, REPLIES_SIGNED, 20 * MS, 20 * MS, 4 * MS },
+	  26 * MS,
+	  { "READ 1" },
+	  false },
+	{ "line by line, a write is sent between them",
+	  { 100, REPLIES_SIGNED, 20 * MS, 40 * MS, 4 * MS },
+	  25 * MS,
+	  { "READ 1", "WRITE 1 x" },
+	  false },
+	{ "of a connection's start while its first statement runs",
+	  { 100, REPLIES_STARTS, 4 * MS, 4 * MS, 0 },
+	  0,
+	  { "READ 1" },
+	  false },
+	{ "of values and prepared statements",
+	  { 100, REPLIES_OWN, 0, 3 * MS, 0 },
+	  0,
+	  { "SET a 1", "PREPARE s READ q", "EXECUTE s 1", "SET b 2",
+	    "PREPARE t READ p", "EXECUTE t 1", "READ 1" },
+	  false },
+	{ "of BEGIN and ROLLBACK",
+	  { 100, REPLIES_OWN, 0, 3 * MS, 0 },
+	  0,
+	  { "BEGIN", "READ 1", "ROLLBACK", "BEGIN READ", "READ 1", "COMMIT" },
+	  false },
+	{ "of BEGIN and ROLLBACK, line by line",
+	  { 100, REPLIES_OWN, 0, 9 * MS, 3 * MS },
+	  3 * MS,
+	  { "BEGIN", "READ 1", "ROLLBACK", "WRITE 1 x" },
+	  false },
+};
+
+/* Guards against answers that callers get to the statements of others. */
+TEST(ProxyEngine, LateCopyOfAnAnswerIsDropped)
+{
+	for (const LateCopyCase &k : late_copy_cases) {
+		for (const char *database :
+		     { "strict", "bounded", "session" }) {
+			ProxyModel m(make_narrow_opts());
+			std::vector<ProxyCaller *> callers;
+			size_t failed = 0;
+
+			SCOPED_TRACE(std::string(k.name) + ", " + database);
+			m.run(START_US);
+			ProxyCaller *c = m.connect(0, database, "key-b");
+			EXPECT_TRUE(m.run_statement(c, "WRITE 1 x").ok);
+			uint64_t closed = m.conns_closed;
+			set_stutter(m, k.stutter);
+			for (int i = 0; i < 40; i++) {
+				if (i < 2)
+					callers.push_back(m.connect(0, database,
+								    "key-a"));
+				for (const char *text : k.statements) {
+					failed +=
+						!m.run_statement(callers[i % 2],
+								 text)
+							 .ok;
+					m.run(k.pause_us);
+				}
+			}
+			EXPECT_GT(m.copies_sent, 0u);
+			EXPECT_LE(failed, k.statements.size() * 20);
+			if (k.whole) {
+				EXPECT_EQ(0u, failed);
+				EXPECT_EQ(closed, m.conns_closed);
+			}
+			m.run(2 * S);
+			expect_no_violations(m);
+		}
+	}
+}
+
+struct OddAnswerCase {
+	const char *name;
+	std::vector<std::string> lines; /* see ProxyModel::odd_answer */
+};
+
+const OddAnswerCase odd_answer_cases[] = {
+	{ "READY alone", { "Y" } },
+	{ "ROW and READY", { "R", "Y" } },
+	{ "unsigned", { "R", "COMPLETE -", "Y" } },
+	{ "without a signature", { "R", "COMPLETE", "Y" } },
+	{ "an empty signature", { "R", "COMPLETE ", "Y" } },
+	{ "a row after COMPLETE", { "C", "ROW x", "Y" } },
+	{ "COMPLETE twice", { "R", "C", "C", "Y" } },
+	{ "unsigned, then signed", { "R", "COMPLETE -", "C", "Y" } },
+	{ "an error after COMPLETE", { "R", "C", "ERROR FAILED x", "Y" } },
+	{ "a refusal after COMPLETE", { "R", "C", "ERROR BUSY x", "Y" } },
+	{ "COMPLETE after a refusal", { "R", "ERROR BUSY x", "C", "Y" } },
+	{ "COMPLETE after an error", { "R", "ERROR FAILED x", "C", "Y" } },
+	{ "two refusals", { "ERROR BUSY x", "ERROR BUSY x", "Y" } },
+	{ "a row after a refusal", { "ERROR BUSY x", "ROW x", "Y" } },
+	{ "READY in no state", { "R", "C", "READY X 1.1" } },
+	{ "without READY", { "R", "C" } },
+	{ "an unknown word", { "R", "DONE x", "C", "Y" } },
+	{ "an empty line", { "R", "", "C", "Y" } },
+};
+
+struct OddAnswerStatements {
+	std::vector<const char *> statements; /* the last is answered oddly */
+	bool repeats; /* it changes nothing, so it runs again */
+};
+
+const OddAnswerStatements odd_answer_statements[] = {
+	{ { "READ 1" }, true },
+	{ { "WRITE 1 x" }, false },
+	{ { "PREPARE s READ q", "EXECUTE s 1" }, true },
+	{ { "BEGIN", "WRITE 1 x", "COMMIT" }, false },
+	{ { "BEGIN", "READ 1" }, false },
+};
+
+/* Guards against successes that no endpoint vouched for. */
+TEST(ProxyEngine, AnswerNeedsASignature)
+{
+	for (const OddAnswerCase &k : odd_answer_cases) {
+		for (const OddAnswerStatements &t : odd_answer_statements) {
+			ProxyModel m(make_narrow_opts());
+			ProxyAnswer a;
+
+			SCOPED_TRACE(std::string(k.name) + ", " +
+				     t.statements.back());
+			m.run(START_US);
+			ProxyCaller *c = m.connect(0, "strict", "key-a");
+			m.odd_answer = k.lines;
+			for (const char *text : t.statements) {
+				if (text == t.statements.back())
+					m.odd_answers = 1;
+				a = m.run_statement(c, text);
+			}
+			EXPECT_EQ(0, m.odd_answers);
+			EXPECT_EQ(t.repeats, a.ok) << a.text;
+			EXPECT_LT(a.took_us, 2 * S);
+			ProxyCaller *next = m.connect(0, "strict", "key-a");
+			EXPECT_TRUE(m.run_statement(next, "READ 2").ok);
+			EXPECT_TRUE(m.run_statement(next, "WRITE 2 y").ok);
+			expect_no_violations(m);
+		}
+	}
+}
+
+struct LateRefusalCase {
+	const char *name;
+	ProxyStutter stutter;
+	std::vector<const char *> statements;
+};
+
+const LateRefusalCase late_refusal_cases[] = {
+	{ "while a write runs",
+	  { 100, REPLIES_ERRORS, 1 * MS, 60 * MS, 0 },
+	  { "WRITE 1 x" } },
+	{ "long after it",
+	  { 100, REPLIES_ERRORS, 0, 1500 * MS, 0 },
+	  { "WRITE 1 x", "READ 1" } },
+	{ "line by line while a write runs",
+	  { 100, REPLIES_ERRORS, 1 * MS, 60 * MS, 3 * MS },
+	  { "WRITE 1 x" } },
+	{ "while COMMIT runs",
+	  { 100, REPLIES_ERRORS, 1 * MS, 60 * MS, 0 },
+	  { "BEGIN", "WRITE 1 x", "COMMIT" } },
+	{ "while a read runs",
+	  { 100, REPLIES_ERRORS, 1 * MS, 60 * MS, 0 },
+	  { "READ 1", "READ 2" } },
+};
+
+/* Guards against writes that run although they are said not to have run. */
+TEST(ProxyEngine, LateCopyOfARefusalIsNotBelieved)
+{
+	for (const LateRefusalCase &k : late_refusal_cases) {
+		for (const char *database : { "strict", "bounded" }) {
+			ProxyModel m(make_narrow_opts());
+			std::vector<ProxyCaller *> callers;
+
+			SCOPED_TRACE(std::string(k.name) + ", " + database);
+			m.run(START_US);
+			for (int i = 0; i < 3; i++)
+				callers.push_back(
+					m.connect(0, database, "key-a"));
+			set_stutter(m, k.stutter);
+			for (auto &e : m.endpoints) {
+				e->busy_percent = 20;
+				e->failed_read_percent = 10;
+				e->lag_us = 60 * MS;
+			}
+			for (int i = 0; i < 300; i++) {
+				for (const char *text : k.statements)
+					m.run_statement(callers[i % 3], text);
+			}
+			EXPECT_GT(m.copies_sent, 10u);
+			EXPECT_GT(m.answers["ok"], 150);
+			m.run(2 * S);
+			expect_no_violations(m);
+		}
+	}
+}
+
+struct LateProbeCase {
+	const char *name;
+	int64_t delay_min_us;
+	int64_t delay_max_us;
+	int64_t gap_us;
+};
+
+/* An instance without load probes every 300 ms; an answer takes 1 ms. */
+const LateProbeCase late_probe_cases[] = {
+	{ "while the next probe waits", 299200, 299800, 0 },
+	{ "while the second probe waits", 599200, 599800, 0 },
+	{ "while the fourth probe waits", 1199200, 1199800, 0 },
+	{ "before the next probe, its READY after it", 298800, 299800, 400 },
+	{ "at any time", 0, 1500 * MS, 0 },
+};
+
+/*
+ * Guards against a position that counts as newer than it is: a read at a
+ * replica that has only that one would lack commits.
+ */
+TEST(ProxyEngine, LateCopyOfAProbeGivesNoMark)
+{
+	for (const LateProbeCase &k : late_probe_cases) {
+		ProxyModelOpts o;
+		o.nodes = 2;
+		o.unlimited = true;
+		o.log = getenv("PROXY_LOG") != nullptr;
+		ProxyModel m(o);
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		ProxyCaller *writer = m.connect(0, "strict", "key-a");
+		ProxyCaller *reader = m.connect(1, "bounded", "key-a");
+		m.run_statement(reader, "READ 1");
+		for (auto &e : m.endpoints)
+			e->lag_us = 1700 * MS;
+		set_stutter(m, { 100, REPLIES_OWN, k.delay_min_us,
+				 k.delay_max_us, k.gap_us });
+		for (int i = 0; i < 600; i++) {
+			if (i % 3 == 0)
+				m.run_statement(writer, "WRITE 1 x");
+			EXPECT_TRUE(m.run_statement(reader, "READ 1").ok);
+			m.run(7 * MS);
+		}
+		EXPECT_GT(m.copies_sent, 10u);
+		expect_no_violations(m);
+	}
+}
+
+struct LateReportCase {
+	const char *name;
+	void (*apply)(ProxyModel &m);
+};
+
+const LateReportCase late_report_cases[] = {
+	{ "the primary crashes",
+	  [](ProxyModel &m) { m.restart(m.primary(), 4 * S); } },
+	{ "the primary is leaving",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = m.primary();
+
+		  m.set_leaving(e, true);
+		  m.run_later(4 * S, [&m, e] { m.set_leaving(e, false); });
+	  } },
+	{ "a replica has received nothing for a while",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = m.replica((int)(m.rand() % 2));
+
+		  e->cut_replication = true;
+		  m.run_later(1 * S, [e] { e->cut_replication = false; });
+		  ProxyEndpoint *p = m.primary();
+
+		  m.run_later(300 * MS, [&m, p] { m.restart(p, 4 * S); });
+	  } },
+	{ "the primary is cut off from the instances",
+	  [](ProxyModel &m) {
+		  ProxyEndpoint *e = m.primary();
+
+		  e->cut_nodes = { 0, 1, 2 };
+		  m.run_later(3 * S, [e] { e->cut_nodes.clear(); });
+	  } },
+	{ "the primary comes back during the round",
+	  [](ProxyModel &m) { m.restart(m.primary(), 400 * MS); } },
+};
+
+/* Guards against promoting by what an endpoint had received before. */
+TEST(ProxyEngine, LateCopyOfAReportIsNotCounted)
+{
+	for (const LateReportCase &k : late_report_cases) {
+		for (uint64_t seed = 1; seed <= 12; seed++) {
+			ProxyModelOpts o;
+			o.seed = seed;
+			o.unlimited = true;
+			o.log = getenv("PROXY_LOG") != nullptr;
+			ProxyModel m(o);
+
+			SCOPED_TRACE(std::string(k.name) + ", seed " +
+				     std::to_string(seed));
+			m.run(START_US);
+			set_stutter(m,
+				    { 100, REPLIES_REPORTS,
+				      report_copy_delays_us[seed % 3][0],
+				      report_copy_delays_us[seed % 3][1], 0 });
+			for (int round = 0; round < 3; round++) {
+				EXPECT_LT(wait_for_write(m, 10 * S), 10 * S);
+				if (!m.primary())
+					break;
+				k.apply(m);
+				for (int i = 0; i < 100; i++) {
+					ProxyCaller *c =
+						m.connect(i % 3, "strict",
+							  "key-a");
+
+					m.run_statement(c, "WRITE 1 x",
+							100 * MS);
+					m.disconnect(c);
+					m.run(20 * MS);
+				}
+				m.run(2 * S);
+			}
+			EXPECT_GT(m.copies_sent, 0u);
+			EXPECT_LT(wait_for_write(m, 10 * S), 6 * S);
+			expect_no_violations(m);
+		}
+	}
+}
+
+/* Text with NULs, as its length is taken from the array. */
+#define TEXT(s) std::string(s, sizeof(s) - 1)
+
+struct OddTextCase {
+	const char *name;
+	/* Two sessions take turns, each with its own statements. */
+	std::vector<std::string> first;
+	std::vector<std::string> second;
+	std::string row_end;
+};
+
+const OddTextCase odd_text_cases[] = {
+	{ "a value that reads like two",
+	  { TEXT("SET a 1\nb\n2"), "READ 1" },
+	  { "SET a 1", "SET b 2", "READ 1" },
+	  "" },
+	{ "a value that reads like two with lengths",
+	  { TEXT("SET a 1 1:b1:2"), "READ 1" },
+	  { "SET a 1", "SET b 2", "READ 1" },
+	  "" },
+	{ "a value that ends with a line feed",
+	  { TEXT("SET a 1\n"), "READ 1" },
+	  { "SET a 1", "READ 1" },
+	  "" },
+	{ "a prepared statement that reads like two",
+	  { TEXT("PREPARE s READ q\nW"), "EXECUTE s 1" },
+	  { "PREPARE s READ q", "EXECUTE s 1" },
+	  "" },
+	{ "a write that reads like two statements",
+	  { TEXT("WRITE 1 x\nQUERY q1 WRITE 2 y"), "READ 1" },
+	  { TEXT("WRITE 1 \nCOMMIT"), "READ 1" },
+	  "" },
+	{ "a read with a line feed",
+	  { TEXT("READ 1\nREAD 2") },
+	  { TEXT("READ \n1") },
+	  "" },
+	{ "a carriage return alone, and at the end",
+	  { TEXT("WRITE 1 x\ry") },
+	  { TEXT("WRITE 1 x\r") },
+	  "" },
+	{ "a NUL",
+	  { TEXT("WRITE 1 x\0y"), TEXT("READ 1\0") },
+	  { TEXT("WRITE 1 \0") },
+	  "" },
+	{ "the data of a prepared statement",
+	  { "PREPARE w WRITE q", TEXT("EXECUTE w 1 x\nQUERY q1 READ 1") },
+	  { "PREPARE w WRITE q", TEXT("EXECUTE w 1 \n\r\0") },
+	  "" },
+	{ "a row that reads like a whole answer",
+	  { "READ 1", "WRITE 1 x" },
+	  { "BEGIN", "READ 1", "COMMIT" },
+	  TEXT("\nCOMPLETE 7.1\nREADY I -") },
+	{ "a row that ends with a carriage return",
+	  { "READ 1" },
+	  { "READ 2" },
+	  TEXT("\r") },
+	{ "a row with a NUL",
+	  { "READ 1" },
+	  { "READ 2" },
+	  TEXT("\0x\nREADY I -") },
+};
+
+/* Guards against texts that are divided, cut or taken for one another. */
+TEST(ProxyEngine, OddTextsStayWhole)
+{
+	for (const OddTextCase &k : odd_text_cases) {
+		for (const char *database : { "strict", "session" }) {
+			ProxyModel m(make_narrow_opts());
+
+			SCOPED_TRACE(std::string(k.name) + ", " + database);
+			m.run(START_US);
+			m.row_end = k.row_end;
+			ProxyCaller *a = m.connect(0, database, "key-a");
+			ProxyCaller *b = m.connect(0, database, "key-a");
+			for (int i = 0; i < 5; i++) {
+				for (const std::string &text : k.first)
+					EXPECT_TRUE(m.run_statement(a, text).ok)
+						<< text;
+				for (const std::string &text : k.second)
+					EXPECT_TRUE(m.run_statement(b, text).ok)
+						<< text;
+				/* With the values of the statements before. */
+				EXPECT_TRUE(m.run_statement(a, "READ 1").ok);
+				EXPECT_TRUE(m.run_statement(b, "READ 1").ok);
+			}
+			expect_no_violations(m);
+		}
+	}
+}
+
 } // namespace
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -23,6 +23,8 @@
 constexpr int LIMIT_NODES = 14;
 constexpr uint32_t LIMIT_CONNS_MAX = 60;
 constexpr int LIMIT_SEED_COUNT = 10;
+constexpr int STUTTER_SEED_COUNT = 20;
+constexpr int REPORT_SEED_COUNT = 4;
 constexpr int STEP_COUNT = 120;
 constexpr int PLATFORM_STEP_COUNT = 300;
 /*
@@ -628,6 +630,47 @@
 	  [](ProxyModel &m) { m.lose_limit_record(); } },
 };
 
+/* Each endpoint in its own way, for a while. */
+void answer_twice(ProxyModel &m, unsigned kinds)
+{
+	for (auto &e : m.endpoints) {
+		ProxyEndpoint *p = e.get();
+		int64_t delay_max_us = random_us(m, 1 * MS, 1500 * MS);
+
+		p->stutter.percent = 1 + random_below(m, 100);
+		p->stutter.kinds = kinds;
+		p->stutter.delay_min_us =
+			random_below(m, 2) ? 0 : delay_max_us / 2;
+		p->stutter.delay_max_us = delay_max_us;
+		p->stutter.gap_us = random_below(m, 2) * 2 * MS;
+		m.run_later(random_us(m, 1 * S, 8 * S),
+			    [p] { p->stutter.percent = 0; });
+	}
+}
+
+const Fault stutter_faults[] = {
+	{ "endpoints answer twice",
+	  [](ProxyModel &m) { answer_twice(m, REPLIES_ALL); } },
+	{ "endpoints answer twice, at once in parts",
+	  [](ProxyModel &m) {
+		  answer_twice(m, 1 + (unsigned)random_below(m, REPLIES_ALL));
+		  for (auto &e : m.endpoints)
+			  e->stutter.delay_max_us =
+				  e->stutter.delay_min_us + 40 * MS;
+	  } },
+	{ "endpoints refuse a part of the statements, twice",
+	  [](ProxyModel &m) {
+		  answer_twice(m, REPLIES_ERRORS);
+		  for (auto &e : m.endpoints) {
+			  ProxyEndpoint *p = e.get();
+
+			  p->busy_percent = 1 + random_below(m, 40);
+			  m.run_later(random_us(m, 1 * S, 4 * S),
+				      [p] { p->busy_percent = 0; });
+		  }
+	  } },
+};
+
 enum fault_mix {
 	FAULTS_RANDOM,
 	FAULTS_PLATFORM, /* and random ones */
@@ -635,6 +678,8 @@
 	FAULTS_HOMES, /* and random ones, of nodes that use homes */
 	FAULTS_HEALTH, /* and random ones, half of the seeds with homes */
 	FAULTS_LIMITS, /* the same, with limits that are counted at homes */
+	FAULTS_STUTTER, /* and random ones, half of the seeds with homes */
+	FAULTS_REPORTS, /* as FAULTS_PLATFORM, and each report comes twice */
 };
 
 const Fault &pick_fault(ProxyModel &m, enum fault_mix mix)
@@ -654,7 +699,11 @@
 	if (mix == FAULTS_HEALTH && random_below(m, 2))
 		return health_faults[random_below(m, (int)std::size(
 							     health_faults))];
-	if (mix == FAULTS_HOMES || mix == FAULTS_HEALTH)
+	if (mix == FAULTS_STUTTER && random_below(m, 2))
+		return stutter_faults[random_below(m, (int)std::size(
+							      stutter_faults))];
+	if (mix == FAULTS_HOMES || mix == FAULTS_HEALTH ||
+	    mix == FAULTS_STUTTER)
 		return faults[random_below(m, count)];
 	if (mix == FAULTS_NEW_ID)
 		return new_id_faults[random_below(m, (int)std::size(
@@ -665,13 +714,15 @@
 
 void run_seed(uint64_t seed, enum fault_mix mix, std::string &fault_log)
 {
-	bool has_platform_faults =
-		mix == FAULTS_PLATFORM || mix == FAULTS_NEW_ID;
+	bool has_platform_faults = mix == FAULTS_PLATFORM ||
+				   mix == FAULTS_NEW_ID ||
+				   mix == FAULTS_REPORTS;
 	ProxyModelOpts o;
 
 	o.seed = seed;
 	o.nodes = 4;
-	if (mix == FAULTS_HOMES || (mix == FAULTS_HEALTH && seed % 2)) {
+	if (mix == FAULTS_HOMES ||
+	    ((mix == FAULTS_HEALTH || mix == FAULTS_STUTTER) && seed % 2)) {
 		o.nodes = HOME_NODES;
 		o.conns_max = HOME_CONNS_MAX;
 	}
@@ -685,7 +736,9 @@
 		o.message_jitter_us = 20 * MS;
 	}
 	o.refuse_ended_endpoint = has_platform_faults;
-	o.frozen_nodes_read_nothing = has_platform_faults;
+	o.frozen_nodes_read_nothing =
+		has_platform_faults || mix == FAULTS_STUTTER;
+	o.replies_keep_order = mix == FAULTS_STUTTER || mix == FAULTS_REPORTS;
 	if (has_platform_faults && seed % 3 == 0)
 		o.promotion_duration_us = 1 * S;
 	o.log = getenv("PROXY_LOG") != nullptr;
@@ -694,6 +747,14 @@
 	int step_count = has_platform_faults ? PLATFORM_STEP_COUNT : STEP_COUNT;
 
 	m.run(START_US);
+	for (auto &e : m.endpoints) {
+		if (mix != FAULTS_REPORTS)
+			continue;
+		e->stutter.percent = 100;
+		e->stutter.kinds = REPLIES_REPORTS;
+		e->stutter.delay_min_us = report_copy_delays_us[seed % 3][0];
+		e->stutter.delay_max_us = report_copy_delays_us[seed % 3][1];
+	}
 	for (int i = 0; i < step_count; i++) {
 		if (random_below(m, has_platform_faults ? 20 : 8) == 0) {
 			const Fault &f = pick_fault(m, mix);
@@ -825,4 +886,22 @@
 	run_seeds(seeds, FAULTS_LIMITS);
 }
 
+/* Guards against answers that are taken for those of other statements. */
+TEST(ProxyFuzz, NoViolationsWhereEndpointsAnswerTwice)
+{
+	std::vector<uint64_t> seeds;
+
+	append_seeds(seeds, STUTTER_SEED_COUNT);
+	run_seeds(seeds, FAULTS_STUTTER);
+}
+
+/* Guards against promotions by a report that is older than it seems. */
+TEST(ProxyFuzz, NoViolationsWhereReportsComeTwice)
+{
+	std::vector<uint64_t> seeds;
+
+	append_seeds(seeds, REPORT_SEED_COUNT);
+	run_seeds(seeds, FAULTS_REPORTS);
+}
+
 } // namespace
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -108,6 +108,86 @@
 	expect_no_violations(m);
 }
 
+struct HomeCopyCase {
+	const char *name;
+	ProxyStutter stutter;
+	int busy_percent;
+};
+
+const HomeCopyCase home_copy_cases[] = {
+	{ "answers", { 100, REPLIES_SIGNED, 0, 30 * MS, 0 }, 0 },
+	{ "answers, line by line",
+	  { 100, REPLIES_SIGNED, 0, 30 * MS, 2 * MS },
+	  0 },
+	{ "refusals", { 100, REPLIES_ERRORS, 0, 60 * MS, 0 }, 20 },
+	{ "all", { 50, REPLIES_ALL, 0, 1500 * MS, 0 }, 5 },
+};
+
+/* Guards against answers of others that a home passes on. */
+TEST(ProxyHome, LateCopyOfAnAnswerIsDropped)
+{
+	for (const HomeCopyCase &k : home_copy_cases) {
+		ProxyModel m(home_opts());
+
+		SCOPED_TRACE(k.name);
+		m.run(START_US);
+		int entry = find_entry(m, "key-a");
+		ASSERT_GE(entry, 0);
+		for (auto &e : m.endpoints) {
+			e->stutter = k.stutter;
+			e->busy_percent = k.busy_percent;
+		}
+		for (int i = 0; i < 60; i++) {
+			const char *databases[] = { "strict", "bounded",
+						    "session" };
+			ProxyCaller *c =
+				m.connect(entry, databases[i % 3], "key-a");
+
+			for (const char *text :
+			     { "READ 1", "WRITE 1 x", "READ 2", "BEGIN",
+			       "WRITE 2 y", "COMMIT", "SET a 1", "READ 3" })
+				m.run_statement(c, text);
+			m.disconnect(c);
+		}
+		EXPECT_GT(m.copies_sent, 0u);
+		EXPECT_GT(m.answers["ok"], 240);
+		m.run(2 * S);
+		expect_no_violations(m);
+	}
+}
+
+/* Text with NULs, as its length is taken from the array. */
+#define TEXT(s) std::string(s, sizeof(s) - 1)
+
+/* Guards against texts that are divided or cut between two instances. */
+TEST(ProxyHome, OddTextsStayWhole)
+{
+	ProxyModel m(home_opts());
+
+	m.run(START_US);
+	int entry = find_entry(m, "key-a");
+	ASSERT_GE(entry, 0);
+	int64_t relayed = count_relayed(*m.nodes[entry]);
+	m.row_end = TEXT("\nCOMPLETE 7.1\nREADY I -\0x\r");
+	for (const char *database : { "strict", "session" }) {
+		ProxyCaller *c = m.connect(entry, database, "key-a");
+
+		for (const std::string &text :
+		     { TEXT("WRITE 1 x\nQUERY q1 WRITE 2 y"), TEXT("READ 1\n"),
+		       TEXT("SET a 1\nb\n2"), TEXT("READ 1"),
+		       TEXT("WRITE 1 x\0y"), TEXT("WRITE 1 x\r"),
+		       TEXT("PREPARE s WRITE q\nOP 3"),
+		       TEXT("EXECUTE s 1 \nLEAVING\0"), TEXT("BEGIN"),
+		       TEXT("READ 1\nCOMMIT"), TEXT("COMMIT") }) {
+			ProxyAnswer a = m.run_statement(c, text);
+
+			EXPECT_TRUE(a.ok) << text << ": " << a.text;
+		}
+	}
+	EXPECT_GT(count_relayed(*m.nodes[entry]), relayed + 10);
+	expect_no_violations(m);
+}
+
 /* What happens to the home of a workspace that goes on asking. */
 struct HomeLossCase {
 	const char *name;
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1566,21 +1566,44 @@
 
 static unsigned reply_kind(const std::vector<std::string> &lines)
 {
-	for (const std::string &line : lines) {
-		if (starts_with(line, "ERROR"))
-			return REPLIES_ERRORS;
-		if (starts_with(line, "COMPLETE sig."))
-			return REPLIES_SIGNED;
+	if (lines.size() == 1)
+		return REPLIES_STARTS;
+	if (starts_with(lines[0], "ERROR"))
+		return REPLIES_ERRORS;
+	if (starts_with(lines[lines.size() - 2], "COMPLETE sig."))
+		return REPLIES_SIGNED;
+	return starts_with(lines[0], "ROW") ? REPLIES_REPORTS : REPLIES_OWN;
+}
+
+/* Puts the lines of a right answer in place of R, C and Y. */
+std::vector<std::string>
+ProxyModel::make_odd_answer(const std::vector<std::string> &lines) const
+{
+	std::vector<std::string> out;
+
+	for (const std::string &line : odd_answer) {
+		if (line == "R" && lines.size() > 2)
+			out.push_back(lines[0]);
+		else if (line == "C")
+			out.push_back(lines[lines.size() - 2]);
+		else if (line == "Y")
+			out.push_back(lines.back());
+		else if (line != "R")
+			out.push_back(line);
 	}
-	return REPLIES_OWN;
+	return out;
 }
 
 void ProxyModel::send_reply(const std::shared_ptr<ProxyConn> &c,
-			    const std::vector<std::string> &lines)
+			    std::vector<std::string> lines)
 {
 	const ProxyStutter &s = c->endpoint->stutter;
 	uint64_t generation = c->node->generation;
 
+	if (reply_kind(lines) == REPLIES_SIGNED && odd_answers > 0) {
+		odd_answers--;
+		lines = make_odd_answer(lines);
+	}
 	c->last_reply_us =
 		std::max(c->last_reply_us, now_us_ + NETWORK_DELAY_US);
 	run_later(c->last_reply_us - now_us_, [this, c, lines, generation] {
@@ -1882,8 +1905,8 @@
 	std::vector<std::string> sent_words = split_words(sent);
 	std::vector<std::string> words = split_words(ran);
 
-	if (sent_words[0] != "EXECUTE" || words.size() < 2 ||
-	    sent_words.size() < 2)
+	if (sent_words.size() < 2 || words.size() < 2 ||
+	    sent_words[0] != "EXECUTE")
 		return sent == ran;
 	return words[0] == "EXECUTE" &&
 	       sent.substr(sent.find(sent_words[1]) + sent_words[1].size()) ==
@@ -2291,7 +2314,7 @@
 	ProxyAnswer a;
 	std::vector<std::string> w;
 	std::string completed;
-	bool ready = false;
+	std::string form; /* first letters of the last answer's lines */
 	auto complete = [c] {
 		return c->closed || (!c->lines.empty() &&
 				     starts_with(c->lines.back(), "READY"));
@@ -2302,6 +2325,10 @@
 	a.took_us = now_us_ - c->sent_us;
 	for (auto &line : c->lines) {
 		w = split_words(line);
+		w.resize(std::max<size_t>(w.size(), 2));
+		if (!form.empty() && form.back() == 'D')
+			form.clear();
+		form += w[0] == "READY" ? 'D' : w[0][0];
 		if (w[0] == "ROW")
 			a.rows.push_back(line);
 		if (w[0] == "COMPLETE") {
@@ -2314,7 +2341,8 @@
 		}
 		if (w[0] == "READY") {
 			a.state = w[1][0];
-			ready = c->started;
+			if (!c->started)
+				form.clear();
 			c->started = true;
 		}
 	}
@@ -2332,8 +2360,10 @@
 		    !starts_with(completed, ("sig." + id + ".").c_str()))
 			record_violation("MIXED: " + completed + " answers " +
 					 id);
-		if (ready && !a.ok && a.code.empty())
-			record_violation("MIXED: READY alone answers " + id);
+		if (!form.empty() && form.back() == 'D' &&
+		    form.find_first_not_of('R') != form.size() - 2)
+			record_violation("MIXED: the lines " + form +
+					 " answer " + id);
 		if (a.ok && a.rows != expected_rows(*c))
 			record_violation(
 				"MIXED: " + std::to_string(a.rows.size()) +
--- a/tests/proxy_model.h
+++ b/tests/proxy_model.h
@@ -91,8 +91,10 @@
 enum {
 	REPLIES_SIGNED = 1, /* to statements of callers */
 	REPLIES_ERRORS = 2,
-	REPLIES_OWN = 4, /* to the proxy's own statements and starts */
-	REPLIES_ALL = 7,
+	REPLIES_OWN = 4, /* to the proxy's own statements, without reports */
+	REPLIES_STARTS = 8, /* of connections */
+	REPLIES_REPORTS = 16,
+	REPLIES_ALL = 31,
 };
 
 /*
@@ -108,6 +110,14 @@
 	int64_t gap_us = 0; /* between the lines of a copy */
 };
 
+/*
+ * Delays of copies of reports: at any time, while the next request waits, and
+ * while one waits that is sent at once.
+ */
+constexpr int64_t report_copy_delays_us[][2] = { { 0, 1500000 },
+						 { 99000, 100000 },
+						 { 0, 1000 } };
+
 struct ProxyEndpoint {
 	std::string id;
 	std::string service;
@@ -259,6 +269,12 @@
 	std::string row_end; /* that follows the statement's id in each row */
 	uint64_t copies_sent = 0; /* of replies; see ProxyStutter */
 	uint64_t conns_closed = 0; /* by nodes, to endpoints */
+	/*
+	 * So many of the next signed answers have these lines instead; R, C and
+	 * Y stand for the right ROW, COMPLETE and READY.
+	 */
+	int odd_answers = 0;
+	std::vector<std::string> odd_answer;
 
 	/* Virtual time. */
 	int64_t now() const
@@ -416,7 +432,9 @@
 	void read_replies(const std::shared_ptr<ProxyConn> &c,
 			  uint64_t generation);
 	void send_reply(const std::shared_ptr<ProxyConn> &c,
-			const std::vector<std::string> &lines);
+			std::vector<std::string> lines);
+	std::vector<std::string>
+	make_odd_answer(const std::vector<std::string> &lines) const;
 	void send_copy(const std::shared_ptr<ProxyConn> &c,
 		       const std::vector<std::string> &lines,
 		       uint64_t generation);
