Test: the value that reads like two is the one that did

Cause: OddTextsStayWhole used a value that the old text of connections with equal values kept apart, so it could not have shown that fault. Change: SET a '1\nb 2' against SET a 1, SET b 2.

--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -2231,7 +2231,7 @@
 
 const OddTextCase odd_text_cases[] = {
 	{ "a value that reads like two",
-	  { TEXT("SET a 1\nb\n2"), "READ 1" },
+	  { TEXT("SET a 1\nb 2"), "READ 1" },
 	  { "SET a 1", "SET b 2", "READ 1" },
 	  "" },
 	{ "a value that reads like two with lengths",
--- a/tests/proxy_home_test.cc
+++ b/tests/proxy_home_test.cc
@@ -174,7 +174,7 @@
 
 		for (const std::string &text :
 		     { TEXT("WRITE 1 x\nQUERY q1 WRITE 2 y"), TEXT("READ 1\n"),
-		       TEXT("SET a 1\nb\n2"), TEXT("READ 1"),
+		       TEXT("SET a 1\nb 2"), TEXT("READ 1"),
 		       TEXT("WRITE 1 x\0y"), TEXT("WRITE 1 x\r"),
 		       TEXT("PREPARE s WRITE q\nOP 3"),
 		       TEXT("EXECUTE s 1 \nLEAVING\0"), TEXT("BEGIN"),
