A comment hides no depth of JSON

Callers would see: an instance that ends, and ends again after each start, as it reads a configuration or an answer of the store that is nested deep behind a comment with one quote in it. Cause: YAJL takes comments, which JSON does not have. The check of the depth took the quote for the begin of a text and counted no bracket after it; freeing the tree then overflowed the stack.

--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -98,6 +98,21 @@
 	}
 }
 
+/* The parser takes comments; a quote in one hid the depth behind it. */
+TEST(HostileItem, CommentHidesNoDepth)
+{
+	const std::string deep =
+		std::string(500 * 1000, '[') + std::string(500 * 1000, ']');
+
+	for (const char *comment : { "/*\"*/", "//\"\n", "/**/" }) {
+		const std::string text = comment + deep;
+		yajl_val tree = json_tree_parse(text.c_str(), text.size());
+
+		EXPECT_EQ(nullptr, tree) << comment;
+		yajl_tree_free(tree);
+	}
+}
+
 TEST(HostileItem, DeepEntryIsUnreadable)
 {
 	const std::string deep =
