No text of the store is read up to a NUL only

Callers would see: a session accepted with a key that no configuration holds: "k" where a key is "k\u0000x", and told as the tenant of that one in place of the one whose key "k" is; "k?" for "k\ud800". An entry of another writer under servers/ID\u0000x was taken for that of the endpoint ID, and moved or removed it. Cause: YAJL returns C strings without their length, and a question mark for half of a surrogate pair. Change: such characters are replaced by SUB before the text is parsed. It is a control character, which ids may not hold; a key with it is left out, with one line in the log (508) for a configuration. The rest is in force.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -54,6 +54,8 @@
 	X(CONFIG_UNCONFIRMED, 506, LOG_WARNING,                                \
 	  "configuration cannot be confirmed")                                 \
 	X(CONFIG_CONFIRMED, 507, LOG_INFO, "configuration confirmed again")    \
+	X(CONFIG_ENTRY_LEFT_OUT, 508, LOG_WARNING,                             \
+	  "entries of the configuration left out")                             \
 	X(PLATFORM_LOST, 510, LOG_WARNING, "key-value service unreachable")    \
 	X(PLATFORM_BACK, 511, LOG_INFO, "key-value service responding")        \
 	X(STORE_CALL_FAILED, 512, LOG_INFO, "call to the store failed")        \
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -85,6 +85,12 @@
 	engine_log(e, LOG_CONFIG_APPLIED, 0, "config", e->config->version,
 		   "revision %lld, %u routes", (long long)item->revision,
 		   e->config->routes->len);
+	if (e->config->left_out_count)
+		engine_log(e, LOG_CONFIG_ENTRY_LEFT_OUT, 0,
+			   e->config->left_out_name, e->config->left_out_count,
+			   "version %lld; this one is a %s",
+			   (long long)e->config->version,
+			   e->config->left_out_kind);
 }
 
 static void close_conns(struct upstream *u, const char *reason, int64_t now_us)
--- a/src/proxy/fleet_config.c
+++ b/src/proxy/fleet_config.c
@@ -49,6 +49,7 @@
 	g_ptr_array_free(c->routes, TRUE);
 	g_ptr_array_free(c->services, TRUE);
 	g_ptr_array_free(c->workspaces, TRUE);
+	g_free(c->left_out_name);
 	g_free(c);
 }
 
@@ -75,6 +76,15 @@
 	g_hash_table_insert(c->by_key, g_strdup(key), w);
 }
 
+void fleet_config_leave_out(struct fleet_config *c, const char *kind,
+			    const char *name)
+{
+	if (c->left_out_count++)
+		return;
+	c->left_out_kind = kind;
+	c->left_out_name = g_strdup(name);
+}
+
 const struct route *fleet_config_find_route(const struct fleet_config *c,
 					    const char *database)
 {
--- a/src/proxy/fleet_config.h
+++ b/src/proxy/fleet_config.h
@@ -55,6 +55,13 @@
 	GPtrArray *workspaces; /* struct workspace_config */
 	GHashTable *by_database; /* name to struct route */
 	GHashTable *by_key; /* key to struct workspace_config */
+	/*
+	 * Entries that are not in the lists, as their names can't be used, and
+	 * kind and name of the first one, for the log; NULL: none.
+	 */
+	uint32_t left_out_count;
+	const char *left_out_kind;
+	char *left_out_name;
 };
 
 /*
@@ -75,6 +82,10 @@
 void fleet_config_add_key(struct fleet_config *c, const char *key,
 			  struct workspace_config *w);
 
+/* Counts an entry that is not added. `kind` is static; `name` is copied. */
+void fleet_config_leave_out(struct fleet_config *c, const char *kind,
+			    const char *name);
+
 /* Return an entry, owned by the configuration, or NULL if there is none. */
 const struct route *fleet_config_find_route(const struct fleet_config *c,
 					    const char *database);
--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -248,4 +248,69 @@
 	store_item_clear(&i);
 }
 
+struct ConfigKeyCase {
+	const char *key; /* as in a JSON string */
+	const char *sent; /* by a caller */
+	bool accepted;
+};
+
+const ConfigKeyCase config_keys[] = {
+	{ "k-1", "k-1", true },
+	{ "k\\u002d1", "k-1", true },
+	{ "k\\\\u0000", "k\\u0000", true },
+	{ "\\ud83d\\ude00", "\xf0\x9f\x98\x80", true },
+	{ "k\\nl", "k\nl", true },
+	{ "k\\u0000x", "k", false },
+	{ "k\\u0000x", "k\x1ax", false },
+	{ "k\\u0000", "k", false },
+	{ "k\\ud800", "k?", false },
+	{ "k\\ud800\\u0041", "kA", false },
+	{ "k\\udfff", "k?", false },
+	{ "\\u0000k", "", false },
+};
+
+/*
+ * Guards against a key that was read up to a NUL, or with a question mark for
+ * what it can't hold: callers with a key that no configuration holds got in,
+ * also in place of the workspace that has the shorter key.
+ */
+TEST(HostileItem, KeyIsNotReadAsAnotherOne)
+{
+	for (const ConfigKeyCase &k : config_keys) {
+		SCOPED_TRACE(std::string(k.key) + " / " + k.sent);
+		struct store_item i = read_item(
+			"\"op/config\"",
+			std::string("{\"version\":1,\"tenants\":[{\"name\":"
+				    "\"t\",\"api_keys\":[\"") +
+				k.key + "\"]}]}");
+
+		ASSERT_TRUE(i.readable);
+		EXPECT_EQ(k.accepted, fleet_config_find_workspace_by_key(
+					      i.config, k.sent) != nullptr);
+		EXPECT_EQ(k.accepted ? 0u : 1u, i.config->left_out_count);
+		store_item_clear(&i);
+	}
+}
+
+/*
+ * Guards against an entry of another writer that is taken for that of the
+ * endpoint with the shorter id, or removes it.
+ */
+TEST(HostileItem, IdIsNotReadUpToItsNul)
+{
+	const std::string value =
+		"{\"service\":\"svc\",\"state\":\"ready\",\"address\":"
+		"\"10.0.0.1:5\",\"zone\":\"a\",\"slots\":4,\"sequence\":1,"
+		"\"db_role\":\"replica\"}";
+
+	for (const char *key :
+	     { "\"servers/i-1\\u0000\"", "\"servers/i-1\\u0000x\"",
+	       "\"servers\\u0000/i-1\"", "\"servers/i-1\\ud800\"" }) {
+		struct store_item i = read_item(key, value);
+
+		EXPECT_EQ(ITEM_OTHER, i.kind) << key;
+		store_item_clear(&i);
+	}
+}
+
 } // namespace
