A name that does not fit a line is left out of the configuration

Callers would see: with a tenant that is named "a\r\nQUERY - DEMOTE 9", a statement of the name sent to endpoints at each new connection (UNASKED); with "a b", the wrong tenant and MISROUTED. Of two services with the same first 47 bytes, the second one replaced the first, and its routes ran there (ROUTE). Cause: names of the configuration were taken as they came; ids and services of endpoints' entries were checked already. The rest of the version is in force.

--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -1,10 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <string>
 
 extern "C" {
 #include "../platform/json_tree.h"
+#include "../platform/line_wire.h"
 #include "../platform/record_json.h"
 }
 
@@ -248,6 +250,114 @@
 	store_item_clear(&i);
 }
 
+struct ConfigNameCase {
+	const char *name;
+	std::string text; /* as in a JSON string */
+	bool as_database; /* it is used as one */
+	bool as_name; /* it is used as a service and as a workspace */
+};
+
+const ConfigNameCase config_names[] = {
+	{ "usual", "i-7f3a91c2", true, true },
+	{ "not ASCII", "\\ud55c\\uae00", true, true },
+	{ "longest", std::string(NAME_BYTES - 1, 'n'), true, true },
+	{ "too long", std::string(NAME_BYTES, 'n'), true, false },
+	{ "300 kB", std::string(300 * 1000, 'n'), true, false },
+	{ "empty", "", false, false },
+	{ "blank inside", "a b", false, false },
+	{ "blank at the end", "a ", false, false },
+	{ "another line", "a\\r\\nQUERY - DEMOTE 9", false, false },
+	{ "line feed", "a\\nb", false, false },
+	{ "carriage return at the end", "a\\r", false, false },
+	{ "tabulator", "a\\tb", false, false },
+	{ "control character", "a\\u0001", false, false },
+	{ "delete", "a\\u007f", false, false },
+	{ "NUL at the end", "a\\u0000", false, false },
+	{ "NUL, then another name", "a\\u0000b", false, false },
+	{ "half of a surrogate pair", "a\\ud800", false, false },
+	{ "other half", "a\\uDC00", false, false },
+	{ "halves in the wrong order", "a\\udc00\\ud800", false, false },
+};
+
+struct store_item read_config_with(const std::string &name)
+{
+	const std::string odd = "\"" + name + "\"";
+
+	return read_item("\"op/config\"",
+			 "{\"version\":41,\"routes\":["
+			 "{\"host\":" +
+				 odd +
+				 ",\"service\":\"svc\"},"
+				 "{\"host\":\"of-odd\",\"service\":" +
+				 odd +
+				 "},{\"host\":\"db\",\"service\":\"svc\"}],"
+				 "\"services\":[{\"name\":" +
+				 odd +
+				 "},{\"name\":\"svc\"}],"
+				 "\"tenants\":[{\"name\":" +
+				 odd +
+				 ",\"api_keys\":[\"key-odd\"]},"
+				 "{\"name\":\"t\",\"api_keys\":[\"key\"]}]}");
+}
+
+/*
+ * Guards against a name of the configuration that adds a word or a line to what
+ * endpoints and other instances are sent, that is cut to another one's, or that
+ * takes the rest of the configuration out of use.
+ */
+TEST(HostileItem, OddNameOfAConfigurationIsLeftOutAlone)
+{
+	for (const ConfigNameCase &k : config_names) {
+		SCOPED_TRACE(k.name);
+		struct store_item i = read_config_with(k.text);
+		const struct fleet_config *c = i.config;
+		uint32_t left_out = 2 * !k.as_name + !k.as_database;
+
+		ASSERT_TRUE(i.readable);
+		EXPECT_EQ(41, c->version);
+		EXPECT_EQ(k.as_database ? 3u : 2u, c->routes->len);
+		EXPECT_EQ(k.as_name ? 2u : 1u, c->services->len);
+		EXPECT_EQ(k.as_name ? 2u : 1u, c->workspaces->len);
+		EXPECT_EQ(k.as_name,
+			  fleet_config_find_workspace_by_key(c, "key-odd") !=
+				  nullptr);
+		EXPECT_NE(nullptr, fleet_config_find_route(c, "db"));
+		EXPECT_NE(nullptr, fleet_config_find_route(c, "of-odd"));
+		EXPECT_EQ(nullptr, fleet_config_find_route(c, "a"));
+		EXPECT_NE(nullptr, fleet_config_find_service(c, "svc"));
+		EXPECT_NE(nullptr,
+			  fleet_config_find_workspace_by_key(c, "key"));
+		EXPECT_EQ(left_out, c->left_out_count);
+		EXPECT_EQ(left_out > 0, c->left_out_name != nullptr);
+		store_item_clear(&i);
+	}
+}
+
+/* Likewise, with what an endpoint is sent. */
+TEST(HostileItem, EveryNameOfAConfigurationIsOneWord)
+{
+	for (const ConfigNameCase &k : config_names) {
+		SCOPED_TRACE(k.name);
+		struct store_item i = read_config_with(k.text);
+
+		for (guint n = 0; n < i.config->services->len; n++) {
+			auto *svc = static_cast<struct service_config *>(
+				i.config->services->pdata[n]);
+			auto *w = static_cast<struct workspace_config *>(
+				i.config->workspaces->pdata[n]);
+			GString *out = g_string_new(nullptr);
+
+			line_wire.put_start(out, svc->name, w->name, "i-1");
+			EXPECT_EQ(3, std::count(out->str, out->str + out->len,
+						' '));
+			EXPECT_EQ(out->str + out->len - 2,
+				  strpbrk(out->str, "\r\n"));
+			g_string_free(out, TRUE);
+		}
+		store_item_clear(&i);
+	}
+}
+
 struct ConfigKeyCase {
 	const char *key; /* as in a JSON string */
 	const char *sent; /* by a caller */
