The key of a session extends to the end of the line

Callers would see: a session accepted though the key it gave is held by no configuration: "STARTUP db k-1 x" was taken for the key "k-1" (ROUTE). A key with a blank in it was refused. Cause: the key was read up to the first blank; the protocol's last field extends to the end of the line.

--- a/tests/proxy_parts_test.cc
+++ b/tests/proxy_parts_test.cc
@@ -771,6 +771,48 @@
 	g_string_free(out, TRUE);
 }
 
+struct StartCase {
+	const char *line;
+	const char *database; /* NULL: it is no start of a session */
+	const char *key; /* "": none */
+};
+
+const StartCase start_cases[] = {
+	{ "STARTUP db k-1", "db", "k-1" },
+	{ "STARTUP db", "db", "" },
+	{ "STARTUP db ", "db", "" },
+	{ "STARTUP db k-1 x", "db", "k-1 x" },
+	{ "STARTUP db k-1 ", "db", "k-1 " },
+	{ "STARTUP db  k-1", "db", " k-1" },
+	{ "STARTUP db k-1\n", "db", "k-1\n" },
+	{ "STARTUP d\rb k-1", "d\rb", "k-1" },
+	{ "STARTUP  k-1", "", "k-1" },
+	{ "STARTUP", nullptr, "" },
+	{ "STARTUPS db k-1", nullptr, "" },
+	{ "startup db k-1", nullptr, "" },
+	{ "", nullptr, "" },
+};
+
+/*
+ * Guards against a key that is taken up to its first blank: the last field
+ * extends to the end of the line.
+ */
+TEST(LineWire, KeyOfASessionExtendsToTheEndOfTheLine)
+{
+	for (const StartCase &k : start_cases) {
+		g_autofree char *line = g_strdup(k.line);
+		struct session_start in = {};
+
+		SCOPED_TRACE(k.line);
+		ASSERT_EQ(k.database != nullptr,
+			  line_wire.read_start(line, &in));
+		if (!k.database)
+			continue;
+		EXPECT_STREQ(k.database, in.database);
+		EXPECT_STREQ(k.key, in.key ? in.key : "");
+	}
+}
+
 struct ReplyCase {
 	const char *line;
 	enum reply_kind kind;
