An encoded NUL or slash does not end a part of a path

Callers would see, at the product's own interface: a request for the group "orders%2Fread" run as one for "orders" and as a read; one for "orders/read%00x" run as a read; one for "orders%00x" refused with no-route instead of unknown-group. Cause: the server decodes a path before it is split at its slashes and handled as a C string. Change: a path, or an argument, with an encoded NUL or slash stays as it was sent.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -382,6 +382,18 @@
 	return port < 0 ? -EINVAL : 0;
 }
 
+/*
+ * Decodes the path, or the name or value of an argument. One with an encoded
+ * NUL or slash stays as it is: the path would end early, or have other
+ * segments than were sent.
+ */
+static size_t decode_uri(void *data, struct MHD_Connection *conn, char *text)
+{
+	if (strstr(text, "%00") || strstr(text, "%2F") || strstr(text, "%2f"))
+		return strlen(text);
+	return MHD_http_unescape(text);
+}
+
 static struct MHD_Daemon *start_daemon(struct http_server *s,
 				       apr_sockaddr_t *sa)
 {
@@ -401,6 +413,7 @@
 				o->connections_max,
 				MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
 				MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
+				MHD_OPTION_UNESCAPE_CALLBACK, decode_uri, s,
 				MHD_OPTION_END);
 }
 
--- a/tests/caller_listener_test.cc
+++ b/tests/caller_listener_test.cc
@@ -227,6 +227,57 @@
 	EXPECT_EQ("", c.unread());
 }
 
+struct OddBytesCase {
+	const char *name;
+	std::string path;
+	std::string headers;
+	std::string body;
+	const char *group; /* "": it is refused */
+};
+
+#define WITH_NUL(text) std::string(text, sizeof(text) - 1)
+
+const OddBytesCase odd_bytes_cases[] = {
+	{ "NUL in the name of a header", READ,
+	  AUTH + WITH_NUL("Idempotency-Key\0x: a\r\n"), SQL, "" },
+	{ "NUL at the end of the path", READ + std::string("%00x"), AUTH, SQL,
+	  "" },
+	{ "NUL in the group", "/v1/groups/orders%00x/read", AUTH, SQL,
+	  "orders%00x" },
+	{ "slash in the group", "/v1/groups/orders%2Fread", AUTH, SQL, "" },
+	{ "another slash", "/v1/groups/or%2fders/read", AUTH, SQL,
+	  "or%2fders" },
+	{ "percent sign in the group", "/v1/groups/%6frders/read", AUTH, SQL,
+	  "orders" },
+	{ "NUL in the statement", READ, AUTH, "{\"sql\":\"a\\u0000b\"}", "" },
+	{ "raw NUL in the statement", READ, AUTH,
+	  WITH_NUL("{\"sql\":\"a\0b\"}"), "" },
+	{ "NUL after the body", READ, AUTH, SQL + WITH_NUL("\0x"), "" },
+	{ "NUL in a parameter", READ, AUTH,
+	  "{\"sql\":\"a\",\"params\":[\"b\\u0000c\"]}", "" },
+};
+
+/*
+ * Guards against a text that is read up to its NUL, or as two at an encoded
+ * slash: another group, statement or path than the caller's.
+ */
+TEST_F(CallerListener, OddBytesMakeNoOtherRequest)
+{
+	reply_immediately_ = true;
+	for (const OddBytesCase &row : odd_bytes_cases) {
+		HttpClient c = client();
+
+		SCOPED_TRACE(row.name);
+		c.send_all(format_request("POST", row.path, row.headers,
+					  row.body));
+		EXPECT_EQ(!*row.group, c.receive().status >= 400);
+		EXPECT_EQ(*row.group ? 1u : 0u, requests_.size());
+		for (const ReceivedRequest &seen : requests_)
+			EXPECT_STREQ(row.group, seen.opts.group);
+		requests_.clear();
+	}
+}
+
 struct AcceptedCase {
 	const char *name;
 	const char *path;
