Test: any text is one line of the log and of the metrics

Guards what holds already: line ends, quotes, NULs, control characters, bytes that are not UTF-8 and 300 kB in texts of callers, endpoints or the store give one line below 2 kB, readable as JSON in that format; a label gives one sample.

--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -69,6 +69,66 @@
 	json_decref(j);
 }
 
+struct OddTextCase {
+	const char *name;
+	std::string text;
+};
+
+const OddTextCase odd_texts[] = {
+	{ "line feed", "a\n2026-12-06T00:00:00.000000Z info 100 STARTED" },
+	{ "carriage return", "a\rb" },
+	{ "line end", "a\r\nb\r\n" },
+	{ "quotes", "a\" caller=9 text=\"b" },
+	{ "backslash at the end", "a\\" },
+	{ "control characters", "a\x01\x0b\x0c\x1b[2J\x7f" },
+	{ "NUL", std::string("a\0b", 3) },
+	{ "separators of other alphabets", "a\xe2\x80\xa8"
+					   "b\xc2\x85"
+					   "c" },
+	{ "not UTF-8", "a\xff\xfe\xc3" },
+	{ "format", "%s%n%1000000d" },
+	{ "300 kB", std::string(300 * 1000, 'x') },
+	{ "300 kB of control characters", std::string(300 * 1000, '\x01') },
+	{ "300 kB of three bytes each",
+	  [] {
+		  std::string s;
+
+		  for (int i = 0; i < 100 * 1000; i++)
+			  s += "\xed\x95\x9c";
+		  return s;
+	  }() },
+};
+
+/*
+ * Guards against a text of callers, endpoints or the store that becomes another
+ * line or field of the log, or fills it.
+ */
+TEST(Log, AnyTextIsOneBoundedLine)
+{
+	for (enum log_format format : { LOG_FORMAT_TEXT, LOG_FORMAT_JSON }) {
+		log_setup(format, LOG_INFO, "a-1");
+		for (const OddTextCase &k : odd_texts) {
+			SCOPED_TRACE(k.name);
+			testing::internal::CaptureStderr();
+			log_event(LOG_STATEMENT_FAILED, k.text.c_str(), 1, "%s",
+				  k.text.c_str());
+			std::string line =
+				testing::internal::GetCapturedStderr();
+
+			ASSERT_FALSE(line.empty());
+			EXPECT_LT(line.size(), 2048u);
+			EXPECT_EQ(line.size() - 1,
+				  line.find_first_of("\r\n\v\f\x1b"));
+			if (format == LOG_FORMAT_TEXT)
+				continue;
+			json_t *j = json_loads(line.c_str(),
+					       JSON_REJECT_DUPLICATES, nullptr);
+			EXPECT_NE(nullptr, j);
+			json_decref(j);
+		}
+	}
+}
+
 TEST(Log, LevelsBelowTheMinimumAreNotWritten)
 {
 	log_setup(LOG_FORMAT_TEXT, LOG_WARNING, "a-1");
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -46,6 +46,41 @@
 	metrics_free(m);
 }
 
+struct OddLabelCase {
+	const char *name;
+	std::string label;
+	std::string written; /* between the quotes */
+};
+
+const OddLabelCase odd_labels[] = {
+	{ "line feed", "a\nb 5", "a\\nb 5" },
+	{ "quote and brace", "a\"} 9", "a\\\"} 9" },
+	{ "backslash, n", "a\\nb", "a\\\\nb" },
+	{ "not ASCII", "\xed\x95\x9c", "\xed\x95\x9c" },
+	{ "300 kB", std::string(300 * 1000, 'x'),
+	  std::string(300 * 1000, 'x') },
+};
+
+/*
+ * Guards against a label that becomes another line, another value or another
+ * label. Names are checked where they are read: they are short words.
+ */
+TEST(Metrics, AnyLabelIsOneLine)
+{
+	for (const OddLabelCase &k : odd_labels) {
+		struct metrics *m = metrics_new();
+
+		SCOPED_TRACE(k.name);
+		metrics_add(m, "workspace_admitted_total", k.label.c_str(), 7);
+		EXPECT_NE(std::string::npos,
+			  format_metrics(m).find(
+				  "\nzinnialine_workspace_admitted_total{"
+				  "workspace=\"" +
+				  k.written + "\"} 7\n"));
+		metrics_free(m);
+	}
+}
+
 TEST(Metrics, GetReturnsTheValueSet)
 {
 	struct metrics *m = metrics_new();
