Sessions without a key are of no tenant

Callers would see: with a tenant named "public", sessions without a key on open routes take from its limit, and endpoints are told that they are its sessions. Cause: such sessions had the fixed name "public", in the same place as names of the configuration. Change: the name is "public" unless a tenant has it; then the first of "public-2", "public-3" and so on that none has. It follows from the configuration, so all instances use the same one.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -22,9 +22,6 @@
 	WRITE_PAUSE_RETRY_US = 1000 * 1000,
 };
 
-/* Workspace of sessions on open routes that give no valid key. */
-static const char PUBLIC_WORKSPACE[] = "public";
-
 static void send_to_caller(struct session *s, const GString *out)
 {
 	const struct engine_opts *o = &s->engine->opts;
@@ -278,7 +275,7 @@
 		return ANSWER_BAD_KEY;
 	}
 	g_free(s->workspace);
-	s->workspace = g_strdup(w ? w->name : PUBLIC_WORKSPACE);
+	s->workspace = g_strdup(w ? w->name : e->config->public_workspace);
 	return ANSWER_NONE;
 }
 
--- a/src/proxy/fleet_config.c
+++ b/src/proxy/fleet_config.c
@@ -27,6 +27,8 @@
 	g_free(w);
 }
 
+static const char PUBLIC_WORKSPACE[] = "public";
+
 struct fleet_config *fleet_config_new(void)
 {
 	struct fleet_config *c = g_new0(struct fleet_config, 1);
@@ -37,6 +39,7 @@
 	c->by_database = g_hash_table_new(g_str_hash, g_str_equal);
 	c->by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->public_workspace = g_strdup(PUBLIC_WORKSPACE);
 	return c;
 }
 
@@ -49,6 +52,7 @@
 	g_ptr_array_free(c->routes, TRUE);
 	g_ptr_array_free(c->services, TRUE);
 	g_ptr_array_free(c->workspaces, TRUE);
+	g_free(c->public_workspace);
 	g_free(c->left_out_name);
 	g_free(c);
 }
@@ -64,10 +68,31 @@
 	g_ptr_array_add(c->services, s);
 }
 
+static bool has_workspace(const struct fleet_config *c, const char *name)
+{
+	for (guint i = 0; i < c->workspaces->len; i++) {
+		const struct workspace_config *w =
+			g_ptr_array_index(c->workspaces, i);
+
+		if (!strcmp(w->name, name))
+			return true;
+	}
+	return false;
+}
+
 void fleet_config_add_workspace(struct fleet_config *c,
 				struct workspace_config *w)
 {
+	uint32_t number = 1;
+
 	g_ptr_array_add(c->workspaces, w);
+	if (strcmp(w->name, c->public_workspace) != 0)
+		return;
+	do {
+		g_free(c->public_workspace);
+		c->public_workspace =
+			g_strdup_printf("%s-%u", PUBLIC_WORKSPACE, ++number);
+	} while (has_workspace(c, c->public_workspace));
 }
 
 void fleet_config_add_key(struct fleet_config *c, const char *key,
--- a/src/proxy/fleet_config.h
+++ b/src/proxy/fleet_config.h
@@ -55,6 +55,8 @@
 	GPtrArray *workspaces; /* struct workspace_config */
 	GHashTable *by_database; /* name to struct route */
 	GHashTable *by_key; /* key to struct workspace_config */
+	/* Of sessions without a valid key; no workspace has this name. */
+	char *public_workspace;
 	/*
 	 * Entries that are not in the lists, as their names can't be used, and
 	 * kind and name of the first one, for the log; NULL: none.
--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -358,6 +358,39 @@
 	}
 }
 
+struct PublicNameCase {
+	const char *workspaces; /* elements of a JSON array */
+	const char *public_workspace;
+};
+
+const PublicNameCase public_names[] = {
+	{ "", "public" },
+	{ "{\"name\":\"t\"}", "public" },
+	{ "{\"name\":\"public-2\"}", "public" },
+	{ "{\"name\":\"public\"}", "public-2" },
+	{ "{\"name\":\"public\"},{\"name\":\"public-2\"}", "public-3" },
+	{ "{\"name\":\"public-2\"},{\"name\":\"public\"}", "public-3" },
+};
+
+/*
+ * Guards against sessions without a key that take from the limit of a workspace
+ * and that endpoints are told as its sessions.
+ */
+TEST(HostileItem, SessionsWithoutAKeyAreOfNoWorkspace)
+{
+	for (const PublicNameCase &k : public_names) {
+		SCOPED_TRACE(k.workspaces);
+		struct store_item i =
+			read_item("\"op/config\"",
+				  std::string("{\"version\":1,\"tenants\":[") +
+					  k.workspaces + "]}");
+
+		ASSERT_TRUE(i.readable);
+		EXPECT_STREQ(k.public_workspace, i.config->public_workspace);
+		store_item_clear(&i);
+	}
+}
+
 struct ConfigKeyCase {
 	const char *key; /* as in a JSON string */
 	const char *sent; /* by a caller */
