An entry of another kind keeps no name listed

Callers would see: an endpoint that has left stays in use after the store is listed anew (DRAIN, failed connections), or an instance that has ended still counts in the division of limits and as a home, for as long as an entry of the other kind has its name. Another writer may leave one under servers/, even an unreadable one. Cause: the names of endpoints and of instances in a list were kept in one set. Change: a set for each. Before: ProxyConfig.EntryOfAnotherKindKeepsNoneListed: failed for both After: passes

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -309,7 +309,9 @@
 	e->busy_sessions = g_hash_table_new(NULL, NULL);
 	e->instances =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	e->listed_names =
+	e->listed_upstreams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	e->listed_instances =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->instance_count = 1;
 	e->closed_conns = g_ptr_array_new();
@@ -394,7 +396,8 @@
 	g_hash_table_destroy(e->sessions);
 	g_hash_table_destroy(e->busy_sessions);
 	g_hash_table_destroy(e->instances);
-	g_hash_table_destroy(e->listed_names);
+	g_hash_table_destroy(e->listed_upstreams);
+	g_hash_table_destroy(e->listed_instances);
 	g_ptr_array_free(e->closed_conns, TRUE);
 	g_ptr_array_free(e->closed_sessions, TRUE);
 	g_rand_free(e->rand);
--- a/src/proxy/engine_state.h
+++ b/src/proxy/engine_state.h
@@ -37,7 +37,9 @@
 	GHashTable *busy_sessions; /* with a statement or a transaction */
 	GHashTable *instances; /* name to struct instance_entry */
 	bool listing; /* a list of the store's items is arriving */
-	GHashTable *listed_names; /* set of names in the list so far */
+	/* Sets of names in the list so far. */
+	GHashTable *listed_upstreams;
+	GHashTable *listed_instances;
 	/* Until then, entries that expired in an outage may come back. */
 	int64_t entries_settle_us;
 	uint32_t instance_count; /* this one included; at least 1 */
--- a/src/proxy/fleet.c
+++ b/src/proxy/fleet.c
@@ -343,9 +343,10 @@
 void fleet_handle_item(struct engine *e, struct store_item *item,
 		       int64_t now_us)
 {
-	if (e->listing && !item->removed &&
-	    (item->kind == ITEM_UPSTREAM || item->kind == ITEM_INSTANCE))
-		g_hash_table_add(e->listed_names, g_strdup(item->name));
+	if (e->listing && !item->removed && item->kind == ITEM_UPSTREAM)
+		g_hash_table_add(e->listed_upstreams, g_strdup(item->name));
+	if (e->listing && !item->removed && item->kind == ITEM_INSTANCE)
+		g_hash_table_add(e->listed_instances, g_strdup(item->name));
 	switch (item->kind) {
 	case ITEM_CONFIG:
 		apply_config(e, item, now_us);
@@ -387,7 +388,7 @@
 
 	g_hash_table_iter_init(&it, e->instances);
 	while (g_hash_table_iter_next(&it, &name, NULL)) {
-		if (g_hash_table_contains(e->listed_names, name))
+		if (g_hash_table_contains(e->listed_instances, name))
 			continue;
 		quota_remove_instance(e->quota, name);
 		e->opts.ops->peer_changed(e->opts.host, name, NULL);
@@ -403,7 +404,7 @@
 	for (GList *l = all; l; l = l->next) {
 		struct upstream *u = l->data;
 
-		if (!g_hash_table_contains(e->listed_names, u->entry.id))
+		if (!g_hash_table_contains(e->listed_upstreams, u->entry.id))
 			mark_upstream_missing(e, u, now_us);
 	}
 	g_list_free(all);
@@ -414,7 +415,8 @@
 	duty_handle_list(e->duty, ends);
 	limit_record_handle_list(e->limit_record, ends);
 	if (!ends) {
-		g_hash_table_remove_all(e->listed_names);
+		g_hash_table_remove_all(e->listed_upstreams);
+		g_hash_table_remove_all(e->listed_instances);
 		steer_table_begin_list(e->steer);
 		e->listing = true;
 		return;
