An instance's entry is that of the instance in its key

Callers would see: after an odd entry of another writer, limits counted by an instance that has ended, as its name stays among the homes. Cause: an entry was added under the name in its value and removed under the name in its key. Before: HostileItem.InstanceIsNamedByItsKey failed for the name n-2 under the key of n-1 After: passes

--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -358,6 +358,26 @@
 	}
 }
 
+/*
+ * Guards against an entry that gives one instance's address and zone under the
+ * name of another one.
+ */
+TEST(HostileItem, InstanceIsNamedByItsKey)
+{
+	for (const char *name : { "n-1", "n-2", "n-1 ", "" }) {
+		struct store_item i = read_item(
+			"\"" INSTANCE_PREFIX "n-1\"",
+			std::string("{\"name\":\"") + name +
+				"\",\"zone\":\"a\",\"address\":\"10.1.0.1:1\","
+				"\"relay\":\"10.2.0.1:1\",\"incarnation\":7,"
+				"\"settled\":true}");
+
+		EXPECT_EQ(ITEM_INSTANCE, i.kind);
+		EXPECT_EQ(!strcmp(name, "n-1"), i.readable) << name;
+		store_item_clear(&i);
+	}
+}
+
 struct PublicNameCase {
 	const char *workspaces; /* elements of a JSON array */
 	const char *public_workspace;
