--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -1,10 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <string>
 
 extern "C" {
 #include "../platform/json_tree.h"
+#include "../platform/line_wire.h"
 #include "../platform/record_json.h"
 }
 
@@ -98,6 +100,21 @@
 	}
 }
 
+/* The parser takes comments; a quote in one hid the depth behind it. */
+TEST(HostileItem, CommentHidesNoDepth)
+{
+	const std::string deep =
+		std::string(500 * 1000, '[') + std::string(500 * 1000, ']');
+
+	for (const char *comment : { "/*\"*/", "//\"\n", "/**/" }) {
+		const std::string text = comment + deep;
+		yajl_val tree = json_tree_parse(text.c_str(), text.size());
+
+		EXPECT_EQ(nullptr, tree) << comment;
+		yajl_tree_free(tree);
+	}
+}
+
 TEST(HostileItem, DeepEntryIsUnreadable)
 {
 	const std::string deep =
@@ -233,4 +250,230 @@
 	store_item_clear(&i);
 }
 
+struct ConfigNameCase {
+	const char *name;
+	std::string text; /* as in a JSON string */
+	bool as_database; /* it is used as one */
+	bool as_name; /* it is used as a service and as a workspace */
+};
+
+const ConfigNameCase config_names[] = {
+	{ "usual", "i-7f3a91c2", true, true },
+	{ "not ASCII", "\\ud55c\\uae00", true, true },
+	{ "longest", std::string(NAME_BYTES - 1, 'n'), true, true },
+	{ "too long", std::string(NAME_BYTES, 'n'), true, false },
+	{ "300 kB", std::string(300 * 1000, 'n'), true, false },
+	{ "empty", "", false, false },
+	{ "blank inside", "a b", false, false },
+	{ "blank at the end", "a ", false, false },
+	{ "another line", "a\\r\\nQUERY - DEMOTE 9", false, false },
+	{ "line feed", "a\\nb", false, false },
+	{ "carriage return at the end", "a\\r", false, false },
+	{ "tabulator", "a\\tb", false, false },
+	{ "control character", "a\\u0001", false, false },
+	{ "delete", "a\\u007f", false, false },
+	{ "NUL at the end", "a\\u0000", false, false },
+	{ "NUL, then another name", "a\\u0000b", false, false },
+	{ "half of a surrogate pair", "a\\ud800", false, false },
+	{ "other half", "a\\uDC00", false, false },
+	{ "halves in the wrong order", "a\\udc00\\ud800", false, false },
+};
+
+struct store_item read_config_with(const std::string &name)
+{
+	const std::string odd = "\"" + name + "\"";
+
+	return read_item("\"op/config\"",
+			 "{\"version\":41,\"routes\":["
+			 "{\"host\":" +
+				 odd +
+				 ",\"service\":\"svc\"},"
+				 "{\"host\":\"of-odd\",\"service\":" +
+				 odd +
+				 "},{\"host\":\"db\",\"service\":\"svc\"}],"
+				 "\"services\":[{\"name\":" +
+				 odd +
+				 "},{\"name\":\"svc\"}],"
+				 "\"tenants\":[{\"name\":" +
+				 odd +
+				 ",\"api_keys\":[\"key-odd\"]},"
+				 "{\"name\":\"t\",\"api_keys\":[\"key\"]}]}");
+}
+
+/*
+ * Guards against a name of the configuration that adds a word or a line to what
+ * endpoints and other instances are sent, that is cut to another one's, or that
+ * takes the rest of the configuration out of use.
+ */
+TEST(HostileItem, OddNameOfAConfigurationIsLeftOutAlone)
+{
+	for (const ConfigNameCase &k : config_names) {
+		SCOPED_TRACE(k.name);
+		struct store_item i = read_config_with(k.text);
+		const struct fleet_config *c = i.config;
+		uint32_t left_out = 2 * !k.as_name + !k.as_database;
+
+		ASSERT_TRUE(i.readable);
+		EXPECT_EQ(41, c->version);
+		EXPECT_EQ(k.as_database ? 3u : 2u, c->routes->len);
+		EXPECT_EQ(k.as_name ? 2u : 1u, c->services->len);
+		EXPECT_EQ(k.as_name ? 2u : 1u, c->workspaces->len);
+		EXPECT_EQ(k.as_name,
+			  fleet_config_find_workspace_by_key(c, "key-odd") !=
+				  nullptr);
+		EXPECT_NE(nullptr, fleet_config_find_route(c, "db"));
+		EXPECT_NE(nullptr, fleet_config_find_route(c, "of-odd"));
+		EXPECT_EQ(nullptr, fleet_config_find_route(c, "a"));
+		EXPECT_NE(nullptr, fleet_config_find_service(c, "svc"));
+		EXPECT_NE(nullptr,
+			  fleet_config_find_workspace_by_key(c, "key"));
+		EXPECT_EQ(left_out, c->left_out_count);
+		EXPECT_EQ(left_out > 0, c->left_out_name != nullptr);
+		store_item_clear(&i);
+	}
+}
+
+/* Likewise, with what an endpoint is sent. */
+TEST(HostileItem, EveryNameOfAConfigurationIsOneWord)
+{
+	for (const ConfigNameCase &k : config_names) {
+		SCOPED_TRACE(k.name);
+		struct store_item i = read_config_with(k.text);
+
+		for (guint n = 0; n < i.config->services->len; n++) {
+			auto *svc = static_cast<struct service_config *>(
+				i.config->services->pdata[n]);
+			auto *w = static_cast<struct workspace_config *>(
+				i.config->workspaces->pdata[n]);
+			GString *out = g_string_new(nullptr);
+
+			line_wire.put_start(out, svc->name, w->name, "i-1");
+			EXPECT_EQ(3, std::count(out->str, out->str + out->len,
+						' '));
+			EXPECT_EQ(out->str + out->len - 2,
+				  strpbrk(out->str, "\r\n"));
+			g_string_free(out, TRUE);
+		}
+		store_item_clear(&i);
+	}
+}
+
+/*
+ * Guards against an entry that gives one instance's address and zone under the
+ * name of another one.
+ */
+TEST(HostileItem, InstanceIsNamedByItsKey)
+{
+	for (const char *name : { "n-1", "n-2", "n-1 ", "" }) {
+		struct store_item i = read_item(
+			"\"" INSTANCE_PREFIX "n-1\"",
+			std::string("{\"name\":\"") + name +
+				"\",\"zone\":\"a\",\"address\":\"10.1.0.1:1\","
+				"\"relay\":\"10.2.0.1:1\",\"incarnation\":7,"
+				"\"settled\":true}");
+
+		EXPECT_EQ(ITEM_INSTANCE, i.kind);
+		EXPECT_EQ(!strcmp(name, "n-1"), i.readable) << name;
+		store_item_clear(&i);
+	}
+}
+
+struct PublicNameCase {
+	const char *workspaces; /* elements of a JSON array */
+	const char *public_workspace;
+};
+
+const PublicNameCase public_names[] = {
+	{ "", "public" },
+	{ "{\"name\":\"t\"}", "public" },
+	{ "{\"name\":\"public-2\"}", "public" },
+	{ "{\"name\":\"public\"}", "public-2" },
+	{ "{\"name\":\"public\"},{\"name\":\"public-2\"}", "public-3" },
+	{ "{\"name\":\"public-2\"},{\"name\":\"public\"}", "public-3" },
+};
+
+/*
+ * Guards against sessions without a key that take from the limit of a workspace
+ * and that endpoints are told as its sessions.
+ */
+TEST(HostileItem, SessionsWithoutAKeyAreOfNoWorkspace)
+{
+	for (const PublicNameCase &k : public_names) {
+		SCOPED_TRACE(k.workspaces);
+		struct store_item i =
+			read_item("\"op/config\"",
+				  std::string("{\"version\":1,\"tenants\":[") +
+					  k.workspaces + "]}");
+
+		ASSERT_TRUE(i.readable);
+		EXPECT_STREQ(k.public_workspace, i.config->public_workspace);
+		store_item_clear(&i);
+	}
+}
+
+struct ConfigKeyCase {
+	const char *key; /* as in a JSON string */
+	const char *sent; /* by a caller */
+	bool accepted;
+};
+
+const ConfigKeyCase config_keys[] = {
+	{ "k-1", "k-1", true },
+	{ "k\\u002d1", "k-1", true },
+	{ "k\\\\u0000", "k\\u0000", true },
+	{ "\\ud83d\\ude00", "\xf0\x9f\x98\x80", true },
+	{ "k\\nl", "k\nl", true },
+	{ "k\\u0000x", "k", false },
+	{ "k\\u0000x", "k\x1ax", false },
+	{ "k\\u0000", "k", false },
+	{ "k\\ud800", "k?", false },
+	{ "k\\ud800\\u0041", "kA", false },
+	{ "k\\udfff", "k?", false },
+	{ "\\u0000k", "", false },
+};
+
+/*
+ * Guards against a key that was read up to a NUL, or with a question mark for
+ * what it can't hold: callers with a key that no configuration holds got in,
+ * also in place of the workspace that has the shorter key.
+ */
+TEST(HostileItem, KeyIsNotReadAsAnotherOne)
+{
+	for (const ConfigKeyCase &k : config_keys) {
+		SCOPED_TRACE(std::string(k.key) + " / " + k.sent);
+		struct store_item i = read_item(
+			"\"op/config\"",
+			std::string("{\"version\":1,\"tenants\":[{\"name\":"
+				    "\"t\",\"api_keys\":[\"") +
+				k.key + "\"]}]}");
+
+		ASSERT_TRUE(i.readable);
+		EXPECT_EQ(k.accepted, fleet_config_find_workspace_by_key(
+					      i.config, k.sent) != nullptr);
+		EXPECT_EQ(k.accepted ? 0u : 1u, i.config->left_out_count);
+		store_item_clear(&i);
+	}
+}
+
+/*
+ * Guards against an entry of another writer that is taken for that of the
+ * endpoint with the shorter id, or removes it.
+ */
+TEST(HostileItem, IdIsNotReadUpToItsNul)
+{
+	const std::string value =
+		"{\"service\":\"svc\",\"state\":\"ready\",\"address\":"
+		"\"10.0.0.1:5\",\"zone\":\"a\",\"slots\":4,\"sequence\":1,"
+		"\"db_role\":\"replica\"}";
+
+	for (const char *key :
+	     { "\"servers/i-1\\u0000\"", "\"servers/i-1\\u0000x\"",
+	       "\"servers\\u0000/i-1\"", "\"servers/i-1\\ud800\"" }) {
+		struct store_item i = read_item(key, value);
+
+		EXPECT_EQ(ITEM_OTHER, i.kind) << key;
+		store_item_clear(&i);
+	}
+}
+
 } // namespace
