Soak: only CR LF ends a line

Cause: LineStream::read_line() ended a line at every line feed and dropped one carriage return before it, as the product did. So the soak could not send or see data with either byte alone. Change: a line ends at CR LF, searched for from where the last search ended; "a\r\r\n" is the line "a\r".

--- a/soak/net.cc
+++ b/soak/net.cc
@@ -14,6 +14,8 @@
 
 const int64_t ACCEPT_POLL_MS = 20;
 const int LISTEN_BACKLOG = 256;
+/* Either byte alone is part of the line. */
+const std::string LINE_END = "\r\n";
 
 sockaddr_in to_sockaddr(const Address &a)
 {
@@ -117,16 +119,17 @@
 	int64_t end_us = now_us() + timeout_us;
 	size_t end;
 
-	while ((end = pending.find('\n')) == std::string::npos) {
+	while ((end = pending.find(LINE_END, searched)) == std::string::npos) {
+		/* The last byte may be the first one of a line end. */
+		searched = pending.empty() ? 0 : pending.size() - 1;
 		Received r = fill(end_us);
 
 		if (r != Received::LINE)
 			return r;
 	}
 	*line = pending.substr(0, end);
-	pending.erase(0, end + 1);
-	if (!line->empty() && line->back() == '\r')
-		line->pop_back();
+	pending.erase(0, end + LINE_END.size());
+	searched = 0;
 	return Received::LINE;
 }
 
@@ -143,6 +146,7 @@
 	}
 	*out = pending.substr(0, size);
 	pending.erase(0, size);
+	searched = 0;
 	return Received::LINE;
 }
 
--- a/soak/net.h
+++ b/soak/net.h
@@ -44,7 +44,7 @@
 	{
 	}
 
-	/* Takes a line without its CR LF. */
+	/* Takes a line without its CR LF; either byte alone is data. */
 	Received read_line(std::string *line, int64_t timeout_us);
 	/* Takes `size` bytes. */
 	Received read_bytes(std::string *out, size_t size, int64_t timeout_us);
@@ -56,6 +56,7 @@
 	Received fill(int64_t end_us);
 
 	std::string pending;
+	size_t searched = 0; /* bytes of `pending` in which no line ends */
 };
 
 /* Accepts connections and runs `handler` for each on a thread of its own. */
