Soak: callers and endpoints use odd texts

Change: data of writes, items, rows, session values, shapes and arguments now and then hold line feeds, carriage returns (also at the end), NULs (in READ, WRITE, EXECUTE and rows), blanks at either end, texts that read like a statement or a message, and some hundred kB. Some sessions have values that differ and read alike. Answers are compared with CR LF between their lines, the one text that no line can hold. SET, PREPARE, BEGIN and ROLLBACK get exactly one COMPLETE - or ERROR before READY, and nothing but an ERROR comes without a request. Endpoints write outside of their lock and writes end after 15 s, as a long answer may not fit into a silent link. Reports count the failed checks and abridge long texts.

--- a/soak/client.cc
+++ b/soak/client.cc
@@ -15,6 +15,7 @@
 /* A request cut this soon after it was sent may not have been read. */
 const int64_t LOSS_SLACK_US = 200 * MS;
 const int64_t STABLE_WINDOW_US = 4 * SECOND;
+const size_t ODD_ONE_IN = 6;
 
 /* Codes that say that nothing of the attempt is kept. */
 const std::set<std::string> promises = { "BUSY",     "ABORTED",	  "LAGGING",
@@ -24,7 +25,8 @@
 } // namespace
 
 Client::Client(const ClientOptions &options)
-    : opts(options), random_state(options.seed * 1000 + options.number + 1)
+    : opts(options), random_state(options.seed * 1000 + options.number + 1),
+      odd_texts(random_state)
 {
 	thread = std::thread([this] { run(); });
 }
@@ -43,6 +45,14 @@
 				    static_cast<uint64_t>(below));
 }
 
+/* Returns odd bytes at times, alone or at the end of the plain ones. */
+std::string Client::maybe_odd(const std::string &plain, Nul nul)
+{
+	if (!odd_texts.draw(ODD_ONE_IN))
+		return plain;
+	return (odd_texts.draw(2) ? plain : "") + odd_texts.text(nul);
+}
+
 std::string Client::new_id()
 {
 	return "c" + std::to_string(opts.number) + "x" +
@@ -98,8 +108,8 @@
 	 * failed; every request but its end is answered MALFORMED.
 	 */
 	if (code == "NOSTMT" || (code == "MALFORMED" && !q->unit->transaction))
-		history.fail("answer",
-			     q->id + ": '" + q->text + "' got " + text);
+		history.fail("answer", q->id + ": '" + printable(q->text) +
+					       "' got " + printable(text));
 	if (!promises.count(code))
 		return Outcome::UNCLEAR;
 	history.promised(q->unit, code);
@@ -130,7 +140,7 @@
 			return answered ? out : Outcome::UNCLEAR;
 		}
 		if (line.compare(0, 3, "ROW") == 0) {
-			answer += line + "|";
+			answer += line + "\r\n";
 		} else if (line.compare(0, 8, "COMPLETE") == 0) {
 			history.check_answer(q, answer + line);
 			out = Outcome::DONE;
@@ -142,7 +152,8 @@
 			s->state = line[6];
 			return out;
 		} else {
-			history.fail("answer", q->id + " got " + line);
+			history.fail("answer",
+				     q->id + " got " + printable(line));
 			s->open = false;
 			return out;
 		}
@@ -164,6 +175,7 @@
 	q->freshness = routes[opts.route].freshness;
 	q->max_age_us = routes[opts.route].max_age_us;
 	q->unit = u;
+	check_silence(s);
 	q->sent_us = now_us();
 	history.add(q);
 	s->stream.write("QUERY " + q->id + " " + text + "\r\n");
@@ -172,38 +184,74 @@
 
 bool Client::control(Session *s, const std::string &text)
 {
+	std::string answer;
 	std::string line;
-	bool ok = false;
 
+	check_silence(s);
 	s->stream.write("QUERY " + new_id() + " " + text + "\r\n");
 	while (s->stream.read_line(&line, ANSWER_TIMEOUT_US) ==
 	       Received::LINE) {
-		if (line.compare(0, 6, "READY ") == 0) {
+		if (line.compare(0, 6, "READY ") == 0 && !answer.empty()) {
 			s->state = line[6];
-			return ok;
+			return answer == "COMPLETE -";
+		}
+		if (!answer.empty() || (line != "COMPLETE -" &&
+					line.compare(0, 6, "ERROR ") != 0)) {
+			history.fail("answer", "'" + printable(text) +
+						       "' got " +
+						       printable(line));
+			break;
 		}
-		ok = line == "COMPLETE -";
+		answer = line;
 	}
 	s->open = false;
 	return false;
 }
 
-void Client::set_value(Session *s)
+void Client::check_silence(Session *s)
 {
-	std::string name = "v" + std::to_string(random(3));
-	std::string value = std::to_string(random(1000));
+	std::string line;
+
+	if (s->stream.read_line(&line, 0) == Received::LINE &&
+	    line.compare(0, 6, "ERROR ") != 0)
+		history.fail("answer",
+			     "got " + printable(line) + " without a request");
+}
 
-	if (control(s, "SET " + name + " " + value))
+void Client::set(Session *s, const std::string &name, const std::string &value)
+{
+	if (s->open && control(s, "SET " + name + " " + value))
 		s->values[name] = value;
 	else
 		s->open = false;
 }
 
+void Client::set_value(Session *s)
+{
+	std::string name = "v" + std::to_string(random(3));
+	std::string value = std::to_string(random(1000));
+
+	set(s, name, maybe_odd(value, Nul::NEVER));
+}
+
+/* The values of one kind of sessions differ from those of the other. */
+void Client::set_values_that_read_alike(Session *s)
+{
+	if (odd_texts.draw(2)) {
+		set(s, "v0", "1\nv1 2");
+		return;
+	}
+	set(s, "v0", "1");
+	set(s, "v1", "2");
+}
+
 void Client::prepare(Session *s)
 {
 	/* The same names as those of other callers, with other shapes. */
 	std::string name = "s" + std::to_string(random(2));
-	Prepared p = { random(2) == 0, "q" + std::to_string(random(6)) };
+	bool writes = random(2) == 0;
+	std::string shape = "q" + std::to_string(random(6));
+	Prepared p = { writes, maybe_odd(shape, Nul::NEVER) };
 
 	if (s->prepared.count(name))
 		return;
@@ -224,10 +272,14 @@
 		if (p.second.writes != *writes || random(2))
 			continue;
 		*shape = p.second.shape;
-		return "EXECUTE " + p.first + " " + item +
-		       (*writes ? " d" + item : "");
+		return "EXECUTE " + p.first + " " +
+		       (*writes ? item + " " +
+					  maybe_odd("d" + item, Nul::ALLOWED) :
+				  maybe_odd(item, Nul::ALLOWED));
 	}
-	return *writes ? "WRITE " + item + " d" + item : "READ " + item;
+	return *writes ? "WRITE " + item + " " +
+				 maybe_odd("d" + item, Nul::ALLOWED) :
+			 "READ " + maybe_odd(item, Nul::ALLOWED);
 }
 
 Client::Outcome Client::run_single(Session *s)
@@ -329,7 +381,9 @@
 		return;
 	}
 	history.count("sessions", "started");
-	while (!ends && operations-- && run_operation(&s)) {
+	if (!opts.floods && odd_texts.draw(4))
+		set_values_that_read_alike(&s);
+	while (!ends && s.open && operations-- && run_operation(&s)) {
 		if (!opts.floods)
 			sleep_us(random(PAUSE_MAX_MS) * MS);
 	}
--- a/soak/client.h
+++ b/soak/client.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_CLIENT_H
 #define SOAK_CLIENT_H
 
+#include "odd_text.h"
 #include "operator.h"
 #include "service.h"
 
@@ -54,8 +55,13 @@
 			   std::string text);
 	/* Statements that the instance answers itself. */
 	bool control(Session *s, const std::string &text);
+	/* An ERROR may come at any time; anything else answers nothing. */
+	void check_silence(Session *s);
+	void set(Session *s, const std::string &name, const std::string &value);
 	void set_value(Session *s);
+	void set_values_that_read_alike(Session *s);
 	void prepare(Session *s);
+	std::string maybe_odd(const std::string &plain, Nul nul);
 	void note_broken(Session *s, const std::shared_ptr<Statement> &q);
 	std::shared_ptr<Unit> new_unit(const Session &s, bool transaction,
 				       bool writes);
@@ -66,6 +72,7 @@
 
 	ClientOptions opts;
 	uint64_t random_state;
+	OddTexts odd_texts;
 	int64_t count = 0;
 	std::atomic<bool> ends{ false };
 	std::thread thread;
--- a/soak/history.cc
+++ b/soak/history.cc
@@ -1,5 +1,7 @@
 #include "history.h"
 
+#include "odd_text.h"
+
 #include <algorithm>
 
 History history;
@@ -27,6 +29,7 @@
 
 void History::fail_locked(const std::string &rule, const std::string &text)
 {
+	counters["failed checks"][rule]++;
 	if (failed.size() < FAILURES_MAX)
 		failed.push_back(rule + " at " + std::to_string(now_us()) +
 				 ": " + text);
@@ -129,19 +132,22 @@
 	auto i = statements.find(id);
 
 	if (i == statements.end()) {
-		fail_locked("unasked", "ran id " + id + ": " + text);
+		fail_locked("unasked",
+			    "ran id " + printable(id) + ": " + printable(text));
 		return nullptr;
 	}
 	Statement &s = *i->second;
 	if (without_prepared_name(text) != without_prepared_name(s.text))
-		fail_locked("unasked",
-			    id + ": ran '" + text + "' for '" + s.text + "'");
+		fail_locked("unasked", id + ": ran '" + printable(text) +
+					       "' for '" + printable(s.text) +
+					       "'");
 	if (c.workspace != s.workspace)
 		fail_locked("workspace", id + " of " + s.workspace +
 						 " ran as " + c.workspace);
 	if (c.shape != s.shape)
-		fail_locked("prepared", id + " ran shape '" + c.shape +
-						"' for '" + s.shape + "'");
+		fail_locked("prepared", id + " ran shape '" +
+						printable(c.shape) + "' for '" +
+						printable(s.shape) + "'");
 	if (c.values != s.values)
 		fail_locked("values", id + " ran with other session values");
 	check_key(s);
@@ -172,7 +178,7 @@
 		fail_locked("answer", s->id +
 					      " got an answer that is not its "
 					      "own or not whole: " +
-					      answer);
+					      printable(answer));
 }
 
 void History::promised(const std::shared_ptr<Unit> &u, const std::string &code)
--- a/soak/net.cc
+++ b/soak/net.cc
@@ -14,6 +14,7 @@
 
 const int64_t ACCEPT_POLL_MS = 20;
 const int LISTEN_BACKLOG = 256;
+const time_t SEND_TIMEOUT_S = 15; /* over the longest pause of a process */
 /* Either byte alone is part of the line. */
 const std::string LINE_END = "\r\n";
 
@@ -27,11 +28,14 @@
 	return out;
 }
 
-void set_no_delay(int fd)
+void set_options(int fd)
 {
 	int on = 1;
+	timeval timeout = { SEND_TIMEOUT_S, 0 };
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	/* Two ends that both send long messages must not wait for ever. */
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
 }
 
 int listen_at(Address *a)
@@ -84,7 +88,7 @@
 		return -1;
 	}
 	fcntl(fd, F_SETFL, 0);
-	set_no_delay(fd);
+	set_options(fd);
 	return fd;
 }
 
@@ -219,7 +223,7 @@
 		fd = accept4(p.fd, nullptr, nullptr, SOCK_CLOEXEC);
 		if (fd < 0)
 			continue;
-		set_no_delay(fd);
+		set_options(fd);
 		{
 			std::lock_guard<std::mutex> lock(mutex);
 
--- a/soak/service.cc
+++ b/soak/service.cc
@@ -19,6 +19,7 @@
 const int64_t IDLE_CONNECTION_US = 120 * SECOND;
 const int64_t DARK_POLL_US = 5 * MS;
 const int CONNECTIONS_MAX = 33;
+const size_t ODD_ROW_ONE_IN = 8;
 const int SLOTS = 5;
 
 int64_t wall_ms()
@@ -470,6 +471,15 @@
 	return {};
 }
 
+Service::Lines Service::make_rows(const std::string &first)
+{
+	Lines out = { "ROW " + first };
+
+	while (odd_texts.draw(ODD_ROW_ONE_IN))
+		out.push_back("ROW " + odd_texts.text(Nul::ALLOWED));
+	return out;
+}
+
 Service::Lines Service::run_statement(Connection *c, const std::string &id,
 				      const std::string &text)
 {
@@ -528,10 +538,14 @@
 		return { signature };
 	}
 	check_fresh(*e, *s);
-	std::string row =
-		"ROW " + id + "-" + signature.substr(9) + " of " + rest;
-	history.add_answer(s, row + "|" + signature);
-	return { row, signature };
+	Lines answer =
+		make_rows(id + "-" + signature.substr(9) + " of " + rest);
+	answer.push_back(signature);
+	std::string whole;
+	for (const std::string &line : answer)
+		whole += (whole.empty() ? "" : "\r\n") + line;
+	history.add_answer(s, whole);
+	return answer;
 }
 
 Service::Lines Service::run_query(Connection *c, const std::string &id,
@@ -574,8 +588,13 @@
 		out += l + "\r\n";
 	if (!wait_while_dark(*c))
 		return false;
-	std::lock_guard<std::mutex> lock(mutex);
-	return s->write(out + ready(*c) + "\r\n");
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		out += ready(*c) + "\r\n";
+	}
+	/* Not under the lock: a silent link takes no more bytes. */
+	return s->write(out);
 }
 
 bool Service::start_session(Connection *c, LineStream *s)
--- a/soak/service.h
+++ b/soak/service.h
@@ -7,6 +7,7 @@
 
 #include "history.h"
 #include "link.h"
+#include "odd_text.h"
 #include "store.h"
 
 #include <condition_variable>
@@ -118,6 +119,7 @@
 	Lines fail(Connection *c, const std::string &code);
 	Lines commit(Connection *c, const std::string &unit, int64_t session,
 		     std::unique_lock<std::mutex> *lock);
+	Lines make_rows(const std::string &first);
 	std::string ready(const Connection &c);
 	std::string status(const Endpoint &e);
 	bool is_usable(const Connection &c) const;
@@ -135,6 +137,7 @@
 	Endpoint *current_primary();
 
 	std::mutex mutex;
+	OddTexts odd_texts{ 1 };
 	std::condition_variable replicated;
 	Store *store = nullptr;
 	uint64_t newest_term = 1;
