Soak: an endpoint that stutters

Cause: the users' endpoints "that stutter may answer twice, the second time late"; no fault of the soak did so. Change: "endpoint stutters", last in the list of unplanned faults: for 1 to 5 s an endpoint gives 2 to 32 percent of its answers again, whole, on the same connection and 0 to 1.5 s later, also while it works on the next request: those of callers' statements, its refusals (it refuses 3 percent meanwhile) and those of the proxy's own statements.

--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -194,6 +194,9 @@
 	{ "open connections silent", Disturbance::ENDPOINT,
 	  STEP(o.service->link(t.endpoint).silence_open_connections()), nullptr,
 	  0, 0 },
+	{ "endpoint stutters", Disturbance::ENDPOINT,
+	  STEP(o.service->set_stutter(t.endpoint, count(20 + t.choice % 300))),
+	  STEP(o.service->set_stutter(t.endpoint, 0)), SECOND, 5 * SECOND },
 };
 
 /* Played by name only, so that the plans of all seeds stay what they are. */
--- a/soak/service.cc
+++ b/soak/service.cc
@@ -20,6 +20,9 @@
 const int64_t DARK_POLL_US = 5 * MS;
 const int CONNECTIONS_MAX = 33;
 const size_t ODD_ROW_ONE_IN = 8;
+const int COPY_LATE_MAX_MS = 1500;
+/* A stuttering endpoint refuses some, so that refusals are repeated too. */
+const int STUTTER_BUSY_PERMILLE = 30;
 const int SLOTS = 5;
 
 int64_t wall_ms()
@@ -155,6 +158,11 @@
 	endpoints[i]->work_us = work_us ? work_us : WORK_US;
 }
 
+void Service::set_stutter(size_t i, int permille)
+{
+	endpoints[i]->stutter_permille = permille;
+}
+
 int Service::promote(const std::string &id)
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -503,7 +511,8 @@
 	} else if (word != "READ" && word != "WRITE" && word != "COMMIT") {
 		return fail(c, "MALFORMED");
 	}
-	if (happens(busy_permille))
+	if (happens(busy_permille) ||
+	    (e->stutter_permille && happens(STUTTER_BUSY_PERMILLE)))
 		return fail(c, "BUSY");
 	if (in_transaction && !c->read_only &&
 	    (!e->primary || e->term != c->term) &&
@@ -571,6 +580,52 @@
 	return run_statement(c, id, text);
 }
 
+/* The whole answer, READY included, is given again. */
+void Service::plan_copy(Connection *c, const std::string &answer)
+{
+	int late_ms = g_random_int_range(0, 4) ?
+			      g_random_int_range(0, COPY_LATE_MAX_MS) :
+			      0;
+
+	c->copies.emplace(now_us() + late_ms * MS, answer);
+	history.count("answers given twice",
+		      answer.compare(0, 5, "ERROR") == 0 ? "refused" :
+		      answer.find("COMPLETE -\r\n") != std::string::npos ?
+							   "own" :
+							   "signed");
+}
+
+/* Returns false when the connection is to be closed. */
+bool Service::write_copies(Connection *c, const LineStream &s)
+{
+	while (!c->copies.empty() && c->copies.begin()->first <= now_us()) {
+		std::string answer = c->copies.begin()->second;
+
+		c->copies.erase(c->copies.begin());
+		if (!wait_while_dark(*c) || !s.write(answer))
+			return false;
+	}
+	return true;
+}
+
+/* Returns false when the connection is to be closed. */
+bool Service::read_request(Connection *c, LineStream *s, std::string *line)
+{
+	int64_t end_us = now_us() + IDLE_CONNECTION_US;
+	Received r;
+
+	do {
+		int64_t until_us = end_us;
+
+		if (!write_copies(c, *s))
+			return false;
+		if (!c->copies.empty())
+			until_us = std::min(end_us, c->copies.begin()->first);
+		r = s->read_line(line, until_us - now_us());
+	} while (r == Received::TIMEOUT && now_us() < end_us);
+	return r == Received::LINE;
+}
+
 /* Returns false when the connection is to be closed. */
 bool Service::run_line(Connection *c, LineStream *s, const std::string &line)
 {
@@ -594,7 +649,11 @@
 		out += ready(*c) + "\r\n";
 	}
 	/* Not under the lock: a silent link takes no more bytes. */
-	return s->write(out);
+	if (!write_copies(c, *s) || !s->write(out))
+		return false;
+	if (happens(c->endpoint->stutter_permille))
+		plan_copy(c, out);
+	return true;
 }
 
 bool Service::start_session(Connection *c, LineStream *s)
@@ -635,9 +694,7 @@
 		e->connections++;
 	}
 	if (start_session(&c, &s)) {
-		while (s.read_line(&line, IDLE_CONNECTION_US) ==
-			       Received::LINE &&
-		       run_line(&c, &s, line))
+		while (read_request(&c, &s, &line) && run_line(&c, &s, line))
 			;
 	}
 	std::lock_guard<std::mutex> lock(mutex);
--- a/soak/service.h
+++ b/soak/service.h
@@ -40,6 +40,8 @@
 	int64_t silent_since_us = 0;
 	std::string entry; /* as last written to the store */
 	std::atomic<int64_t> work_us{ 0 };
+	/* Of 1000 answers, how many are given again later. */
+	std::atomic<int> stutter_permille{ 0 };
 	std::unique_ptr<Server> server;
 	std::unique_ptr<Link> link;
 };
@@ -67,6 +69,7 @@
 	void set_dark(size_t i, bool dark);
 	void set_lag(size_t i, int64_t lag_us);
 	void set_work(size_t i, int64_t work_us);
+	void set_stutter(size_t i, int permille);
 	Link &link(size_t i)
 	{
 		return *endpoints[i]->link;
@@ -99,6 +102,7 @@
 		bool wrote = false;
 		uint64_t term = 0; /* of the primary at BEGIN */
 		std::shared_ptr<Unit> owner;
+		std::multimap<int64_t, std::string> copies; /* by time */
 	};
 	struct Ack {
 		int64_t at_us;
@@ -109,7 +113,10 @@
 
 	void serve(Endpoint *e, int fd);
 	bool start_session(Connection *c, LineStream *s);
+	bool read_request(Connection *c, LineStream *s, std::string *line);
 	bool run_line(Connection *c, LineStream *s, const std::string &line);
+	void plan_copy(Connection *c, const std::string &answer);
+	bool write_copies(Connection *c, const LineStream &s);
 	Lines run_query(Connection *c, const std::string &id, std::string text);
 	Lines run_own(Connection *c, const std::string &text);
 	Lines run_statement(Connection *c, const std::string &id,
