--- a/soak/net.cc
+++ b/soak/net.cc
@@ -188,7 +188,9 @@
 
 void Server::reopen()
 {
-	listener = listen_at(&addr);
+	/* A second listener could not be bound to the address. */
+	if (listener < 0)
+		listener = listen_at(&addr);
 }
 
 void Server::close_all()
--- a/soak/service.cc
+++ b/soak/service.cc
@@ -130,9 +130,12 @@
 void Service::restart(size_t i)
 {
 	Endpoint *e = endpoints[i].get();
+	std::lock_guard<std::mutex> lock(mutex);
 
+	/* Where kills overlap, the first restart is the one. */
+	if (e->alive)
+		return;
 	e->server->reopen();
-	std::lock_guard<std::mutex> lock(mutex);
 	e->alive = true;
 	e->paused_below = 0;
 	e->born_ms = wall_ms();
