Soak: a read is judged by what was acknowledged before it was sent

Cause: check_fresh() judged a read by its session's own commits known when the read ran. Change: a session's own commits are kept with the time of their acknowledgement, as those of all sessions are; the last one up to the first byte counts, a commit of the same microsecond included (it was left out for those of all sessions before).

--- a/soak/service.cc
+++ b/soak/service.cc
@@ -281,6 +281,22 @@
 	replicated.notify_all();
 }
 
+void Service::add_ack(Acks *all, const CommitPtr &c)
+{
+	if (all->empty() || all->back().newest->number < c->number)
+		all->push_back({ now_us(), c });
+}
+
+const Service::Ack *Service::last_ack(const Acks &all, int64_t at_us)
+{
+	auto end =
+		std::partition_point(all.begin(), all.end(), [&](const Ack &a) {
+			return a.at_us <= at_us;
+		});
+
+	return end == all.begin() ? nullptr : &*(end - 1);
+}
+
 void Service::acknowledged(const Unit &u)
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -297,11 +313,8 @@
 					     " was promoted without it");
 		return;
 	}
-	if (acks.empty() || acks.back().newest->number < c->number)
-		acks.push_back({ now_us(), c });
-	CommitPtr &own = session_acks[u.session];
-	if (!own || own->number < c->number)
-		own = c;
+	add_ack(&acks, c);
+	add_ack(&session_acks[u.session], c);
 }
 
 std::vector<std::string> Service::log_units()
@@ -316,26 +329,22 @@
 
 void Service::check_fresh(const Endpoint &e, const Statement &s)
 {
-	int64_t before_us = s.unit->begun_us - s.max_age_us;
-	auto end = std::partition_point(acks.begin(), acks.end(),
-					[&](const Ack &a) {
-						return a.at_us < before_us;
-					});
-	auto own = session_acks.find(s.unit->session);
+	int64_t begun_us = s.unit->begun_us;
+	const Ack *any = last_ack(acks, begun_us - s.max_age_us);
+	/* An attempt may run late, after later commits of the session. */
+	const Ack *own = last_ack(session_acks[s.unit->session], begun_us);
 
-	if (end != acks.begin() && !holds(e.log, e.applied, (end - 1)->newest))
+	if (any && !holds(e.log, e.applied, any->newest))
 		history.fail("stale",
 			     s.id + " was read at " + e.id + ", which lacks " +
-				     (end - 1)->newest->unit +
-				     " acknowledged " +
-				     std::to_string((s.unit->begun_us -
-						     (end - 1)->at_us) /
+				     any->newest->unit + " acknowledged " +
+				     std::to_string((begun_us - any->at_us) /
 						    MS) +
 				     " ms before");
-	if (s.freshness == Freshness::SESSION && own != session_acks.end() &&
-	    !holds(e.log, e.applied, own->second))
+	if (s.freshness == Freshness::SESSION && own &&
+	    !holds(e.log, e.applied, own->newest))
 		history.fail("stale", s.id + " lacks its session's " +
-					      own->second->unit);
+					      own->newest->unit);
 }
 
 bool Service::lacks_position(const Endpoint &e, const std::string &p) const
--- a/soak/service.h
+++ b/soak/service.h
@@ -108,6 +108,7 @@
 		int64_t at_us;
 		CommitPtr newest; /* of all acknowledged up to this one */
 	};
+	using Acks = std::vector<Ack>; /* by time */
 	/* Result of a statement; an empty one closes the connection. */
 	using Lines = std::vector<std::string>;
 
@@ -133,6 +134,9 @@
 	bool wait_while_dark(const Connection &c);
 	bool lacks_position(const Endpoint &e, const std::string &p) const;
 	void check_fresh(const Endpoint &e, const Statement &s);
+	static void add_ack(Acks *all, const CommitPtr &c);
+	/* The last one at or before that time, or NULL. */
+	static const Ack *last_ack(const Acks &all, int64_t at_us);
 	bool holds(const std::vector<CommitPtr> &log, size_t applied,
 		   const CommitPtr &c) const;
 
@@ -150,8 +154,8 @@
 	uint64_t newest_term = 1;
 	std::string ordered; /* id that is promoted at ordered_us */
 	int64_t ordered_us = 0;
-	std::vector<Ack> acks;
-	std::map<int64_t, CommitPtr> session_acks;
+	Acks acks;
+	std::map<int64_t, Acks> session_acks;
 	std::map<std::string, CommitPtr> commits; /* by unit */
 	std::atomic<int64_t> last_connection{ 0 };
 	std::atomic<uint64_t> last_signature{ 0 };
