Soak: larger runs and sessions that stay

One session in six ends only when its process or connection is gone, also while an instance stops. Reports count the faults that began while another acted.

--- a/soak/client.cc
+++ b/soak/client.cc
@@ -16,6 +16,7 @@
 const int64_t LOSS_SLACK_US = 200 * MS;
 const int64_t STABLE_WINDOW_US = 4 * SECOND;
 const size_t ODD_ONE_IN = 6;
+const size_t ENDLESS_SESSION_ONE_IN = 6;
 
 /* Codes that say that nothing of the attempt is kept. */
 const std::set<std::string> promises = { "BUSY",     "ABORTED",	  "LAGGING",
@@ -381,6 +382,9 @@
 		return;
 	}
 	history.count("sessions", "started");
+	/* Used until the process or the connection is gone. */
+	if (odd_texts.draw(ENDLESS_SESSION_ONE_IN))
+		operations = INT64_MAX;
 	if (!opts.floods && odd_texts.draw(4))
 		set_values_that_read_alike(&s);
 	while (!ends && s.open && operations-- && run_operation(&s)) {
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -245,10 +245,14 @@
 		if (at_primary)
 			t->endpoint = opts.service->primary();
 		history.count("faults", kind->name);
+		if (acting && kind->scope != Disturbance::PLANNED_STOP)
+			history.count("faults", "while another acts");
 		if (kind->scope != Disturbance::PLANNED_STOP)
 			*handle = history.begin_disturbance(kind->scope,
 							    instance);
 		kind->begin(opts, *t);
+		if (kind->end && kind->scope != Disturbance::PLANNED_STOP)
+			acting++;
 		if (!kind->end && kind->scope != Disturbance::PLANNED_STOP)
 			history.end_disturbance(*handle);
 	});
@@ -256,8 +260,10 @@
 		return;
 	actions.emplace(at_us + time_us, [=] {
 		kind->end(opts, *t);
-		if (kind->scope != Disturbance::PLANNED_STOP)
+		if (kind->scope != Disturbance::PLANNED_STOP) {
 			history.end_disturbance(*handle);
+			acting--;
+		}
 	});
 }
 
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -52,6 +52,7 @@
 
 	FaultOptions opts;
 	std::mt19937_64 generator;
+	int acting = 0; /* unplanned faults at this moment */
 	std::multimap<int64_t, Action> actions; /* by time */
 };
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -3,7 +3,8 @@
  * the endpoints and the callers, injects faults chosen by the seed, and checks
  * the promises from what callers and endpoints saw.
  *
- * Usage: soak --binary PATH --directory PATH --seed N [--rounds N] [--fault NAME]
+ * Usage: soak --binary PATH --directory PATH --seed N [--rounds N]
+ *             [--fault NAME] [--endpoints N] [--clients N]
  * Exits with 1 if a promise was broken.
  */
 #include "faults.h"
@@ -18,8 +19,6 @@
 namespace
 {
 
-const size_t ENDPOINTS = 3;
-const size_t CLIENTS_PER_ROUTE = 4;
 const int64_t STEP_US = 5 * MS;
 const int64_t START_TIMEOUT_US = 15 * SECOND;
 const int64_t WARM_UP_US = 3 * SECOND;
@@ -38,6 +37,8 @@
 	uint64_t seed = 1;
 	int rounds = 3;
 	std::string only; /* kind of fault */
+	size_t endpoints = 3;
+	size_t clients = 4; /* per route */
 };
 
 bool parse_options(int argc, char **argv, Options *o)
@@ -56,10 +57,15 @@
 			o->rounds = atoi(value.c_str());
 		else if (name == "--fault")
 			o->only = value;
+		else if (name == "--endpoints")
+			o->endpoints = strtoull(value.c_str(), nullptr, 10);
+		else if (name == "--clients")
+			o->clients = strtoull(value.c_str(), nullptr, 10);
 		else
 			return false;
 	}
-	return argc % 2 && !o->binary.empty() && !o->directory.empty();
+	return argc % 2 && !o->binary.empty() && !o->directory.empty() &&
+	       o->endpoints && o->clients;
 }
 
 /* Notes when this program itself did not run, so that waits are not fair. */
@@ -99,23 +105,23 @@
 
 using Clients = std::vector<std::unique_ptr<Client>>;
 
-Clients start_clients(uint64_t seed, Fleet *fleet, Operator *op,
+Clients start_clients(const Options &o, Fleet *fleet, Operator *op,
 		      Service *service)
 {
 	Clients out;
 
 	for (size_t r = 0; r < routes.size(); r++) {
-		for (size_t i = 0; i < CLIENTS_PER_ROUTE; i++)
+		for (size_t i = 0; i < o.clients; i++)
 			out.push_back(std::make_unique<Client>(
-				ClientOptions{ out.size(), seed, r,
+				ClientOptions{ out.size(), o.seed, r,
 					       i % (workspaces.size() - 1),
 					       false, fleet, op, service }));
 	}
 	/* Two ask for more than the limit of their workspace. */
 	for (size_t i = 0; i < 2; i++)
 		out.push_back(std::make_unique<Client>(ClientOptions{
-			out.size(), seed, 1, workspaces.size() - 1, true, fleet,
-			op, service }));
+			out.size(), o.seed, 1, workspaces.size() - 1, true,
+			fleet, op, service }));
 	return out;
 }
 
@@ -246,7 +252,7 @@
 void run(const Options &o)
 {
 	const std::vector<std::string> zones = { "za", "zb", "zc" };
-	Service service("orders", ENDPOINTS, zones);
+	Service service("orders", o.endpoints, zones);
 	Store store(zones.size(), [&](const std::string &name,
 				      const std::string &id) {
 		return name == service.name ? service.promote(id) : 404;
@@ -263,7 +269,7 @@
 		history.fail("start", "not all instances became ready");
 		return;
 	}
-	Clients clients = start_clients(o.seed, &fleet, &op, &service);
+	Clients clients = start_clients(o, &fleet, &op, &service);
 	op.start();
 	run_for(WARM_UP_US, &fleet, &faults);
 	std::vector<Level> before = read_levels(fleet);
@@ -284,7 +290,8 @@
 
 	if (!parse_options(argc, argv, &o)) {
 		std::cerr << "usage: soak --binary PATH --directory PATH "
-			     "--seed N [--rounds N] [--fault NAME]\n";
+			     "--seed N [--rounds N] [--fault NAME] "
+			     "[--endpoints N] [--clients N]\n";
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
