Soak: the answers that the probes get are checked as well

Cause: the operator's probe took the first line of an answer and closed; an answer of another caller passed as its own. Change: it reads the whole answer, which must be its own; NODB counts as the code of an ERROR only, not anywhere in a line.

--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -137,6 +137,23 @@
 	return keys[workspace].back();
 }
 
+/* Returns the first line, or an empty one; checks a whole answer. */
+std::string Operator::read_answer(LineStream *stream,
+				  const std::shared_ptr<Statement> &s)
+{
+	std::string answer;
+	std::string line;
+
+	while (stream->read_line(&line, ANSWER_US) == Received::LINE) {
+		answer += (answer.empty() ? "" : "\r\n") + line;
+		if (line.compare(0, 8, "COMPLETE") == 0)
+			history.check_answer(s, answer);
+		if (line.compare(0, 3, "ROW") != 0)
+			break;
+	}
+	return answer.substr(0, answer.find("\r\n"));
+}
+
 int Operator::ask_route(size_t i, const std::string &database, int64_t *sent_us)
 {
 	int fd = connect_to(fleet->address(i, Listener::CALLERS), SECOND / 2);
@@ -157,15 +174,15 @@
 	s->unit->id = s->id;
 	s->unit->begun_us = s->sent_us;
 	history.add(s);
-	if (stream.write("STARTUP " + database + " " + s->key + "\r\n") &&
-	    stream.read_line(&line, ANSWER_US) == Received::LINE &&
-	    line.compare(0, 5, "READY") == 0) {
+	if (!stream.write("STARTUP " + database + " " + s->key + "\r\n") ||
+	    stream.read_line(&line, ANSWER_US) != Received::LINE)
+		line.clear();
+	if (line.compare(0, 5, "READY") == 0) {
 		*sent_us = now_us();
 		stream.write("QUERY " + s->id + " " + s->text + "\r\n");
-		if (stream.read_line(&line, ANSWER_US) != Received::LINE)
-			line.clear();
+		line = read_answer(&stream, s);
 	}
-	if (line.find("NODB") != std::string::npos)
+	if (line.compare(0, 10, "ERROR NODB") == 0)
 		known = 0;
 	else if (line.compare(0, 3, "ROW") == 0)
 		known = 1;
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -50,6 +50,8 @@
 	void write();
 	void probe();
 	void check_instance(size_t i);
+	static std::string read_answer(LineStream *stream,
+				       const std::shared_ptr<Statement> &s);
 	/* Returns 1 if the route is there, 0 if not, -1 if unknown. */
 	int ask_route(size_t i, const std::string &database, int64_t *sent_us);
 
