--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -194,6 +194,9 @@
 	{ "open connections silent", Disturbance::ENDPOINT,
 	  STEP(o.service->link(t.endpoint).silence_open_connections()), nullptr,
 	  0, 0 },
+	{ "endpoint stutters", Disturbance::ENDPOINT,
+	  STEP(o.service->set_stutter(t.endpoint, count(20 + t.choice % 300))),
+	  STEP(o.service->set_stutter(t.endpoint, 0)), SECOND, 5 * SECOND },
 };
 
 /* Played by name only, so that the plans of all seeds stay what they are. */
@@ -242,10 +245,14 @@
 		if (at_primary)
 			t->endpoint = opts.service->primary();
 		history.count("faults", kind->name);
+		if (acting && kind->scope != Disturbance::PLANNED_STOP)
+			history.count("faults", "while another acts");
 		if (kind->scope != Disturbance::PLANNED_STOP)
 			*handle = history.begin_disturbance(kind->scope,
 							    instance);
 		kind->begin(opts, *t);
+		if (kind->end && kind->scope != Disturbance::PLANNED_STOP)
+			acting++;
 		if (!kind->end && kind->scope != Disturbance::PLANNED_STOP)
 			history.end_disturbance(*handle);
 	});
@@ -253,8 +260,10 @@
 		return;
 	actions.emplace(at_us + time_us, [=] {
 		kind->end(opts, *t);
-		if (kind->scope != Disturbance::PLANNED_STOP)
+		if (kind->scope != Disturbance::PLANNED_STOP) {
 			history.end_disturbance(*handle);
+			acting--;
+		}
 	});
 }
 
--- a/soak/net.cc
+++ b/soak/net.cc
@@ -14,6 +14,9 @@
 
 const int64_t ACCEPT_POLL_MS = 20;
 const int LISTEN_BACKLOG = 256;
+const time_t SEND_TIMEOUT_S = 15; /* over the longest pause of a process */
+/* Either byte alone is part of the line. */
+const std::string LINE_END = "\r\n";
 
 sockaddr_in to_sockaddr(const Address &a)
 {
@@ -25,11 +28,14 @@
 	return out;
 }
 
-void set_no_delay(int fd)
+void set_options(int fd)
 {
 	int on = 1;
+	timeval timeout = { SEND_TIMEOUT_S, 0 };
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	/* Two ends that both send long messages must not wait for ever. */
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
 }
 
 int listen_at(Address *a)
@@ -82,7 +88,7 @@
 		return -1;
 	}
 	fcntl(fd, F_SETFL, 0);
-	set_no_delay(fd);
+	set_options(fd);
 	return fd;
 }
 
@@ -117,16 +123,17 @@
 	int64_t end_us = now_us() + timeout_us;
 	size_t end;
 
-	while ((end = pending.find('\n')) == std::string::npos) {
+	while ((end = pending.find(LINE_END, searched)) == std::string::npos) {
+		/* The last byte may be the first one of a line end. */
+		searched = pending.empty() ? 0 : pending.size() - 1;
 		Received r = fill(end_us);
 
 		if (r != Received::LINE)
 			return r;
 	}
 	*line = pending.substr(0, end);
-	pending.erase(0, end + 1);
-	if (!line->empty() && line->back() == '\r')
-		line->pop_back();
+	pending.erase(0, end + LINE_END.size());
+	searched = 0;
 	return Received::LINE;
 }
 
@@ -143,6 +150,7 @@
 	}
 	*out = pending.substr(0, size);
 	pending.erase(0, size);
+	searched = 0;
 	return Received::LINE;
 }
 
@@ -180,7 +188,9 @@
 
 void Server::reopen()
 {
-	listener = listen_at(&addr);
+	/* A second listener could not be bound to the address. */
+	if (listener < 0)
+		listener = listen_at(&addr);
 }
 
 void Server::close_all()
@@ -215,7 +225,7 @@
 		fd = accept4(p.fd, nullptr, nullptr, SOCK_CLOEXEC);
 		if (fd < 0)
 			continue;
-		set_no_delay(fd);
+		set_options(fd);
 		{
 			std::lock_guard<std::mutex> lock(mutex);
 
--- a/soak/service.cc
+++ b/soak/service.cc
@@ -19,6 +19,10 @@
 const int64_t IDLE_CONNECTION_US = 120 * SECOND;
 const int64_t DARK_POLL_US = 5 * MS;
 const int CONNECTIONS_MAX = 33;
+const size_t ODD_ROW_ONE_IN = 8;
+const int COPY_LATE_MAX_MS = 1500;
+/* A stuttering endpoint refuses some, so that refusals are repeated too. */
+const int STUTTER_BUSY_PERMILLE = 30;
 const int SLOTS = 5;
 
 int64_t wall_ms()
@@ -126,9 +130,12 @@
 void Service::restart(size_t i)
 {
 	Endpoint *e = endpoints[i].get();
+	std::lock_guard<std::mutex> lock(mutex);
 
+	/* Where kills overlap, the first restart is the one. */
+	if (e->alive)
+		return;
 	e->server->reopen();
-	std::lock_guard<std::mutex> lock(mutex);
 	e->alive = true;
 	e->paused_below = 0;
 	e->born_ms = wall_ms();
@@ -154,6 +161,11 @@
 	endpoints[i]->work_us = work_us ? work_us : WORK_US;
 }
 
+void Service::set_stutter(size_t i, int permille)
+{
+	endpoints[i]->stutter_permille = permille;
+}
+
 int Service::promote(const std::string &id)
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -269,6 +281,22 @@
 	replicated.notify_all();
 }
 
+void Service::add_ack(Acks *all, const CommitPtr &c)
+{
+	if (all->empty() || all->back().newest->number < c->number)
+		all->push_back({ now_us(), c });
+}
+
+const Service::Ack *Service::last_ack(const Acks &all, int64_t at_us)
+{
+	auto end =
+		std::partition_point(all.begin(), all.end(), [&](const Ack &a) {
+			return a.at_us <= at_us;
+		});
+
+	return end == all.begin() ? nullptr : &*(end - 1);
+}
+
 void Service::acknowledged(const Unit &u)
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -285,11 +313,8 @@
 					     " was promoted without it");
 		return;
 	}
-	if (acks.empty() || acks.back().newest->number < c->number)
-		acks.push_back({ now_us(), c });
-	CommitPtr &own = session_acks[u.session];
-	if (!own || own->number < c->number)
-		own = c;
+	add_ack(&acks, c);
+	add_ack(&session_acks[u.session], c);
 }
 
 std::vector<std::string> Service::log_units()
@@ -304,26 +329,22 @@
 
 void Service::check_fresh(const Endpoint &e, const Statement &s)
 {
-	int64_t before_us = s.unit->begun_us - s.max_age_us;
-	auto end = std::partition_point(acks.begin(), acks.end(),
-					[&](const Ack &a) {
-						return a.at_us < before_us;
-					});
-	auto own = session_acks.find(s.unit->session);
+	int64_t begun_us = s.unit->begun_us;
+	const Ack *any = last_ack(acks, begun_us - s.max_age_us);
+	/* An attempt may run late, after later commits of the session. */
+	const Ack *own = last_ack(session_acks[s.unit->session], begun_us);
 
-	if (end != acks.begin() && !holds(e.log, e.applied, (end - 1)->newest))
+	if (any && !holds(e.log, e.applied, any->newest))
 		history.fail("stale",
 			     s.id + " was read at " + e.id + ", which lacks " +
-				     (end - 1)->newest->unit +
-				     " acknowledged " +
-				     std::to_string((s.unit->begun_us -
-						     (end - 1)->at_us) /
+				     any->newest->unit + " acknowledged " +
+				     std::to_string((begun_us - any->at_us) /
 						    MS) +
 				     " ms before");
-	if (s.freshness == Freshness::SESSION && own != session_acks.end() &&
-	    !holds(e.log, e.applied, own->second))
+	if (s.freshness == Freshness::SESSION && own &&
+	    !holds(e.log, e.applied, own->newest))
 		history.fail("stale", s.id + " lacks its session's " +
-					      own->second->unit);
+					      own->newest->unit);
 }
 
 bool Service::lacks_position(const Endpoint &e, const std::string &p) const
@@ -470,6 +491,15 @@
 	return {};
 }
 
+Service::Lines Service::make_rows(const std::string &first)
+{
+	Lines out = { "ROW " + first };
+
+	while (odd_texts.draw(ODD_ROW_ONE_IN))
+		out.push_back("ROW " + odd_texts.text(Nul::ALLOWED));
+	return out;
+}
+
 Service::Lines Service::run_statement(Connection *c, const std::string &id,
 				      const std::string &text)
 {
@@ -493,7 +523,8 @@
 	} else if (word != "READ" && word != "WRITE" && word != "COMMIT") {
 		return fail(c, "MALFORMED");
 	}
-	if (happens(busy_permille))
+	if (happens(busy_permille) ||
+	    (e->stutter_permille && happens(STUTTER_BUSY_PERMILLE)))
 		return fail(c, "BUSY");
 	if (in_transaction && !c->read_only &&
 	    (!e->primary || e->term != c->term) &&
@@ -528,10 +559,14 @@
 		return { signature };
 	}
 	check_fresh(*e, *s);
-	std::string row =
-		"ROW " + id + "-" + signature.substr(9) + " of " + rest;
-	history.add_answer(s, row + "|" + signature);
-	return { row, signature };
+	Lines answer =
+		make_rows(id + "-" + signature.substr(9) + " of " + rest);
+	answer.push_back(signature);
+	std::string whole;
+	for (const std::string &line : answer)
+		whole += (whole.empty() ? "" : "\r\n") + line;
+	history.add_answer(s, whole);
+	return answer;
 }
 
 Service::Lines Service::run_query(Connection *c, const std::string &id,
@@ -557,6 +592,52 @@
 	return run_statement(c, id, text);
 }
 
+/* The whole answer, READY included, is given again. */
+void Service::plan_copy(Connection *c, const std::string &answer)
+{
+	int late_ms = g_random_int_range(0, 4) ?
+			      g_random_int_range(0, COPY_LATE_MAX_MS) :
+			      0;
+
+	c->copies.emplace(now_us() + late_ms * MS, answer);
+	history.count("answers given twice",
+		      answer.compare(0, 5, "ERROR") == 0 ? "refused" :
+		      answer.find("COMPLETE -\r\n") != std::string::npos ?
+							   "own" :
+							   "signed");
+}
+
+/* Returns false when the connection is to be closed. */
+bool Service::write_copies(Connection *c, const LineStream &s)
+{
+	while (!c->copies.empty() && c->copies.begin()->first <= now_us()) {
+		std::string answer = c->copies.begin()->second;
+
+		c->copies.erase(c->copies.begin());
+		if (!wait_while_dark(*c) || !s.write(answer))
+			return false;
+	}
+	return true;
+}
+
+/* Returns false when the connection is to be closed. */
+bool Service::read_request(Connection *c, LineStream *s, std::string *line)
+{
+	int64_t end_us = now_us() + IDLE_CONNECTION_US;
+	Received r;
+
+	do {
+		int64_t until_us = end_us;
+
+		if (!write_copies(c, *s))
+			return false;
+		if (!c->copies.empty())
+			until_us = std::min(end_us, c->copies.begin()->first);
+		r = s->read_line(line, until_us - now_us());
+	} while (r == Received::TIMEOUT && now_us() < end_us);
+	return r == Received::LINE;
+}
+
 /* Returns false when the connection is to be closed. */
 bool Service::run_line(Connection *c, LineStream *s, const std::string &line)
 {
@@ -574,8 +655,17 @@
 		out += l + "\r\n";
 	if (!wait_while_dark(*c))
 		return false;
-	std::lock_guard<std::mutex> lock(mutex);
-	return s->write(out + ready(*c) + "\r\n");
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		out += ready(*c) + "\r\n";
+	}
+	/* Not under the lock: a silent link takes no more bytes. */
+	if (!write_copies(c, *s) || !s->write(out))
+		return false;
+	if (happens(c->endpoint->stutter_permille))
+		plan_copy(c, out);
+	return true;
 }
 
 bool Service::start_session(Connection *c, LineStream *s)
@@ -616,9 +706,7 @@
 		e->connections++;
 	}
 	if (start_session(&c, &s)) {
-		while (s.read_line(&line, IDLE_CONNECTION_US) ==
-			       Received::LINE &&
-		       run_line(&c, &s, line))
+		while (read_request(&c, &s, &line) && run_line(&c, &s, line))
 			;
 	}
 	std::lock_guard<std::mutex> lock(mutex);
--- a/soak/service.h
+++ b/soak/service.h
@@ -7,6 +7,7 @@
 
 #include "history.h"
 #include "link.h"
+#include "odd_text.h"
 #include "store.h"
 
 #include <condition_variable>
@@ -39,6 +40,8 @@
 	int64_t silent_since_us = 0;
 	std::string entry; /* as last written to the store */
 	std::atomic<int64_t> work_us{ 0 };
+	/* Of 1000 answers, how many are given again later. */
+	std::atomic<int> stutter_permille{ 0 };
 	std::unique_ptr<Server> server;
 	std::unique_ptr<Link> link;
 };
@@ -66,6 +69,7 @@
 	void set_dark(size_t i, bool dark);
 	void set_lag(size_t i, int64_t lag_us);
 	void set_work(size_t i, int64_t work_us);
+	void set_stutter(size_t i, int permille);
 	Link &link(size_t i)
 	{
 		return *endpoints[i]->link;
@@ -98,17 +102,22 @@
 		bool wrote = false;
 		uint64_t term = 0; /* of the primary at BEGIN */
 		std::shared_ptr<Unit> owner;
+		std::multimap<int64_t, std::string> copies; /* by time */
 	};
 	struct Ack {
 		int64_t at_us;
 		CommitPtr newest; /* of all acknowledged up to this one */
 	};
+	using Acks = std::vector<Ack>; /* by time */
 	/* Result of a statement; an empty one closes the connection. */
 	using Lines = std::vector<std::string>;
 
 	void serve(Endpoint *e, int fd);
 	bool start_session(Connection *c, LineStream *s);
+	bool read_request(Connection *c, LineStream *s, std::string *line);
 	bool run_line(Connection *c, LineStream *s, const std::string &line);
+	void plan_copy(Connection *c, const std::string &answer);
+	bool write_copies(Connection *c, const LineStream &s);
 	Lines run_query(Connection *c, const std::string &id, std::string text);
 	Lines run_own(Connection *c, const std::string &text);
 	Lines run_statement(Connection *c, const std::string &id,
@@ -118,12 +127,16 @@
 	Lines fail(Connection *c, const std::string &code);
 	Lines commit(Connection *c, const std::string &unit, int64_t session,
 		     std::unique_lock<std::mutex> *lock);
+	Lines make_rows(const std::string &first);
 	std::string ready(const Connection &c);
 	std::string status(const Endpoint &e);
 	bool is_usable(const Connection &c) const;
 	bool wait_while_dark(const Connection &c);
 	bool lacks_position(const Endpoint &e, const std::string &p) const;
 	void check_fresh(const Endpoint &e, const Statement &s);
+	static void add_ack(Acks *all, const CommitPtr &c);
+	/* The last one at or before that time, or NULL. */
+	static const Ack *last_ack(const Acks &all, int64_t at_us);
 	bool holds(const std::vector<CommitPtr> &log, size_t applied,
 		   const CommitPtr &c) const;
 
@@ -135,13 +148,14 @@
 	Endpoint *current_primary();
 
 	std::mutex mutex;
+	OddTexts odd_texts{ 1 };
 	std::condition_variable replicated;
 	Store *store = nullptr;
 	uint64_t newest_term = 1;
 	std::string ordered; /* id that is promoted at ordered_us */
 	int64_t ordered_us = 0;
-	std::vector<Ack> acks;
-	std::map<int64_t, CommitPtr> session_acks;
+	Acks acks;
+	std::map<int64_t, Acks> session_acks;
 	std::map<std::string, CommitPtr> commits; /* by unit */
 	std::atomic<int64_t> last_connection{ 0 };
 	std::atomic<uint64_t> last_signature{ 0 };
