Numbers of a configuration don't overflow

Cause: a number was converted without a check of its range. Told by operators of similar systems: an entry with a number too large. Change: durations are from 0 to 10^12 ms, other numbers at most 2^32 - 1.

--- a/tests/hostile_item_test.cc
+++ b/tests/hostile_item_test.cc
@@ -378,6 +378,69 @@
 	}
 }
 
+struct ConfigNumberCase {
+	const char *value; /* as JSON; of every number below */
+	int64_t duration_us;
+	uint32_t count;
+	uint32_t milli;
+};
+
+/* Later than any moment that a duration is added to. */
+constexpr int64_t LONGEST_US = INT64_C(1000000000000) * US_PER_MS;
+
+const ConfigNumberCase config_numbers[] = {
+	{ "7", 7 * US_PER_MS, 7, 7000 },
+	{ "0", 0, 0, 0 },
+	{ "-1", 0, 9, 0 },
+	{ "-1e300", 0, 9, 0 },
+	{ "4294967295", 4294967295 * US_PER_MS, UINT32_MAX, UINT32_MAX },
+	{ "4294967296", 4294967296 * US_PER_MS, UINT32_MAX, UINT32_MAX },
+	{ "9223372036854775807", LONGEST_US, UINT32_MAX, UINT32_MAX },
+	{ "9223372036854775808", LONGEST_US, 9, UINT32_MAX },
+	{ "1e300", LONGEST_US, 9, UINT32_MAX },
+};
+
+/*
+ * Guards against a number that overflows where it is read: a time-out in the
+ * past, or the highest priority instead of the lowest.
+ */
+TEST(HostileItem, NumberOfAConfigurationDoesNotOverflow)
+{
+	for (const ConfigNumberCase &k : config_numbers) {
+		SCOPED_TRACE(k.value);
+		const std::string n = k.value;
+		struct store_item i = read_item(
+			"\"op/config\"",
+			"{\"version\":1,\"limits\":{\"tx_idle_ms\":" + n +
+				"},\"routes\":[{\"host\":\"db\",\"service\":"
+				"\"svc\",\"timeout_ms\":" +
+				n + ",\"target_latency_ms\":" + n +
+				",\"kind\":\"bounded_staleness\","
+				"\"max_staleness_ms\":" +
+				n + ",\"priority\":" + n +
+				"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":"
+				"[\"key\"],\"rate_per_s\":" +
+				n + ",\"burst\":" + n + ",\"priority\":" + n +
+				"}]}");
+
+		ASSERT_TRUE(i.readable);
+		const struct route *r = fleet_config_find_route(i.config, "db");
+		const struct workspace_config *w =
+			fleet_config_find_workspace_by_key(i.config, "key");
+		EXPECT_EQ(k.duration_us, i.config->transaction_idle_us);
+		EXPECT_EQ(k.duration_us, r->timeout_us);
+		EXPECT_EQ(k.duration_us, r->target_us);
+		EXPECT_EQ(k.duration_us, r->max_age_us);
+		EXPECT_EQ(k.duration_us ? FRESH_BOUNDED : FRESH_STRICT,
+			  r->freshness);
+		EXPECT_EQ(k.count, r->priority);
+		EXPECT_EQ(k.count, w->priority);
+		EXPECT_EQ(k.milli, w->rate_milli_per_s);
+		EXPECT_EQ(k.milli, w->burst_milli);
+		store_item_clear(&i);
+	}
+}
+
 struct PublicNameCase {
 	const char *workspaces; /* elements of a JSON array */
 	const char *public_workspace;
