--- a/soak/service.cc
+++ b/soak/service.cc
@@ -22,7 +22,7 @@
 const size_t ODD_ROW_ONE_IN = 8;
 const int COPY_LATE_MAX_MS = 1500;
 /* A stuttering endpoint refuses some, so that refusals are repeated too. */
-const int STUTTER_BUSY_PERMILLE = 30;
+const int STUTTER_BUSY_PERMILLE = 100;
 const int SLOTS = 5;
 
 int64_t wall_ms()
