--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -54,6 +54,8 @@
 	X(CONFIG_UNCONFIRMED, 506, LOG_WARNING,                                \
 	  "configuration cannot be confirmed")                                 \
 	X(CONFIG_CONFIRMED, 507, LOG_INFO, "configuration confirmed again")    \
+	X(CONFIG_ENTRY_LEFT_OUT, 508, LOG_WARNING,                             \
+	  "entries of the configuration left out")                             \
 	X(PLATFORM_LOST, 510, LOG_WARNING, "key-value service unreachable")    \
 	X(PLATFORM_BACK, 511, LOG_INFO, "key-value service responding")        \
 	X(STORE_CALL_FAILED, 512, LOG_INFO, "call to the store failed")        \
@@ -79,6 +81,7 @@
 	  "unexpected response from endpoint")                                 \
 	X(CONN_DENIED, 311, LOG_INFO, "endpoint rejected a connection")        \
 	X(ENDPOINT_STEP, 312, LOG_INFO, "endpoint gets more or less work")     \
+	X(ANSWER_REPEATED, 314, LOG_INFO, "copy of an earlier answer ignored") \
 	X(READ_HEDGED, 313, LOG_INFO, "late statement sent elsewhere")         \
 	X(READY_CHANGED, 104, LOG_INFO, "readiness changed")                   \
 	X(SETTINGS_RELOADED, 105, LOG_INFO, "settings reloaded")               \
