--- a/soak/service.cc
+++ b/soak/service.cc
@@ -602,6 +602,7 @@
 	c->copies.emplace(now_us() + late_ms * MS, answer);
 	history.count("answers given twice",
 		      answer.compare(0, 5, "ERROR") == 0 ? "refused" :
+		      answer.compare(0, 5, "READY") == 0 ? "start" :
 		      answer.find("COMPLETE -\r\n") != std::string::npos ?
 							   "own" :
 							   "signed");
@@ -687,7 +688,10 @@
 		s->write("ERROR TOOMANY " + c->endpoint->id + "\r\n");
 		return false;
 	}
-	return s->write(ready(*c) + "\r\n");
+	line = ready(*c) + "\r\n";
+	if (happens(c->endpoint->stutter_permille))
+		plan_copy(c, line);
+	return s->write(line);
 }
 
 void Service::serve(Endpoint *e, int fd)
