Oracle: a key is withdrawn from the first time on

Callers saw: nothing; this makes a check of the model stricter. Cause: a second withdrawal of the same key, as fuzz seeds play it, set the time anew, and the rule CONFIG let the key work for 5 s more. Change: the first time counts; no test gives a key back.

--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -1478,7 +1478,7 @@
 void ProxyModel::withdraw_key(const std::string &key, bool beside)
 {
 	keys_.erase(key);
-	withdrawn_us_[key] = now_us_;
+	withdrawn_us_.emplace(key, now_us_);
 	put_config();
 	if (beside) {
 		struct store_item i = {};
