Oracle: sessions without a valid key have no limit

Callers saw: nothing; the product was right, the model's check was not. Cause: check_quota() held every name that endpoints are told against the limit of the workspaces a, b and c. "public" is the name of the sessions on a public route whose key no workspace holds; the configuration gives it no limit. Before, any name passed on public routes, so the bound on "public" was all that stopped a proxy which takes no notice of keys there. ProxyEngine.LimitsOnPublicRoutesAreThoseOfTheKey has the four kinds of session.

--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -1289,6 +1289,63 @@
 	expect_no_violations(m);
 }
 
+/* Sends a statement at once; the answer before must have been read. */
+bool run_next(ProxyModel &m, ProxyCaller *c, const char *text)
+{
+	m.send_statement(c, text);
+	return m.wait_for_answer(c, 1 * S).ok;
+}
+
+struct OpenRouteCase {
+	const char *name;
+	const char *key;
+	bool withdrawn; /* while the session is open */
+	bool limited;
+};
+
+const OpenRouteCase open_route_cases[] = {
+	{ "without a key", "", false, false },
+	{ "with an unknown key", "key-x", false, false },
+	{ "with a withdrawn key", "key-a", true, false },
+	{ "with a workspace's key", "key-a", false, true },
+};
+
+/*
+ * On a public route the sessions of a workspace's key have its limit; all others
+ * are of no workspace and have none. Guards also against an oracle that holds
+ * the latter against the limit of the workspaces.
+ */
+TEST(ProxyEngine, LimitsOnPublicRoutesAreThoseOfTheKey)
+{
+	for (const OpenRouteCase &k : open_route_cases) {
+		ProxyModelOpts o;
+		ProxyCaller *c;
+		int64_t from_us;
+		int served = 0;
+
+		SCOPED_TRACE(k.name);
+		o.rate_per_s = 6;
+		o.burst = 6;
+		ProxyModel m(o);
+		m.run(START_US);
+		c = m.connect(0, "open", k.key);
+		EXPECT_TRUE(m.run_statement(c, "READ 1").ok);
+		if (k.withdrawn)
+			m.withdraw_key(k.key);
+		m.run(2 * S);
+		from_us = m.now();
+		for (int i = 0; i < 120; i++)
+			served += run_next(m, c, "READ 1");
+		EXPECT_GT(5 * S, m.now() - from_us);
+		if (k.limited) {
+			EXPECT_GT(60, served);
+		} else {
+			EXPECT_EQ(120, served);
+		}
+		expect_no_violations(m);
+	}
+}
+
 /*
  * All instances lose power and start again. The endpoints keep the connections
  * of the dead processes for 3 s; within conns_max there must be room for those
--- a/tests/proxy_fuzz_test.cc
+++ b/tests/proxy_fuzz_test.cc
@@ -59,6 +59,14 @@
  */
 const uint64_t failed_home_seeds[] = { 1651 };
 
+/*
+ * The same for small limits. Causes, in this order:
+ *  - the oracle held statements of sessions without a valid key, which have no
+ *    limit, against the limit of the workspaces;
+ *  - the same.
+ */
+const uint64_t failed_limit_seeds[] = { 34, 42 };
+
 int random_below(ProxyModel &m, int n)
 {
 	return (int)(m.rand() % (uint64_t)n);
@@ -882,6 +890,9 @@
 {
 	std::vector<uint64_t> seeds;
 
+	if (!getenv("PROXY_SEED"))
+		seeds.assign(std::begin(failed_limit_seeds),
+			     std::end(failed_limit_seeds));
 	append_seeds(seeds, LIMIT_SEED_COUNT);
 	run_seeds(seeds, FAULTS_LIMITS);
 }
