Endpoints return a mark that shows whose answer it is

Cause: results were matched to steps by order and kind alone. Change: a state query asks for the number of its exchange and step as its last column; another value closes the connection. A write by id has one also before its first round trip ends. After an error the transaction is ended with ROLLBACK. The stand-in repeats what it sent (record, repeat). The functions that endpoints must have are the same. Without the state query before the first round trip ends, or with COMMIT after an error, RepeatedEndOfAnAnswerIsNotRecorded fails. Not run: the tests under ASan, the soak, the benchmarks; a write by id runs one more group_state() than before.

--- a/src/postgres/endpoint_driver.c
+++ b/src/postgres/endpoint_driver.c
@@ -8,12 +8,13 @@
 #define SQLSTATE_READ_ONLY_TRANSACTION "25006"
 #define SQLSTATE_NOT_IN_PREREQUISITE_STATE "55000"
 
-/* Columns that group_state() returns, in this order. */
+/* Columns that group_state() returns, in this order, and the mark. */
 enum {
 	GROUP_CURRENT_TERM,
 	GROUP_LAST_TERM,
 	GROUP_LAST_OFFSET,
 	GROUP_ROLE,
+	GROUP_MARK,
 	GROUP_COLUMNS,
 };
 
@@ -33,9 +34,11 @@
 								      -EPROTO;
 }
 
-static int group_parse_state(const PGresult *r, struct endpoint_status *out)
+static int group_parse_state(const PGresult *r, const char *mark,
+			     struct endpoint_status *out)
 {
-	if (PQntuples(r) != 1 || PQnfields(r) != GROUP_COLUMNS)
+	if (PQntuples(r) != 1 || PQnfields(r) != GROUP_COLUMNS ||
+	    strcmp(PQgetvalue(r, 0, GROUP_MARK), mark) != 0)
 		return -EPROTO;
 	if (parse_uint64(PQgetvalue(r, 0, GROUP_CURRENT_TERM),
 			 &out->current_term) ||
@@ -65,9 +68,10 @@
 static const struct endpoint_driver drivers[] = {
 	{
 		.name = "group",
-		.state_sql = "SELECT * FROM group_state()",
-		.raise_term_sql = "SELECT * FROM group_raise_term($1)",
-		.promote_sql = "SELECT * FROM group_promote($1)",
+		.state_sql = "SELECT *, $1::text FROM group_state()",
+		.raise_term_sql =
+			"SELECT *, $2::text FROM group_raise_term($1)",
+		.promote_sql = "SELECT *, $2::text FROM group_promote($1)",
 		.request_insert_sql =
 			"INSERT INTO zl_request "
 			"(workspace, request_id, fingerprint, answer) "
--- a/src/postgres/endpoint_driver.h
+++ b/src/postgres/endpoint_driver.h
@@ -13,17 +13,26 @@
 /* One supported kind of database group. */
 struct endpoint_driver {
 	const char *name; /* in the settings */
-	const char *state_sql; /* returns the endpoint's state */
-	const char *raise_term_sql; /* $1 term; returns the state */
-	const char *promote_sql; /* $1 term; returns the state */
+	/*
+	 * These return the endpoint's state and, as the last column, the value
+	 * of the parameter that is named mark.
+	 */
+	const char *state_sql; /* $1 mark */
+	const char *raise_term_sql; /* $1 term, $2 mark */
+	const char *promote_sql; /* $1 term, $2 mark */
 	/* $1 workspace, $2 request id, $3 fingerprint, $4 answer */
 	const char *request_insert_sql;
 	/* $1 workspace, $2 request id, $3 answer */
 	const char *request_update_sql;
 	/* $1 workspace, $2 request id; returns fingerprint and answer */
 	const char *request_lookup_sql;
-	/* Parses a result of state_sql. Returns 0 or -EPROTO. */
-	int (*parse_state)(const PGresult *r, struct endpoint_status *out);
+	/*
+	 * Parses a result of state_sql. Returns 0, or -EPROTO if it is
+	 * malformed or has another mark, and so is the answer to another
+	 * statement.
+	 */
+	int (*parse_state)(const PGresult *r, const char *mark,
+			   struct endpoint_status *out);
 	/* Returns true if a replica refused a write with this SQLSTATE. */
 	bool (*is_not_primary)(const char *sqlstate);
 	/*
--- a/src/postgres/pg_plan.c
+++ b/src/postgres/pg_plan.c
@@ -3,6 +3,10 @@
 enum { PLAN_STEPS_MAX = 16 };
 
 /*
+ * State queries stand before and after what a round trip decides: their marks
+ * show that the answers between them belong to it. After an error in a
+ * transaction, and in PLAN_PROBE, there is only the one before.
+ *
  * A STEP_SYNC precedes each STEP_COMMIT, so that COMMIT is sent in the same
  * round trip and ends the transaction whether or not a statement before it
  * failed. All rows are terminated by STEP_END, which is 0.
@@ -18,10 +22,10 @@
 			 STEP_SYNC, STEP_COMMIT, STEP_SYNC, STEP_STATE_AFTER,
 			 STEP_SYNC },
 	[PLAN_WRITE_BY_ID] = { STEP_STATE_BEFORE, STEP_BEGIN,
-			       STEP_REQUEST_INSERT, STEP_STATEMENT, STEP_SYNC,
-			       STEP_AWAIT_RESULTS, STEP_REQUEST_UPDATE,
-			       STEP_SYNC, STEP_COMMIT, STEP_SYNC,
-			       STEP_STATE_AFTER, STEP_SYNC },
+			       STEP_REQUEST_INSERT, STEP_STATEMENT,
+			       STEP_STATE_AFTER, STEP_SYNC, STEP_AWAIT_RESULTS,
+			       STEP_REQUEST_UPDATE, STEP_SYNC, STEP_COMMIT,
+			       STEP_SYNC, STEP_STATE_AFTER, STEP_SYNC },
 	[PLAN_LOOKUP] = { STEP_STATE_BEFORE, STEP_LOOKUP, STEP_STATE_AFTER,
 			  STEP_SYNC },
 	[PLAN_BEGIN] = { STEP_STATE_BEFORE, STEP_BEGIN, STEP_STATE_AFTER,
--- a/src/postgres/pg_step.c
+++ b/src/postgres/pg_step.c
@@ -9,7 +9,7 @@
 #define SQLSTATE_COMPLETION_UNKNOWN "40003"
 #define SQLSTATE_CLASS_CONNECTION "08"
 
-enum { TERM_TEXT_BYTES = 24 };
+enum { TERM_TEXT_BYTES = 24, MARK_BYTES = 40 };
 
 /* Recorded instead of a result that exceeded the size limit. */
 #define ANSWER_TOO_LARGE "{\"too_large\":true}"
@@ -34,19 +34,37 @@
 				 0) == 1;
 }
 
+/*
+ * Writes the mark of the state query that is this step of the plan; no other
+ * one on the connection has the same. The endpoint returns it, so that an
+ * answer given twice is not taken for that of a later exchange.
+ */
+static void write_mark(const struct pg_exchange *x, const enum plan_step *step,
+		       char out[MARK_BYTES])
+{
+	snprintf(out, MARK_BYTES, "%" PRIu64 "-%d", x->start.exchange,
+		 (int)(step - plan_steps(x->start.plan)));
+}
+
 static bool send_state_query(struct pg_exchange *x, const struct statement *s)
 {
-	return send_sql(x, x->driver->state_sql, 0, NULL);
+	char mark[MARK_BYTES];
+	const char *params[] = { mark };
+
+	write_mark(x, x->next_to_send, mark);
+	return send_sql(x, x->driver->state_sql, 1, params);
 }
 
-/* Sends a statement whose parameter $1 is the term of the exchange. */
+/* Sends a statement with the parameters $1 term and $2 mark. */
 static bool send_sql_with_term(struct pg_exchange *x, const char *sql)
 {
 	char term[TERM_TEXT_BYTES];
-	const char *params[] = { term };
+	char mark[MARK_BYTES];
+	const char *params[] = { term, mark };
 
 	snprintf(term, sizeof(term), "%" PRIu64, x->start.term);
-	return send_sql(x, sql, 1, params);
+	write_mark(x, x->next_to_send, mark);
+	return send_sql(x, sql, 2, params);
 }
 
 static bool send_raise_term(struct pg_exchange *x, const struct statement *s)
@@ -70,9 +88,13 @@
 	return send_sql(x, "BEGIN READ ONLY", 0, NULL);
 }
 
+/*
+ * An error that is known is rolled back, also if it turns out that it was the
+ * answer to another statement.
+ */
 static bool send_commit(struct pg_exchange *x, const struct statement *s)
 {
-	return send_sql(x, "COMMIT", 0, NULL);
+	return send_sql(x, x->failed ? "ROLLBACK" : "COMMIT", 0, NULL);
 }
 
 static bool send_rollback(struct pg_exchange *x, const struct statement *s)
@@ -156,9 +178,18 @@
 	return 0;
 }
 
+static int parse_state(const struct pg_exchange *x, const PGresult *r,
+		       struct endpoint_status *out)
+{
+	char mark[MARK_BYTES];
+
+	write_mark(x, x->next_result, mark);
+	return x->driver->parse_state(r, mark, out);
+}
+
 static int store_state_before(struct pg_exchange *x, const PGresult *r)
 {
-	if (x->driver->parse_state(r, &x->before))
+	if (parse_state(x, r, &x->before))
 		return -EPROTO;
 	x->after = x->before;
 	return 0;
@@ -166,7 +197,7 @@
 
 static int store_state_after(struct pg_exchange *x, const PGresult *r)
 {
-	return x->driver->parse_state(r, &x->after);
+	return parse_state(x, r, &x->after);
 }
 
 static int add_statement_result(struct pg_exchange *x, const PGresult *r)
@@ -212,11 +243,11 @@
 /* In a failed transaction, the command tag of COMMIT is ROLLBACK. */
 static int handle_commit_result(struct pg_exchange *x, const PGresult *r)
 {
-	bool committed = strcmp(PQcmdStatus((PGresult *)r), "COMMIT") == 0;
+	const char *tag = x->failed ? "ROLLBACK" : "COMMIT";
 
-	if (committed == x->failed)
+	if (strcmp(PQcmdStatus((PGresult *)r), tag) != 0)
 		return -EPROTO;
-	if (committed && x->start.plan == PLAN_COMMIT)
+	if (!x->failed && x->start.plan == PLAN_COMMIT)
 		x->result = build_commit_answer();
 	return 0;
 }
--- a/standin/endpoint/control.c
+++ b/standin/endpoint/control.c
@@ -56,6 +56,30 @@
 	g_string_append_printf(out, "ok %u\n", ep->sessions->len);
 }
 
+static void run_record(struct endpoint *ep, const char *const *words,
+		       GString *out)
+{
+	bool ends = !g_strcmp0(words[1], "end");
+
+	for (guint i = 0; i < ep->sessions->len; i++) {
+		struct session *s = g_ptr_array_index(ep->sessions, i);
+
+		if (ends)
+			session_stop_recording(s);
+		else
+			session_record(s);
+	}
+	g_string_append_printf(out, "ok %u\n", ep->sessions->len);
+}
+
+static void run_repeat(struct endpoint *ep, const char *const *words,
+		       GString *out)
+{
+	for (guint i = 0; i < ep->sessions->len; i++)
+		session_repeat_recorded(g_ptr_array_index(ep->sessions, i));
+	g_string_append_printf(out, "ok %u\n", ep->sessions->len);
+}
+
 static void disconnect_clients(struct endpoint *ep)
 {
 	ep->reject_clients = true;
@@ -200,6 +224,7 @@
 } commands[] = {
 	{ "freeze", run_freeze }, { "resume", run_resume },
 	{ "silent", run_silent }, { "stray", run_stray },
+	{ "record", run_record }, { "repeat", run_repeat },
 	{ "cut", run_cut },	  { "heal", run_heal },
 	{ "lag", run_lag },	  { "service", run_service },
 	{ "peers", run_peers },	  { "state", run_state },
--- a/standin/endpoint/engine.c
+++ b/standin/endpoint/engine.c
@@ -223,6 +223,8 @@
 		return;
 	}
 	f->run(e, c, out);
+	if (c->statement->has_last_column && !out->sqlstate)
+		add_value(out, get_operand_text(c, &c->statement->last_column));
 	out->tag = "SELECT 1";
 }
 
@@ -522,6 +524,8 @@
 		f = find_function(st->name);
 		for (uint32_t i = 0; f && i < f->column_count; i++)
 			out->columns[out->column_count++] = f->columns[i];
+		if (f && st->has_last_column)
+			out->columns[out->column_count++] = "text";
 		return 0;
 	default:
 		return 0;
--- a/standin/endpoint/session.c
+++ b/standin/endpoint/session.c
@@ -13,8 +13,31 @@
 	MESSAGE_BYTES_MAX = 64 << 20,
 };
 
+void session_record(struct session *s)
+{
+	g_byte_array_set_size(s->recorded, 0);
+	s->recording = true;
+}
+
+void session_stop_recording(struct session *s)
+{
+	s->recording = false;
+}
+
+void session_repeat_recorded(struct session *s)
+{
+	session_stop_recording(s);
+	s->repeats = true;
+}
+
 void session_flush(struct session *s)
 {
+	if (s->recording)
+		g_byte_array_append(s->recorded, s->out->data, s->out->len);
+	if (s->repeats && s->out->len > 0) {
+		s->repeats = false;
+		stream_write(s->stream, s->recorded->data, s->recorded->len);
+	}
 	if (s->out->len > 0)
 		stream_write(s->stream, s->out->data, s->out->len);
 	g_byte_array_set_size(s->out, 0);
@@ -204,6 +227,7 @@
 	session_close(s);
 	g_byte_array_free(s->in, TRUE);
 	g_byte_array_free(s->out, TRUE);
+	g_byte_array_free(s->recorded, TRUE);
 	apr_pool_destroy(s->pool);
 	g_free(s);
 }
@@ -217,6 +241,7 @@
 	s->ep = ep;
 	s->in = g_byte_array_new();
 	s->out = g_byte_array_new();
+	s->recorded = g_byte_array_new();
 	apr_pool_create(&s->pool, NULL);
 	g_ptr_array_add(ep->sessions, s);
 	s->stream = stream_new(ep->net, fd, &ops, s);
--- a/standin/endpoint/session.h
+++ b/standin/endpoint/session.h
@@ -25,6 +25,17 @@
 /* Sends a complete result that no statement of the client requested. */
 void session_send_unsolicited_result(struct session *s);
 
+/* Records from now on what is sent, instead of what was recorded before. */
+void session_record(struct session *s);
+
+void session_stop_recording(struct session *s);
+
+/*
+ * Stops recording. What was recorded is sent once more, byte for byte, before
+ * what is sent next.
+ */
+void session_repeat_recorded(struct session *s);
+
 /*
  * Rolls back an open transaction that has changes, and makes it rollback-only:
  * its further statements and its commit fail. Called when the primary is
--- a/standin/endpoint/session_state.h
+++ b/standin/endpoint/session_state.h
@@ -40,6 +40,9 @@
 	bool described; /* the columns of `result` are set */
 	struct engine_result result;
 	int64_t sleep_us; /* extra duration that the statement requests */
+	bool recording; /* what is sent is also added to `recorded` */
+	bool repeats; /* sends `recorded` before the next output */
+	GByteArray *recorded;
 };
 
 /* session.c */
--- a/standin/endpoint/sql.c
+++ b/standin/endpoint/sql.c
@@ -248,7 +248,12 @@
 		return;
 	}
 	if (accept_token(p, "*")) {
+		st->has_last_column = accept_token(p, ",");
+		if (st->has_last_column)
+			st->last_column = parse_operand(p);
 		parse_from(p, st);
+		if (st->has_last_column && st->kind != SQL_FUNCTION)
+			p->failed = true;
 		return;
 	}
 	if (accept_token(p, "count")) {
--- a/standin/endpoint/sql.h
+++ b/standin/endpoint/sql.h
@@ -54,6 +54,9 @@
 	/* Values of an INSERT, one for each column, or function arguments. */
 	uint32_t operand_count;
 	struct sql_operand operands[SQL_COLUMNS_MAX];
+	/* Last column of SELECT *, operand FROM f(..). */
+	bool has_last_column;
+	struct sql_operand last_column;
 	uint32_t assignment_count;
 	struct sql_assignment assignments[SQL_CLAUSE_ITEMS_MAX];
 	uint32_t condition_count;
--- a/tests/pg_link_test.cc
+++ b/tests/pg_link_test.cc
@@ -573,6 +573,197 @@
 	EXPECT_EQ(0u, l.count(EVENT_EXCHANGE_RESULT));
 }
 
+struct Exchange {
+	enum exchange_plan plan;
+	SqlStatement sql = {};
+	uint64_t term = 0;
+};
+
+/*
+ * The answer to an exchange comes again, byte for byte, after the next exchange
+ * on the connection was started and before its own answer.
+ */
+struct RepeatCase {
+	const char *name;
+	std::vector<Exchange> before; /* run first, answered once */
+	Exchange repeated; /* its answer comes twice */
+	Exchange next;
+};
+
+const SqlStatement add_oak = {
+	"INSERT INTO stock (item, qty) VALUES ('oak', 10)"
+};
+const SqlStatement add_pine = {
+	"INSERT INTO stock (item, qty) VALUES ('pine', 20)"
+};
+const SqlStatement read_oak = { "SELECT qty FROM stock WHERE item = 'oak'" };
+const SqlStatement read_pine = { "SELECT qty FROM stock WHERE item = 'pine'" };
+
+SqlStatement with_id(const SqlStatement &s, const char *request_id)
+{
+	return { s.text, s.params, request_id };
+}
+
+const RepeatCase repeat_cases[] = {
+	{ "probes", {}, { PLAN_PROBE }, { PLAN_PROBE } },
+	{ "raised terms",
+	  {},
+	  { PLAN_RAISE_TERM, {}, 4 },
+	  { PLAN_RAISE_TERM, {}, 5 } },
+	{ "promotions", {}, { PLAN_PROMOTE, {}, 4 }, { PLAN_PROMOTE, {}, 5 } },
+	{ "refused promotion, then one that is done",
+	  { { PLAN_RAISE_TERM, {}, 4 } },
+	  { PLAN_PROMOTE, {}, 3 },
+	  { PLAN_PROMOTE, {}, 5 } },
+	{ "reads of other rows",
+	  { { PLAN_WRITE, add_oak }, { PLAN_WRITE, add_pine } },
+	  { PLAN_READ, read_oak },
+	  { PLAN_READ, read_pine } },
+	{ "failed read, then one that succeeds",
+	  { { PLAN_WRITE, add_oak } },
+	  { PLAN_READ, { "SELECT a FROM nowhere" } },
+	  { PLAN_READ, read_oak } },
+	{ "done write, then one that fails",
+	  { { PLAN_WRITE, add_oak } },
+	  { PLAN_WRITE, add_pine },
+	  { PLAN_WRITE, add_oak } },
+	{ "failed write, then one that is done",
+	  { { PLAN_WRITE, add_oak } },
+	  { PLAN_WRITE, add_oak },
+	  { PLAN_WRITE, add_pine } },
+	{ "done write by id, then one that fails",
+	  { { PLAN_WRITE, add_oak } },
+	  { PLAN_WRITE_BY_ID, with_id(add_pine, "r1") },
+	  { PLAN_WRITE_BY_ID, with_id(add_oak, "r2") } },
+	{ "failed write by id, then one that is done",
+	  { { PLAN_WRITE, add_oak } },
+	  { PLAN_WRITE_BY_ID, with_id(add_oak, "r1") },
+	  { PLAN_WRITE_BY_ID, with_id(add_pine, "r2") } },
+	{ "duplicate write by id, then a new one",
+	  { { PLAN_WRITE_BY_ID, with_id(add_oak, "r1") } },
+	  { PLAN_WRITE_BY_ID, with_id(add_oak, "r1") },
+	  { PLAN_WRITE_BY_ID, with_id(add_pine, "r2") } },
+	{ "lookup that finds nothing, then one that does",
+	  { { PLAN_WRITE_BY_ID, with_id(add_oak, "r1") } },
+	  { PLAN_LOOKUP, with_id(add_oak, "r2") },
+	  { PLAN_LOOKUP, with_id(add_oak, "r1") } },
+	{ "lookup that finds, then one that does not",
+	  { { PLAN_WRITE_BY_ID, with_id(add_oak, "r1") } },
+	  { PLAN_LOOKUP, with_id(add_oak, "r1") },
+	  { PLAN_LOOKUP, with_id(add_oak, "r2") } },
+	{ "statements of a transaction",
+	  { { PLAN_WRITE, add_oak }, { PLAN_WRITE, add_pine }, { PLAN_BEGIN } },
+	  { PLAN_STATEMENT, read_oak },
+	  { PLAN_STATEMENT, read_pine } },
+	{ "failed statement, then another",
+	  { { PLAN_BEGIN } },
+	  { PLAN_STATEMENT, { "SELECT a FROM nowhere" } },
+	  { PLAN_STATEMENT, add_oak } },
+	{ "refused statement, then another",
+	  { { PLAN_BEGIN } },
+	  { PLAN_STATEMENT, { "COMMIT" } },
+	  { PLAN_STATEMENT, add_oak } },
+	{ "statement of a failed transaction, then its rollback",
+	  { { PLAN_BEGIN }, { PLAN_STATEMENT, { "SELECT" } } },
+	  { PLAN_STATEMENT, add_oak },
+	  { PLAN_ROLLBACK } },
+	{ "rollback, then a read",
+	  { { PLAN_WRITE, add_oak }, { PLAN_BEGIN } },
+	  { PLAN_ROLLBACK },
+	  { PLAN_READ, read_oak } },
+};
+
+TEST(PgLink, RepeatedAnswerIsNotTakenByTheNextExchange)
+{
+	for (const RepeatCase &c : repeat_cases) {
+		SCOPED_TRACE(c.name);
+		Endpoint e({ "--primary-term", "3" });
+		PgLinkHarness l;
+		size_t ended;
+
+		l.open_and_wait(1, e);
+		for (const Exchange &x : c.before)
+			l.run_exchange(1, x.plan, x.sql, x.term);
+		EXPECT_EQ("ok 1", e.control.send_command("record"));
+		l.run_exchange(1, c.repeated.plan, c.repeated.sql,
+			       c.repeated.term);
+		EXPECT_EQ("ok 1", e.control.send_command("repeat"));
+		ended = l.count(EVENT_EXCHANGE_RESULT);
+		l.start_exchange(1, c.next.plan, c.next.sql, c.next.term);
+		EXPECT_TRUE(l.wait_until([&] { return l.is_lost(1); }));
+		EXPECT_EQ(ended, l.count(EVENT_EXCHANGE_RESULT))
+			<< "status "
+			<< l.events[l.events.size() - 2].result.status;
+		EXPECT_EQ("", l.last_result());
+	}
+}
+
+/*
+ * The end of an answer comes again, within the answer to the next exchange, at
+ * the place where it would fit.
+ */
+struct RepeatedEndCase {
+	const char *name;
+	SqlStatement repeated;
+	SqlStatement next;
+};
+
+const SqlStatement buy_oak = {
+	"UPDATE stock SET qty = qty + 1 WHERE item = 'oak'", "[]", "r1"
+};
+const SqlStatement buy_elm = {
+	"UPDATE stock SET qty = qty + 1 WHERE item = 'elm'", "[]", "r2"
+};
+
+const RepeatedEndCase repeated_end_cases[] = {
+	{ "other count of rows", buy_oak, buy_elm },
+	{ "error", with_id(add_oak, "r1"), with_id(buy_oak, "r2") },
+	{ "done, then an error", buy_oak, with_id(add_oak, "r2") },
+};
+
+TEST(PgLink, RepeatedEndOfAnAnswerIsNotRecorded)
+{
+	for (const RepeatedEndCase &c : repeated_end_cases) {
+		SCOPED_TRACE(c.name);
+		Endpoint e({ "--primary-term", "3" });
+		PgLinkHarness l;
+		int ran;
+		auto wait_for_statements = [&](int count) {
+			EXPECT_TRUE(l.wait_until([&] {
+				return std::stoi(e.state("statements")) >=
+				       ran + count;
+			}));
+		};
+		/* Waits until the answer up to BEGIN was sent. */
+		auto start = [&](const SqlStatement &s) {
+			ran = std::stoi(e.state("statements"));
+			l.start_exchange(1, PLAN_WRITE_BY_ID, s);
+			wait_for_statements(1);
+		};
+
+		l.open_and_wait(1, e);
+		l.run_exchange(1, PLAN_WRITE, add_oak);
+		e.control.send_command("service 100000");
+		start(c.repeated);
+		EXPECT_EQ("ok 1", e.control.send_command("record"));
+		wait_for_statements(3);
+		EXPECT_EQ("ok 1", e.control.send_command("record end"));
+		EXPECT_TRUE(l.wait_until(
+			[&] { return l.count(EVENT_EXCHANGE_RESULT) == 2; }));
+		start(c.next);
+		EXPECT_EQ("ok 1", e.control.send_command("repeat"));
+		e.control.send_command("service 0");
+		EXPECT_TRUE(l.wait_until([&] { return l.is_lost(1); }));
+		EXPECT_EQ(2u, l.count(EVENT_EXCHANGE_RESULT));
+		EXPECT_TRUE(l.wait_until(
+			[&] { return e.state("connections") == "0"; }));
+		l.open_and_wait(2, e);
+		EXPECT_EQ(RESULT_NOT_FOUND,
+			  l.run_exchange(2, PLAN_LOOKUP, c.next).status)
+			<< l.last_result();
+	}
+}
+
 TEST(PgLink, SilentConnectionsDoNotBlockOthers)
 {
 	Endpoint e({ "--primary-term", "1", "--connections-max", "2" });
--- a/tests/process_fault_test.cc
+++ b/tests/process_fault_test.cc
@@ -21,6 +21,7 @@
 enum {
 	ORDERS_PER_INSTANCE = 3, /* in each call of place_orders() */
 	READ_COUNT = 30,
+	REPEAT_COUNT = 10,
 	SLOW_SERVICE_US = 300 * 1000,
 	FAR_BEHIND_LAG_MS = 3600 * 1000,
 	STOCK_MAX_AGE_US = 1000 * 1000,
@@ -135,6 +136,52 @@
 	EXPECT_EQ(0u, f->find_primary()) << "a healthy primary was replaced";
 }
 
+void send_to_endpoints(ProcessFleet *f, const char *command)
+{
+	for (auto &e : f->endpoints)
+		e->control.send_command(command);
+}
+
+CallerReply read_order(HttpCaller *c, const char *id)
+{
+	return c->post("/v1/groups/orders/read",
+		       statement_body("SELECT id FROM orders WHERE id = $1",
+				      "[\"" + std::string(id) + "\"]"));
+}
+
+/*
+ * Every connection gets what it got during the first request once more. A
+ * request whose connection is closed for it may be told as unknown; none may
+ * get the answer to another.
+ */
+void repeat_answers(ProcessFleet *f)
+{
+	auto c = f->new_caller(0);
+	int ran = 0;
+	auto check = [&](const CallerReply &r, const char *answer) {
+		if (r.verdict() != "ran") {
+			EXPECT_EQ(ERR_CONNECTION_LOST, r.error) << r.body;
+			EXPECT_EQ("may_have_run", r.verdict()) << r.body;
+			return;
+		}
+		EXPECT_NE(std::string::npos, r.body.find(answer)) << r.body;
+		ran++;
+	};
+
+	for (int k = 0; k < REPEAT_COUNT; k++) {
+		send_to_endpoints(f, "record");
+		check(read_order(c.get(), "o-118"), "[[\"o-118\"]]");
+		send_to_endpoints(f, "repeat");
+		check(read_order(c.get(), "o-119"), "[[\"o-119\"]]");
+		send_to_endpoints(f, "record");
+		check(f->place_order(0, 20000), "\"UPDATE\"");
+		send_to_endpoints(f, "repeat");
+		check(f->place_order(0, 20000), "\"UPDATE\"");
+	}
+	EXPECT_GE(ran, 2 * REPEAT_COUNT);
+	EXPECT_EQ(0u, f->find_primary()) << "a healthy primary was replaced";
+}
+
 void delay_replica(ProcessFleet *f)
 {
 	f->endpoints[2]->control.send_command(
@@ -328,6 +375,7 @@
 	{ "PrimaryCutFromClients", cut_primary_from_clients, reconnect_primary,
 	  0 },
 	{ "ConnectionsSilent", silence_connections, nullptr, 0 },
+	{ "AnswersRepeated", repeat_answers, nullptr, 0 },
 	{ "ReplicaFarBehind", delay_replica, end_replica_delay, 0 },
 	{ "PlatformOutage", start_outage, end_outage, 0 },
 	{ "PlatformOutageAfterWrite", start_outage_after_writes, end_outage,
