Copies of answers are told by time, and BEGIN's copies hide less

Callers would see: the answer of an earlier statement where more than 128 others came between an answer and its copy (MIXED); a read outside of its transaction where a copy of BEGIN's answer hid a refusal (STALE, MIXED); a mark with the time of a later BEGIN (STALE). Buffers of large rows went from session to session. Change: - signatures are remembered for 10 s, and a connection that has more than it can remember is closed. - the first read of a transaction carries the position that BEGIN carried; an error after unsigned answers of an endpoint that repeats them closes the connection. - a dropped answer, an error and a release drop the position that waits for a seal. - an error counts for 10 s, so that a busy endpoint that repeats nothing is asked for fewer connections. - a read whose result was unsigned is sent again only if nothing follows for four times its usual time: mostly its own answer does. - homes answer once; what does not fit closes their connection. - probes take a connection without errors if there is one; event 314 is told once for each time that an endpoint repeats answers. Tests: the model's run_statement() no longer waits 100 ms between statements, which kept most directed cases on idle connections. LateCopyOfARefusalIsNotBelieved plays 900 rounds, not 300: without the waits 8 copies came in one case, and it asks for more than 10.

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -68,13 +68,15 @@
 }
 
 /* Returns true if an error on the connection would be the statement's own. */
-static bool is_in_step(const struct upstream_conn *c, const struct session *s)
+static bool may_run(const struct upstream_conn *c, const struct session *s)
 {
 	bool takes_effect = s->transaction != TRANSACTION_NONE ?
 				    !s->transaction_reads_only :
 				    s->op.writes;
 
-	return !c->had_more_errors && !(c->had_error && takes_effect);
+	return !c->retired &&
+	       !(takes_effect &&
+		 upstream_conn_had_error(c, engine_now(c->engine)));
 }
 
 struct upstream_conn *conn_pool_find_idle(const struct upstream *u,
@@ -86,8 +88,7 @@
 		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
 
 		if (c->state != CONN_STATE_IDLE || c->control ||
-		    strcmp(c->workspace, s->workspace) != 0 ||
-		    !is_in_step(c, s))
+		    strcmp(c->workspace, s->workspace) != 0 || !may_run(c, s))
 			continue;
 		/* A connection that holds the same values needs no reset. */
 		if (!strcmp(c->values_key, s->values_key))
@@ -144,6 +145,8 @@
 
 		if (c->state != CONN_STATE_IDLE || c->control)
 			continue;
+		if (c->retired)
+			return c;
 		demand = estimate_conn_demand(c);
 		if (found && demand > least)
 			continue;
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -499,8 +499,8 @@
 	}
 	if (c->closed || c->state == CONN_STATE_STARTING)
 		return;
-	if (c->had_more_errors && !c->control &&
-	    c->state != CONN_STATE_PROBING) {
+	c->unsealed.has_mark = false;
+	if (c->retired && !c->control && c->state != CONN_STATE_PROBING) {
 		dispatch_close_conn(c);
 		return;
 	}
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -519,7 +519,7 @@
 					   "no answer in time", now_us);
 		return;
 	}
-	if (hedging_try(s, now_us))
+	if (exchange_retry_unanswered(s, now_us) || hedging_try(s, now_us))
 		return;
 	if (s->op.active || s->transaction != TRANSACTION_OPEN || !c ||
 	    !e->config)
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -26,6 +26,9 @@
 	 */
 	OPEN_BACKOFF_US = 200 * 1000,
 	OPEN_BACKOFF_MAX_US = 1600 * 1000,
+	ROWS_KEPT_BYTES = 16 * 1024, /* of a buffer that is not in use */
+	/* Times of a usual read for which one goes on waiting after a stray. */
+	STRAY_WAIT_FACTOR = 4,
 };
 
 /*
@@ -157,14 +160,20 @@
 	c->unsealed.has_mark = false;
 }
 
-/* Homes are instances, which give each answer once. */
-static void note_error(struct upstream_conn *c)
+/*
+ * Notes an error of an endpoint; homes give each answer once. It may be a copy
+ * if the connection had one before, and the request's own answer then follows.
+ */
+static void note_error(struct upstream_conn *c, int64_t now_us)
 {
-	c->unsealed.has_mark = false;
+	memset(&c->unsealed, 0, sizeof(c->unsealed));
 	if (c->upstream->is_home)
 		return;
-	c->had_more_errors = c->had_error;
-	c->had_error = true;
+	/* It may also be due to a BEGIN that a copy has answered. */
+	c->retired |= upstream_conn_had_error(c, now_us) ||
+		      (c->took_unsigned &&
+		       upstream_repeats_answers(c->upstream, now_us));
+	c->error_us = now_us;
 }
 
 static void update_last_write(struct session *s, const struct wire_reply *r,
@@ -185,10 +194,9 @@
 	struct operation *op = &s->op;
 	bool commits = op->query.kind == QUERY_COMMIT;
 	bool ends = commits || s->transaction == TRANSACTION_NONE;
-	GString *rows = s->op.rows;
 
-	s->op.rows = c->rows;
-	c->rows = rows;
+	g_string_append_len(op->rows, c->rows->str, (gssize)c->rows->len);
+	c->took_unsigned = false;
 	apply_mark(c);
 	if (ready->has_position &&
 	    (op->need == NEED_STRICT_READ || (op->writes && ends) ||
@@ -278,7 +286,7 @@
 	metrics_observe(c->engine->opts.metrics, "endpoint_seconds",
 			c->upstream->entry.id, now_us - request->sent_us);
 	if (c->answer.failed)
-		note_error(c);
+		note_error(c, now_us);
 	if (!c->session)
 		return;
 	if (c->answer.failed)
@@ -306,6 +314,7 @@
 				      now_us);
 		return;
 	}
+	c->took_unsigned = true;
 	if (is_ready_for_statement(c))
 		statement_send(c, now_us);
 }
@@ -320,7 +329,9 @@
 		return;
 	}
 	if (c->answer.failed)
-		note_error(c);
+		note_error(c, now_us);
+	else
+		c->took_unsigned = true;
 	if (!c->session) {
 		if (c->answer.failed)
 			record_refusal(c, c->answer.code, now_us);
@@ -344,7 +355,7 @@
 		return;
 	}
 	if (c->answer.failed)
-		note_error(c);
+		note_error(c, now_us);
 	if (c->state != CONN_STATE_PROBING || !c->unsealed.has_mark)
 		return;
 	/*
@@ -373,7 +384,7 @@
 {
 	c->upstream->service->probing = false;
 	if (c->answer.failed) {
-		note_error(c);
+		note_error(c, now_us);
 		record_refusal(c, c->answer.code, now_us);
 	} else if (ready->state != TRANSACTION_OPEN) {
 		close_mismatched_conn(c, "BEGIN was answered by something else",
@@ -393,7 +404,7 @@
 	k->has_report = !c->answer.failed &&
 			e->opts.wire->read_report(c->answer.report, &k->report);
 	if (c->answer.failed)
-		note_error(c);
+		note_error(c, now_us);
 	if (!k->has_report)
 		failover_handle_report_error(e->failovers, c, c->answer.code,
 					     now_us);
@@ -446,6 +457,10 @@
 {
 	memset(&c->answer, 0, sizeof(c->answer));
 	g_string_truncate(c->rows, 0);
+	if (c->rows->allocated_len > ROWS_KEPT_BYTES) {
+		g_string_free(c->rows, TRUE);
+		c->rows = g_string_new(NULL);
+	}
 }
 
 static void on_ready(struct upstream_conn *c, const struct wire_reply *ready,
@@ -460,6 +475,8 @@
 		return;
 	}
 	c->answered_us = now_us;
+	c->stray_us = 0;
+	c->retired |= reply_check_is_full(c->replies);
 	upstream_conn_pop_request(c);
 	c->in_transaction = ready->state != TRANSACTION_NONE;
 	upstream_record_own_answer(c->upstream);
@@ -546,48 +563,56 @@
 };
 
 static enum reply_fate check_reply(struct upstream_conn *c,
-				   const struct wire_reply *r)
+				   const struct wire_reply *r, int64_t now_us)
 {
 	const struct conn_request *request = upstream_conn_oldest_request(c);
+	enum reply_due due =
+		request ? request_dues[request->kind] : REPLY_DUE_NONE;
+	enum reply_fate fate =
+		reply_check_part(c->replies, due, reply_parts[r->kind],
+				 r->ran_statement ? r->text : NULL,
+				 r->text_bytes, now_us);
 
-	return reply_check_part(&c->replies,
-				request ? request_dues[request->kind] :
-					  REPLY_DUE_NONE,
-				reply_parts[r->kind],
-				r->ran_statement ? r->text : NULL,
-				r->text_bytes);
+	if (!c->upstream->is_home)
+		return fate;
+	/* Its endpoints may have started again, with the same signatures. */
+	if (fate == REPLY_IS_COPY && due == REPLY_DUE_STATEMENT)
+		return REPLY_FITS;
+	return fate == REPLY_FITS ? fate : REPLY_MISFITS;
 }
 
 /* Drops a part of an answer that the endpoint had given before. */
 static void drop_copy(struct upstream_conn *c, const struct wire_reply *r,
 		      int64_t now_us)
 {
+	struct upstream *u = c->upstream;
+
 	clear_answer(c);
+	/* The answer that was taken in its place may have been the copy. */
+	c->unsealed.has_mark = false;
 	if (r->kind != REPLY_READY)
 		return;
-	upstream_note_repetition(c->upstream, now_us);
-	engine_log(c->engine, LOG_ANSWER_REPEATED, 0, c->upstream->entry.id,
-		   c->request_count, "%s", c->upstream->service->name);
+	if (!upstream_repeats_answers(u, now_us))
+		engine_log(c->engine, LOG_ANSWER_REPEATED, 0, u->entry.id,
+			   c->request_count, "%s", u->service->name);
+	upstream_note_repetition(u, now_us);
 	metrics_add(c->engine->opts.metrics, "endpoint_repeated_answers_total",
-		    c->upstream->entry.id, 1);
+		    u->entry.id, 1);
 }
 
 /*
- * Drops a part of an answer that is no statement's. A read is sent again: if
- * this was meant to be its answer, no other will come.
+ * Drops a part of an answer that is no statement's. If a read runs, this may
+ * have been meant to be its answer; see exchange_retry_unanswered().
  */
 static void drop_stray(struct upstream_conn *c, const struct wire_reply *r,
 		       int64_t now_us)
 {
 	const struct conn_request *request = upstream_conn_oldest_request(c);
-	struct session *s = c->session;
 
 	drop_copy(c, r, now_us);
-	if (r->kind != REPLY_READY || !request ||
-	    request->kind != CONN_REQUEST_STATEMENT || !is_repeatable(c))
-		return;
-	dispatch_release_conn(c, now_us);
-	dispatch_retry(s, "answered without a signature", now_us);
+	if (r->kind == REPLY_READY && request &&
+	    request->kind == CONN_REQUEST_STATEMENT)
+		c->stray_us = now_us;
 }
 
 static void handle_reply(struct upstream_conn *c, const struct wire_reply *r,
@@ -646,7 +671,7 @@
 		close_mismatched_conn(c, "a line that cannot be read", now_us);
 		return;
 	}
-	switch (check_reply(c, &r)) {
+	switch (check_reply(c, &r, now_us)) {
 	case REPLY_FITS:
 		handle_reply(c, &r, now_us);
 		break;
@@ -751,6 +776,22 @@
 	handle_statement_loss(s, c, reason, now_us);
 }
 
+bool exchange_retry_unanswered(struct session *s, int64_t now_us)
+{
+	struct upstream_conn *c = s->conn;
+
+	if (!c || c->closed || c->session != s || !c->stray_us ||
+	    c->state != CONN_STATE_RUNNING || !is_repeatable(c) ||
+	    now_us - c->stray_us <
+		    STRAY_WAIT_FACTOR *
+			    upstream_expected_latency_us(c->upstream, now_us))
+		return false;
+	c->stray_us = 0;
+	dispatch_release_conn(c, now_us);
+	dispatch_retry(s, "answered without a signature", now_us);
+	return true;
+}
+
 void exchange_give_up_statement(struct session *s, enum answer_code unknown,
 				const char *reason, int64_t now_us)
 {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -17,6 +17,12 @@
 void exchange_handle_loss(struct upstream_conn *c, const char *reason,
 			  int64_t now_us);
 
+/*
+ * Sends a read again whose connection gave a result without a signature and
+ * then nothing for long. Returns true if it did.
+ */
+bool exchange_retry_unanswered(struct session *s, int64_t now_us);
+
 /*
  * Answers a statement that is not waited for any longer. If it was sent and may
  * take effect, the answer is `unknown`, else it is ANSWER_ABORTED.
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -36,22 +36,31 @@
 /* What a probe on the connection costs the statements that would use it. */
 static uint32_t get_probe_cost(const struct upstream_conn *c)
 {
-	if (c->had_error)
-		return 0;
-	return 1 + !!*c->values_key + g_hash_table_size(c->prepared);
+	return !!*c->values_key + g_hash_table_size(c->prepared);
 }
 
-/* Returns the idle connection that loses least by a probe, or NULL. */
-static struct upstream_conn *find_probe_conn(const struct upstream *u)
+/*
+ * Returns the idle connection that loses least by a probe, or NULL. One with
+ * errors, which may come again, is used if there is no other.
+ */
+static struct upstream_conn *find_probe_conn(const struct upstream *u,
+					     int64_t now_us)
 {
 	struct upstream_conn *found = NULL;
+	bool found_had_error = false;
 
 	for (guint i = 0; i < u->conns->len; i++) {
 		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
+		bool had_error = upstream_conn_had_error(c, now_us);
 
-		if (c->state == CONN_STATE_IDLE && !c->control &&
-		    (!found || get_probe_cost(c) < get_probe_cost(found)))
+		if (c->state != CONN_STATE_IDLE || c->control)
+			continue;
+		if (!found || had_error < found_had_error ||
+		    (had_error == found_had_error &&
+		     get_probe_cost(c) < get_probe_cost(found))) {
 			found = c;
+			found_had_error = had_error;
+		}
 	}
 	return found;
 }
@@ -150,7 +159,7 @@
 	svc->probe_due_us = now_us + RETRY_INTERVAL_US;
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		struct upstream *u = g_ptr_array_index(svc->upstreams, i);
-		struct upstream_conn *c = find_probe_conn(u);
+		struct upstream_conn *c = find_probe_conn(u, now_us);
 
 		if (u->expired)
 			continue;
@@ -187,7 +196,7 @@
 	svc->probe_due_us =
 		now_us + (u->silent_since_us ? RETRY_INTERVAL_US :
 					       get_probe_interval_us(svc));
-	c = find_probe_conn(u);
+	c = find_probe_conn(u, now_us);
 	if (c)
 		send_probe(svc, c, now_us);
 	else
--- a/src/proxy/statement_send.c
+++ b/src/proxy/statement_send.c
@@ -78,7 +78,8 @@
 
 	if (op->query.kind == QUERY_EXECUTE)
 		name = upstream_conn_find_prepared(c, s, op->query.name);
-	if (op->need == NEED_READ && !c->in_transaction)
+	/* With BEGIN as well: its answer may be a copy that hides a refusal. */
+	if (op->need == NEED_READ && s->pinned != c)
 		after = &op->min_mark.position;
 	wire->put_query(c->out, &op->query, name, after);
 	upstream_conn_push_request(c, CONN_REQUEST_STATEMENT, now_us);
--- a/src/proxy/upstream_conn.c
+++ b/src/proxy/upstream_conn.c
@@ -17,6 +17,7 @@
 	c->values_key = g_strdup("");
 	c->prepared =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->replies = reply_check_new();
 	c->rows = g_string_new(NULL);
 	c->out = g_string_new(NULL);
 	return c;
@@ -27,6 +28,7 @@
 	g_free(c->workspace);
 	g_free(c->values_key);
 	g_hash_table_destroy(c->prepared);
+	reply_check_free(c->replies);
 	g_string_free(c->rows, TRUE);
 	g_string_free(c->out, TRUE);
 	g_free(c);
@@ -148,6 +150,11 @@
 	return appended;
 }
 
+bool upstream_conn_had_error(const struct upstream_conn *c, int64_t now_us)
+{
+	return c->error_us && now_us - c->error_us <= REPLY_COPY_MAX_US;
+}
+
 const char *upstream_conn_find_prepared(const struct upstream_conn *c,
 					const struct session *s,
 					const char *name)
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -89,17 +89,17 @@
 	bool writes; /* its last statement writes, or its transaction may */
 	bool in_transaction; /* the endpoint has an open transaction on it */
 	bool denied; /* the endpoint refused to start it */
-	/*
-	 * It has carried an error. The next one could be a late copy, so it
-	 * runs nothing that may take effect.
-	 */
-	bool had_error;
-	bool had_more_errors; /* its answers may be out of step: it is closed */
+	bool retired; /* its answers may be out of step: closed on release */
+	/* Since the last signed answer, unsigned ones were taken. */
+	bool took_unsigned;
 	bool closed;
 	int64_t opened_us;
 	uint64_t statements; /* that were sent on it */
 	int64_t idle_since_us; /* when it last became idle */
 	int64_t answered_us; /* when the last complete answer arrived */
+	int64_t error_us; /* when it last carried an error; 0: never */
+	/* A result without a signature came while its statement ran; 0: none. */
+	int64_t stray_us;
 
 	char *values_key; /* canonical text of the values it holds */
 	/* "W definition" or "R definition" to the endpoint's name for it. */
@@ -111,7 +111,7 @@
 	uint32_t request_first; /* index of the oldest */
 	uint32_t request_count;
 	struct incoming_answer answer;
-	struct reply_check replies;
+	struct reply_check *replies;
 	GString *rows; /* of that answer, with its result */
 	struct unsealed_answers unsealed;
 	GString *out; /* output that is not sent yet */
@@ -162,6 +162,12 @@
 			     const struct session *s, const char *prepared_name,
 			     int64_t now_us);
 
+/*
+ * Returns true if an error on the connection may be a copy of an earlier one:
+ * it must not run what may take effect.
+ */
+bool upstream_conn_had_error(const struct upstream_conn *c, int64_t now_us);
+
 /*
  * Returns the name under which the endpoint holds the session's prepared
  * statement, owned by the connection, or NULL.
--- a/src/replies/reply_check.h
+++ b/src/replies/reply_check.h
@@ -5,7 +5,8 @@
  * An answer is any number of rows, then a result or an error, then READY. An
  * endpoint may send an answer twice, the second time late: when nothing is due,
  * or when another request is. Copies are dropped where they can be told:
- *  - a statement's result has a signature that no other run has;
+ *  - a statement's result has a signature that no other run has, and those of
+ *    the last seconds are remembered;
  *  - a result without one, or READY alone, answers no statement.
  * An unsigned result can't be told from a copy while another one is due, nor an
  * error from a copy of an earlier error. Whoever relies on the first sends a
@@ -47,21 +48,14 @@
 	REPLY_MISFITS, /* none of what follows can be trusted */
 };
 
-/* More than the answers that can precede the late copy of one. */
-enum { REPLY_SIGNATURES_MAX = 128 };
+/* An answer may come again within this time; far longer than it is late. */
+#define REPLY_COPY_MAX_US (10 * INT64_C(1000000))
 
-/* Zeroed at first; one for each connection. */
-struct reply_check {
-	/* Of the answer that is being received. */
-	bool begun;
-	bool unrequested; /* it began when nothing was due */
-	bool has_rows;
-	bool ended; /* only READY is missing */
-	enum reply_fate fate; /* of its result */
-	/* Hashes of the newest signatures: a ring. */
-	uint64_t signatures[REPLY_SIGNATURES_MAX];
-	uint32_t signature_count; /* of all so far */
-};
+/* One for each connection; freed with reply_check_free(). */
+struct reply_check;
+
+struct reply_check *reply_check_new(void);
+void reply_check_free(struct reply_check *k);
 
 /*
  * Handles a message. `signature` is that of a result, not terminated; NULL: it
@@ -69,6 +63,12 @@
  */
 enum reply_fate reply_check_part(struct reply_check *k, enum reply_due due,
 				 enum reply_part part, const char *signature,
-				 size_t signature_bytes);
+				 size_t signature_bytes, int64_t now_us);
+
+/*
+ * Returns true if no more signatures are remembered: the connection is to be
+ * closed before copies of its answers can no longer be told.
+ */
+bool reply_check_is_full(const struct reply_check *k);
 
 #endif
--- a/tests/proxy_engine_test.cc
+++ b/tests/proxy_engine_test.cc
@@ -2142,7 +2142,7 @@
 				e->failed_read_percent = 10;
 				e->lag_us = 60 * MS;
 			}
-			for (int i = 0; i < 300; i++) {
+			for (int i = 0; i < 900; i++) {
 				for (const char *text : k.statements)
 					m.run_statement(callers[i % 3], text);
 			}
--- a/tests/proxy_model.cc
+++ b/tests/proxy_model.cc
@@ -2458,7 +2458,8 @@
 ProxyAnswer ProxyModel::run_statement(ProxyCaller *c, const std::string &text,
 				      int64_t timeout_us)
 {
-	wait_for_answer(c, 100 * MS);
+	if (!c->started || !c->statement_id.empty() || !c->lines.empty())
+		wait_for_answer(c, 100 * MS);
 	send_statement(c, text);
 	return wait_for_answer(c, timeout_us);
 }
--- a/tests/reply_check_test.cc
+++ b/tests/reply_check_test.cc
@@ -140,48 +140,70 @@
 TEST(ReplyCheck, AcceptsOnlyTheAnswerThatIsDue)
 {
 	for (const SequenceCase &k : sequence_cases) {
-		struct reply_check check = {};
+		struct reply_check *check = reply_check_new();
 		std::vector<enum reply_fate> fates;
 
 		SCOPED_TRACE(k.name);
 		for (const Message &m : k.messages)
-			fates.push_back(reply_check_part(&check, m.due, m.part,
+			fates.push_back(reply_check_part(check, m.due, m.part,
 							 m.signature,
-							 m.signature ? 1 : 0));
+							 m.signature ? 1 : 0,
+							 0));
 		EXPECT_EQ(k.fates, fates);
+		reply_check_free(check);
 	}
 }
 
-enum reply_fate answer(struct reply_check *k, enum reply_due due, uint32_t id)
+enum reply_fate answer(struct reply_check *k, enum reply_due due, uint32_t id,
+		       int64_t now_us)
 {
 	std::string signature = "s" + std::to_string(id);
 	enum reply_fate fate;
 
 	if (id % 2)
-		reply_check_part(k, due, REPLY_PART_ROW, nullptr, 0);
+		reply_check_part(k, due, REPLY_PART_ROW, nullptr, 0, now_us);
 	fate = reply_check_part(k, due, REPLY_PART_RESULT, signature.data(),
-				signature.size());
-	EXPECT_EQ(fate, reply_check_part(k, due, REPLY_PART_READY, nullptr, 0));
+				signature.size(), now_us);
+	EXPECT_EQ(fate, reply_check_part(k, due, REPLY_PART_READY, nullptr, 0,
+					 now_us));
 	return fate;
 }
 
 RC_GTEST_PROP(ReplyCheck, CopiesNeverReplaceAnAnswer, ())
 {
-	struct reply_check k = {};
-	uint32_t last = 0;
+	struct reply_check *k = reply_check_new();
+	std::vector<int64_t> answered_us;
+	int64_t now_us = 1;
 
 	for (int i = 0; i < 1000; i++) {
 		bool idle = *rc::gen::inRange(0, 2);
-		/* Up to as many answers ago as are remembered. */
-		uint32_t back =
-			*rc::gen::inRange<uint32_t>(0, REPLY_SIGNATURES_MAX);
-		int copies = *rc::gen::inRange(0, 3);
-
-		for (int j = 0; j < copies && back < last; j++)
-			RC_ASSERT(answer(&k, idle ? NONE : STATEMENT,
-					 last - back) == COPY);
-		RC_ASSERT(answer(&k, STATEMENT, ++last) == FITS);
+		size_t copied = *rc::gen::inRange<size_t>(0, i + 1);
+
+		now_us += *rc::gen::inRange(0, 200000);
+		if (copied < answered_us.size() &&
+		    now_us - answered_us[copied] <= REPLY_COPY_MAX_US)
+			RC_ASSERT(answer(k, idle ? NONE : STATEMENT,
+					 (uint32_t)copied, now_us) == COPY);
+		RC_ASSERT(answer(k, STATEMENT, (uint32_t)i, now_us) == FITS);
+		answered_us.push_back(now_us);
+		RC_ASSERT(!reply_check_is_full(k));
 	}
+	reply_check_free(k);
+}
+
+TEST(ReplyCheck, IsFullBeforeItForgetsInTime)
+{
+	struct reply_check *k = reply_check_new();
+	uint32_t n = 0;
+
+	while (!reply_check_is_full(k) && n < 1000000)
+		EXPECT_EQ(FITS, answer(k, STATEMENT, ++n, 1));
+	EXPECT_LT(10000u, n);
+	EXPECT_EQ(COPY, answer(k, STATEMENT, 1, 1));
+	/* Those that are old enough make room. */
+	EXPECT_EQ(FITS, answer(k, STATEMENT, ++n, 2 + REPLY_COPY_MAX_US));
+	EXPECT_FALSE(reply_check_is_full(k));
+	reply_check_free(k);
 }
 
 } // namespace
