Errors close no connection at endpoints that repeat nothing

Callers saw: nothing wrong, but an endpoint that often refuses was asked for new connections, and one that fails was judged a second later: for that a test had been given 4 s in place of 3. Cause: each connection was closed after its second error in 10 s, and probes that look for a primary marked all idle connections. Change: the connection is left alone for four times the usual time of a statement, in which the answer of a statement that a copy has refused would come; at an endpoint that repeats answers it is closed as before. Probes that are probably refused use connections that had errors. RestartedEndpointBeginsWithFreshFigures has its 3 s again.

--- a/src/proxy/conn_pool.c
+++ b/src/proxy/conn_pool.c
@@ -73,10 +73,10 @@
 	bool takes_effect = s->transaction != TRANSACTION_NONE ?
 				    !s->transaction_reads_only :
 				    s->op.writes;
+	int64_t now_us = engine_now(c->engine);
 
-	return !c->retired &&
-	       !(takes_effect &&
-		 upstream_conn_had_error(c, engine_now(c->engine)));
+	return !c->retired && now_us >= c->unused_until_us &&
+	       !(takes_effect && upstream_conn_had_error(c, now_us));
 }
 
 struct upstream_conn *conn_pool_find_idle(const struct upstream *u,
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -27,8 +27,8 @@
 	OPEN_BACKOFF_US = 200 * 1000,
 	OPEN_BACKOFF_MAX_US = 1600 * 1000,
 	ROWS_KEPT_BYTES = 16 * 1024, /* of a buffer that is not in use */
-	/* Times of a usual read for which one goes on waiting after a stray. */
-	STRAY_WAIT_FACTOR = 4,
+	/* Times of a usual statement after which its answer does not come. */
+	OWN_ANSWER_FACTOR = 4,
 };
 
 /*
@@ -166,13 +166,20 @@
  */
 static void note_error(struct upstream_conn *c, int64_t now_us)
 {
+	struct upstream *u = c->upstream;
+	bool had_error = upstream_conn_had_error(c, now_us);
+
 	memset(&c->unsealed, 0, sizeof(c->unsealed));
-	if (c->upstream->is_home)
+	if (u->is_home)
 		return;
-	/* It may also be due to a BEGIN that a copy has answered. */
-	c->retired |= upstream_conn_had_error(c, now_us) ||
-		      (c->took_unsigned &&
-		       upstream_repeats_answers(c->upstream, now_us));
+	if (upstream_repeats_answers(u, now_us))
+		/* It may also be due to a BEGIN that a copy has answered. */
+		c->retired |= had_error || c->took_unsigned;
+	else if (had_error)
+		c->unused_until_us =
+			now_us +
+			OWN_ANSWER_FACTOR *
+				upstream_expected_latency_us(u, now_us);
 	c->error_us = now_us;
 }
 
@@ -783,7 +790,7 @@
 	if (!c || c->closed || c->session != s || !c->stray_us ||
 	    c->state != CONN_STATE_RUNNING || !is_repeatable(c) ||
 	    now_us - c->stray_us <
-		    STRAY_WAIT_FACTOR *
+		    OWN_ANSWER_FACTOR *
 			    upstream_expected_latency_us(c->upstream, now_us))
 		return false;
 	c->stray_us = 0;
--- a/src/proxy/mark_probe.c
+++ b/src/proxy/mark_probe.c
@@ -40,26 +40,28 @@
 }
 
 /*
- * Returns the idle connection that loses least by a probe, or NULL. One with
- * errors, which may come again, is used if there is no other.
+ * Returns the idle connection that loses least by a probe, or NULL. A probe that
+ * is probably refused goes where there were errors before, and any other one
+ * where there were none that may come again.
  */
-static struct upstream_conn *find_probe_conn(const struct upstream *u,
-					     int64_t now_us)
+static struct upstream_conn *
+find_probe_conn(const struct upstream *u, bool had_error_first, int64_t now_us)
 {
 	struct upstream_conn *found = NULL;
-	bool found_had_error = false;
+	bool found_fits = false;
 
 	for (guint i = 0; i < u->conns->len; i++) {
 		struct upstream_conn *c = g_ptr_array_index(u->conns, i);
-		bool had_error = upstream_conn_had_error(c, now_us);
+		bool fits =
+			upstream_conn_had_error(c, now_us) == had_error_first;
 
 		if (c->state != CONN_STATE_IDLE || c->control)
 			continue;
-		if (!found || had_error < found_had_error ||
-		    (had_error == found_had_error &&
+		if (!found || fits > found_fits ||
+		    (fits == found_fits &&
 		     get_probe_cost(c) < get_probe_cost(found))) {
 			found = c;
-			found_had_error = had_error;
+			found_fits = fits;
 		}
 	}
 	return found;
@@ -159,7 +161,7 @@
 	svc->probe_due_us = now_us + RETRY_INTERVAL_US;
 	for (guint i = 0; i < svc->upstreams->len; i++) {
 		struct upstream *u = g_ptr_array_index(svc->upstreams, i);
-		struct upstream_conn *c = find_probe_conn(u, now_us);
+		struct upstream_conn *c = find_probe_conn(u, true, now_us);
 
 		if (u->expired)
 			continue;
@@ -196,7 +198,7 @@
 	svc->probe_due_us =
 		now_us + (u->silent_since_us ? RETRY_INTERVAL_US :
 					       get_probe_interval_us(svc));
-	c = find_probe_conn(u, now_us);
+	c = find_probe_conn(u, false, now_us);
 	if (c)
 		send_probe(svc, c, now_us);
 	else
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -98,6 +98,8 @@
 	int64_t idle_since_us; /* when it last became idle */
 	int64_t answered_us; /* when the last complete answer arrived */
 	int64_t error_us; /* when it last carried an error; 0: never */
+	/* If that was a copy, the request's own answer comes by then. */
+	int64_t unused_until_us;
 	/* A result without a signature came while its statement ran; 0: none. */
 	int64_t stray_us;
 
--- a/tests/proxy_health_test.cc
+++ b/tests/proxy_health_test.cc
@@ -357,7 +357,7 @@
 	load.run(2 * S);
 	ProxyEndpoint *e = m.replica(0);
 	e->failed_read_percent = 100;
-	load.run(4 * S);
+	load.run(3 * S);
 	for (auto &n : m.nodes)
 		EXPECT_GT(500, metrics_get(n->metrics, "endpoint_weight_milli",
 					   e->id.c_str()));
