Matching of replies and sealing of answers in files of their own

What tells whether a message is due is in reply_match.c, and what unsigned answers count for in sealing.c; nothing else changes.

--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -7,6 +7,8 @@
 #include "proxy/hop.h"
 #include "proxy/quota_requests.h"
 #include "proxy/relay_load.h"
+#include "proxy/reply_match.h"
+#include "proxy/sealing.h"
 #include "proxy/service_health.h"
 #include "proxy/statement_send.h"
 
@@ -26,9 +28,6 @@
 	 */
 	OPEN_BACKOFF_US = 200 * 1000,
 	OPEN_BACKOFF_MAX_US = 1600 * 1000,
-	ROWS_KEPT_BYTES = 16 * 1024, /* of a buffer that is not in use */
-	/* Times of a usual statement after which its answer does not come. */
-	OWN_ANSWER_FACTOR = 4,
 };
 
 /*
@@ -133,56 +132,6 @@
 	dispatch_retry(s, answer_code_name(code), now_us);
 }
 
-/* Records the log position of a primary, for a request sent at requested_us. */
-static void record_mark(struct upstream_conn *c, int64_t requested_us,
-			struct position position)
-{
-	struct service *svc = c->upstream->service;
-
-	if (svc->primary == c->upstream)
-		mark_ring_add(&svc->marks, requested_us, position);
-}
-
-/* Keeps the position that a BEGIN was answered with until it is sealed. */
-static void keep_mark(struct upstream_conn *c,
-		      const struct conn_request *request,
-		      const struct wire_reply *ready)
-{
-	c->unsealed.has_mark = ready->has_position;
-	c->unsealed.requested_us = request->sent_us;
-	c->unsealed.position = ready->position;
-}
-
-static void apply_mark(struct upstream_conn *c)
-{
-	if (c->unsealed.has_mark)
-		record_mark(c, c->unsealed.requested_us, c->unsealed.position);
-	c->unsealed.has_mark = false;
-}
-
-/*
- * Notes an error of an endpoint; homes give each answer once. It may be a copy
- * if the connection had one before, and the request's own answer then follows.
- */
-static void note_error(struct upstream_conn *c, int64_t now_us)
-{
-	struct upstream *u = c->upstream;
-	bool had_error = upstream_conn_had_error(c, now_us);
-
-	memset(&c->unsealed, 0, sizeof(c->unsealed));
-	if (u->is_home)
-		return;
-	if (upstream_repeats_answers(u, now_us))
-		/* It may also be due to a BEGIN that a copy has answered. */
-		c->retired |= had_error || c->took_unsigned;
-	else if (had_error)
-		c->unused_until_us =
-			now_us +
-			OWN_ANSWER_FACTOR *
-				upstream_expected_latency_us(u, now_us);
-	c->error_us = now_us;
-}
-
 static void update_last_write(struct session *s, const struct wire_reply *r,
 			      int64_t now_us)
 {
@@ -204,11 +153,11 @@
 
 	g_string_append_len(op->rows, c->rows->str, (gssize)c->rows->len);
 	c->took_unsigned = false;
-	apply_mark(c);
+	sealing_apply_mark(c);
 	if (ready->has_position &&
 	    (op->need == NEED_STRICT_READ || (op->writes && ends) ||
 	     (commits && s->transaction_wrote)))
-		record_mark(c, request->sent_us, ready->position);
+		sealing_record_mark(c, request->sent_us, ready->position);
 	if ((op->writes && ends) || (commits && s->transaction_wrote))
 		update_last_write(s, ready, now_us);
 	if (op->writes && !ends)
@@ -260,27 +209,6 @@
 	caller_send_error(s, code, "the endpoint reported it", now_us);
 }
 
-/* Applies what the unsigned answers before this one said. */
-static void handle_seal(struct upstream_conn *c, int64_t now_us)
-{
-	struct unsealed_answers sealed = c->unsealed;
-	bool repeats = upstream_repeats_answers(c->upstream, now_us);
-
-	memset(&c->unsealed, 0, sizeof(c->unsealed));
-	if (sealed.has_mark) {
-		/* Only a primary begins a transaction that may write. */
-		if (c->upstream->service->primary != c->upstream)
-			engine_update_primary(c->engine, c->upstream,
-					      PRIMARY_CLAIM_CONFIRMED,
-					      "accepted a BEGIN");
-		if (!repeats)
-			record_mark(c, sealed.requested_us, sealed.position);
-	}
-	if (sealed.has_report)
-		failover_handle_report(c->engine->failovers, c, &sealed.report,
-				       now_us);
-}
-
 static void on_statement_answer(struct upstream_conn *c,
 				const struct conn_request *request,
 				const struct wire_reply *ready, int64_t now_us)
@@ -293,7 +221,7 @@
 	metrics_observe(c->engine->opts.metrics, "endpoint_seconds",
 			c->upstream->entry.id, now_us - request->sent_us);
 	if (c->answer.failed)
-		note_error(c, now_us);
+		sealing_note_error(c, now_us);
 	if (!c->session)
 		return;
 	if (c->answer.failed)
@@ -336,7 +264,7 @@
 		return;
 	}
 	if (c->answer.failed)
-		note_error(c, now_us);
+		sealing_note_error(c, now_us);
 	else
 		c->took_unsigned = true;
 	if (!c->session) {
@@ -345,7 +273,7 @@
 		return;
 	}
 	if (!c->answer.failed && c->session->op.need != NEED_READ)
-		keep_mark(c, request, ready);
+		sealing_keep_mark(c, request, ready);
 	if (c->answer.failed)
 		handle_refusal(c, c->answer.code, now_us);
 	else if (is_ready_for_statement(c))
@@ -362,7 +290,7 @@
 		return;
 	}
 	if (c->answer.failed)
-		note_error(c, now_us);
+		sealing_note_error(c, now_us);
 	if (c->state != CONN_STATE_PROBING || !c->unsealed.has_mark)
 		return;
 	/*
@@ -381,7 +309,7 @@
 		close_mismatched_conn(c, "RESET was answered by something else",
 				      now_us);
 	else
-		handle_seal(c, now_us);
+		sealing_apply(c, now_us);
 }
 
 static void on_probe_begin_answer(struct upstream_conn *c,
@@ -391,13 +319,13 @@
 {
 	c->upstream->service->probing = false;
 	if (c->answer.failed) {
-		note_error(c, now_us);
+		sealing_note_error(c, now_us);
 		record_refusal(c, c->answer.code, now_us);
 	} else if (ready->state != TRANSACTION_OPEN) {
 		close_mismatched_conn(c, "BEGIN was answered by something else",
 				      now_us);
 	} else {
-		keep_mark(c, request, ready);
+		sealing_keep_mark(c, request, ready);
 	}
 }
 
@@ -411,7 +339,7 @@
 	k->has_report = !c->answer.failed &&
 			e->opts.wire->read_report(c->answer.report, &k->report);
 	if (c->answer.failed)
-		note_error(c, now_us);
+		sealing_note_error(c, now_us);
 	if (!k->has_report)
 		failover_handle_report_error(e->failovers, c, c->answer.code,
 					     now_us);
@@ -460,16 +388,6 @@
 	dispatch_release_conn(c, now_us);
 }
 
-static void clear_answer(struct upstream_conn *c)
-{
-	memset(&c->answer, 0, sizeof(c->answer));
-	g_string_truncate(c->rows, 0);
-	if (c->rows->allocated_len > ROWS_KEPT_BYTES) {
-		g_string_free(c->rows, TRUE);
-		c->rows = g_string_new(NULL);
-	}
-}
-
 static void on_ready(struct upstream_conn *c, const struct wire_reply *ready,
 		     int64_t now_us)
 {
@@ -490,7 +408,7 @@
 	if (ready->has_position)
 		upstream_record_position(c->upstream, ready->position, now_us);
 	answer_fns[request.kind](c, &request, ready, now_us);
-	clear_answer(c);
+	upstream_conn_clear_answer(c);
 	release_if_finished(c, now_us);
 }
 
@@ -543,17 +461,6 @@
 		handle_denied_conn(c, r->code, now_us);
 }
 
-static const enum reply_due request_dues[CONN_REQUEST_KIND_COUNT] = {
-	[CONN_REQUEST_START] = REPLY_DUE_START,
-	[CONN_REQUEST_SETUP] = REPLY_DUE_PLAIN,
-	[CONN_REQUEST_BEGIN] = REPLY_DUE_PLAIN,
-	[CONN_REQUEST_STATEMENT] = REPLY_DUE_STATEMENT,
-	[CONN_REQUEST_ROLLBACK] = REPLY_DUE_PLAIN,
-	[CONN_REQUEST_PROBE_BEGIN] = REPLY_DUE_PLAIN,
-	[CONN_REQUEST_REPORT] = REPLY_DUE_REPORT,
-	[CONN_REQUEST_SEAL] = REPLY_DUE_PLAIN,
-};
-
 /* Of a message that does not fit the request which is due. */
 static const char *const misfits[] = {
 	[REPLY_ROW] = "a row out of place",
@@ -562,66 +469,6 @@
 	[REPLY_READY] = "an answer without a result",
 };
 
-static const enum reply_part reply_parts[] = {
-	[REPLY_ROW] = REPLY_PART_ROW,
-	[REPLY_DONE] = REPLY_PART_RESULT,
-	[REPLY_ERROR] = REPLY_PART_ERROR,
-	[REPLY_READY] = REPLY_PART_READY,
-};
-
-static enum reply_fate check_reply(struct upstream_conn *c,
-				   const struct wire_reply *r, int64_t now_us)
-{
-	const struct conn_request *request = upstream_conn_oldest_request(c);
-	enum reply_due due =
-		request ? request_dues[request->kind] : REPLY_DUE_NONE;
-	enum reply_fate fate =
-		reply_check_part(c->replies, due, reply_parts[r->kind],
-				 r->ran_statement ? r->text : NULL,
-				 r->text_bytes, now_us);
-
-	if (!c->upstream->is_home)
-		return fate;
-	/* Its endpoints may have started again, with the same signatures. */
-	if (fate == REPLY_IS_COPY && due == REPLY_DUE_STATEMENT)
-		return REPLY_FITS;
-	return fate == REPLY_FITS ? fate : REPLY_MISFITS;
-}
-
-/* Drops a part of an answer that the endpoint had given before. */
-static void drop_copy(struct upstream_conn *c, const struct wire_reply *r,
-		      int64_t now_us)
-{
-	struct upstream *u = c->upstream;
-
-	clear_answer(c);
-	/* The answer that was taken in its place may have been the copy. */
-	c->unsealed.has_mark = false;
-	if (r->kind != REPLY_READY)
-		return;
-	if (!upstream_repeats_answers(u, now_us))
-		engine_log(c->engine, LOG_ANSWER_REPEATED, 0, u->entry.id,
-			   c->request_count, "%s", u->service->name);
-	upstream_note_repetition(u, now_us);
-	metrics_add(c->engine->opts.metrics, "endpoint_repeated_answers_total",
-		    u->entry.id, 1);
-}
-
-/*
- * Drops a part of an answer that is no statement's. If a read runs, this may
- * have been meant to be its answer; see exchange_retry_unanswered().
- */
-static void drop_stray(struct upstream_conn *c, const struct wire_reply *r,
-		       int64_t now_us)
-{
-	const struct conn_request *request = upstream_conn_oldest_request(c);
-
-	drop_copy(c, r, now_us);
-	if (r->kind == REPLY_READY && request &&
-	    request->kind == CONN_REQUEST_STATEMENT)
-		c->stray_us = now_us;
-}
-
 static void handle_reply(struct upstream_conn *c, const struct wire_reply *r,
 			 int64_t now_us)
 {
@@ -678,15 +525,15 @@
 		close_mismatched_conn(c, "a line that cannot be read", now_us);
 		return;
 	}
-	switch (check_reply(c, &r, now_us)) {
+	switch (reply_match_check(c, &r, now_us)) {
 	case REPLY_FITS:
 		handle_reply(c, &r, now_us);
 		break;
 	case REPLY_IS_COPY:
-		drop_copy(c, &r, now_us);
+		reply_match_drop_copy(c, &r, now_us);
 		break;
 	case REPLY_IS_STRAY:
-		drop_stray(c, &r, now_us);
+		reply_match_drop_stray(c, &r, now_us);
 		break;
 	case REPLY_MISFITS:
 		close_mismatched_conn(c, misfits[r.kind], now_us);
@@ -790,7 +637,7 @@
 	if (!c || c->closed || c->session != s || !c->stray_us ||
 	    c->state != CONN_STATE_RUNNING || !is_repeatable(c) ||
 	    now_us - c->stray_us <
-		    OWN_ANSWER_FACTOR *
+		    OWN_ANSWER_TIMES *
 			    upstream_expected_latency_us(c->upstream, now_us))
 		return false;
 	c->stray_us = 0;
--- a/src/proxy/upstream_conn.c
+++ b/src/proxy/upstream_conn.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* Of a buffer that is not in use. */
+enum { ROWS_KEPT_BYTES = 16 * 1024 };
+
 struct upstream_conn *upstream_conn_new(struct engine *e, struct upstream *u,
 					const char *workspace, int64_t now_us)
 {
@@ -45,6 +48,16 @@
 	c->request_count++;
 }
 
+void upstream_conn_clear_answer(struct upstream_conn *c)
+{
+	memset(&c->answer, 0, sizeof(c->answer));
+	g_string_truncate(c->rows, 0);
+	if (c->rows->allocated_len > ROWS_KEPT_BYTES) {
+		g_string_free(c->rows, TRUE);
+		c->rows = g_string_new(NULL);
+	}
+}
+
 const struct conn_request *
 upstream_conn_oldest_request(const struct upstream_conn *c)
 {
--- a/src/proxy/upstream_conn.h
+++ b/src/proxy/upstream_conn.h
@@ -138,6 +138,9 @@
 /* Removes the oldest pending request; there must be one. */
 void upstream_conn_pop_request(struct upstream_conn *c);
 
+/* Forgets what has been received of an answer. */
+void upstream_conn_clear_answer(struct upstream_conn *c);
+
 /*
  * Appends a statement of the proxy itself to the output and records it as a
  * request.
